--- /dev/null
+++ b/crates/seamhatchd/src/gate.rs
@@ -0,0 +1,205 @@
+//! The admission queue as the traffic threads use it: a call awaits its slot.
+
+use crate::clock;
+use crate::metrics::Metrics;
+use seamhatch_core::Instant;
+use seamhatch_core::admission::{
+    Admission, AdmissionPolicy, AdmissionQueue, AdmissionRequest, Dequeued, Ticket,
+};
+use seamhatch_core::clock::Microseconds;
+use seamhatch_core::identity::RootId;
+use seamhatch_core::outcome::Reason;
+use seamhatch_core::priority::Priority;
+use seamhatch_wire::ServerReport;
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use tokio::sync::oneshot;
+
+/// What a call tells when it asks for a slot.
+#[derive(Debug, Clone, Copy)]
+pub struct GateRequest {
+    /// Its request, for logs.
+    pub root: RootId,
+    /// Order of shedding.
+    pub priority: Priority,
+    /// When the root request was admitted.
+    pub root_admitted: Instant,
+    /// When the call becomes useless.
+    pub expiry: Instant,
+}
+
+#[derive(Debug)]
+struct State {
+    queue: AdmissionQueue,
+    waiters: HashMap<Ticket, oneshot::Sender<Result<(), Reason>>>,
+}
+
+/// Hands out the slots of the server beside the daemon.
+#[derive(Debug)]
+pub struct AdmissionGate {
+    state: Mutex<State>,
+    next_ticket: AtomicU64,
+    metrics: Arc<Metrics>,
+}
+
+/// A slot; dropping it frees the slot.
+#[derive(Debug)]
+pub struct Permit {
+    gate: Arc<AdmissionGate>,
+    ticket: Ticket,
+    succeeded: bool,
+}
+
+impl Permit {
+    /// The call's service time is a fair sample.
+    pub fn mark_succeeded(&mut self) {
+        self.succeeded = true;
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.gate.finish(self.ticket, self.succeeded);
+    }
+}
+
+/// Takes a waiting call out of the queue when its future is dropped.
+struct WaitGuard<'a> {
+    gate: &'a AdmissionGate,
+    ticket: Ticket,
+}
+
+impl Drop for WaitGuard<'_> {
+    fn drop(&mut self) {
+        let mut state = self.gate.lock();
+        state.queue.cancel(self.ticket);
+        state.waiters.remove(&self.ticket);
+    }
+}
+
+impl AdmissionGate {
+    /// The gate of a cold server.
+    #[must_use]
+    pub fn new(policy: AdmissionPolicy, metrics: Arc<Metrics>) -> Arc<Self> {
+        let state = State { queue: AdmissionQueue::new(policy), waiters: HashMap::new() };
+        Arc::new(Self { state: Mutex::new(state), next_ticket: AtomicU64::new(0), metrics })
+    }
+
+    /// Waits for a slot.
+    ///
+    /// # Errors
+    /// The reason of the refusal; the call has not run and won't.
+    pub async fn admit(self: &Arc<Self>, request: GateRequest) -> Result<Permit, Reason> {
+        let arrived = clock::now();
+        let ticket = Ticket(self.next_ticket.fetch_add(1, Ordering::Relaxed));
+        let Some(turn) = self.offer(ticket, request, arrived)? else {
+            return Ok(self.permit(ticket));
+        };
+        let guard = WaitGuard { gate: self, ticket };
+        let decided = tokio::time::timeout(clock::time_until(request.expiry), turn).await;
+        drop(guard);
+        let waited = clock::now().since(arrived);
+        self.metrics.queue_seconds.observe(waited as f64 / 1e6);
+        match decided {
+            Ok(Ok(Ok(()))) => Ok(self.permit(ticket)),
+            Ok(Ok(Err(reason))) => Err(reason),
+            Ok(Err(_)) | Err(_) => {
+                // A slot may have been granted at the same moment: give it back.
+                self.finish(ticket, false);
+                Err(Reason::DeadlineExceeded)
+            }
+        }
+    }
+
+    /// The state that is told to other daemons.
+    #[must_use]
+    pub fn report(&self) -> ServerReport {
+        let state = self.lock();
+        ServerReport {
+            load: (state.queue.running() + state.queue.waiting()) as u32,
+            limit: state.queue.limit(),
+            floor: state.queue.floor(),
+        }
+    }
+
+    /// How long a refused caller should stay away, before jitter.
+    #[must_use]
+    pub fn retry_after(&self) -> Microseconds {
+        self.lock().queue.retry_after()
+    }
+
+    /// Calls that run or wait.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        let state = self.lock();
+        state.queue.running() + state.queue.waiting()
+    }
+
+    /// Moves the admission floor; to be called every 100 ms.
+    pub fn tick(&self) {
+        let mut state = self.lock();
+        state.queue.tick();
+        self.pump(&mut state);
+        self.metrics.running.set(state.queue.running() as i64);
+        self.metrics.waiting.set(state.queue.waiting() as i64);
+        self.metrics.limit.set(i64::from(state.queue.limit()));
+        self.metrics.floor.set(i64::from(state.queue.floor().0));
+    }
+
+    fn permit(self: &Arc<Self>, ticket: Ticket) -> Permit {
+        Permit { gate: self.clone(), ticket, succeeded: false }
+    }
+
+    fn offer(
+        &self,
+        ticket: Ticket,
+        request: GateRequest,
+        now: Instant,
+    ) -> Result<Option<oneshot::Receiver<Result<(), Reason>>>, Reason> {
+        let offered = AdmissionRequest {
+            ticket,
+            priority: request.priority,
+            root_admitted: request.root_admitted,
+            expiry: request.expiry,
+        };
+        let mut state = self.lock();
+        match state.queue.offer(offered, now) {
+            Admission::Run => Ok(None),
+            Admission::Refuse(reason) => Err(reason),
+            Admission::Wait { evicted } => {
+                if let Some(waiter) = evicted.and_then(|evicted| state.waiters.remove(&evicted)) {
+                    // The evicted call may have gone away by itself.
+                    let _ = waiter.send(Err(Reason::Evicted));
+                }
+                let (sender, receiver) = oneshot::channel();
+                state.waiters.insert(ticket, sender);
+                Ok(Some(receiver))
+            }
+        }
+    }
+
+    fn finish(&self, ticket: Ticket, succeeded: bool) {
+        let mut state = self.lock();
+        state.queue.finish(ticket, clock::now(), succeeded);
+        self.pump(&mut state);
+    }
+
+    fn pump(&self, state: &mut State) {
+        let now = clock::now();
+        while let Some(dequeued) = state.queue.next(now) {
+            let (ticket, decision) = match dequeued {
+                Dequeued::Run(ticket) => (ticket, Ok(())),
+                Dequeued::Expired(ticket) => (ticket, Err(Reason::DeadlineExceeded)),
+            };
+            let delivered = state.waiters.remove(&ticket).is_some_and(|waiter| waiter.send(decision).is_ok());
+            if !delivered && decision.is_ok() {
+                state.queue.finish(ticket, now, false);
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("a thread panicked inside the admission queue")
+    }
+}
--- /dev/null
+++ b/crates/seamhatchd/src/headers.rs
@@ -0,0 +1,61 @@
+//! Names of the HTTP header fields that seamhatch sets, and which fields pass through.
+
+use seamhatch_wire::HeaderField;
+use xitca_web::http::header::{HeaderMap, HeaderName, HeaderValue};
+
+/// Prefix of all fields that only daemons set.
+pub const PREFIX: &str = "seamhatch-";
+/// Opaque; a back end passes it on with its own calls.
+pub const CONTEXT: &str = "seamhatch-context";
+/// Time at which the call becomes useless: microseconds of `CLOCK_BOOTTIME`.
+pub const DEADLINE: &str = "seamhatch-deadline";
+/// What became of the call: `answered`, `not-run`, `unknown` or `duplicate`.
+pub const OUTCOME: &str = "seamhatch-outcome";
+/// Why there is no answer of a back end.
+pub const REASON: &str = "seamhatch-reason";
+/// Configuration generation that decided.
+pub const GENERATION: &str = "seamhatch-generation";
+/// Root id of the request, for logs.
+pub const REQUEST_ID: &str = "seamhatch-request-id";
+/// Marks repeats of one request.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+const HOP_BY_HOP: [&str; 8] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Whether a field goes from one side of a daemon to the other.
+#[must_use]
+pub fn passes_through(name: &str) -> bool {
+    !HOP_BY_HOP.contains(&name) && !name.starts_with(PREFIX)
+}
+
+/// The fields of a message that pass through; `expect` is answered here, and
+/// `host` is set anew by whoever sends the message on.
+#[must_use]
+pub fn passing_fields(headers: &HeaderMap) -> Vec<HeaderField> {
+    headers
+        .iter()
+        .filter(|(name, _)| passes_through(name.as_str()))
+        .filter(|(name, _)| !matches!(name.as_str(), "expect" | "host"))
+        .map(|(name, value)| HeaderField { name: name.as_str().to_owned(), value: value.as_bytes().to_vec() })
+        .collect()
+}
+
+/// Adds fields to a message, leaving out those that aren't valid HTTP.
+pub fn append_fields(headers: &mut HeaderMap, fields: &[HeaderField]) {
+    for field in fields {
+        let name = HeaderName::from_bytes(field.name.as_bytes());
+        let value = HeaderValue::from_bytes(&field.value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            headers.append(name, value);
+        }
+    }
+}
--- /dev/null
+++ b/crates/seamhatchd/src/lib.rs
@@ -0,0 +1,28 @@
+//! The seamhatch daemon: runs beside one back end and decides, for each call,
+//! whether it runs, waits or is refused, and where it goes.
+//!
+//! Requests pass a chain of [`filters`]; state is kept by [`controllers`] on a
+//! thread of their own, which publish an immutable [`snapshot`] to the threads
+//! that carry traffic.
+
+pub mod backend;
+pub mod claims;
+pub mod clock;
+pub mod controllers;
+pub mod dispatch;
+pub mod filters;
+pub mod gate;
+pub mod headers;
+pub mod listeners;
+pub mod logging;
+pub mod metrics;
+pub mod peer;
+pub mod retry_budget;
+pub mod running;
+pub mod settings;
+pub mod shared;
+pub mod snapshot;
+pub mod startup;
+pub mod store;
+
+pub use startup::run;
--- /dev/null
+++ b/crates/seamhatchd/src/listeners/admin.rs
@@ -0,0 +1,185 @@
+//! The operators' listener.
+
+use crate::controllers::{DrainTarget, SubmitError, SubmitRequest};
+use crate::listeners::answers::{json, typed};
+use crate::shared::Shared;
+use http::{Method, StatusCode};
+use seamhatch_core::generation::{Generation, SubmissionId};
+use seamhatch_core::identity::Address;
+use seamhatch_policy::Sample;
+use serde::{Deserialize, Serialize};
+use std::convert::Infallible;
+use std::sync::Arc;
+use xitca_web::WebContext;
+use xitca_web::body::{BodyExt, RequestBody};
+use xitca_web::http::WebResponse;
+
+/// Largest body that an operator sends.
+const LARGEST_BODY: usize = 1024 * 1024;
+const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// A submission as sent by the client.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct SubmissionBody {
+    id: u64,
+    author: String,
+    document: String,
+    expect_generation: Option<u64>,
+}
+
+/// A drain as sent by the client; without `member`, this daemon.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct DrainBody {
+    member: Option<Address>,
+}
+
+#[derive(Debug, Serialize)]
+struct Accepted {
+    generation: u64,
+}
+
+#[derive(Debug, Serialize)]
+struct Problem {
+    kind: &'static str,
+    detail: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    generation: Option<u64>,
+}
+
+#[derive(Debug, Serialize)]
+struct Explanation {
+    generation: u64,
+    service: Option<String>,
+    class: &'static str,
+    retries: u32,
+    deadline_ms: u64,
+    repeatable: bool,
+    failed_functions: Vec<&'static str>,
+}
+
+/// Answers one operator's request.
+pub async fn handle(mut context: WebContext<'_, Arc<Shared>>) -> Result<WebResponse, Infallible> {
+    let shared = context.state().clone();
+    let (parts, extension) = context.take_request().into_parts();
+    let (_, body) = extension.replace_body(());
+    let response = match (&parts.method, parts.uri.path()) {
+        (&Method::GET, "/healthz") => typed(StatusCode::OK, "text/plain", b"ok\n".to_vec()),
+        (&Method::GET, "/readyz") => readiness(&shared),
+        (&Method::GET, "/metrics") => {
+            typed(StatusCode::OK, METRICS_TYPE, shared.metrics.to_text().into_bytes())
+        }
+        (&Method::GET, "/v1/status") => json(StatusCode::OK, &shared.control.status().await),
+        (&Method::GET, "/v1/configuration") => configuration(&shared).await,
+        (&Method::POST, "/v1/submissions") => submit(&shared, body).await,
+        (&Method::POST, "/v1/explain") => explain(&shared, body).await,
+        (&Method::POST, "/v1/drain") => drain(&shared, body).await,
+        _ => problem(StatusCode::NOT_FOUND, "not-found", "no such page; see docs/OPERATIONS.md"),
+    };
+    Ok(response)
+}
+
+fn problem(status: StatusCode, kind: &'static str, detail: impl Into<String>) -> WebResponse {
+    json(status, &Problem { kind, detail: detail.into(), generation: None })
+}
+
+fn readiness(shared: &Shared) -> WebResponse {
+    if shared.takes_work() {
+        typed(StatusCode::OK, "text/plain", b"ready\n".to_vec())
+    } else {
+        typed(StatusCode::SERVICE_UNAVAILABLE, "text/plain", b"not ready\n".to_vec())
+    }
+}
+
+async fn configuration(shared: &Shared) -> WebResponse {
+    match shared.control.stored().await {
+        Some(stored) => json(StatusCode::OK, &stored),
+        None => problem(StatusCode::NOT_FOUND, "no-configuration", "no configuration yet; submit one"),
+    }
+}
+
+async fn submit(shared: &Shared, body: RequestBody) -> WebResponse {
+    let submission: SubmissionBody = match read_json(body).await {
+        Ok(submission) => submission,
+        Err(response) => return response,
+    };
+    let request = SubmitRequest {
+        id: SubmissionId(submission.id),
+        author: submission.author,
+        document: submission.document,
+        expect_generation: submission.expect_generation.map(Generation),
+    };
+    match shared.control.submit(request).await {
+        Ok(generation) => json(StatusCode::OK, &Accepted { generation: generation.0 }),
+        Err(error) => submit_problem(&error),
+    }
+}
+
+fn submit_problem(error: &SubmitError) -> WebResponse {
+    let (status, kind, generation) = match error {
+        SubmitError::Invalid(_) => (StatusCode::UNPROCESSABLE_ENTITY, "invalid", None),
+        SubmitError::Conflict { actual, .. } => (StatusCode::CONFLICT, "conflict", Some(actual.0)),
+        SubmitError::Unavailable { .. } => (StatusCode::SERVICE_UNAVAILABLE, "unavailable", None),
+        SubmitError::Unknown { based_on, .. } => {
+            (StatusCode::GATEWAY_TIMEOUT, "unknown", based_on.map(|generation| generation.0))
+        }
+    };
+    json(status, &Problem { kind, detail: error.to_string(), generation })
+}
+
+async fn explain(shared: &Shared, body: RequestBody) -> WebResponse {
+    let sample: Sample = match read_json(body).await {
+        Ok(sample) => sample,
+        Err(response) => return response,
+    };
+    let snapshot = shared.snapshot();
+    let Some(configuration) = snapshot.configuration() else {
+        return problem(StatusCode::NOT_FOUND, "no-configuration", "no configuration yet; submit one");
+    };
+    let request = configuration.request(&sample.method, &sample.path, sample.headers);
+    let decision = configuration.policy().decide(&request);
+    let explanation = Explanation {
+        generation: snapshot.generation().0,
+        service: Some(request.service).filter(|service| !service.is_empty()),
+        class: decision.class.name(),
+        retries: decision.retries,
+        deadline_ms: decision.deadline / 1000,
+        repeatable: decision.repeatable,
+        failed_functions: decision.failed,
+    };
+    json(StatusCode::OK, &explanation)
+}
+
+async fn drain(shared: &Shared, body: RequestBody) -> WebResponse {
+    let request: DrainBody = match read_json(body).await {
+        Ok(request) => request,
+        Err(response) => return response,
+    };
+    let target = request.member.map_or(DrainTarget::Own, DrainTarget::Member);
+    if shared.control.drain(target).await {
+        json(StatusCode::ACCEPTED, &serde_json::json!({ "draining": true }))
+    } else {
+        problem(
+            StatusCode::NOT_FOUND,
+            "no-member",
+            "no member has this gossip address; see `seamhatch status`",
+        )
+    }
+}
+
+async fn read_json<T: serde::de::DeserializeOwned>(mut body: RequestBody) -> Result<T, WebResponse> {
+    let mut bytes = Vec::new();
+    while let Some(piece) = body.data().await {
+        let Ok(piece) = piece else {
+            return Err(problem(StatusCode::BAD_REQUEST, "bad-request", "the body broke off; send it again"));
+        };
+        if bytes.len() + piece.len() > LARGEST_BODY {
+            return Err(problem(StatusCode::PAYLOAD_TOO_LARGE, "too-large", "the body is larger than 1 MiB"));
+        }
+        bytes.extend_from_slice(&piece);
+    }
+    serde_json::from_slice(&bytes).map_err(|error| {
+        problem(StatusCode::BAD_REQUEST, "bad-request", format!("not the JSON expected: {error}"))
+    })
+}
--- /dev/null
+++ b/crates/seamhatchd/src/main.rs
@@ -0,0 +1,7 @@
+//! The daemon's program; everything is in the library.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    seamhatchd::run(std::env::args_os().skip(1).collect())
+}
--- /dev/null
+++ b/crates/seamhatchd/src/peer/call.rs
@@ -0,0 +1,128 @@
+//! One call as its sender sees it: events of the answer, and the answer's body.
+
+use crate::peer::CreditWindow;
+use crate::peer::connection::CallSlot;
+use crate::peer::link::Outbox;
+use bytes::Bytes;
+use seamhatch_core::identity::CallId;
+use seamhatch_wire::{AnswerHead, AnswerTail, PeerMessage, Refusal};
+use std::sync::Arc;
+use tokio::sync::mpsc;
+
+/// What the other side says of a call.
+#[derive(Debug)]
+pub enum CallEvent {
+    /// There is no answer of the back end.
+    Refused(Refusal),
+    /// The answer begins.
+    Head(Box<AnswerHead>),
+    /// A piece of its body.
+    Chunk(Bytes),
+    /// It is over.
+    Tail(AnswerTail),
+}
+
+/// A call that was sent; dropping it before its end cancels the call.
+#[derive(Debug)]
+pub struct CallStream {
+    /// Its number on this connection.
+    pub call: CallId,
+    /// How much of the request body may be sent.
+    pub window: Arc<CreditWindow>,
+    pub(super) outbox: Outbox,
+    pub(super) events: mpsc::UnboundedReceiver<CallEvent>,
+    pub(super) slot: CallSlot,
+    pub(super) ended: bool,
+}
+
+impl CallStream {
+    /// The next event; none when the connection was lost. Cancel-safe.
+    pub async fn next(&mut self) -> Option<CallEvent> {
+        let event = self.events.recv().await;
+        self.ended |= matches!(event, None | Some(CallEvent::Refused(_) | CallEvent::Tail(_)));
+        event
+    }
+
+    /// Sends a piece of the request body.
+    pub fn send_piece(&self, piece: &Bytes) {
+        self.window.spend(piece.len());
+        let message = PeerMessage::RequestChunk { call: self.call, bytes: piece.to_vec() };
+        // A lost connection shows in `next`.
+        let _ = self.outbox.send(message);
+    }
+
+    /// Says that the request body is complete.
+    pub fn finish_body(&self) {
+        let _ = self.outbox.send(PeerMessage::RequestEnd { call: self.call });
+    }
+}
+
+impl Drop for CallStream {
+    fn drop(&mut self) {
+        self.slot.release(self.call);
+        if !self.ended {
+            let _ = self.outbox.send(PeerMessage::Cancel { call: self.call });
+        }
+    }
+}
+
+/// What [`AnswerBody::next`] gives.
+#[derive(Debug)]
+pub enum AnswerPiece {
+    /// More of the body.
+    Data(Bytes),
+    /// The body is complete.
+    End {
+        /// Tokens that the call did not spend.
+        unspent_tokens: u32,
+    },
+    /// The body will never be complete.
+    Broken,
+}
+
+/// The body of an answer. It keeps one piece back until it knows that more
+/// follows or that the body is complete, so that no reader takes a broken-off
+/// body for a whole one.
+#[derive(Debug)]
+pub struct AnswerBody {
+    stream: CallStream,
+    kept_back: Option<Bytes>,
+    tail: Option<AnswerTail>,
+    lost: bool,
+}
+
+impl AnswerBody {
+    /// The body that follows an answer's head on `stream`.
+    #[must_use]
+    pub fn new(stream: CallStream) -> Self {
+        Self { stream, kept_back: None, tail: None, lost: false }
+    }
+
+    /// The next piece. Cancel-safe.
+    pub async fn next(&mut self) -> AnswerPiece {
+        while self.tail.is_none() && !self.lost {
+            match self.stream.next().await {
+                Some(CallEvent::Chunk(bytes)) => {
+                    self.grant(bytes.len());
+                    if let Some(earlier) = self.kept_back.replace(bytes) {
+                        return AnswerPiece::Data(earlier);
+                    }
+                }
+                Some(CallEvent::Tail(tail)) => self.tail = Some(tail),
+                Some(CallEvent::Refused(_) | CallEvent::Head(_)) | None => self.lost = true,
+            }
+        }
+        match self.tail {
+            Some(tail) if tail.complete => match self.kept_back.take() {
+                Some(last) => AnswerPiece::Data(last),
+                None => AnswerPiece::End { unspent_tokens: tail.unspent_tokens },
+            },
+            _ => AnswerPiece::Broken,
+        }
+    }
+
+    fn grant(&self, bytes: usize) {
+        let message = PeerMessage::Credit { call: self.stream.call, bytes: bytes as u32 };
+        let _ = self.stream.outbox.send(message);
+    }
+}
--- /dev/null
+++ b/crates/seamhatchd/src/peer/connection.rs
@@ -0,0 +1,375 @@
+//! The sending end of a connection to another daemon.
+
+use crate::clock;
+use crate::metrics::BadInput;
+use crate::peer::call::{CallEvent, CallStream};
+use crate::peer::credit::CreditWindow;
+use crate::peer::link::{self, LinkClosed, Outbox};
+use crate::shared::Shared;
+use bytes::Bytes;
+use seamhatch_core::Instant;
+use seamhatch_core::balance::{CallEnd, Ejection};
+use seamhatch_core::claims::ClaimReply;
+use seamhatch_core::clock::{MILLISECOND, Microseconds, PeerClock, SECOND};
+use seamhatch_core::generation::Generation;
+use seamhatch_core::identity::{Address, CallId, Incarnation};
+use seamhatch_wire::{
+    CallHead, ControlReply, ControlRequest, FrameReader, PeerMessage, ServerReport, WireError, read_preface,
+    write_preface,
+};
+use std::collections::HashMap;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+use tokio::net::{TcpSocket, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+
+/// Longest wait for the connection and the peer's first message.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// A peer that was silent for this long gets no new calls.
+const SILENCE_TO_AVOID: Microseconds = 1_500 * MILLISECOND;
+
+/// A peer that was silent for this long is given up, with the calls it has.
+const SILENCE_TO_CLOSE: Microseconds = 20 * SECOND;
+
+/// What is known of the peer from its messages.
+#[derive(Debug, Clone)]
+pub struct PeerView {
+    /// When it was last heard.
+    pub last_heard: Instant,
+    /// It refuses new work.
+    pub draining: bool,
+    /// Its configuration.
+    pub generation: Generation,
+    /// State of its server; none before the first report.
+    pub server: Option<ServerReport>,
+    clock: PeerClock,
+    ejection: Ejection,
+    losses: u32,
+}
+
+#[derive(Debug)]
+struct Inner {
+    view: Mutex<PeerView>,
+    calls: Mutex<HashMap<CallId, CallEntry>>,
+    claims: Mutex<HashMap<u64, oneshot::Sender<ClaimReply>>>,
+    controls: Mutex<HashMap<u64, oneshot::Sender<ControlReply>>>,
+    in_flight: AtomicU32,
+    next_exchange: AtomicU64,
+}
+
+#[derive(Debug)]
+struct CallEntry {
+    events: mpsc::UnboundedSender<CallEvent>,
+    window: Arc<CreditWindow>,
+}
+
+/// Frees a call's entry in the connection's table.
+#[derive(Debug, Clone)]
+pub struct CallSlot(Arc<Inner>);
+
+impl CallSlot {
+    /// Forgets the call; what still comes for it is late.
+    pub fn release(&self, call: CallId) {
+        if self.0.calls().remove(&call).is_some() {
+            self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
+}
+
+impl Inner {
+    fn calls(&self) -> MutexGuard<'_, HashMap<CallId, CallEntry>> {
+        self.calls.lock().expect("a thread panicked inside the table of calls")
+    }
+
+    fn view(&self) -> MutexGuard<'_, PeerView> {
+        self.view.lock().expect("a thread panicked inside the view of a peer")
+    }
+
+    /// Nothing more will come: wake all that wait.
+    fn close(&self) {
+        let ended = std::mem::take(&mut *self.calls());
+        self.in_flight.fetch_sub(ended.len() as u32, Ordering::Relaxed);
+        self.claims.lock().expect("claims lock").clear();
+        self.controls.lock().expect("controls lock").clear();
+    }
+}
+
+/// An open connection on which this daemon sends calls.
+#[derive(Debug, Clone)]
+pub struct PeerConnection {
+    /// The peer's address.
+    pub address: Address,
+    /// The peer's life.
+    pub incarnation: Incarnation,
+    outbox: Outbox,
+    inner: Arc<Inner>,
+}
+
+impl PeerConnection {
+    /// Connects to a daemon and exchanges first messages.
+    ///
+    /// # Errors
+    /// [`WireError`]; no call was sent.
+    pub async fn open(shared: &Arc<Shared>, address: Address) -> Result<Self, WireError> {
+        let opening = Self::handshake(shared, address);
+        tokio::time::timeout(CONNECT_TIMEOUT, opening)
+            .await
+            .map_err(|_| WireError::Io(std::io::ErrorKind::TimedOut.into()))?
+    }
+
+    async fn handshake(shared: &Arc<Shared>, address: Address) -> Result<Self, WireError> {
+        let mut stream = connect_from(shared.settings.listen.peer.ip, address.into()).await?;
+        stream.set_nodelay(true)?;
+        write_preface(&mut stream).await?;
+        let (outbox, messages) = Outbox::new();
+        let (mut reader, writer) = stream.into_split();
+        // The outbox was made just now and can't be closed.
+        let _ = outbox.send(PeerMessage::Hello(link::hello(shared)));
+        let writing = tokio::spawn(link::write_messages(writer, messages));
+        read_preface(&mut reader).await?;
+        let mut frames = FrameReader::new(reader);
+        let Some(PeerMessage::Hello(hello)) = frames.next().await? else {
+            writing.abort();
+            return Err(WireError::NotSeamhatch);
+        };
+        if hello.cluster != shared.settings.cluster {
+            writing.abort();
+            return Err(WireError::NotSeamhatch);
+        }
+        let connection = Self {
+            address,
+            incarnation: hello.incarnation,
+            outbox,
+            inner: Arc::new(Inner::new(hello.clock)),
+        };
+        connection.spawn_tasks(shared, frames, writing);
+        Ok(connection)
+    }
+
+    fn spawn_tasks(
+        &self,
+        shared: &Arc<Shared>,
+        frames: FrameReader<tokio::net::tcp::OwnedReadHalf>,
+        mut writing: tokio::task::JoinHandle<Result<(), WireError>>,
+    ) {
+        let (connection, shared) = (self.clone(), shared.clone());
+        tokio::spawn(async move {
+            let result = tokio::select! {
+                result = connection.read(&shared, frames) => result,
+                _ = link::send_pulses(&shared, connection.outbox.clone()) => Ok(()),
+                _ = connection.watch_silence() => Ok(()),
+                result = &mut writing => result.unwrap_or(Ok(())),
+            };
+            // Ends the writer before the calls are told, so that none can be added any more.
+            writing.abort();
+            while !connection.outbox.is_closed() {
+                tokio::task::yield_now().await;
+            }
+            connection.inner.close();
+            shared.pool.forget(&connection);
+            link::log_end(&connection.address.to_string(), &result);
+        });
+    }
+
+    async fn watch_silence(&self) {
+        loop {
+            tokio::time::sleep(link::PULSE_INTERVAL).await;
+            if clock::now().since(self.inner.view().last_heard) > SILENCE_TO_CLOSE {
+                return;
+            }
+        }
+    }
+
+    async fn read(
+        &self,
+        shared: &Arc<Shared>,
+        mut frames: FrameReader<tokio::net::tcp::OwnedReadHalf>,
+    ) -> Result<(), WireError> {
+        while let Some(message) = frames.next().await? {
+            self.inner.view().last_heard = clock::now();
+            self.handle(shared, message);
+        }
+        Ok(())
+    }
+
+    fn handle(&self, shared: &Arc<Shared>, message: PeerMessage) {
+        match message {
+            PeerMessage::Pulse(pulse) => {
+                self.inner.view().take_pulse(&pulse);
+                shared.control.saw_generation(self.address, pulse.generation);
+            }
+            PeerMessage::Refused { call, refusal } => {
+                self.inner.view().server = Some(refusal.server);
+                self.deliver(shared, call, CallEvent::Refused(refusal));
+            }
+            PeerMessage::AnswerHead(head) => {
+                self.inner.view().server = Some(head.server);
+                self.deliver(shared, head.call, CallEvent::Head(head));
+            }
+            PeerMessage::AnswerChunk { call, bytes } => {
+                self.deliver(shared, call, CallEvent::Chunk(Bytes::from(bytes)));
+            }
+            PeerMessage::AnswerTail(tail) => self.deliver(shared, tail.call, CallEvent::Tail(tail)),
+            PeerMessage::Credit { call, bytes } => {
+                if let Some(entry) = self.inner.calls().get(&call) {
+                    entry.window.refill(bytes);
+                }
+            }
+            PeerMessage::ClaimReply { exchange, reply } => {
+                let waiting = self.inner.claims.lock().expect("claims lock").remove(&exchange);
+                waiting.map(|waiting| waiting.send(reply));
+            }
+            PeerMessage::ControlReply { exchange, reply } => {
+                let waiting = self.inner.controls.lock().expect("controls lock").remove(&exchange);
+                waiting.map(|waiting| waiting.send(reply));
+            }
+            _ => shared.metrics.bad_input(BadInput::PeerConnection),
+        }
+    }
+
+    fn deliver(&self, shared: &Shared, call: CallId, event: CallEvent) {
+        let delivered = self.inner.calls().get(&call).is_some_and(|entry| entry.events.send(event).is_ok());
+        if !delivered {
+            shared.metrics.bad_input(BadInput::LateAnswer);
+        }
+    }
+
+    /// Sends a call.
+    ///
+    /// # Errors
+    /// [`LinkClosed`] when nothing was written.
+    pub fn start_call(&self, head: CallHead) -> Result<CallStream, LinkClosed> {
+        let (sender, events) = mpsc::unbounded_channel();
+        let window = Arc::new(CreditWindow::default());
+        let call = head.call;
+        self.inner.calls().insert(call, CallEntry { events: sender, window: window.clone() });
+        self.inner.in_flight.fetch_add(1, Ordering::Relaxed);
+        let slot = CallSlot(self.inner.clone());
+        let sent = self.outbox.send(PeerMessage::Call(Box::new(head)));
+        if sent.is_err() {
+            slot.release(call);
+            return Err(LinkClosed);
+        }
+        Ok(CallStream { call, window, outbox: self.outbox.clone(), events, slot, ended: false })
+    }
+
+    /// Sends a claim and waits for the reply; none when the connection was lost.
+    pub async fn claim(
+        &self,
+        shard: u32,
+        epoch: seamhatch_core::claims::Epoch,
+        claim: seamhatch_core::claims::Claim,
+    ) -> Option<ClaimReply> {
+        let exchange = self.inner.next_exchange.fetch_add(1, Ordering::Relaxed);
+        let (sender, receiver) = oneshot::channel();
+        self.inner.claims.lock().expect("claims lock").insert(exchange, sender);
+        self.outbox.send(PeerMessage::Claim { exchange, shard, epoch, claim }).ok()?;
+        receiver.await.ok()
+    }
+
+    /// Sends a control request and waits for the reply; none when the connection was lost.
+    pub async fn control(&self, request: ControlRequest) -> Option<ControlReply> {
+        let exchange = self.inner.next_exchange.fetch_add(1, Ordering::Relaxed);
+        let (sender, receiver) = oneshot::channel();
+        self.inner.controls.lock().expect("controls lock").insert(exchange, sender);
+        self.outbox.send(PeerMessage::ControlRequest { exchange, request }).ok()?;
+        receiver.await.ok()
+    }
+
+    /// Puts a message out that needs no reply.
+    pub fn send(&self, message: PeerMessage) {
+        // Nobody waits for it; a lost connection shows elsewhere.
+        let _ = self.outbox.send(message);
+    }
+
+    /// Whether it can still be used.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        !self.outbox.is_closed()
+    }
+
+    /// Translates a local instant into the peer's clock, erring early.
+    #[must_use]
+    pub fn to_peer_clock(&self, instant: Instant) -> Instant {
+        // The first message, which came before this connection existed, gave an offset.
+        self.inner.view().clock.to_peer(instant).unwrap_or(instant)
+    }
+
+    /// Calls in flight on this connection.
+    #[must_use]
+    pub fn in_flight(&self) -> u32 {
+        self.inner.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Takes in how a call ended.
+    pub fn record(&self, end: CallEnd) {
+        let mut view = self.inner.view();
+        view.ejection.record(end, clock::now());
+        view.losses = if end == CallEnd::Lost { view.losses + 1 } else { 0 };
+    }
+
+    /// What is known of the peer.
+    #[must_use]
+    pub fn view(&self) -> PeerView {
+        self.inner.view().clone()
+    }
+}
+
+/// Connects from the daemon's own address, so that the other side's logs and
+/// filters see which machine it is.
+async fn connect_from(own: IpAddr, target: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket = if target.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    if own.is_ipv4() == target.is_ipv4() {
+        socket.bind(SocketAddr::new(own, 0))?;
+    }
+    socket.connect(target).await
+}
+
+impl Inner {
+    fn new(peer_clock: Instant) -> Self {
+        let now = clock::now();
+        let mut clock = PeerClock::default();
+        clock.observe(peer_clock, now);
+        let view = PeerView {
+            last_heard: now,
+            draining: false,
+            generation: Generation::default(),
+            server: None,
+            clock,
+            ejection: Ejection::default(),
+            losses: 0,
+        };
+        Self {
+            view: Mutex::new(view),
+            calls: Mutex::default(),
+            claims: Mutex::default(),
+            controls: Mutex::default(),
+            in_flight: AtomicU32::new(0),
+            next_exchange: AtomicU64::new(0),
+        }
+    }
+}
+
+impl PeerView {
+    /// Whether it should get no new calls.
+    #[must_use]
+    pub fn should_avoid(&self, now: Instant) -> bool {
+        now.since(self.last_heard) > SILENCE_TO_AVOID || self.ejection.is_ejected(now)
+    }
+
+    /// Calls lost in a row.
+    #[must_use]
+    pub fn losses(&self) -> u32 {
+        self.losses
+    }
+
+    fn take_pulse(&mut self, pulse: &seamhatch_wire::Pulse) {
+        self.clock.observe(pulse.clock, clock::now());
+        self.draining = pulse.draining;
+        self.generation = pulse.generation;
+        self.server = Some(pulse.server);
+    }
+}
--- /dev/null
+++ b/crates/seamhatchd/src/peer/link.rs
@@ -0,0 +1,110 @@
+//! What both ends of a connection share: the outbox with its writer, and the heartbeat.
+
+use crate::clock;
+use crate::shared::Shared;
+use log::debug;
+use seamhatch_wire::{Hello, PeerMessage, Pulse, WireError, encode_frame};
+use std::time::Duration;
+use tokio::io::{AsyncWrite, AsyncWriteExt};
+use tokio::sync::mpsc;
+
+/// Time between two heartbeats.
+pub const PULSE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Bytes that are gathered for one write.
+const WRITE_BATCH: usize = 64 * 1024;
+
+/// Where messages for the other side are put.
+#[derive(Debug, Clone)]
+pub struct Outbox(mpsc::UnboundedSender<PeerMessage>);
+
+/// The connection has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LinkClosed;
+
+impl Outbox {
+    /// An outbox and what empties it.
+    #[must_use]
+    pub fn new() -> (Self, mpsc::UnboundedReceiver<PeerMessage>) {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        (Self(sender), receiver)
+    }
+
+    /// Puts a message in.
+    ///
+    /// # Errors
+    /// [`LinkClosed`] when the writer has stopped; the message was not written.
+    pub fn send(&self, message: PeerMessage) -> Result<(), LinkClosed> {
+        self.0.send(message).map_err(|_| LinkClosed)
+    }
+
+    /// Whether the writer has stopped.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.0.is_closed()
+    }
+}
+
+/// Writes what is put into the outbox until it closes or the connection fails.
+///
+/// # Errors
+/// [`WireError`] of the connection.
+pub async fn write_messages(
+    mut stream: impl AsyncWrite + Unpin,
+    mut messages: mpsc::UnboundedReceiver<PeerMessage>,
+) -> Result<(), WireError> {
+    let mut buffer = Vec::with_capacity(WRITE_BATCH);
+    while let Some(message) = messages.recv().await {
+        encode_frame(&message, &mut buffer)?;
+        while buffer.len() < WRITE_BATCH {
+            let Ok(message) = messages.try_recv() else { break };
+            encode_frame(&message, &mut buffer)?;
+        }
+        stream.write_all(&buffer).await?;
+        buffer.clear();
+        buffer.shrink_to(WRITE_BATCH);
+    }
+    Ok(())
+}
+
+/// Puts heartbeats into the outbox until it closes.
+pub async fn send_pulses(shared: &Shared, outbox: Outbox) {
+    let mut interval = tokio::time::interval(PULSE_INTERVAL);
+    loop {
+        tokio::select! {
+            _ = interval.tick() => {}
+            // A drain must not wait for the next heartbeat.
+            () = shared.drain_started.notified() => {}
+        }
+        if outbox.send(PeerMessage::Pulse(pulse(shared))).is_err() {
+            return;
+        }
+    }
+}
+
+/// The present heartbeat.
+pub fn pulse(shared: &Shared) -> Pulse {
+    Pulse {
+        clock: clock::now(),
+        generation: shared.snapshot().generation(),
+        draining: shared.is_draining(),
+        server: shared.gate.report(),
+    }
+}
+
+/// The first message of this daemon.
+pub fn hello(shared: &Shared) -> Hello {
+    Hello {
+        cluster: shared.settings.cluster.clone(),
+        peer: shared.settings.advertise.peer,
+        incarnation: shared.incarnation,
+        clock: clock::now(),
+    }
+}
+
+/// Logs how a connection ended.
+pub fn log_end(peer: &str, result: &Result<(), WireError>) {
+    if let Err(error) = result {
+        debug!(peer = peer, error = error.to_string().as_str(); "connection to a daemon ended");
+    }
+}
--- /dev/null
+++ b/crates/seamhatchd/src/peer/mod.rs
@@ -0,0 +1,21 @@
+//! Connections between daemons: calls, claims and control messages.
+
+mod call;
+mod connection;
+mod credit;
+mod link;
+mod pool;
+mod server;
+
+pub use call::{AnswerBody, AnswerPiece, CallEvent, CallStream};
+pub use connection::{PeerConnection, PeerView};
+pub use credit::CreditWindow;
+pub use link::{Outbox, PULSE_INTERVAL};
+pub use pool::{PeerPool, PeerUnreachable};
+pub use server::serve;
+
+/// Bytes of a body that may be on the way before its receiver has asked for more.
+pub const BODY_WINDOW: usize = 256 * 1024;
+
+/// Largest piece of a body in one message.
+pub const BODY_PIECE: usize = 32 * 1024;
--- /dev/null
+++ b/crates/seamhatchd/src/peer/server.rs
@@ -0,0 +1,395 @@
+//! The receiving end of connections: calls for the back end beside this daemon,
+//! claims for this witness, and control messages.
+
+use crate::backend::{self, BackendError, BackendRequest, BodyPiece, BrokenOff};
+use crate::clock;
+use crate::gate::{GateRequest, Permit};
+use crate::headers;
+use crate::metrics::BadInput;
+use crate::peer::BODY_PIECE;
+use crate::peer::credit::CreditWindow;
+use crate::peer::link::{self, Outbox};
+use crate::running::RunningCall;
+use crate::shared::Shared;
+use bytes::Bytes;
+use http::Response;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use log::{debug, warn};
+use seamhatch_core::clock::{MILLISECOND, Microseconds};
+use seamhatch_core::identity::CallId;
+use seamhatch_core::outcome::{Outcome, Reason};
+use seamhatch_core::retry::RetryLedger;
+use seamhatch_wire::{
+    AnswerHead, AnswerTail, CallHead, FrameReader, Hello, PeerMessage, Refusal, WireError, read_preface,
+    write_preface,
+};
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, mpsc};
+
+/// Longest wait for a new connection's first message.
+const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
+/// Wait after a failed accept, so that a lack of file descriptors doesn't spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// A peer that was silent for this long is gone.
+const SILENCE_TO_CLOSE: Duration = Duration::from_secs(20);
+/// Advice after a refusal that has nothing to do with load.
+const SHORT_RETRY_AFTER: Microseconds = 200 * MILLISECOND;
+
+/// Accepts connections of other daemons for ever.
+pub async fn serve(shared: Arc<Shared>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, address)) => {
+                tokio::spawn(serve_connection(shared.clone(), stream, address.to_string()));
+            }
+            Err(error) => {
+                warn!(error = error.to_string().as_str(); "accepting a daemon's connection failed");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(shared: Arc<Shared>, stream: TcpStream, address: String) {
+    let result = run_connection(&shared, stream).await;
+    if let Err(WireError::NotSeamhatch | WireError::Version { .. } | WireError::FrameTooLarge { .. }) =
+        &result
+    {
+        shared.metrics.bad_input(BadInput::PeerConnection);
+    }
+    link::log_end(&address, &result);
+}
+
+async fn run_connection(shared: &Arc<Shared>, mut stream: TcpStream) -> Result<(), WireError> {
+    stream.set_nodelay(true)?;
+    let timed_out = |_| WireError::Io(std::io::ErrorKind::TimedOut.into());
+    tokio::time::timeout(HELLO_TIMEOUT, read_preface(&mut stream)).await.map_err(timed_out)??;
+    write_preface(&mut stream).await?;
+    let (reader, writer) = stream.into_split();
+    let mut frames = FrameReader::new(reader);
+    let first = tokio::time::timeout(HELLO_TIMEOUT, frames.next()).await.map_err(timed_out)??;
+    let Some(PeerMessage::Hello(hello)) = first else { return Err(WireError::NotSeamhatch) };
+    if hello.cluster != shared.settings.cluster {
+        return Err(WireError::NotSeamhatch);
+    }
+    let (outbox, messages) = Outbox::new();
+    // The outbox was made just now and can't be closed.
+    let _ = outbox.send(PeerMessage::Hello(link::hello(shared)));
+    let writing = AbortOnDrop(tokio::spawn(link::write_messages(writer, messages)));
+    let pulses = AbortOnDrop(tokio::spawn({
+        let (shared, outbox) = (shared.clone(), outbox.clone());
+        async move { link::send_pulses(&shared, outbox).await }
+    }));
+    let session = Session { shared: shared.clone(), outbox, hello, calls: Arc::default() };
+    let result = session.read(frames).await;
+    session.cancel_all();
+    drop((writing, pulses));
+    result
+}
+
+struct AbortOnDrop<T>(tokio::task::JoinHandle<T>);
+
+impl<T> Drop for AbortOnDrop<T> {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// What the connection keeps of a call in progress.
+struct CallEntry {
+    body: Option<mpsc::UnboundedSender<BodyPiece>>,
+    window: Arc<CreditWindow>,
+    cancelled: Arc<Cancellation>,
+}
+
+/// Tells a call that its sender has given it up.
+#[derive(Debug, Default)]
+struct Cancellation {
+    notify: Notify,
+}
+
+type Calls = Arc<Mutex<HashMap<CallId, CallEntry>>>;
+
+/// One connection of a daemon that sends calls here.
+struct Session {
+    shared: Arc<Shared>,
+    outbox: Outbox,
+    hello: Hello,
+    calls: Calls,
+}
+
+impl Session {
+    async fn read(&self, mut frames: FrameReader<tokio::net::tcp::OwnedReadHalf>) -> Result<(), WireError> {
+        loop {
+            let next = tokio::time::timeout(SILENCE_TO_CLOSE, frames.next()).await;
+            let next = next.map_err(|_| WireError::Io(std::io::ErrorKind::TimedOut.into()))?;
+            let Some(message) = next? else { return Ok(()) };
+            self.handle(message);
+        }
+    }
+
+    fn handle(&self, message: PeerMessage) {
+        match message {
+            PeerMessage::Call(head) => self.start_call(*head),
+            PeerMessage::RequestChunk { call, bytes } => self.feed(call, Bytes::from(bytes)),
+            PeerMessage::RequestEnd { call } => self.end_body(call),
+            PeerMessage::Cancel { call } => self.cancel(call),
+            PeerMessage::Credit { call, bytes } => {
+                if let Some(entry) = self.calls.lock().expect("calls lock").get(&call) {
+                    entry.window.refill(bytes);
+                }
+            }
+            PeerMessage::Claim { exchange, shard, epoch, claim } => {
+                let reply = self.shared.witnesses.claim(shard, epoch, claim);
+                let _ = self.outbox.send(PeerMessage::ClaimReply { exchange, reply });
+            }
+            PeerMessage::ReleaseClaim { shard, epoch, key, holder } => {
+                self.shared.witnesses.release(shard, epoch, key, holder);
+            }
+            PeerMessage::ControlRequest { exchange, request } => {
+                let outbox = self.outbox.clone();
+                let reply = self.shared.control.ask(request);
+                tokio::spawn(async move {
+                    let reply = reply.await;
+                    let _ = outbox.send(PeerMessage::ControlReply { exchange, reply });
+                });
+            }
+            PeerMessage::Pulse(pulse) => {
+                self.shared.control.saw_generation(self.hello.peer, pulse.generation);
+            }
+            _ => self.shared.metrics.bad_input(BadInput::PeerConnection),
+        }
+    }
+
+    fn start_call(&self, head: CallHead) {
+        let (body_sender, body) = if head.has_body {
+            let (sender, body) = backend::request_body();
+            (Some(sender), body)
+        } else {
+            (None, backend::no_body())
+        };
+        let window = Arc::new(CreditWindow::default());
+        let cancelled = Arc::new(Cancellation::default());
+        let entry = CallEntry { body: body_sender, window: window.clone(), cancelled: cancelled.clone() };
+        let call = head.call;
+        let earlier = self.calls.lock().expect("calls lock").insert(call, entry);
+        if earlier.is_some() {
+            self.shared.metrics.bad_input(BadInput::PeerConnection);
+        }
+        let server_call = ServerCall {
+            shared: self.shared.clone(),
+            outbox: self.outbox.clone(),
+            calls: self.calls.clone(),
+            window,
+            cancelled,
+            head,
+        };
+        tokio::spawn(async move { server_call.run(body).await });
+    }
+
+    fn feed(&self, call: CallId, bytes: Bytes) {
+        let calls = self.calls.lock().expect("calls lock");
+        let Some(body) = calls.get(&call).and_then(|entry| entry.body.as_ref()) else { return };
+        let size = bytes.len() as u32;
+        // The channel is bounded by the credit that is given here.
+        if body.send(Ok(bytes)).is_ok() {
+            let _ = self.outbox.send(PeerMessage::Credit { call, bytes: size });
+        }
+    }
+
+    fn end_body(&self, call: CallId) {
+        if let Some(entry) = self.calls.lock().expect("calls lock").get_mut(&call) {
+            entry.body = None;
+        }
+    }
+
+    fn cancel(&self, call: CallId) {
+        if let Some(entry) = self.calls.lock().expect("calls lock").get_mut(&call) {
+            entry.give_up();
+        }
+    }
+
+    fn cancel_all(&self) {
+        for entry in self.calls.lock().expect("calls lock").values_mut() {
+            entry.give_up();
+        }
+    }
+}
+
+impl CallEntry {
+    fn give_up(&mut self) {
+        if let Some(body) = self.body.take() {
+            // The back end must not take the part it has for the whole.
+            let _ = body.send(Err(BrokenOff));
+        }
+        self.cancelled.notify.notify_one();
+    }
+}
+
+/// One call on its way through this daemon to the back end.
+struct ServerCall {
+    shared: Arc<Shared>,
+    outbox: Outbox,
+    calls: Calls,
+    window: Arc<CreditWindow>,
+    cancelled: Arc<Cancellation>,
+    head: CallHead,
+}
+
+impl Drop for ServerCall {
+    fn drop(&mut self) {
+        self.calls.lock().expect("calls lock").remove(&self.head.call);
+    }
+}
+
+impl ServerCall {
+    async fn run(self, body: backend::RequestBody) {
+        self.shared.control.saw_generation_of_call(self.head.generation);
+        let now = clock::now();
+        let context = &self.head.context;
+        let running = Arc::new(RunningCall::new(
+            context.root,
+            context.priority,
+            now.minus(context.root_age),
+            context.expiry,
+            context.depth + 1,
+            RetryLedger::new(context.tokens, context.repeat),
+        ));
+        match self.admit(&running).await {
+            Ok(permit) => self.execute(&running, permit, body).await,
+            Err(reason) => self.refuse(&running, Outcome::NotRun, reason),
+        }
+    }
+
+    async fn admit(&self, running: &RunningCall) -> Result<Permit, Reason> {
+        if self.head.service != self.shared.settings.service {
+            return Err(Reason::NoRoute);
+        }
+        if !self.shared.takes_work() {
+            return Err(Reason::Draining);
+        }
+        let request = GateRequest {
+            root: running.root,
+            priority: running.priority,
+            root_admitted: running.root_admitted,
+            expiry: running.expiry,
+        };
+        let permit = tokio::select! {
+            permit = self.shared.gate.admit(request) => permit?,
+            () = self.cancelled.notify.notified() => return Err(Reason::Cancelled),
+        };
+        Ok(permit)
+    }
+
+    async fn execute(&self, running: &Arc<RunningCall>, mut permit: Permit, body: backend::RequestBody) {
+        let registration = self.shared.running.register(running.clone());
+        let request = BackendRequest {
+            method: &self.head.method,
+            path: &self.head.path,
+            headers: &self.head.headers,
+            context: registration.header().to_owned(),
+            deadline: running.expiry.0.to_string(),
+        };
+        // Last of all: this process may have been frozen since the slot was given.
+        if running.expiry <= clock::now() {
+            return self.refuse(running, Outcome::NotRun, Reason::DeadlineExceeded);
+        }
+        self.shared.metrics.execution(running.priority.class);
+        let sent = tokio::select! {
+            sent = self.shared.backend.send(&request, body) => sent,
+            () = self.given_up() => return self.refuse(running, Outcome::Unknown, Reason::Cancelled),
+        };
+        match sent {
+            Ok(response) => {
+                let complete = tokio::select! {
+                    complete = self.pass_answer(running, response) => complete,
+                    () = self.given_up() => false,
+                };
+                if complete {
+                    permit.mark_succeeded();
+                }
+                drop(permit);
+                self.end(running, complete);
+            }
+            Err(BackendError::NotSent { reason, detail }) => {
+                debug!(reason = reason.name(), detail = detail.as_str(); "back end not reached");
+                self.refuse(running, Outcome::NotRun, reason);
+            }
+            Err(BackendError::Failed { detail }) => {
+                debug!(detail = detail.as_str(); "back end broke off");
+                self.refuse(running, Outcome::Unknown, Reason::BackendFailed);
+            }
+        }
+    }
+
+    /// Resolves when a call that may run again is given up; one that may not
+    /// runs to its end, since its effect is wanted or can't be undone.
+    async fn given_up(&self) {
+        self.cancelled.notify.notified().await;
+        if !self.head.context.repeatable {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// Passes the answer on; true when it was complete.
+    async fn pass_answer(&self, running: &RunningCall, response: Response<Incoming>) -> bool {
+        let (parts, mut body) = response.into_parts();
+        let report = self.shared.gate.report();
+        let head = AnswerHead {
+            call: self.head.call,
+            status: parts.status.as_u16(),
+            headers: headers::passing_fields(&parts.headers),
+            server: report,
+            chain_floor: running.chain_floor().min(report.floor),
+        };
+        let _ = self.outbox.send(PeerMessage::AnswerHead(Box::new(head)));
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else { return false };
+            let Ok(data) = frame.into_data() else { continue };
+            self.send_pieces(data).await;
+        }
+        true
+    }
+
+    async fn send_pieces(&self, mut data: Bytes) {
+        while !data.is_empty() {
+            let piece = data.split_to(data.len().min(BODY_PIECE));
+            self.window.ready().await;
+            self.window.spend(piece.len());
+            let message = PeerMessage::AnswerChunk { call: self.head.call, bytes: piece.to_vec() };
+            // A lost connection ends the call by its cancellation.
+            let _ = self.outbox.send(message);
+        }
+    }
+
+    fn end(&self, running: &RunningCall, complete: bool) {
+        let unspent_tokens = running.ledger().tokens();
+        let tail = AnswerTail { call: self.head.call, complete, unspent_tokens };
+        let _ = self.outbox.send(PeerMessage::AnswerTail(tail));
+    }
+
+    fn refuse(&self, running: &RunningCall, outcome: Outcome, reason: Reason) {
+        self.shared.metrics.refusal(outcome, reason, running.priority.class);
+        let refusal = Refusal {
+            outcome,
+            reason,
+            retry_after: self.retry_after(reason),
+            unspent_tokens: running.ledger().tokens(),
+            server: self.shared.gate.report(),
+        };
+        let _ = self.outbox.send(PeerMessage::Refused { call: self.head.call, refusal });
+    }
+
+    fn retry_after(&self, reason: Reason) -> Microseconds {
+        match reason {
+            Reason::QueueFull | Reason::Evicted | Reason::DeadlineExceeded | Reason::AdmissionFloor => {
+                self.shared.gate.retry_after()
+            }
+            _ => SHORT_RETRY_AFTER,
+        }
+    }
+}
--- /dev/null
+++ b/crates/seamhatchd/src/running.rs
@@ -0,0 +1,146 @@
+//! Calls that run in the back end beside the daemon, and the context header that names them.
+
+use base64::Engine as _;
+use base64::engine::general_purpose::URL_SAFE_NO_PAD;
+use seamhatch_core::Instant;
+use seamhatch_core::identity::{Incarnation, RootId};
+use seamhatch_core::priority::{AdmissionFloor, Priority};
+use seamhatch_core::retry::RetryLedger;
+use speedy::{Readable, Writable};
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+
+/// A call that runs here, or a request from outside: the parent of further calls.
+#[derive(Debug)]
+pub struct RunningCall {
+    /// The request it belongs to.
+    pub root: RootId,
+    /// Order of shedding.
+    pub priority: Priority,
+    /// When the root request was admitted, in the local clock.
+    pub root_admitted: Instant,
+    /// When it becomes useless, in the local clock.
+    pub expiry: Instant,
+    /// Services above it.
+    pub depth: u32,
+    ledger: Mutex<RetryLedger>,
+    chain_floor: Mutex<AdmissionFloor>,
+}
+
+impl RunningCall {
+    /// A call that holds `ledger`.
+    #[must_use]
+    pub fn new(
+        root: RootId,
+        priority: Priority,
+        root_admitted: Instant,
+        expiry: Instant,
+        depth: u32,
+        ledger: RetryLedger,
+    ) -> Self {
+        let chain_floor = Mutex::new(AdmissionFloor::OPEN);
+        Self { root, priority, root_admitted, expiry, depth, ledger: Mutex::new(ledger), chain_floor }
+    }
+
+    /// Its retry tokens and child calls.
+    pub fn ledger(&self) -> MutexGuard<'_, RetryLedger> {
+        self.ledger.lock().expect("a thread panicked inside a retry ledger")
+    }
+
+    /// Lowest admission floor met by the calls below it so far.
+    #[must_use]
+    pub fn chain_floor(&self) -> AdmissionFloor {
+        *self.chain_floor.lock().expect("floor lock")
+    }
+
+    /// Takes in a floor met below.
+    pub fn lower_chain_floor(&self, floor: AdmissionFloor) {
+        let mut lowest = self.chain_floor.lock().expect("floor lock");
+        *lowest = (*lowest).min(floor);
+    }
+}
+
+/// What the context header holds. It names a running call; all that counts
+/// stays in the daemon, so that nothing can be forged or copied.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Readable, Writable)]
+struct ContextToken {
+    incarnation: Incarnation,
+    handle: u64,
+    nonce: u64,
+}
+
+/// The calls that run beside this daemon.
+#[derive(Debug)]
+pub struct RunningCalls {
+    incarnation: Incarnation,
+    next_handle: AtomicU64,
+    calls: Mutex<HashMap<u64, (u64, Arc<RunningCall>)>>,
+}
+
+/// Keeps a call registered until it is dropped.
+#[derive(Debug)]
+pub struct Registration {
+    registry: Arc<RunningCalls>,
+    handle: u64,
+    header: String,
+}
+
+impl Registration {
+    /// Value of the context header.
+    #[must_use]
+    pub fn header(&self) -> &str {
+        &self.header
+    }
+}
+
+impl Drop for Registration {
+    fn drop(&mut self) {
+        self.registry.lock().remove(&self.handle);
+    }
+}
+
+impl RunningCalls {
+    /// No calls yet.
+    #[must_use]
+    pub fn new(incarnation: Incarnation) -> Arc<Self> {
+        Arc::new(Self { incarnation, next_handle: AtomicU64::new(1), calls: Mutex::default() })
+    }
+
+    /// Registers a call that is about to run.
+    #[must_use]
+    pub fn register(self: &Arc<Self>, call: Arc<RunningCall>) -> Registration {
+        let handle = self.next_handle.fetch_add(1, Ordering::Relaxed);
+        let nonce = rand::random::<u64>();
+        self.lock().insert(handle, (nonce, call));
+        let token = ContextToken { incarnation: self.incarnation, handle, nonce };
+        let bytes = token.write_to_vec().expect("writing to memory does not fail");
+        Registration { registry: self.clone(), handle, header: URL_SAFE_NO_PAD.encode(bytes) }
+    }
+
+    /// The running call that a context header names.
+    ///
+    /// None when the header is forged, comes from an earlier life of this
+    /// daemon, or names a call that has ended or was given up.
+    #[must_use]
+    pub fn find(&self, header: &str) -> Option<Arc<RunningCall>> {
+        let bytes = URL_SAFE_NO_PAD.decode(header).ok()?;
+        let token = ContextToken::read_from_buffer(&bytes).ok()?;
+        if token.incarnation != self.incarnation {
+            return None;
+        }
+        let calls = self.lock();
+        let (nonce, call) = calls.get(&token.handle)?;
+        (*nonce == token.nonce).then(|| call.clone())
+    }
+
+    /// Calls that run.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.lock().len()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<u64, (u64, Arc<RunningCall>)>> {
+        self.calls.lock().expect("a thread panicked inside the registry of running calls")
+    }
+}
--- /dev/null
+++ b/crates/seamhatchd/src/shared.rs
@@ -0,0 +1,96 @@
+//! What all threads of a daemon share.
+
+use crate::backend::Backend;
+use crate::claims::{ClaimRecords, Witnesses};
+use crate::controllers::ControlHandle;
+use crate::filters::EntryFloors;
+use crate::gate::AdmissionGate;
+use crate::metrics::Metrics;
+use crate::peer::PeerPool;
+use crate::retry_budget::RetryBudget;
+use crate::running::RunningCalls;
+use crate::settings::Settings;
+use crate::snapshot::Snapshot;
+use arc_swap::{ArcSwap, Guard};
+use seamhatch_core::identity::{CallId, Incarnation};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use tokio::sync::Notify;
+
+/// The parts of a daemon that its threads share.
+#[derive(Debug)]
+pub struct Shared {
+    /// Checked settings.
+    pub settings: Settings,
+    /// This life of the process.
+    pub incarnation: Incarnation,
+    /// Counters and gauges.
+    pub metrics: Arc<Metrics>,
+    /// Slots of the server beside this daemon.
+    pub gate: Arc<AdmissionGate>,
+    /// Calls that run there.
+    pub running: Arc<RunningCalls>,
+    /// The server itself.
+    pub backend: Backend,
+    /// Connections to other daemons.
+    pub pool: PeerPool,
+    /// This daemon's part as a witness.
+    pub witnesses: Witnesses,
+    /// Claims that this daemon holds.
+    pub records: ClaimRecords,
+    /// Retries that this daemon may cause.
+    pub retry_budget: RetryBudget,
+    /// Floors met below the entry routes.
+    pub entry_floors: EntryFloors,
+    /// The control thread.
+    pub control: ControlHandle,
+    /// The state that the control thread published last.
+    pub published: ArcSwap<Snapshot>,
+    /// Refuses new work.
+    pub draining: AtomicBool,
+    /// Woken when draining begins.
+    pub drain_started: Notify,
+    /// Has a configuration and may take work.
+    pub ready: AtomicBool,
+    /// HTTP requests in progress at the listeners.
+    pub open_requests: Arc<AtomicUsize>,
+    /// Source of call numbers.
+    pub next_call: AtomicU64,
+}
+
+impl Shared {
+    /// The published state.
+    pub fn snapshot(&self) -> Guard<Arc<Snapshot>> {
+        self.published.load()
+    }
+
+    /// Whether new work is refused because the daemon is leaving.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+
+    /// Refuses new work from now on, and tells every connected daemon at once.
+    pub fn start_draining(&self) {
+        self.draining.store(true, Ordering::Release);
+        self.drain_started.notify_waiters();
+    }
+
+    /// Calls and HTTP requests in progress here.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.gate.in_flight().max(self.running.count()) + self.open_requests.load(Ordering::Acquire)
+    }
+
+    /// Whether the server beside this daemon takes new work.
+    #[must_use]
+    pub fn takes_work(&self) -> bool {
+        self.ready.load(Ordering::Acquire) && !self.is_draining()
+    }
+
+    /// A number for a new call.
+    #[must_use]
+    pub fn new_call_id(&self) -> CallId {
+        CallId(self.next_call.fetch_add(1, Ordering::Relaxed))
+    }
+}
--- /dev/null
+++ b/crates/seamhatchd/src/snapshot.rs
@@ -0,0 +1,68 @@
+//! What the control thread publishes to the threads that carry traffic; never changed in place.
+
+use seamhatch_core::claims::{ClaimKey, Epoch};
+use seamhatch_core::generation::Generation;
+use seamhatch_core::identity::Address;
+use seamhatch_core::roster::{Roster, WitnessId};
+use seamhatch_policy::Configuration;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// A server that may be given work.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Server {
+    /// Peer address of the daemon beside it.
+    pub peer: Address,
+    /// Its zone.
+    pub zone: String,
+    /// Slots it reports.
+    pub slots: u32,
+}
+
+/// Witnesses of one shard.
+#[derive(Debug, Clone)]
+pub struct ShardView<'a> {
+    /// Number of the shard.
+    pub shard: u32,
+    /// Epoch to claim in.
+    pub epoch: Epoch,
+    /// Whom to ask.
+    pub witnesses: &'a [WitnessId],
+}
+
+/// One immutable state of all that decides where calls go.
+#[derive(Debug, Default)]
+pub struct Snapshot {
+    /// Configuration in force and its generation; none before the first.
+    pub configuration: Option<(Generation, Arc<Configuration>)>,
+    /// Servers by service.
+    pub servers: HashMap<String, Vec<Server>>,
+    /// Witnesses of the claims.
+    pub roster: Arc<Roster>,
+}
+
+impl Snapshot {
+    /// Generation in force, zero for none.
+    #[must_use]
+    pub fn generation(&self) -> Generation {
+        self.configuration.as_ref().map(|(generation, _)| *generation).unwrap_or_default()
+    }
+
+    /// The compiled configuration.
+    #[must_use]
+    pub fn configuration(&self) -> Option<&Arc<Configuration>> {
+        self.configuration.as_ref().map(|(_, configuration)| configuration)
+    }
+
+    /// The witnesses that decide about `key`; none before the first roster.
+    #[must_use]
+    pub fn shard_of(&self, key: ClaimKey) -> Option<ShardView<'_>> {
+        let index = key.shard(self.roster.shards.len());
+        let shard = self.roster.shards.get(index)?;
+        Some(ShardView {
+            shard: index as u32,
+            epoch: shard.current.epoch,
+            witnesses: &shard.current.witnesses,
+        })
+    }
+}
