Claims: install a changed shard at once and try again meanwhile

Ruled out: lost claim messages (the witnesses' counters showed refusals, not silence). Change: the coordinator installs as soon as its roster is adopted; a claimant tries up to four rounds, 60 ms apart and growing; status shows how many witnesses grant.

--- a/crates/seamhatch-lab/src/deployment.rs
+++ b/crates/seamhatch-lab/src/deployment.rs
@@ -8,6 +8,7 @@
 use http::Request;
 use http_body_util::{BodyExt, Empty};
 use seamhatch_core::identity::Address;
+use seamhatch_core::roster::WITNESSES;
 use seamhatchd::backend::http_client;
 use seamhatchd::controllers::StatusReport;
 use std::ffi::OsString;
@@ -134,7 +135,8 @@
         self.wait_all(longest, |_| true).await
     }
 
-    /// Waits until every daemon is ready and knows all the others as live and ready.
+    /// Waits until every daemon is ready, knows all the others as live and ready,
+    /// and all witnesses grant claims.
     pub async fn wait_ready(&self, longest: Duration) -> bool {
         let members = self.daemons.len();
         self.wait_all(longest, |report| {
@@ -142,7 +144,8 @@
                 member.lifecycle == seamhatch_core::membership::Lifecycle::Ready
                     && member.liveness == seamhatch_core::membership::Liveness::Alive
             });
-            report.ready && ready.count() == members && !report.shards.is_empty()
+            let granting = report.shards.iter().all(|shard| shard.serving >= members.min(WITNESSES));
+            report.ready && ready.count() == members && !report.shards.is_empty() && granting
         })
         .await
     }
--- a/crates/seamhatch/src/output.rs
+++ b/crates/seamhatch/src/output.rs
@@ -31,8 +31,11 @@
         "MEMBER", "SERVICE", "ZONE", "SLOTS", "STATE", "SEEN", "GENERATION"
     ));
     report.members.iter().for_each(|member| text.push_str(&member_line(member)));
-    let epochs: Vec<String> = report.shards.iter().map(|shard| shard.epoch.to_string()).collect();
-    text.push_str(&format!("\nwitness epochs by shard: {}\n", epochs.join(" ")));
+    text.push_str("\nwitnesses by shard (epoch, granting of assigned):");
+    for shard in &report.shards {
+        text.push_str(&format!(" {}:{}/{}", shard.epoch, shard.serving, shard.witnesses.len()));
+    }
+    text.push('\n');
     text
 }
 
--- a/crates/seamhatchd/src/claims/claimant.rs
+++ b/crates/seamhatchd/src/claims/claimant.rs
@@ -1,11 +1,12 @@
 //! Claiming the key of a call that may not be repeated, before it is dispatched.
 
+use crate::controllers::ask_daemon;
 use crate::shared::Shared;
 use crate::snapshot::ShardView;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use seamhatch_core::claims::{Claim, ClaimHolder, ClaimKey, ClaimReply, ClaimRound, ClaimVerdict, Epoch};
-use seamhatch_core::identity::{Address, Fingerprint};
+use seamhatch_core::identity::Fingerprint;
 use seamhatch_core::outcome::Reason;
 use seamhatch_core::roster::WitnessId;
 use seamhatch_wire::{ControlReply, ControlRequest, PeerMessage, RecordedAnswer, RecordedState};
@@ -15,8 +16,10 @@
 
 /// Longest wait for the witnesses.
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Longest wait for the holder of a claim.
-const HOLDER_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Rounds that are tried while a shard changes its witnesses.
+const MOST_ROUNDS: u32 = 4;
+/// Pause between two rounds, multiplied by the number of rounds so far.
+const ROUND_PAUSE: Duration = Duration::from_millis(60);
 
 /// Why a call may not be dispatched.
 #[derive(Debug)]
@@ -91,7 +94,7 @@
     key: ClaimKey,
     request: Fingerprint,
 ) -> Result<Claimed, ClaimRefused> {
-    let first = try_claim(shared, key, request).await;
+    let first = claim_in_rounds(shared, key, request).await;
     let Err(TryError::Held(held)) = first else { return first.map_err(TryError::into_refusal) };
     if held.request != request {
         return Err(ClaimRefused::NotRun(Reason::KeyMismatch));
@@ -106,6 +109,25 @@
     }
 }
 
+/// Tries again while there is no majority: a shard that changes its witnesses
+/// grants nothing for a moment.
+async fn claim_in_rounds(
+    shared: &Arc<Shared>,
+    key: ClaimKey,
+    request: Fingerprint,
+) -> Result<Claimed, TryError> {
+    let mut round = 1;
+    loop {
+        match try_claim(shared, key, request).await {
+            Err(TryError::NoMajority) if round < MOST_ROUNDS => {
+                tokio::time::sleep(ROUND_PAUSE * round).await;
+                round += 1;
+            }
+            other => return other,
+        }
+    }
+}
+
 enum TryError {
     Held(Claim),
     NoMajority,
@@ -192,14 +214,6 @@
     }
 }
 
-async fn ask_daemon(shared: &Arc<Shared>, daemon: Address, request: ControlRequest) -> Option<ControlReply> {
-    let asking = async {
-        let connection = shared.pool.get(shared, daemon).await.ok()?;
-        connection.control(request).await
-    };
-    tokio::time::timeout(HOLDER_TIMEOUT, asking).await.ok().flatten()
-}
-
 /// Releases a claim whose holder said that it gave it up; the holder's own release may be lost.
 fn release_for(shared: &Arc<Shared>, held: &Claim) {
     let snapshot = shared.snapshot();
--- a/crates/seamhatchd/src/controllers/control_thread.rs
+++ b/crates/seamhatchd/src/controllers/control_thread.rs
@@ -1,6 +1,7 @@
 //! The thread that owns all control state: one event after the other.
 
 use crate::clock;
+use crate::controllers::ask::{ask_daemon, ask_generation};
 use crate::controllers::configuration::ConfigurationController;
 use crate::controllers::events::{ControlEvent, DrainTarget, SubmitRequest};
 use crate::controllers::handle::ControlHandle;
@@ -10,7 +11,7 @@
 use crate::controllers::roster::RosterController;
 use crate::controllers::roster_change::Transition;
 use crate::controllers::status::{self, StatusInput};
-use crate::controllers::submission::{Submission, SubmitError, ask_generation};
+use crate::controllers::submission::{Submission, SubmitError};
 use crate::shared::Shared;
 use crate::store::{CONFIGURATION_KEY, ROSTER_KEY, StoreClient, StoreError, Stored, Swap};
 use futures_util::future::join_all;
@@ -235,8 +236,7 @@
     fn tell(&self, peer: Address, request: ControlRequest) {
         let (shared, control) = (self.shared.clone(), self.control.clone());
         tokio::spawn(async move {
-            let Ok(connection) = shared.pool.get(&shared, peer).await else { return };
-            if let Some(ControlReply::Configuration(newer)) = connection.control(request).await {
+            if let Some(ControlReply::Configuration(newer)) = ask_daemon(&shared, peer, request).await {
                 control.send(ControlEvent::Offered(newer));
             }
         });
@@ -439,6 +439,13 @@
             self.schedule.recheck = now.plus(ROSTER_RECHECK);
             self.roster.recheck();
         }
+        if let Some(next) = self.roster.plan(&self.all_members()) {
+            self.write_roster(next);
+        }
+        self.start_transitions(now);
+    }
+
+    fn start_transitions(&mut self, now: Instant) {
         let members = self.all_members();
         for (shard, target) in self.roster.start_transitions() {
             let since = self.roster.waiting_since(shard, target.current.epoch, now);
@@ -452,9 +459,6 @@
             let control = self.control.clone();
             tokio::spawn(async move { control.send(ControlEvent::Transition(transition.run().await)) });
         }
-        if let Some(next) = self.roster.plan(&members) {
-            self.write_roster(next);
-        }
     }
 
     /// Writes a planned roster, if the store still holds the one it was planned from.
@@ -491,14 +495,18 @@
         for peer in self.membership.random_peers(FANOUT) {
             self.tell(peer, request.clone());
         }
+        if self.is_ready() && self.membership.is_coordinator() {
+            // No claim is granted in a changed shard until its new witnesses are installed.
+            self.start_transitions(clock::now());
+        }
     }
 
     fn pull_roster(&self) {
         let Some(peer) = self.membership.random_peers(1).first().copied() else { return };
         let (shared, control) = (self.shared.clone(), self.control.clone());
         tokio::spawn(async move {
-            let Ok(connection) = shared.pool.get(&shared, peer).await else { return };
-            if let Some(ControlReply::Roster(roster)) = connection.control(ControlRequest::GetRoster).await {
+            let reply = ask_daemon(&shared, peer, ControlRequest::GetRoster).await;
+            if let Some(ControlReply::Roster(roster)) = reply {
                 control.send(ControlEvent::RosterOffered(roster));
             }
         });
--- a/crates/seamhatchd/src/controllers/mod.rs
+++ b/crates/seamhatchd/src/controllers/mod.rs
@@ -4,6 +4,7 @@
 //! they decide is published as a snapshot. Traffic threads talk to them through
 //! a [`ControlHandle`] and never wait for them on a request's path.
 
+mod ask;
 mod configuration;
 mod control_thread;
 mod events;
@@ -16,6 +17,7 @@
 mod status;
 mod submission;
 
+pub use ask::ask_daemon;
 pub use control_thread::ControlThread;
 pub use events::{ControlEvent, DrainTarget, SubmitRequest};
 pub use handle::ControlHandle;
--- a/crates/seamhatchd/src/controllers/status.rs
+++ b/crates/seamhatchd/src/controllers/status.rs
@@ -1,14 +1,15 @@
 //! The state of the deployment as one daemon sees it, for operators.
 
-use crate::controllers::submission::ask_generation;
+use crate::controllers::ask::{ask_daemon, ask_generation};
 use crate::shared::Shared;
 use futures_util::StreamExt;
+use futures_util::future::join_all;
 use futures_util::stream;
 use seamhatch_core::generation::Generation;
 use seamhatch_core::membership::{Lifecycle, Liveness, MemberRecord};
 use seamhatch_core::priority::AdmissionFloor;
-use seamhatch_core::roster::Roster;
-use seamhatch_wire::ControlReply;
+use seamhatch_core::roster::{Roster, ShardRoster};
+use seamhatch_wire::{ControlReply, ControlRequest};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
@@ -45,6 +46,8 @@
     pub epoch: u64,
     /// Peer addresses.
     pub witnesses: Vec<String>,
+    /// How many of them grant claims in this epoch.
+    pub serving: usize,
 }
 
 /// The whole state.
@@ -87,6 +90,8 @@
     let mut members: Vec<MemberStatus> = stream::iter(asking).buffer_unordered(ASKED_AT_ONCE).collect().await;
     members.push(own);
     members.sort_by(|left, right| (&left.service, &left.member).cmp(&(&right.service, &right.member)));
+    let shards =
+        input.roster.shards.iter().enumerate().map(|(index, shard)| ask_witnesses(&shared, index, shard));
     let floor: AdmissionFloor = shared.gate.report().floor;
     StatusReport {
         member: input.me.info.gossip.to_string(),
@@ -96,7 +101,7 @@
         generation: input.generation.0,
         floor: floor.0,
         members,
-        shards: shards(&input.roster),
+        shards: join_all(shards).await,
     }
 }
 
@@ -125,15 +130,16 @@
     }
 }
 
-fn shards(roster: &Roster) -> Vec<ShardStatus> {
-    roster
-        .shards
-        .iter()
-        .enumerate()
-        .map(|(shard, entry)| ShardStatus {
-            shard,
-            epoch: entry.current.epoch.0,
-            witnesses: entry.current.witnesses.iter().map(|witness| witness.daemon.to_string()).collect(),
-        })
-        .collect()
+async fn ask_witnesses(shared: &Arc<Shared>, index: usize, shard: &ShardRoster) -> ShardStatus {
+    let current = &shard.current;
+    let request = ControlRequest::WitnessStatus { shard: index as u32 };
+    let asking = current.witnesses.iter().map(|witness| ask_daemon(shared, witness.daemon, request.clone()));
+    let replies = join_all(asking).await;
+    let serving = Some(ControlReply::Serving(current.epoch));
+    ShardStatus {
+        shard: index,
+        epoch: current.epoch.0,
+        witnesses: current.witnesses.iter().map(|witness| witness.daemon.to_string()).collect(),
+        serving: replies.iter().filter(|reply| **reply == serving).count(),
+    }
 }
--- a/crates/seamhatchd/src/controllers/submission.rs
+++ b/crates/seamhatchd/src/controllers/submission.rs
@@ -2,6 +2,7 @@
 //! finding out what became of a write whose answer was lost.
 
 use crate::clock;
+use crate::controllers::ask::ask_generation;
 use crate::controllers::events::SubmitRequest;
 use crate::shared::Shared;
 use crate::store::{CONFIGURATION_KEY, StoreClient, StoreError, Stored, Swap};
@@ -9,7 +10,7 @@
 use seamhatch_core::generation::{Generation, Resolution};
 use seamhatch_core::identity::Address;
 use seamhatch_policy::{Configuration, ConfigurationError, StoredConfiguration};
-use seamhatch_wire::{ControlReply, ControlRequest};
+use seamhatch_wire::ControlReply;
 use std::sync::Arc;
 use std::time::Duration;
 use thiserror::Error;
@@ -19,8 +20,6 @@
 const LONGEST_SUBMISSION: Duration = Duration::from_secs(15);
 /// Pause after a failure of the store.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
-/// Longest wait for a peer's generation.
-const PEER_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Why a submission was not accepted.
 #[derive(Debug, Error)]
@@ -218,15 +217,6 @@
     }
 }
 
-/// Asks a daemon for its configuration if that is above `have`.
-pub async fn ask_generation(shared: &Arc<Shared>, peer: Address, have: Generation) -> Option<ControlReply> {
-    let asking = async {
-        let connection = shared.pool.get(shared, peer).await.ok()?;
-        connection.control(ControlRequest::GetConfiguration { have }).await
-    };
-    tokio::time::timeout(PEER_TIMEOUT, asking).await.ok().flatten()
-}
-
 enum StepError {
     Final(SubmitError),
     Store(StoreError),
--- a/crates/seamhatchd/src/peer/mod.rs
+++ b/crates/seamhatchd/src/peer/mod.rs
@@ -10,7 +10,7 @@
 pub use call::{AnswerBody, AnswerPiece, CallEvent, CallStream};
 pub use connection::{PeerConnection, PeerView};
 pub use credit::CreditWindow;
-pub use link::{Outbox, PULSE_INTERVAL};
+pub use link::{LinkClosed, Outbox, PULSE_INTERVAL};
 pub use pool::{PeerPool, PeerUnreachable};
 pub use server::serve;
 
