Witness roster: look before changing; processes behind a fault proxy, at-most-once tests

Cause of shards that stayed without witnesses after rolling restarts: a newly chosen coordinator did not know that the present epoch was installed, listed all earlier epochs as still to be sealed, and met long-ended witnesses, which made it wait out the longest request. Ruled out: lost installs (the witnesses answered 'not serving' at once). Change: a shard is changed only after this coordinator has looked at it, and a confirmed change clears its predecessors.

--- a/crates/seamhatch-lab/src/backends.rs
+++ b/crates/seamhatch-lab/src/backends.rs
@@ -221,7 +221,7 @@
 impl Backend {
     async fn run(&self, state: &Arc<State>, incoming: Incoming) -> WebResponse {
         let segments: Vec<&str> = incoming.path.split('/').filter(|segment| !segment.is_empty()).collect();
-        let found = self.endpoints.iter().find(|endpoint| segments.contains(&endpoint.name));
+        let found = self.endpoints.iter().find(|endpoint| segments.contains(&endpoint.name.as_str()));
         let Some(endpoint) = found else { return status(StatusCode::NOT_FOUND) };
         self.record(state, &incoming);
         state.running.fetch_add(1, Ordering::AcqRel);
@@ -264,8 +264,10 @@
         let egress = self.machine.egress();
         let number = incoming.path.rsplit('/').next().unwrap_or_default();
         let uri = format!("http://{egress}/{}/{}/{number}", call.service, call.endpoint);
-        let mut request =
-            Request::builder().method(call.method).uri(uri).header(REQUEST_HEADER, &incoming.request);
+        let mut request = Request::builder()
+            .method(call.method.as_str())
+            .uri(uri)
+            .header(REQUEST_HEADER, &incoming.request);
         if let Some(context) = &incoming.context {
             request = request.header(seamhatchd::headers::CONTEXT, context);
         }
--- a/crates/seamhatch-lab/src/demo.rs
+++ b/crates/seamhatch-lab/src/demo.rs
@@ -15,8 +15,6 @@
 const RATE: f64 = 150.0;
 /// Seconds of load.
 const SECONDS: u64 = 5;
-/// Longest wait for the deployment.
-const START_TIMEOUT: Duration = Duration::from_secs(20);
 
 const HELP: &str = "\
 seamhatch-lab demo [--rate REQUESTS_PER_SECOND] [--seconds N]
@@ -63,19 +61,10 @@
 async fn demonstrate(rate: f64, duration: Duration) -> Result<(), String> {
     let program = std::env::current_exe().map_err(|error| error.to_string())?;
     let topology = Topology::harvest().in_small(SERVERS);
-    let options = DeploymentOptions { program, log_level: "info".into() };
-    let deployment = Deployment::start(topology, &options).map_err(|error| error.to_string())?;
+    let options = DeploymentOptions { program, log_level: "info".into(), proxied: false };
+    let deployment = Deployment::start_ready(topology, &options).await?;
     println!("started {} daemons, their back ends and the platform", deployment.daemons.len());
-    if !deployment.wait_started(START_TIMEOUT).await {
-        return Err("the daemons did not start in time".into());
-    }
-    let accepted = deployment.submit(0, &deployment.topology.document, &["--wait"])?;
-    print!("submitted the configuration: {accepted}");
-    if !deployment.wait_ready(START_TIMEOUT).await {
-        let status = deployment.client(0, &["status"]).map_err(|error| error.to_string())?;
-        let status = String::from_utf8_lossy(&status.stdout).into_owned();
-        return Err(format!("the daemons did not become ready in time\n{status}"));
-    }
+    println!("submitted the configuration; it is in force at every daemon");
     println!("sending {rate} requests a second for {} s\n", duration.as_secs());
     let result = load::run(LoadPlan {
         rate,
--- a/crates/seamhatch-lab/src/deployment.rs
+++ b/crates/seamhatch-lab/src/deployment.rs
@@ -1,6 +1,7 @@
 //! A whole deployment: platform, back ends, and one daemon process a server.
 
 use crate::backends::Backends;
+use crate::faults::{self, FaultProxy};
 use crate::network::Network;
 use crate::platform::Platform;
 use crate::process::{DaemonOptions, DaemonProcess, Machine};
@@ -21,6 +22,8 @@
 const PLATFORM_GROUP: u8 = 0;
 /// Seeds that each daemon is given.
 const SEEDS: usize = 3;
+/// Longest wait for a deployment to be ready.
+const START_TIMEOUT: Duration = Duration::from_secs(40);
 /// Pause between two looks at what is waited for.
 const POLL: Duration = Duration::from_millis(20);
 
@@ -31,6 +34,8 @@
     pub program: PathBuf,
     /// Log level of the daemons.
     pub log_level: String,
+    /// Put a fault-injecting proxy in front of each daemon.
+    pub proxied: bool,
 }
 
 /// A running deployment; dropping it ends all its processes.
@@ -45,36 +50,99 @@
     pub daemons: Vec<DaemonProcess>,
     /// What restarted daemons are started with.
     pub options: DaemonOptions,
+    proxy: Option<FaultProxy>,
     directory: TempDir,
     _network: Network,
 }
 
 impl Deployment {
+    /// Starts a deployment and brings its configuration into force.
+    ///
+    /// # Errors
+    /// What did not start in time, with a daemon's view of it.
+    pub async fn start_ready(topology: Topology, options: &DeploymentOptions) -> Result<Self, String> {
+        let deployment = Self::start(topology, options).await.map_err(|error| error.to_string())?;
+        if !deployment.wait_started(START_TIMEOUT).await {
+            return Err("the daemons did not start in time".into());
+        }
+        deployment.submit(0, &deployment.topology.document, &["--wait"])?;
+        if !deployment.wait_ready(START_TIMEOUT).await {
+            let status = deployment.client(0, &["status"]).map_err(|error| error.to_string())?;
+            let status = String::from_utf8_lossy(&status.stdout).into_owned();
+            return Err(format!("the daemons did not become ready in time\n{status}"));
+        }
+        Ok(deployment)
+    }
+
     /// Starts all processes. They are ready once a configuration was submitted.
     ///
     /// # Errors
     /// A process or listener can't be started.
-    pub fn start(topology: Topology, options: &DeploymentOptions) -> std::io::Result<Self> {
+    pub async fn start(topology: Topology, options: &DeploymentOptions) -> std::io::Result<Self> {
         let network = Network::take()?;
         let directory = TempDir::new()?;
         let machines = machines(&topology, &network);
         let platform = Platform::start(network.machine(PLATFORM_GROUP, 1))?;
         machines.iter().for_each(|machine| platform.list_machine(machine.ip));
         let backends = Backends::start(&topology, &machines)?;
-        let options = DaemonOptions {
+        let proxy = if options.proxied { Some(FaultProxy::start(&machines).await?) } else { None };
+        let seed_of = |machine: &Machine| match &proxy {
+            Some(_) => faults::advertised(machine).gossip,
+            None => machine.gossip(),
+        };
+        let daemon_options = DaemonOptions {
             program: options.program.clone(),
             directory: directory.path().to_owned(),
             cluster: topology.cluster.to_owned(),
             region: topology.region.to_owned(),
             store: platform.address(),
             machines: platform.address(),
-            seeds: machines.iter().step_by(2).take(SEEDS).map(Machine::gossip).collect(),
-            advertise: None,
+            seeds: machines.iter().step_by(2).take(SEEDS).map(seed_of).collect(),
+            advertise: options.proxied.then_some(faults::advertised),
             log_level: options.log_level.clone(),
         };
-        let daemons = machines.into_iter().map(|machine| DaemonProcess::start(machine, &options));
+        let daemons = machines.into_iter().map(|machine| DaemonProcess::start(machine, &daemon_options));
         let daemons = daemons.collect::<std::io::Result<Vec<_>>>()?;
-        Ok(Self { topology, platform, backends, daemons, options, directory, _network: network })
+        Ok(Self {
+            topology,
+            platform,
+            backends,
+            daemons,
+            options: daemon_options,
+            proxy,
+            directory,
+            _network: network,
+        })
+    }
+
+    /// The fault-injecting proxy.
+    ///
+    /// # Panics
+    /// The deployment was started without one.
+    #[must_use]
+    pub fn proxy(&self) -> &FaultProxy {
+        self.proxy.as_ref().expect("started with `proxied`")
+    }
+
+    /// The name of a member, as `status` shows it and `drain --member` takes it.
+    #[must_use]
+    pub fn member(&self, daemon: usize) -> String {
+        let machine = &self.daemons[daemon].machine;
+        match self.options.advertise {
+            Some(advertise) => advertise(machine).gossip.to_string(),
+            None => machine.gossip().to_string(),
+        }
+    }
+
+    /// Starts a daemon anew on the machine where one was killed or has ended.
+    ///
+    /// # Errors
+    /// It can't be started.
+    pub fn restart(&mut self, daemon: usize) -> std::io::Result<()> {
+        let machine = self.daemons[daemon].machine.clone();
+        self.daemons[daemon].kill();
+        self.daemons[daemon] = DaemonProcess::start(machine, &self.options)?;
+        Ok(())
     }
 
     /// Addresses of all ingress listeners.
@@ -189,7 +257,7 @@
                 ip: network.machine(group as u8 + 1, server + 1),
                 // Each service begins in another zone, so that small ones spread too.
                 zone: topology.zones[(usize::from(server) + group) % topology.zones.len()].to_owned(),
-                service: service.name.to_owned(),
+                service: service.name.clone(),
                 slots: service.slots,
             });
         }
--- a/crates/seamhatch-lab/src/lib.rs
+++ b/crates/seamhatch-lab/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod client;
 pub mod demo;
 pub mod deployment;
+pub mod faults;
 pub mod load;
 pub mod network;
 pub mod platform;
--- a/crates/seamhatch-lab/src/topology.rs
+++ b/crates/seamhatch-lab/src/topology.rs
@@ -6,18 +6,18 @@
 #[derive(Debug, Clone)]
 pub struct ChildCall {
     /// HTTP method.
-    pub method: &'static str,
+    pub method: String,
     /// Service.
-    pub service: &'static str,
+    pub service: String,
     /// First segment of the path; the request's number follows.
-    pub endpoint: &'static str,
+    pub endpoint: String,
 }
 
 /// What a back end does for one kind of request.
 #[derive(Debug, Clone)]
 pub struct Endpoint {
     /// First segment of the path.
-    pub name: &'static str,
+    pub name: String,
     /// Mean time of its own work.
     pub work: Duration,
     /// Bytes of the answer.
@@ -30,7 +30,7 @@
 #[derive(Debug, Clone)]
 pub struct ServiceTopology {
     /// Name.
-    pub name: &'static str,
+    pub name: String,
     /// Servers.
     pub servers: u8,
     /// Slots of each.
@@ -74,16 +74,22 @@
 const HARVEST_DOCUMENT: &str = include_str!("../documents/harvest.toml");
 const SENVANG_DOCUMENT: &str = include_str!("../documents/senvang.toml");
 
-fn call(method: &'static str, service: &'static str, endpoint: &'static str) -> ChildCall {
-    ChildCall { method, service, endpoint }
+/// A call to a service.
+#[must_use]
+pub fn call(method: &str, service: &str, endpoint: &str) -> ChildCall {
+    ChildCall { method: method.into(), service: service.into(), endpoint: endpoint.into() }
 }
 
-fn endpoint(name: &'static str, work_ms: u64, answer_bytes: usize, calls: Vec<ChildCall>) -> Endpoint {
-    Endpoint { name, work: Duration::from_millis(work_ms), answer_bytes, calls }
+/// An endpoint with this much work and this large an answer.
+#[must_use]
+pub fn endpoint(name: &str, work_ms: u64, answer_bytes: usize, calls: Vec<ChildCall>) -> Endpoint {
+    Endpoint { name: name.into(), work: Duration::from_millis(work_ms), answer_bytes, calls }
 }
 
-fn service(name: &'static str, servers: u8, slots: u32, endpoints: Vec<Endpoint>) -> ServiceTopology {
-    ServiceTopology { name, servers, slots, endpoints }
+/// A service of this size.
+#[must_use]
+pub fn service(name: &str, servers: u8, slots: u32, endpoints: Vec<Endpoint>) -> ServiceTopology {
+    ServiceTopology { name: name.into(), servers, slots, endpoints }
 }
 
 fn kind(
@@ -201,6 +207,36 @@
         }
     }
 
+    /// Services `s1` to `sN`, each calling the next one `fan_out` times under
+    /// different paths: one request becomes `fan_out` to the power of `depth - 1`
+    /// calls at the end. Every method may be repeated but POST.
+    #[must_use]
+    pub fn chain(depth: usize, fan_out: usize, servers: u8, retries: u32) -> Self {
+        let endpoints = |level: usize| {
+            let ways = if level < depth { fan_out } else { 0 };
+            let next = format!("s{}", level + 1);
+            let children: Vec<ChildCall> =
+                (0..ways).map(|way| call("GET", &next, &format!("way{way}"))).collect();
+            (0..fan_out).map(|way| endpoint(&format!("way{way}"), 1, 100, children.clone())).collect()
+        };
+        let services = (1..=depth).map(|level| service(&format!("s{level}"), servers, 16, endpoints(level)));
+        let names = (1..=depth)
+            .map(|level| format!("[services.s{level}]\nretry_ratio = 1.0\nretry_burst = 1000.0\n"));
+        let policy = format!("fn retries(request) {{ {retries} }}\nfn deadline_ms(request) {{ 20000 }}\n");
+        let document = format!(
+            "policy = \"\"\"\n{policy}\"\"\"\n{}[[routes]]\nprefix = \"/in\"\nservice = \"s1\"\n",
+            names.collect::<String>()
+        );
+        Self {
+            cluster: "chain",
+            region: "region",
+            zones: vec!["a", "b", "c"],
+            services: services.collect(),
+            kinds: vec![kind("request", "GET", "/in/way0", 1.0, false)],
+            document,
+        }
+    }
+
     /// The same with at most `servers` servers a service.
     #[must_use]
     pub fn in_small(mut self, servers: u8) -> Self {
--- a/crates/seamhatch-model/src/claims.rs
+++ b/crates/seamhatch-model/src/claims.rs
@@ -7,7 +7,7 @@
 //! a late reply; an attempt may give up waiting at any time, as when replies are
 //! lost. A reply counts from the moment that its witness gives it.
 
-use crate::search::{Model, Step, action};
+use crate::search::{Model, SearchResult, Step, action, search};
 use seamhatch_core::Instant;
 use seamhatch_core::claims::{
     Claim, ClaimHolder, ClaimKey, ClaimReply, ClaimRound, ClaimVerdict, Epoch, Witness,
@@ -156,6 +156,14 @@
 type Steps = Vec<Step<ClaimsState>>;
 
 impl ClaimsModel {
+    /// Searches all reachable states, at most `limit`.
+    ///
+    /// Not generic, so that it is compiled with this crate's optimisation also for tests.
+    #[must_use]
+    pub fn search(&self, limit: usize) -> SearchResult {
+        search(self, limit)
+    }
+
     fn attempt_steps(&self, state: &ClaimsState, index: usize, steps: &mut Steps) {
         let attempt = &state.attempts[index];
         match attempt.phase {
--- a/crates/seamhatch-model/src/configuration.rs
+++ b/crates/seamhatch-model/src/configuration.rs
@@ -5,7 +5,7 @@
 //! document lacks an accepted submission shows as a reversal. All daemons are
 //! configuration witnesses until they restart.
 
-use crate::search::{Model, Step, action};
+use crate::search::{Model, SearchResult, Step, action, search};
 use seamhatch_core::generation::{
     Generation, Offer, SubmissionId, SubmissionStep, SubmissionView, Version, judge_offer, submission_step,
 };
@@ -197,6 +197,14 @@
 }
 
 impl ConfigurationModel {
+    /// Searches all reachable states, at most `limit`.
+    ///
+    /// Not generic, so that it is compiled with this crate's optimisation also for tests.
+    #[must_use]
+    pub fn search(&self, limit: usize) -> SearchResult {
+        search(self, limit)
+    }
+
     fn submitter_steps(&self, state: &ConfigurationState, index: usize, steps: &mut Steps) {
         let submitter = &state.submitters[index];
         if submitter.told != Told::Nothing {
--- a/crates/seamhatch-model/src/retries.rs
+++ b/crates/seamhatch-model/src/retries.rs
@@ -1,7 +1,7 @@
 //! Retry tokens over a tree of calls: dispatches beyond the distinct calls
 //! never exceed what the root was given, whatever fails and whoever repeats.
 
-use crate::search::{Model, Step, action};
+use crate::search::{Model, SearchResult, Step, action, search};
 use seamhatch_core::identity::Fingerprint;
 use seamhatch_core::retry::{ChildEnd, RetryLedger};
 use std::collections::BTreeSet;
@@ -100,6 +100,14 @@
 }
 
 impl RetriesModel {
+    /// Searches all reachable states, at most `limit`.
+    ///
+    /// Not generic, so that it is compiled with this crate's optimisation also for tests.
+    #[must_use]
+    pub fn search(&self, limit: usize) -> SearchResult {
+        search(self, limit)
+    }
+
     fn dispatch_steps(&self, state: &RetriesState, index: usize, steps: &mut Vec<Step<RetriesState>>) {
         let node = &state.nodes[index];
         if node.path.len() >= self.depth || state.nodes.len() > self.most_dispatches {
--- a/crates/seamhatch-model/tests/claims.rs
+++ b/crates/seamhatch-model/tests/claims.rs
@@ -1,7 +1,7 @@
 //! Claims: the protocol holds, and each seeded fault is found.
 
+use seamhatch_model::SearchResult;
 use seamhatch_model::claims::{ClaimsFault, ClaimsModel};
-use seamhatch_model::{SearchResult, search};
 
 const LIMIT: usize = 3_000_000;
 
@@ -10,14 +10,14 @@
 }
 
 fn assert_holds(name: &str, model: ClaimsModel) {
-    match search(&model, LIMIT) {
+    match model.search(LIMIT) {
         SearchResult::Holds { states } => println!("{name}: {states} states"),
         other => panic!("{name}: {other:#?}"),
     }
 }
 
 fn assert_found(model: ClaimsModel) {
-    match search(&model, LIMIT) {
+    match model.search(LIMIT) {
         SearchResult::Violated { invariant, trace } => {
             println!("{:?}: {invariant} after {} steps", model.fault, trace.len());
         }
--- a/crates/seamhatch-model/tests/configuration.rs
+++ b/crates/seamhatch-model/tests/configuration.rs
@@ -1,7 +1,7 @@
 //! Configuration: what is accepted stays, and each seeded fault is found.
 
+use seamhatch_model::SearchResult;
 use seamhatch_model::configuration::{ConfigurationFault, ConfigurationModel};
-use seamhatch_model::{SearchResult, search};
 
 const LIMIT: usize = 3_000_000;
 
@@ -17,14 +17,14 @@
 }
 
 fn assert_holds(name: &str, model: ConfigurationModel) {
-    match search(&model, LIMIT) {
+    match model.search(LIMIT) {
         SearchResult::Holds { states } => println!("{name}: {states} states"),
         other => panic!("{name}: {other:#?}"),
     }
 }
 
 fn assert_found(model: ConfigurationModel) {
-    match search(&model, LIMIT) {
+    match model.search(LIMIT) {
         SearchResult::Violated { invariant, trace } => {
             println!("{:?}: {invariant} after {} steps", model.fault, trace.len());
         }
--- a/crates/seamhatch-model/tests/retries.rs
+++ b/crates/seamhatch-model/tests/retries.rs
@@ -1,7 +1,7 @@
 //! Retry tokens: the bound holds over the tree, and each seeded fault is found.
 
+use seamhatch_model::SearchResult;
 use seamhatch_model::retries::{RetriesFault, RetriesModel};
-use seamhatch_model::{SearchResult, search};
 
 const LIMIT: usize = 3_000_000;
 
@@ -10,14 +10,14 @@
 }
 
 fn assert_holds(model: RetriesModel) {
-    match search(&model, LIMIT) {
+    match model.search(LIMIT) {
         SearchResult::Holds { states } => println!("{model:?}: {states} states"),
         other => panic!("{model:?}: {other:#?}"),
     }
 }
 
 fn assert_found(model: RetriesModel) {
-    match search(&model, LIMIT) {
+    match model.search(LIMIT) {
         SearchResult::Violated { trace, .. } => println!("{:?}: {trace:?}", model.fault),
         other => panic!("{:?} was not found: {other:?}", model.fault),
     }
--- a/crates/seamhatchd/src/controllers/roster.rs
+++ b/crates/seamhatchd/src/controllers/roster.rs
@@ -17,6 +17,7 @@
 #[derive(Debug, Default)]
 pub struct RosterController {
     roster: Arc<Roster>,
+    checked: BTreeMap<usize, Epoch>,
     confirmed: BTreeMap<usize, Epoch>,
     complete: BTreeMap<usize, Epoch>,
     running: BTreeSet<usize>,
@@ -59,9 +60,7 @@
         }
         let mut changed = false;
         let shards = self.roster.shards.iter().enumerate().map(|(index, shard)| {
-            let confirmed = self.is_confirmed(index, shard);
-            let health = |id: &WitnessId| self.health(id, members);
-            match plan_change(index, shard, confirmed, health, &candidates) {
+            match self.plan_shard(index, shard, members, &candidates) {
                 Some(next) => {
                     changed = true;
                     next
@@ -73,6 +72,26 @@
         changed.then(|| Roster { version: self.roster.version + 1, shards })
     }
 
+    /// What one shard should become. Only a shard that this coordinator has
+    /// looked at is changed: one that was just chosen does not know yet whether
+    /// the present epoch was installed, and would seal long-ended epochs again.
+    fn plan_shard(
+        &self,
+        index: usize,
+        shard: &ShardRoster,
+        members: &[MemberRecord],
+        candidates: &[WitnessCandidate],
+    ) -> Option<ShardRoster> {
+        if self.checked.get(&index) != Some(&shard.current.epoch) {
+            return None;
+        }
+        let confirmed = self.is_confirmed(index, shard);
+        let health = |id: &WitnessId| self.health(id, members);
+        let change = plan_change(index, shard, confirmed, health, candidates);
+        let over = confirmed && !shard.previous.is_empty();
+        change.or_else(|| over.then(|| ShardRoster { previous: Vec::new(), ..shard.clone() }))
+    }
+
     /// Shards whose present epoch isn't yet installed at all its witnesses and
     /// that no task works on; they are marked as worked on.
     pub fn start_transitions(&mut self) -> Vec<(usize, ShardRoster)> {
@@ -92,6 +111,7 @@
     /// Takes in how far a transition came.
     pub fn finish_transition(&mut self, result: &TransitionResult) {
         self.running.remove(&result.shard);
+        self.checked.insert(result.shard, result.epoch);
         if result.confirmed {
             self.confirmed.insert(result.shard, result.epoch);
         }
