--- a/crates/seamhatch-core/src/admission.rs
+++ b/crates/seamhatch-core/src/admission.rs
@@ -94,6 +94,11 @@
         }
     }
 
+    /// Sets how many calls may wait for each slot; calls that wait already stay.
+    pub fn set_queue_per_slot(&mut self, queue_per_slot: u32) {
+        self.policy.queue_per_slot = queue_per_slot;
+    }
+
     /// Calls with a slot.
     #[must_use]
     pub fn running(&self) -> usize {
--- a/crates/seamhatch-lab/src/backends.rs
+++ b/crates/seamhatch-lab/src/backends.rs
@@ -24,6 +24,9 @@
 
 /// Header in which a caller names its request; back ends pass it on.
 pub const REQUEST_HEADER: &str = "x-request";
+/// Header in which back ends tell the calls that led to one, so that the same
+/// call by two parents can be told from a repeat.
+const TRAIL_HEADER: &str = "x-trail";
 /// Threads that all back ends of a deployment share.
 const THREADS: usize = 2;
 /// Pieces in which a large answer is written.
@@ -40,6 +43,8 @@
     pub request: String,
     /// Method and path.
     pub call: String,
+    /// Services and endpoints from the entry to here.
+    pub trail: String,
 }
 
 /// How one back end behaves; changed while it runs.
@@ -178,6 +183,7 @@
     method: Method,
     path: String,
     request: String,
+    trail: String,
     context: Option<String>,
 }
 
@@ -189,6 +195,7 @@
         |name: &str| parts.headers.get(name).and_then(|value| value.to_str().ok()).map(str::to_owned);
     let incoming = Incoming {
         request: header(REQUEST_HEADER).unwrap_or_default(),
+        trail: header(TRAIL_HEADER).unwrap_or_default(),
         context: header(seamhatchd::headers::CONTEXT),
         path: parts.uri.path().to_owned(),
         method: parts.method,
@@ -246,6 +253,7 @@
             server: self.machine.ip.to_string(),
             request: incoming.request.clone(),
             call: format!("{} {}", incoming.method, incoming.path),
+            trail: incoming.trail.clone(),
         });
     }
 
@@ -264,9 +272,11 @@
         let egress = self.machine.egress();
         let number = incoming.path.rsplit('/').next().unwrap_or_default();
         let uri = format!("http://{egress}/{}/{}/{number}", call.service, call.endpoint);
+        let trail = format!("{}>{}/{}", incoming.trail, call.service, call.endpoint);
         let mut request = Request::builder()
             .method(call.method.as_str())
             .uri(uri)
+            .header(TRAIL_HEADER, trail)
             .header(REQUEST_HEADER, &incoming.request);
         if let Some(context) = &incoming.context {
             request = request.header(seamhatchd::headers::CONTEXT, context);
--- a/crates/seamhatch-lab/tests/common/mod.rs
+++ b/crates/seamhatch-lab/tests/common/mod.rs
@@ -1,4 +1,5 @@
 //! What the tests with real processes share.
+#![allow(dead_code, reason = "each test program uses a part of it")]
 
 use seamhatch_lab::client::{Caller, CallerAnswer, CallerRequest};
 use seamhatch_lab::deployment::{Deployment, DeploymentOptions};
--- a/crates/seamhatchd/src/controllers/control_thread.rs
+++ b/crates/seamhatchd/src/controllers/control_thread.rs
@@ -235,12 +235,21 @@
             let generation = self.configuration.generation();
             self.membership.state.set_generation(generation);
             self.control.set_generation(generation);
+            self.apply_service_settings();
             self.publish();
             self.pass_on_configuration();
         }
         offer
     }
 
+    /// Applies the settings of the service beside this daemon.
+    fn apply_service_settings(&self) {
+        let Some((_, configuration)) = self.configuration.in_force() else { return };
+        if let Some(service) = configuration.service(&self.shared.settings.service) {
+            self.shared.gate.set_queue_per_slot(service.queue_per_slot);
+        }
+    }
+
     fn pass_on_configuration(&self) {
         let Some(stored) = self.configuration.newest() else { return };
         let request = ControlRequest::PutConfiguration(stored.clone());
--- a/crates/seamhatchd/src/gate.rs
+++ b/crates/seamhatchd/src/gate.rs
@@ -112,6 +112,11 @@
         }
     }
 
+    /// Sets how many calls may wait for each slot.
+    pub fn set_queue_per_slot(&self, queue_per_slot: u32) {
+        self.lock().queue.set_queue_per_slot(queue_per_slot);
+    }
+
     /// The state that is told to other daemons.
     #[must_use]
     pub fn report(&self) -> ServerReport {
--- a/crates/seamhatchd/src/listeners/mod.rs
+++ b/crates/seamhatchd/src/listeners/mod.rs
@@ -33,7 +33,7 @@
 
 /// A running listener.
 pub struct Listener {
-    stop: Box<dyn Fn() + Send>,
+    stop: Box<dyn Fn() + Send + Sync>,
     thread: JoinHandle<()>,
 }
 
