--- a/crates/seamhatchd/src/startup.rs
+++ b/crates/seamhatchd/src/startup.rs
@@ -36,9 +36,9 @@
 /// Longest wait for requests in progress at a planned stop.
 const LONGEST_DRAIN: Duration = Duration::from_secs(300);
 /// Pause between two looks at what is in progress.
-const DRAIN_POLL: Duration = Duration::from_millis(50);
-/// Longest wait for a listener's threads.
-const LISTENER_STOP: Duration = Duration::from_millis(500);
+const DRAIN_POLL: Duration = Duration::from_millis(10);
+/// Nothing must be in progress for this long before the process ends.
+const QUIET_TO_STOP: Duration = Duration::from_millis(100);
 
 /// The daemon's program.
 pub fn run(arguments: Vec<OsString>) -> ExitCode {
@@ -98,8 +98,11 @@
         "started"
     );
     traffic.block_on(until_stopped(&shared))?;
-    listeners.into_iter().for_each(|listener| listener.stop(LISTENER_STOP));
     info!("stopped");
+    // Not the listeners' own graceful stop: it lets new connections hang, and waits for idle
+    // ones. Until here each request was answered with `Connection: close`.
+    drop(listeners);
+    traffic.shutdown_background();
     Ok(())
 }
 
@@ -173,7 +176,16 @@
 async fn drained(shared: &Shared) {
     let started = clock::now();
     let age = || Duration::from_micros(clock::now().since(started));
-    while age() < SHORTEST_DRAIN || (shared.in_flight() > 0 && age() < LONGEST_DRAIN) {
+    let mut busy_until = started;
+    loop {
+        let now = clock::now();
+        if shared.in_flight() > 0 {
+            busy_until = now;
+        }
+        let quiet = Duration::from_micros(now.since(busy_until)) >= QUIET_TO_STOP;
+        if (age() >= SHORTEST_DRAIN && quiet) || age() >= LONGEST_DRAIN {
+            break;
+        }
         tokio::time::sleep(DRAIN_POLL).await;
     }
     if shared.in_flight() > 0 {
