Admission floor: follows what is served, and rises slowly at the entry

Cause of critical work shed at four times the deep service's capacity: the floor fell by a fixed step per tick while the queue was full and went through the critical class, most of all while the server was cold; and a kind of request whose floor was no longer confirmed was admitted in full every half second. Ruled out: claims (no refusal of that reason), the queue's order (evictions were of bulk and background only), deadlines. Change: under pressure the floor goes to the level below which as much work arrived as was served, never below what waits in the healthy part of the queue; at the entry an unconfirmed floor rises at 320 levels a second.

--- a/crates/seamhatch-core/src/admission.rs
+++ b/crates/seamhatch-core/src/admission.rs
@@ -131,6 +131,7 @@
 
     /// Asks for a slot or a place in the queue.
     pub fn offer(&mut self, request: AdmissionRequest, now: Instant) -> Admission {
+        self.floor.count_arrival(request.priority.level());
         if request.expiry <= now {
             return Admission::Refuse(Reason::DeadlineExceeded);
         }
@@ -164,6 +165,7 @@
     /// `succeeded` says that its service time is a fair sample.
     pub fn finish(&mut self, ticket: Ticket, now: Instant, succeeded: bool) {
         let Some(started) = self.running.remove(&ticket) else { return };
+        self.floor.count_served();
         if succeeded {
             self.limit.observe(now.since(started), self.waiting.len(), now);
         }
@@ -187,11 +189,10 @@
 
     /// Moves the floor; to be called at a steady pace (every 100 ms).
     pub fn tick(&mut self) {
-        let pressure = Pressure {
-            queue_fill: self.waiting.len() as f64 / f64::from(self.capacity().max(1)),
-            worst_waiting: self.waiting.last_key_value().map(|(key, _)| key.0),
-        };
-        self.floor.tick(pressure);
+        let fill = self.waiting.len() as f64 / f64::from(self.capacity().max(1));
+        let healthy = (f64::from(self.capacity()) * HIGH_FILL) as usize;
+        let first_in_excess = self.waiting.keys().nth(healthy).map(|key| key.0);
+        self.floor.tick(fill, first_in_excess);
     }
 
     fn capacity(&self) -> u32 {
@@ -207,7 +208,6 @@
         if self.waiting.len() < self.capacity() as usize {
             return Ok(None);
         }
-        self.floor.overflowed(key.0);
         let Some((&worst, _)) = self.waiting.last_key_value() else {
             return Err(Reason::QueueFull);
         };
@@ -306,52 +306,73 @@
     }
 }
 
-#[derive(Debug, Clone, Copy)]
-struct Pressure {
-    queue_fill: f64,
-    worst_waiting: Option<u16>,
-}
-
 /// Moves the published admission floor with the pressure on the queue.
+///
+/// Under pressure the floor goes to the level below which as much work arrived
+/// as was served lately, but not below what waits in the healthy part of the
+/// queue: a cold server serves little at first, and important work can wait.
+/// Without pressure the floor rises step by step.
 #[derive(Debug)]
 struct FloorController {
-    level: f64,
-    overflow: Option<u16>,
+    floor: u16,
+    arrived: Vec<f32>,
+    served: f32,
 }
 
-/// Levels that the floor falls in one tick at most.
-const FLOOR_STEP_DOWN: f64 = 24.0;
+/// Share of the counts that is kept from one tick to the next.
+const COUNT_DECAY: f32 = 0.7;
+/// Admitted work over served work under pressure.
+const ADMITTED_SHARE: f32 = 0.95;
 /// Levels that the floor rises in one tick.
-const FLOOR_STEP_UP: f64 = 8.0;
-/// Queue fill at which the floor starts to fall.
-const HIGH_FILL: f64 = 0.5;
+const FLOOR_STEP_UP: u16 = 4;
+/// Queue fill at which the floor falls.
+const HIGH_FILL: f64 = 0.4;
 /// Queue fill below which the floor rises.
-const LOW_FILL: f64 = 0.25;
+const LOW_FILL: f64 = 0.2;
 
 impl Default for FloorController {
     fn default() -> Self {
-        Self { level: f64::from(AdmissionFloor::OPEN.0), overflow: None }
+        let open = AdmissionFloor::OPEN.0;
+        Self { floor: open, arrived: vec![0.0; usize::from(open)], served: 0.0 }
     }
 }
 
 impl FloorController {
     fn floor(&self) -> AdmissionFloor {
-        AdmissionFloor(self.level.ceil() as u16)
+        AdmissionFloor(self.floor)
+    }
+
+    fn count_arrival(&mut self, level: u16) {
+        if let Some(count) = self.arrived.get_mut(usize::from(level)) {
+            *count += 1.0;
+        }
     }
 
-    fn overflowed(&mut self, level: u16) {
-        self.overflow = Some(self.overflow.map_or(level, |worst| worst.max(level)));
+    fn count_served(&mut self) {
+        self.served += 1.0;
+    }
+
+    fn tick(&mut self, queue_fill: f64, first_in_excess: Option<u16>) {
+        if queue_fill > HIGH_FILL {
+            let waits = first_in_excess.unwrap_or_default();
+            self.floor = self.floor.min(self.sustainable_level().max(waits));
+        } else if queue_fill < LOW_FILL {
+            self.floor = (self.floor + FLOOR_STEP_UP).min(AdmissionFloor::OPEN.0);
+        }
+        self.arrived.iter_mut().for_each(|count| *count *= COUNT_DECAY);
+        self.served *= COUNT_DECAY;
     }
 
-    fn tick(&mut self, pressure: Pressure) {
-        let open = f64::from(AdmissionFloor::OPEN.0);
-        if self.overflow.is_some() || pressure.queue_fill > HIGH_FILL {
-            let worst = pressure.worst_waiting.max(self.overflow).unwrap_or(AdmissionFloor::OPEN.0);
-            let start = self.level.min(f64::from(worst) + 1.0);
-            self.level = (start - FLOOR_STEP_DOWN * pressure.queue_fill.max(HIGH_FILL)).max(1.0);
-        } else if pressure.queue_fill < LOW_FILL {
-            self.level = (self.level + FLOOR_STEP_UP).min(open);
+    /// The highest floor that admits no more than was served. At least one level stays open.
+    fn sustainable_level(&self) -> u16 {
+        let budget = self.served * ADMITTED_SHARE;
+        let mut admitted = 0.0;
+        for (level, count) in self.arrived.iter().enumerate() {
+            admitted += count;
+            if admitted > budget {
+                return (level as u16).max(1);
+            }
         }
-        self.overflow = None;
+        AdmissionFloor::OPEN.0
     }
 }
--- a/crates/seamhatchd/src/filters/entry_floor.rs
+++ b/crates/seamhatchd/src/filters/entry_floor.rs
@@ -16,8 +16,11 @@
 use std::collections::HashMap;
 use std::sync::Mutex;
 
-/// A floor that was not confirmed for this long is forgotten.
+/// A floor that was not confirmed for this long begins to rise.
 const FLOOR_LIFETIME: Microseconds = 500 * MILLISECOND;
+/// Levels that an unconfirmed floor rises in a millisecond. Rising, not vanishing,
+/// lets a few requests through as probes instead of a burst.
+const LEVELS_PER_MILLISECOND: f64 = 0.32;
 /// Kinds of requests that are remembered at most.
 const MOST_KINDS: usize = 4_096;
 
@@ -41,13 +44,13 @@
         let mut floors = self.0.lock().expect("entry floors lock");
         if let Some(known) = floors.get_mut(kind) {
             let old = now.since(known.seen) > FLOOR_LIFETIME / 4;
-            if floor <= known.floor || old {
+            if floor <= known.at(now) || old {
                 *known = LearntFloor { floor, seen: now };
             }
             return;
         }
         if floors.len() >= MOST_KINDS {
-            floors.retain(|_, known| now.since(known.seen) <= FLOOR_LIFETIME);
+            floors.retain(|_, known| known.at(now) < AdmissionFloor::OPEN);
         }
         if floors.len() < MOST_KINDS {
             floors.insert(kind.to_owned(), LearntFloor { floor, seen: now });
@@ -58,17 +61,17 @@
     #[must_use]
     pub fn admits(&self, kind: &str, priority: Priority) -> bool {
         let floors = self.0.lock().expect("entry floors lock");
-        let Some(known) = floors.get(kind) else { return true };
-        clock::now().since(known.seen) > FLOOR_LIFETIME || known.floor.admits(priority)
+        floors.get(kind).is_none_or(|known| known.at(clock::now()).admits(priority))
     }
+}
 
-    /// The lowest floor in force.
-    #[must_use]
-    pub fn lowest(&self) -> AdmissionFloor {
-        let now = clock::now();
-        let floors = self.0.lock().expect("entry floors lock");
-        let fresh = floors.values().filter(|known| now.since(known.seen) <= FLOOR_LIFETIME);
-        fresh.map(|known| known.floor).min().unwrap_or(AdmissionFloor::OPEN)
+impl LearntFloor {
+    /// The floor as it counts at `now`: once it is old, it rises.
+    fn at(&self, now: Instant) -> AdmissionFloor {
+        let unconfirmed = now.since(self.seen).saturating_sub(FLOOR_LIFETIME);
+        let risen = unconfirmed as f64 / MILLISECOND as f64 * LEVELS_PER_MILLISECOND;
+        let level = f64::from(self.floor.0) + risen;
+        AdmissionFloor(level.min(f64::from(AdmissionFloor::OPEN.0)) as u16)
     }
 }
 
