--- a/crates/seamhatch-core/src/membership.rs
+++ b/crates/seamhatch-core/src/membership/mod.rs
@@ -2,147 +2,17 @@
 //! A. Motivala, "SWIM: Scalable Weakly-consistent Infection-style Process Group
 //! Membership Protocol", 2002), with incarnations.
 
+mod message;
+mod record;
+
+pub use message::{GossipBody, GossipMessage, NEWS_PER_MESSAGE};
+pub use record::{Lifecycle, Liveness, MemberInfo, MemberRecord};
+
 use crate::clock::{Instant, MILLISECOND, Microseconds, SECOND};
 use crate::generation::Generation;
 use crate::identity::{Address, Incarnation};
-use serde::{Deserialize, Serialize};
-use speedy::{Readable, Writable};
 use std::collections::BTreeMap;
 
-/// Where a daemon is in its life, as it says itself.
-#[derive(
-    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Readable, Writable, Serialize, Deserialize,
-)]
-#[serde(rename_all = "lowercase")]
-pub enum Lifecycle {
-    /// Started, without a configuration yet.
-    Joining,
-    /// Takes work.
-    Ready,
-    /// Takes no new work; finishes what it has.
-    Draining,
-    /// Stopped in an orderly way.
-    Left,
-}
-
-/// What others observe of a daemon.
-#[derive(
-    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Readable, Writable, Serialize, Deserialize,
-)]
-#[serde(rename_all = "lowercase")]
-pub enum Liveness {
-    /// It answers probes.
-    Alive,
-    /// It missed a probe and has not denied it yet.
-    Suspect,
-    /// It missed a probe and did not deny it in time.
-    Dead,
-}
-
-/// What a daemon tells of itself; fixed during one incarnation.
-#[derive(Debug, Clone, PartialEq, Eq, Readable, Writable, Serialize, Deserialize)]
-pub struct MemberInfo {
-    /// UDP address of gossip; identifies the member.
-    pub gossip: Address,
-    /// TCP address for calls and control messages.
-    pub peer: Address,
-    /// HTTP address for operators.
-    pub admin: Address,
-    /// Region name.
-    pub region: String,
-    /// Zone name.
-    pub zone: String,
-    /// Service that the back end beside it belongs to.
-    pub service: String,
-    /// Slots that the back end reports.
-    pub slots: u32,
-}
-
-/// A member as known somewhere.
-#[derive(Debug, Clone, PartialEq, Eq, Readable, Writable, Serialize, Deserialize)]
-pub struct MemberRecord {
-    /// What it tells of itself.
-    pub info: MemberInfo,
-    /// Its life.
-    pub incarnation: Incarnation,
-    /// Grows with each thing it says within one incarnation.
-    pub revision: u32,
-    /// Its own word.
-    pub lifecycle: Lifecycle,
-    /// The others' word on this revision.
-    pub liveness: Liveness,
-    /// The machine list or an operator says that it leaves; sticks to the incarnation.
-    pub leaving: bool,
-}
-
-impl MemberRecord {
-    /// Whether it may be given new work.
-    #[must_use]
-    pub fn takes_work(&self) -> bool {
-        self.lifecycle == Lifecycle::Ready && self.liveness != Liveness::Dead && !self.leaving
-    }
-
-    /// Whether it takes part in the protocol.
-    #[must_use]
-    pub fn is_live(&self) -> bool {
-        self.liveness != Liveness::Dead && self.lifecycle != Lifecycle::Left
-    }
-
-    fn supersedes(&self, known: &Self) -> bool {
-        let rank = |record: &Self| (record.incarnation, record.revision, record.liveness);
-        rank(self) > rank(known)
-    }
-}
-
-/// A message between two daemons' membership parts.
-#[derive(Debug, Clone, PartialEq, Eq, Readable, Writable)]
-pub struct GossipMessage {
-    /// Gossip address of the sender.
-    pub from: Address,
-    /// The sender's configuration generation.
-    pub generation: Generation,
-    /// Version of the sender's witness roster.
-    pub roster_version: u64,
-    /// What it is for.
-    pub body: GossipBody,
-    /// News that travels along, at most [`NEWS_PER_MESSAGE`].
-    pub news: Vec<MemberRecord>,
-}
-
-/// Kinds of gossip messages.
-#[derive(Debug, Clone, PartialEq, Eq, Readable, Writable)]
-pub enum GossipBody {
-    /// Asks for an [`GossipBody::Ack`] of the same number.
-    Ping {
-        /// Number chosen by the sender.
-        sequence: u64,
-    },
-    /// Answers a ping.
-    Ack {
-        /// The ping's number.
-        sequence: u64,
-    },
-    /// Asks the receiver to ping `target` and pass the answer on.
-    PingRequest {
-        /// Number chosen by the sender.
-        sequence: u64,
-        /// Whom to ping.
-        target: Address,
-    },
-    /// Offers a digest of the member list; a receiver whose own differs sends it in pages.
-    SyncRequest {
-        /// Digest of the sender's list.
-        digest: u64,
-    },
-    /// One page of the member list (in `news`).
-    SyncPage,
-    /// News only.
-    News,
-}
-
-/// Records that travel in one message: keeps a datagram well below 1,400 bytes.
-pub const NEWS_PER_MESSAGE: usize = 8;
-
 /// After its start a member exchanges lists more often, for this long.
 const SETTLING_TIME: Microseconds = 20 * SECOND;
 /// Time between two exchanges while settling.
--- a/crates/seamhatch-core/tests/decisions.rs
+++ b/crates/seamhatch-core/tests/decisions.rs
@@ -97,7 +97,7 @@
         let others: Vec<_> = all.iter().filter(|candidate| candidate.id != gone).cloned().collect();
         let next = plan_change(index, shard, true, health, &others).expect("changes");
         assert_eq!(next.current.epoch, Epoch(2));
-        assert_eq!(next.previous, [shard.current.clone()]);
+        assert_eq!(next.previous, std::slice::from_ref(&shard.current));
         assert!(next.current.witnesses.contains(&shard.current.witnesses[0]));
         assert!(!next.current.witnesses.contains(&gone));
         assert!(plan_change(index, shard, true, |_| WitnessHealth::Live, &all).is_none());
--- a/crates/seamhatch-lab/src/backends.rs
+++ b/crates/seamhatch-lab/src/backends.rs
@@ -8,6 +8,7 @@
 use futures_util::stream;
 use http::{Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
+use seamhatch_core::identity::Address;
 use seamhatchd::backend::{HttpClient, http_client};
 use seamhatchd::listeners::{self, Listener};
 use std::collections::HashMap;
@@ -74,6 +75,18 @@
     }
 }
 
+/// How back ends reach each other.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallMode {
+    /// Through the daemon beside them.
+    ThroughDaemon,
+    /// Straight to a random server, as without any control.
+    Direct,
+}
+
+/// Longest wait of a back end for a call of its own without any control.
+const DIRECT_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// One back end.
 #[derive(Debug)]
 struct Backend {
@@ -94,6 +107,8 @@
     log: Mutex<Vec<Execution>>,
     running: AtomicU64,
     client: HttpClient<Full<Bytes>>,
+    mode: CallMode,
+    by_service: HashMap<String, Vec<Address>>,
 }
 
 impl Backends {
@@ -101,7 +116,7 @@
     ///
     /// # Errors
     /// An address can't be bound.
-    pub fn start(topology: &Topology, machines: &[Machine]) -> std::io::Result<Self> {
+    pub fn start(topology: &Topology, machines: &[Machine], mode: CallMode) -> std::io::Result<Self> {
         let by_host = machines.iter().map(|machine| {
             let endpoints = topology.service(&machine.service).map(|service| service.endpoints.clone());
             let backend = Backend {
@@ -112,7 +127,13 @@
             };
             (machine.backend().to_string(), backend)
         });
+        let mut by_service: HashMap<String, Vec<Address>> = HashMap::new();
+        for machine in machines {
+            by_service.entry(machine.service.clone()).or_default().push(machine.backend());
+        }
         let state = Arc::new(State {
+            mode,
+            by_service,
             by_host: by_host.collect(),
             log: Mutex::default(),
             running: AtomicU64::new(0),
@@ -269,9 +290,8 @@
     }
 
     async fn call_once(&self, state: &State, incoming: &Incoming, call: &ChildCall) -> bool {
-        let egress = self.machine.egress();
         let number = incoming.path.rsplit('/').next().unwrap_or_default();
-        let uri = format!("http://{egress}/{}/{}/{number}", call.service, call.endpoint);
+        let Some(uri) = self.call_uri(state, call, number) else { return false };
         let trail = format!("{}>{}/{}", incoming.trail, call.service, call.endpoint);
         let mut request = Request::builder()
             .method(call.method.as_str())
@@ -282,12 +302,29 @@
             request = request.header(seamhatchd::headers::CONTEXT, context);
         }
         let Ok(request) = request.body(Full::new(Bytes::new())) else { return false };
-        let Ok(response) = state.client.request(request).await else { return false };
-        if !response.status().is_success() {
-            return false;
+        let exchange = async {
+            let response = state.client.request(request).await.ok()?;
+            if !response.status().is_success() {
+                return None;
+            }
+            let body = response.into_body().collect().await.ok()?;
+            Some(bodies::is_whole(&body.to_bytes(), &incoming.request))
+        };
+        match state.mode {
+            // The daemon answers by the deadline.
+            CallMode::ThroughDaemon => exchange.await == Some(true),
+            CallMode::Direct => tokio::time::timeout(DIRECT_TIMEOUT, exchange).await == Ok(Some(true)),
+        }
+    }
+
+    fn call_uri(&self, state: &State, call: &ChildCall, number: &str) -> Option<String> {
+        if state.mode == CallMode::ThroughDaemon {
+            let egress = self.machine.egress();
+            return Some(format!("http://{egress}/{}/{}/{number}", call.service, call.endpoint));
         }
-        let Ok(body) = response.into_body().collect().await else { return false };
-        bodies::is_whole(&body.to_bytes(), &incoming.request)
+        let servers = state.by_service.get(&call.service)?;
+        let server = servers[rand::random_range(0..servers.len())];
+        Some(format!("http://{server}/{}/{number}", call.endpoint))
     }
 
     fn answer(&self, endpoint: &Endpoint, incoming: &Incoming, guard: RunningGuard) -> WebResponse {
--- a/crates/seamhatch-lab/src/demo.rs
+++ b/crates/seamhatch-lab/src/demo.rs
@@ -1,7 +1,9 @@
 //! The main job in small: a deployment, a policy, load, and what became of it.
 
+use crate::backends::CallMode;
 use crate::deployment::{Deployment, DeploymentOptions};
 use crate::load::{self, CallerRetries, LoadPlan};
+use crate::process::DaemonProcess;
 use crate::report;
 use crate::topology::Topology;
 use pico_args::Arguments;
@@ -61,22 +63,33 @@
 async fn demonstrate(rate: f64, duration: Duration) -> Result<(), String> {
     let program = std::env::current_exe().map_err(|error| error.to_string())?;
     let topology = Topology::harvest().in_small(SERVERS);
-    let options = DeploymentOptions { program, log_level: "info".into(), proxied: false };
+    let options = DeploymentOptions {
+        program,
+        log_level: "info".into(),
+        proxied: false,
+        mode: CallMode::ThroughDaemon,
+    };
     let deployment = Deployment::start_ready(topology, &options).await?;
     println!("started {} daemons, their back ends and the platform", deployment.daemons.len());
     println!("submitted the configuration; it is in force at every daemon");
+    let used = || deployment.daemons.iter().map(DaemonProcess::processor_time).sum::<Duration>();
+    let before = (used(), deployment.backends.execution_count());
     println!("sending {rate} requests a second for {} s\n", duration.as_secs());
     let result = load::run(LoadPlan {
         rate,
         duration,
         kinds: deployment.topology.kinds.clone(),
-        ingresses: deployment.ingresses(),
+        targets: vec![deployment.ingresses()],
+        surge: None,
         retries: CallerRetries { most: 0, honour_retry_after: true },
         name: "demo".into(),
     })
     .await;
     println!("{}", report::load_table(&result, duration));
-    println!("executions in back ends: {}", deployment.backends.execution_count());
+    let executions = deployment.backends.execution_count() - before.1;
+    let per_call = (used() - before.0).as_secs_f64() / executions.max(1) as f64;
+    println!("executions in back ends: {executions}");
+    println!("processor time of all daemons for each: {:.0} microseconds", per_call * 1e6);
     print_generations(&deployment).await
 }
 
--- a/crates/seamhatch-lab/src/deployment.rs
+++ b/crates/seamhatch-lab/src/deployment.rs
@@ -1,6 +1,6 @@
 //! A whole deployment: platform, back ends, and one daemon process a server.
 
-use crate::backends::Backends;
+use crate::backends::{Backends, CallMode};
 use crate::faults::{self, FaultProxy};
 use crate::network::Network;
 use crate::platform::Platform;
@@ -36,6 +36,8 @@
     pub log_level: String,
     /// Put a fault-injecting proxy in front of each daemon.
     pub proxied: bool,
+    /// With [`CallMode::Direct`] no daemons are started.
+    pub mode: CallMode,
 }
 
 /// A running deployment; dropping it ends all its processes.
@@ -48,6 +50,8 @@
     pub backends: Backends,
     /// One a server, in the order of the topology.
     pub daemons: Vec<DaemonProcess>,
+    /// All machines, in the same order.
+    pub machines: Vec<Machine>,
     /// What restarted daemons are started with.
     pub options: DaemonOptions,
     proxy: Option<FaultProxy>,
@@ -84,7 +88,7 @@
         let machines = machines(&topology, &network);
         let platform = Platform::start(network.machine(PLATFORM_GROUP, 1))?;
         machines.iter().for_each(|machine| platform.list_machine(machine.ip));
-        let backends = Backends::start(&topology, &machines)?;
+        let backends = Backends::start(&topology, &machines, options.mode)?;
         let proxy = if options.proxied { Some(FaultProxy::start(&machines).await?) } else { None };
         let seed_of = |machine: &Machine| match &proxy {
             Some(_) => faults::advertised(machine).gossip,
@@ -101,7 +105,10 @@
             advertise: options.proxied.then_some(faults::advertised),
             log_level: options.log_level.clone(),
         };
-        let daemons = machines.into_iter().map(|machine| DaemonProcess::start(machine, &daemon_options));
+        let machines_with_daemon =
+            if options.mode == CallMode::ThroughDaemon { machines.clone() } else { Vec::new() };
+        let daemons =
+            machines_with_daemon.into_iter().map(|machine| DaemonProcess::start(machine, &daemon_options));
         let daemons = daemons.collect::<std::io::Result<Vec<_>>>()?;
         Ok(Self {
             topology,
@@ -109,6 +116,7 @@
             backends,
             daemons,
             options: daemon_options,
+            machines,
             proxy,
             directory,
             _network: network,
@@ -154,8 +162,7 @@
     /// The machines of a service.
     #[must_use]
     pub fn machines_of(&self, service: &str) -> Vec<Machine> {
-        let machines = self.daemons.iter().map(|daemon| daemon.machine.clone());
-        machines.filter(|machine| machine.service == service).collect()
+        self.machines.iter().filter(|machine| machine.service == service).cloned().collect()
     }
 
     /// Position of the daemon on a machine.
--- a/crates/seamhatch-lab/src/lib.rs
+++ b/crates/seamhatch-lab/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod client;
 pub mod demo;
 pub mod deployment;
+pub mod experiment;
 pub mod faults;
 pub mod hollow;
 pub mod load;
--- a/crates/seamhatch-lab/src/load.rs
+++ b/crates/seamhatch-lab/src/load.rs
@@ -23,6 +23,17 @@
     pub honour_retry_after: bool,
 }
 
+/// A time of higher demand.
+#[derive(Debug, Clone, Copy)]
+pub struct Surge {
+    /// Its beginning, from that of the load.
+    pub start: Duration,
+    /// Its end.
+    pub end: Duration,
+    /// The rate is multiplied by this.
+    pub factor: f64,
+}
+
 /// What load to send.
 #[derive(Debug, Clone)]
 pub struct LoadPlan {
@@ -32,8 +43,10 @@
     pub duration: Duration,
     /// Kinds and their shares.
     pub kinds: Vec<RequestKind>,
-    /// Where to send; in turn.
-    pub ingresses: Vec<Address>,
+    /// Where to send, in turn: one list for all kinds, or one for each.
+    pub targets: Vec<Vec<Address>>,
+    /// A time of higher demand.
+    pub surge: Option<Surge>,
     /// Repeats.
     pub retries: CallerRetries,
     /// Prefix of the requests' names, unique in a run.
@@ -99,7 +112,7 @@
         let kind = run.draw_kind();
         tasks.spawn(run.clone().request(kind, number, intended));
         number += 1;
-        intended += exponential(1.0 / run.plan.rate);
+        intended += exponential(1.0 / run.plan.rate_at(intended - run.start));
         while tasks.try_join_next().is_some() {}
     }
     while tasks.join_next().await.is_some() {}
@@ -107,7 +120,21 @@
     names.into_iter().zip(results).collect()
 }
 
+impl LoadPlan {
+    fn rate_at(&self, time: Duration) -> f64 {
+        match self.surge {
+            Some(surge) if (surge.start..surge.end).contains(&time) => self.rate * surge.factor,
+            _ => self.rate,
+        }
+    }
+}
+
 impl Run {
+    fn targets(&self, kind: usize) -> &[Address] {
+        let targets = &self.plan.targets;
+        targets.get(kind).unwrap_or(&targets[0])
+    }
+
     fn draw_kind(&self) -> usize {
         let total: f64 = self.plan.kinds.iter().map(|kind| kind.share).sum();
         let mut drawn = rand::random::<f64>() * total;
@@ -131,9 +158,10 @@
         };
         let mut tries = 0;
         loop {
-            let target = (number + u64::from(tries)) as usize % self.plan.ingresses.len();
+            let targets = self.targets(kind);
+            let target = targets[(number + u64::from(tries)) as usize % targets.len()];
             let sent = if tries == 0 { intended } else { Instant::now() };
-            let answer = self.caller.send(self.plan.ingresses[target], &request).await;
+            let answer = self.caller.send(target, &request).await;
             let last = answer.is_good() || tries >= self.plan.retries.most;
             self.record(kind, &answer, sent, last, intended);
             if last {
--- a/crates/seamhatch-lab/src/process.rs
+++ b/crates/seamhatch-lab/src/process.rs
@@ -138,6 +138,20 @@
         self.child.id()
     }
 
+    /// Processor time that it has used, in user and kernel mode together.
+    #[must_use]
+    pub fn processor_time(&self) -> Duration {
+        /// Ticks of `/proc/PID/stat` in a second, fixed on Linux.
+        const TICKS: u64 = 100;
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.id())).unwrap_or_default();
+        // The program's name, in parentheses, may hold spaces; the times are 12th and 13th after it.
+        let after_name = stat.rsplit(')').next().unwrap_or_default();
+        let fields: Vec<&str> = after_name.split_whitespace().collect();
+        let ticks =
+            |index: usize| fields.get(index).and_then(|text| text.parse::<u64>().ok()).unwrap_or_default();
+        Duration::from_millis((ticks(11) + ticks(12)) * 1000 / TICKS)
+    }
+
     /// Sends a signal by its number's name, as `kill` knows it.
     ///
     /// # Errors
--- a/crates/seamhatch-lab/src/topology.rs
+++ b/crates/seamhatch-lab/src/topology.rs
@@ -246,6 +246,15 @@
         self
     }
 
+    /// The same with each back end's own work taking `factor` times as long, so
+    /// that slots and not this machine's processors are the limit.
+    #[must_use]
+    pub fn with_work_times(mut self, factor: u32) -> Self {
+        let endpoints = self.services.iter_mut().flat_map(|service| &mut service.endpoints);
+        endpoints.for_each(|endpoint| endpoint.work *= factor);
+        self
+    }
+
     /// A service by name.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&ServiceTopology> {
--- a/crates/seamhatch-lab/tests/common/mod.rs
+++ b/crates/seamhatch-lab/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! What the tests with real processes share.
 #![allow(dead_code, reason = "each test program uses a part of it")]
 
+use seamhatch_lab::backends::CallMode;
 use seamhatch_lab::client::{Caller, CallerAnswer, CallerRequest};
 use seamhatch_lab::deployment::{Deployment, DeploymentOptions};
 use seamhatch_lab::topology::Topology;
@@ -21,6 +22,7 @@
         program: env!("CARGO_BIN_EXE_seamhatch-lab").into(),
         log_level: "info".into(),
         proxied,
+        mode: CallMode::ThroughDaemon,
     };
     let deployment = Deployment::start_ready(topology, &options).await.expect("deployment starts");
     (deployment, turn)
--- a/crates/seamhatch-lab/tests/shedding.rs
+++ b/crates/seamhatch-lab/tests/shedding.rs
@@ -51,7 +51,8 @@
             kind("bulk", "GET", "/in/bulk", 0.3),
             kind("background", "GET", "/in/background", 0.3),
         ],
-        ingresses,
+        targets: vec![ingresses],
+        surge: None,
         retries: CallerRetries { most: 0, honour_retry_after: false },
         name: "shed".into(),
     }
--- /dev/null
+++ b/crates/seamhatchd/src/controllers/control_thread/configuration.rs
@@ -0,0 +1,99 @@
+//! Bringing configurations into force: submissions, registration, spreading, starting.
+
+use super::{ControlThread, FANOUT};
+use crate::controllers::ask::{ask_daemon, ask_generation};
+use crate::controllers::events::{ControlEvent, SubmitRequest};
+use crate::controllers::submission::{Submission, SubmitError};
+use seamhatch_core::generation::{Generation, Offer};
+use seamhatch_core::identity::Address;
+use seamhatch_core::membership::GossipMessage;
+use seamhatch_policy::StoredConfiguration;
+use seamhatch_wire::{ControlReply, ControlRequest};
+use tokio::sync::oneshot;
+
+impl ControlThread {
+    pub(super) fn offer(&mut self, stored: StoredConfiguration) -> Offer {
+        let offer = self.configuration.offer(stored);
+        if offer == Offer::Adopt {
+            let generation = self.configuration.generation();
+            self.membership.state.set_generation(generation);
+            self.control.set_generation(generation);
+            self.apply_service_settings();
+            self.publish();
+            self.pass_on_configuration();
+        }
+        offer
+    }
+
+    /// Applies the settings of the service beside this daemon.
+    pub(super) fn apply_service_settings(&self) {
+        let Some((_, configuration)) = self.configuration.in_force() else { return };
+        if let Some(service) = configuration.service(&self.shared.settings.service) {
+            self.shared.gate.set_queue_per_slot(service.queue_per_slot);
+        }
+    }
+
+    pub(super) fn pass_on_configuration(&self) {
+        let Some(stored) = self.configuration.newest() else { return };
+        let request = ControlRequest::PutConfiguration(stored.clone());
+        for peer in self.membership.random_peers(FANOUT) {
+            self.tell(peer, request.clone());
+        }
+    }
+
+    pub(super) fn tell(&self, peer: Address, request: ControlRequest) {
+        let (shared, control) = (self.shared.clone(), self.control.clone());
+        tokio::spawn(async move {
+            if let Some(ControlReply::Configuration(newer)) = ask_daemon(&shared, peer, request).await {
+                control.send(ControlEvent::Offered(newer));
+            }
+        });
+    }
+
+    pub(super) fn pull_if_behind(&mut self, peer: Option<Address>, generation: Generation) {
+        let have = self.configuration.generation();
+        if generation <= have {
+            return;
+        }
+        let peer = peer.or_else(|| self.membership.random_peers(1).first().copied());
+        let Some(peer) = peer.filter(|peer| self.pulling.insert(*peer)) else { return };
+        let (shared, control) = (self.shared.clone(), self.control.clone());
+        tokio::spawn(async move {
+            if let Some(ControlReply::Configuration(newer)) = ask_generation(&shared, peer, have).await {
+                control.send(ControlEvent::Offered(newer));
+            }
+        });
+    }
+
+    pub(super) fn note_versions(&mut self, message: &GossipMessage) {
+        if message.generation > self.configuration.generation() {
+            let peer = self.membership.state.member(message.from).map(|record| record.info.peer);
+            self.pull_if_behind(peer, message.generation);
+        }
+        if message.roster_version > self.roster.roster().version {
+            self.pull_roster();
+        }
+    }
+
+    pub(super) fn submit(
+        &mut self,
+        request: SubmitRequest,
+        reply: oneshot::Sender<Result<Generation, SubmitError>>,
+    ) {
+        let submission =
+            Submission::new(self.shared.clone(), self.store.clone(), request, self.configuration.highest());
+        let control = self.control.clone();
+        tokio::spawn(async move {
+            let result = match submission {
+                Ok(submission) => submission.run().await,
+                Err(error) => Err(error),
+            };
+            let result = result.map(|accepted| {
+                control.send(ControlEvent::Offered(accepted.newest));
+                accepted.generation
+            });
+            // The operator may have gone away; the submission stands all the same.
+            let _ = reply.send(result);
+        });
+    }
+}
--- /dev/null
+++ b/crates/seamhatchd/src/controllers/control_thread/mod.rs
@@ -0,0 +1,226 @@
+//! The thread that owns all control state: one event after the other.
+
+mod configuration;
+mod publishing;
+mod requests;
+mod roster;
+mod store;
+
+use crate::clock;
+use crate::controllers::configuration::ConfigurationController;
+use crate::controllers::events::ControlEvent;
+use crate::controllers::handle::ControlHandle;
+use crate::controllers::membership::MembershipController;
+use crate::controllers::roster::RosterController;
+use crate::shared::Shared;
+use crate::store::StoreClient;
+use seamhatch_core::Instant;
+use seamhatch_core::clock::{MILLISECOND, Microseconds, SECOND};
+use seamhatch_core::generation::Generation;
+use seamhatch_core::identity::Address;
+use seamhatch_core::membership::{Lifecycle, MemberInfo, Membership, MembershipPolicy};
+use seamhatch_policy::StoredConfiguration;
+use seamhatch_wire::LARGEST_DATAGRAM;
+use std::collections::{BTreeSet, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+
+/// Time between two ticks.
+const TICK: Duration = Duration::from_millis(100);
+/// Time between two reads of the store by a watcher.
+const STORE_POLL: Microseconds = 2 * SECOND;
+/// Time between two reads while this daemon isn't ready yet.
+const STARTUP_POLL: Microseconds = 500 * MILLISECOND;
+/// How long a starting daemon asks the witnesses before the store alone is enough.
+const WITNESS_PATIENCE: Microseconds = 10 * SECOND;
+/// Time between two looks at the roster by its coordinator.
+const ROSTER_POLL: Microseconds = SECOND;
+/// Time between two looks at shards that are as they should be.
+const ROSTER_RECHECK: Microseconds = 30 * SECOND;
+/// Time between two evaluations of the policy's `stop_sending`.
+const STOP_SENDING_POLL: Microseconds = 500 * MILLISECOND;
+/// Peers that a new configuration or roster is passed on to.
+const FANOUT: usize = 4;
+/// Share by which poll times vary, so that daemons don't act in step.
+const JITTER: f64 = 0.25;
+
+/// When things are due next.
+#[derive(Debug, Default)]
+struct Schedule {
+    store: Instant,
+    machines: Instant,
+    roster: Instant,
+    recheck: Instant,
+    stop_sending: Instant,
+}
+
+/// All controllers, and the events that drive them.
+pub struct ControlThread {
+    shared: Arc<Shared>,
+    control: ControlHandle,
+    events: mpsc::UnboundedReceiver<ControlEvent>,
+    membership: MembershipController,
+    configuration: ConfigurationController,
+    roster: RosterController,
+    store: StoreClient,
+    socket: Arc<UdpSocket>,
+    stopped: BTreeSet<Address>,
+    schedule: Schedule,
+    started: Instant,
+    verified: bool,
+    reading_store: bool,
+    verifying: bool,
+    store_seen: bool,
+    from_store: Option<StoredConfiguration>,
+    registering: Option<Generation>,
+    pulling: HashSet<Address>,
+    published_changes: u64,
+}
+
+impl ControlThread {
+    /// Controllers that know nothing yet.
+    pub fn new(
+        shared: Arc<Shared>,
+        events: mpsc::UnboundedReceiver<ControlEvent>,
+        socket: UdpSocket,
+    ) -> Self {
+        let settings = &shared.settings;
+        let socket = Arc::new(socket);
+        let info = MemberInfo {
+            gossip: settings.advertise.gossip,
+            peer: settings.advertise.peer,
+            admin: settings.listen.admin,
+            region: settings.region.clone(),
+            zone: settings.zone.clone(),
+            service: settings.service.clone(),
+            slots: settings.slots,
+        };
+        let state =
+            Membership::new(MembershipPolicy::default(), info, shared.incarnation, settings.seeds.clone());
+        let membership = MembershipController::new(state, socket.clone(), shared.metrics.clone());
+        Self {
+            control: shared.control.clone(),
+            events,
+            membership,
+            configuration: ConfigurationController::default(),
+            roster: RosterController::default(),
+            store: StoreClient::new(settings.store),
+            socket,
+            stopped: BTreeSet::new(),
+            schedule: Schedule::default(),
+            started: clock::now(),
+            verified: false,
+            reading_store: false,
+            verifying: false,
+            store_seen: false,
+            from_store: None,
+            registering: None,
+            pulling: HashSet::new(),
+            published_changes: u64::MAX,
+            shared,
+        }
+    }
+
+    /// Runs until the process ends.
+    pub async fn run(mut self) {
+        let socket = self.socket.clone();
+        let mut buffer = vec![0; 64 * 1024];
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => self.tick(),
+                Some(event) = self.events.recv() => self.handle(event),
+                Ok((length, from)) = socket.recv_from(&mut buffer) => {
+                    let received = &buffer[..length.min(buffer.len())];
+                    debug_assert!(LARGEST_DATAGRAM <= buffer.len());
+                    if let Some(message) = self.membership.datagram(received, from) {
+                        self.note_versions(&message);
+                    }
+                }
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = clock::now();
+        self.membership.tick();
+        // Once a tick, however many records changed: a snapshot costs time by members.
+        self.publish_if_changed();
+        self.shared.gate.tick();
+        self.become_ready_if_verified();
+        if now >= self.schedule.store && (!self.is_ready() || self.membership.is_watcher()) {
+            self.schedule.store = now.plus(jittered(if self.is_ready() { STORE_POLL } else { STARTUP_POLL }));
+            self.read_store();
+            self.verify(now);
+        }
+        if now >= self.schedule.machines {
+            self.schedule.machines = now.plus(jittered(STORE_POLL));
+            self.read_machines();
+        }
+        if now >= self.schedule.roster {
+            self.schedule.roster = now.plus(jittered(ROSTER_POLL));
+            self.look_after_roster(now);
+            // Whoever wanted it in force may be gone.
+            if let Some(held) = self.configuration.unfinished().cloned() {
+                self.register(held);
+            }
+            self.update_metrics();
+        }
+        if now >= self.schedule.stop_sending {
+            self.schedule.stop_sending = now.plus(STOP_SENDING_POLL);
+            self.update_stopped();
+        }
+        if self.membership.state.me().leaving && !self.shared.is_draining() {
+            self.start_drain();
+        }
+    }
+
+    fn handle(&mut self, event: ControlEvent) {
+        match event {
+            ControlEvent::Request(request, reply) => {
+                let answer = self.answer(request);
+                // The asker may have gone away.
+                let _ = reply.send(answer);
+            }
+            ControlEvent::SawGeneration { peer, generation } => self.pull_if_behind(peer, generation),
+            ControlEvent::Submit(request, reply) => self.submit(request, reply),
+            ControlEvent::Status(reply) => self.report_status(reply),
+            ControlEvent::GetStored(reply) => {
+                let _ = reply.send(self.configuration.newest().cloned());
+            }
+            ControlEvent::Drain(target, reply) => {
+                let _ = reply.send(self.drain(target));
+            }
+            ControlEvent::Leave(reply) => {
+                self.membership.state.set_lifecycle(Lifecycle::Left);
+                self.announce();
+                let _ = reply.send(());
+            }
+            ControlEvent::CheckRoster => self.pull_roster(),
+            ControlEvent::StoreRead(result) => self.store_read(result),
+            ControlEvent::Offered(stored) => {
+                self.pulling.clear();
+                self.registering = None;
+                self.offer(stored);
+            }
+            ControlEvent::Verified => {
+                self.verifying = false;
+                self.verified = true;
+                self.become_ready_if_verified();
+            }
+            ControlEvent::NotVerified => self.verifying = false,
+            ControlEvent::NotRegistered => self.registering = None,
+            ControlEvent::RosterRead(result) => self.roster_read(result),
+            ControlEvent::RosterOffered(roster) => self.offer_roster(roster),
+            ControlEvent::Transition(result) => self.roster.finish_transition(&result),
+            ControlEvent::MachinesRead(result) => self.machines_read(result),
+        }
+    }
+}
+
+fn jittered(span: Microseconds) -> Microseconds {
+    (span as f64 * (1.0 + JITTER * (rand::random::<f64>() - 0.5))) as Microseconds
+}
--- /dev/null
+++ b/crates/seamhatchd/src/controllers/control_thread/publishing.rs
@@ -0,0 +1,47 @@
+//! Publishing snapshots and metrics.
+
+use super::ControlThread;
+use crate::controllers::publish;
+use rustix::time::{ClockId, clock_gettime};
+use seamhatch_core::membership::MemberRecord;
+use std::sync::Arc;
+
+impl ControlThread {
+    pub(super) fn all_members(&self) -> Vec<MemberRecord> {
+        std::iter::once(self.membership.state.me()).chain(self.membership.state.others()).cloned().collect()
+    }
+
+    pub(super) fn update_stopped(&mut self) {
+        let Some((_, configuration)) = self.configuration.in_force() else { return };
+        let stopped = publish::stopped_servers(&self.shared, &configuration, &self.all_members());
+        if stopped != self.stopped {
+            self.stopped = stopped;
+            self.publish();
+        }
+    }
+
+    pub(super) fn publish_if_changed(&mut self) {
+        if self.membership.state.changes() != self.published_changes {
+            self.publish();
+        }
+    }
+
+    pub(super) fn publish(&mut self) {
+        self.published_changes = self.membership.state.changes();
+        let state = &self.membership.state;
+        let members = std::iter::once(state.me()).chain(state.others());
+        let roster = self.roster.roster().clone();
+        let snapshot = publish::snapshot(self.configuration.in_force(), members, &self.stopped, roster);
+        self.shared.published.store(Arc::new(snapshot));
+    }
+
+    pub(super) fn update_metrics(&self) {
+        let metrics = &self.shared.metrics;
+        metrics.generation.set(self.configuration.generation().0 as i64);
+        metrics.members.set(self.membership.state.live_count() as i64);
+        metrics.claims.set(self.shared.witnesses.forget_old() as i64);
+        self.shared.records.forget_old();
+        let cpu = clock_gettime(ClockId::ThreadCPUTime);
+        metrics.control_cpu_milliseconds.set(cpu.tv_sec * 1000 + cpu.tv_nsec / 1_000_000);
+    }
+}
--- /dev/null
+++ b/crates/seamhatchd/src/controllers/control_thread/requests.rs
@@ -0,0 +1,115 @@
+//! Requests of other daemons and of operators.
+
+use super::ControlThread;
+use crate::controllers::events::DrainTarget;
+use crate::controllers::status::StatusInput;
+use crate::controllers::{registration, status};
+use log::info;
+use seamhatch_core::claims::Epoch;
+use seamhatch_core::generation::Offer;
+use seamhatch_core::membership::Lifecycle;
+use seamhatch_core::roster::{CONFIGURATION_SHARD, Roster};
+use seamhatch_wire::{ControlReply, ControlRequest};
+use tokio::sync::oneshot;
+
+impl ControlThread {
+    pub(super) fn answer(&mut self, request: ControlRequest) -> ControlReply {
+        match request {
+            ControlRequest::GetConfiguration { have } => match self.configuration.newest() {
+                Some(stored) if stored.generation > have => ControlReply::Configuration(stored.clone()),
+                _ => ControlReply::Generation(self.configuration.generation()),
+            },
+            ControlRequest::PutConfiguration(stored) => match self.offer(stored) {
+                Offer::Stale => self
+                    .configuration
+                    .newest()
+                    .cloned()
+                    .map_or(ControlReply::Done, ControlReply::Configuration),
+                Offer::Adopt | Offer::Same => ControlReply::Done,
+                Offer::Conflict => ControlReply::Declined,
+            },
+            ControlRequest::PutRoster(roster) => {
+                self.offer_roster(roster);
+                ControlReply::Done
+            }
+            ControlRequest::GetRoster => ControlReply::Roster(Roster::clone(self.roster.roster())),
+            ControlRequest::WitnessStatus { shard } => {
+                ControlReply::Serving(self.shared.witnesses.serving(shard))
+            }
+            ControlRequest::Seal { shard, epoch } => self.seal(shard, epoch),
+            ControlRequest::Install { shard, epoch, claims, held } => {
+                if let Some(held) = held {
+                    self.configuration.hold(&held);
+                }
+                if self.shared.witnesses.install(shard, epoch, claims) {
+                    ControlReply::Done
+                } else {
+                    ControlReply::Declined
+                }
+            }
+            ControlRequest::HoldConfiguration { epoch, stored } => {
+                if registration::is_holder(&self.shared, epoch) && self.configuration.hold(&stored) {
+                    ControlReply::Done
+                } else {
+                    ControlReply::Declined
+                }
+            }
+            ControlRequest::GetHeld { epoch, .. } if !registration::is_holder(&self.shared, epoch) => {
+                ControlReply::Declined
+            }
+            ControlRequest::GetHeld { have, .. } => match self.configuration.highest() {
+                Some(stored) if stored.generation > have => ControlReply::Configuration(stored),
+                other => ControlReply::Generation(other.map(|stored| stored.generation).unwrap_or_default()),
+            },
+            ControlRequest::GetRecorded { key, holder } => {
+                ControlReply::Recorded(self.shared.records.get(key, holder))
+            }
+        }
+    }
+
+    pub(super) fn seal(&self, shard: u32, epoch: Epoch) -> ControlReply {
+        let Some(claims) = self.shared.witnesses.seal(shard, epoch) else { return ControlReply::Declined };
+        let holds = shard as usize == CONFIGURATION_SHARD;
+        ControlReply::Sealed { claims, held: self.configuration.highest().filter(|_| holds) }
+    }
+
+    pub(super) fn report_status(&self, reply: oneshot::Sender<status::StatusReport>) {
+        let input = StatusInput {
+            me: self.membership.state.me().clone(),
+            others: self.membership.state.others().cloned().collect(),
+            roster: self.roster.roster().clone(),
+            generation: self.configuration.generation(),
+        };
+        let shared = self.shared.clone();
+        tokio::spawn(async move { reply.send(status::report(shared, input).await) });
+    }
+
+    pub(super) fn drain(&mut self, target: DrainTarget) -> bool {
+        match target {
+            DrainTarget::Own => self.start_drain(),
+            DrainTarget::Member(address) => {
+                let own = self.membership.state.me().info.gossip == address;
+                if !own && self.membership.state.member(address).is_none() {
+                    return false;
+                }
+                self.membership.state.mark_leaving(address);
+                if own {
+                    self.start_drain();
+                }
+            }
+        }
+        true
+    }
+
+    pub(super) fn start_drain(&mut self) {
+        info!("draining: no new work is taken");
+        self.shared.start_draining();
+        self.membership.state.set_lifecycle(Lifecycle::Draining);
+        self.announce();
+    }
+
+    pub(super) fn announce(&mut self) {
+        let outgoing = self.membership.state.announce();
+        self.membership.send_all(outgoing);
+    }
+}
--- /dev/null
+++ b/crates/seamhatchd/src/dispatch/answer.rs
@@ -0,0 +1,69 @@
+//! An answer of a back end on its way to whoever made the call.
+
+use crate::claims::Claimed;
+use crate::dispatch::child::Child;
+use crate::filters::Rejection;
+use crate::peer::{AnswerBody, AnswerPiece};
+use bytes::Bytes;
+use seamhatch_core::outcome::Reason;
+use seamhatch_core::retry::ChildEnd;
+use seamhatch_wire::{AnswerHead, RecordedAnswer};
+
+/// Largest answer that is recorded for repeats of a claimed request.
+const LARGEST_RECORDED: usize = 64 * 1024;
+
+/// An answer of a back end on its way to whoever made the call.
+pub struct Answer {
+    /// Status and header fields.
+    pub head: AnswerHead,
+    pub(super) body: AnswerBody,
+    pub(super) child: Child,
+    pub(super) claimed: Option<Claimed>,
+    pub(super) recording: Option<Vec<u8>>,
+}
+
+impl Answer {
+    /// The next piece of the body; none at its end.
+    ///
+    /// # Errors
+    /// [`Rejection`] when the body will never be complete.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, Rejection> {
+        match self.body.next().await {
+            AnswerPiece::Data(piece) => {
+                self.record(&piece);
+                Ok(Some(piece))
+            }
+            AnswerPiece::End { unspent_tokens } => {
+                self.complete(unspent_tokens);
+                Ok(None)
+            }
+            AnswerPiece::Broken => {
+                Err(Rejection::unknown(Reason::BackendFailed, "the answer broke off; ask for it again"))
+            }
+        }
+    }
+
+    fn record(&mut self, piece: &Bytes) {
+        let Some(recording) = &mut self.recording else { return };
+        if recording.len() + piece.len() > LARGEST_RECORDED {
+            self.recording = None;
+        } else {
+            recording.extend_from_slice(piece);
+        }
+    }
+
+    fn complete(&mut self, unspent_tokens: u32) {
+        if self.child.finished {
+            return;
+        }
+        self.child.give_back(unspent_tokens);
+        let failed = self.head.status >= 500;
+        self.child.finish(if failed { ChildEnd::Failed } else { ChildEnd::Succeeded });
+        let (Some(claimed), Some(body)) = (&self.claimed, self.recording.take()) else { return };
+        claimed.answered(RecordedAnswer {
+            status: self.head.status,
+            headers: self.head.headers.clone(),
+            body,
+        });
+    }
+}
--- /dev/null
+++ b/crates/seamhatchd/src/dispatch/candidates.rs
@@ -0,0 +1,24 @@
+//! What is known of the servers that a call may go to.
+
+use crate::clock;
+use crate::shared::Shared;
+use crate::snapshot::Server;
+use seamhatch_core::balance::Candidate;
+
+/// A server as the choice sees it.
+pub(super) fn candidate(shared: &Shared, server: &Server) -> Candidate {
+    let now = clock::now();
+    let same_zone = server.zone == shared.settings.zone;
+    let Some(connection) = shared.pool.existing(server.peer) else {
+        let ejected = shared.pool.is_failing(server.peer, now);
+        return Candidate { same_zone, slots: server.slots, in_flight: 0, reported_load: 0, ejected };
+    };
+    let view = connection.view();
+    Candidate {
+        same_zone,
+        slots: view.server.map_or(server.slots, |report| report.limit),
+        in_flight: connection.in_flight(),
+        reported_load: view.server.map_or(0, |report| report.load),
+        ejected: view.draining || view.should_avoid(now),
+    }
+}
--- a/crates/seamhatchd/src/dispatch.rs
+++ b/crates/seamhatchd/src/dispatch/mod.rs
@@ -1,88 +1,39 @@
 //! Sends a call to a server and, where the limits allow, to another one after a failure.
 
+mod answer;
+mod candidates;
+mod child;
+mod replay;
+
+pub use answer::Answer;
+pub use replay::ReplayBody;
+
 use crate::claims::{self, ClaimRefused, Claimed};
 use crate::clock;
 use crate::filters::{Rejection, RequestState, check_entry_floor};
-use crate::peer::{AnswerBody, AnswerPiece, CallEvent, CallStream, CreditWindow, PeerConnection};
+use crate::peer::{AnswerBody, CallEvent, CallStream, PeerConnection};
 use crate::running::RunningCall;
 use crate::shared::Shared;
 use crate::snapshot::Server;
-use bytes::Bytes;
+use candidates::candidate;
+use child::Child;
+use replay::next_of_rest;
 use seamhatch_core::balance::{CallEnd, Candidate, pick};
 use seamhatch_core::claims::ClaimKey;
 use seamhatch_core::clock::{MILLISECOND, Microseconds};
 use seamhatch_core::identity::{Address, Fingerprint};
 use seamhatch_core::outcome::{Outcome, Reason};
-use seamhatch_core::retry::{ChildEnd, Dispatch, TokensExhausted};
+use seamhatch_core::priority::AdmissionFloor;
+use seamhatch_core::retry::{ChildEnd, Dispatch};
 use seamhatch_policy::ServiceSettings;
-use seamhatch_wire::{AnswerHead, CallContext, CallHead, RecordedAnswer, Refusal};
+use seamhatch_wire::{AnswerHead, CallContext, CallHead, RecordedAnswer, Refusal, ServerReport};
 use std::sync::Arc;
-use xitca_web::body::{BodyExt, RequestBody};
 
-/// Part of a request body that is kept, so that the call can be sent again.
-const REPLAY_BYTES: usize = 64 * 1024;
-/// Largest answer that is recorded for repeats of a claimed request.
-const LARGEST_RECORDED: usize = 64 * 1024;
 /// The receiver's deadline is this much earlier, so that its refusal arrives in time.
 const EXPIRY_MARGIN: Microseconds = 5 * MILLISECOND;
 
 const MISMATCH_ADVICE: &str = "this idempotency key was used with another request; use a new key";
 
-/// A request body, its beginning kept for a second dispatch.
-pub struct ReplayBody {
-    prefix: Vec<Bytes>,
-    rest: Option<RequestBody>,
-    rest_used: bool,
-}
-
-impl ReplayBody {
-    /// Reads the beginning of a body.
-    ///
-    /// # Errors
-    /// The caller broke off.
-    pub async fn read_prefix(mut body: RequestBody) -> Result<Self, Rejection> {
-        let mut prefix = Vec::new();
-        let mut length = 0;
-        while length < REPLAY_BYTES {
-            match next_piece(&mut body).await? {
-                Some(piece) => {
-                    length += piece.len();
-                    prefix.push(piece);
-                }
-                None => return Ok(Self { prefix, rest: None, rest_used: false }),
-            }
-        }
-        Ok(Self { prefix, rest: Some(body), rest_used: false })
-    }
-
-    /// Whether there is no body at all.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.prefix.is_empty() && self.rest.is_none()
-    }
-
-    /// Whether the whole call can be sent again.
-    #[must_use]
-    pub fn can_replay(&self) -> bool {
-        !self.rest_used
-    }
-
-    fn digest(&self) -> Fingerprint {
-        let parts: Vec<u8> = self.prefix.iter().flat_map(|piece| piece.iter().copied()).collect();
-        Fingerprint::of(&[&parts])
-    }
-}
-
-async fn next_piece(body: &mut RequestBody) -> Result<Option<Bytes>, Rejection> {
-    match body.data().await {
-        Some(Ok(piece)) => Ok(Some(piece)),
-        Some(Err(_)) => {
-            Err(Rejection::not_run(Reason::BadRequest, "the request body broke off; send it again"))
-        }
-        None => Ok(None),
-    }
-}
-
 /// How a dispatched call ended.
 pub enum CallResult {
     /// The back end answers.
@@ -93,101 +44,6 @@
     Rejected(Rejection),
 }
 
-/// A call's place in its parent's ledger. Unless [`Child::finish`] is called,
-/// the call counts as failed and the tokens it had as spent.
-struct Child {
-    parent: Arc<RunningCall>,
-    call: Fingerprint,
-    handed_over: u32,
-    finished: bool,
-}
-
-impl Child {
-    fn begin(parent: &Arc<RunningCall>, call: Fingerprint) -> Result<(Self, Dispatch), TokensExhausted> {
-        let dispatch = parent.ledger().begin(call)?;
-        Ok((Self { parent: parent.clone(), call, handed_over: 0, finished: false }, dispatch))
-    }
-
-    fn hand_over(&mut self) -> u32 {
-        self.handed_over = self.parent.ledger().hand_over();
-        self.handed_over
-    }
-
-    fn give_back(&mut self, unspent: u32) {
-        self.parent.ledger().give_back(unspent, self.handed_over);
-        self.handed_over = 0;
-    }
-
-    fn finish(&mut self, end: ChildEnd) {
-        self.finished = true;
-        self.parent.ledger().finish(self.call, end);
-    }
-}
-
-impl Drop for Child {
-    fn drop(&mut self) {
-        if !self.finished {
-            self.finish(ChildEnd::Failed);
-        }
-    }
-}
-
-/// An answer of a back end on its way to whoever made the call.
-pub struct Answer {
-    /// Status and header fields.
-    pub head: AnswerHead,
-    body: AnswerBody,
-    child: Child,
-    claimed: Option<Claimed>,
-    recording: Option<Vec<u8>>,
-}
-
-impl Answer {
-    /// The next piece of the body; none at its end.
-    ///
-    /// # Errors
-    /// [`Rejection`] when the body will never be complete.
-    pub async fn next(&mut self) -> Result<Option<Bytes>, Rejection> {
-        match self.body.next().await {
-            AnswerPiece::Data(piece) => {
-                self.record(&piece);
-                Ok(Some(piece))
-            }
-            AnswerPiece::End { unspent_tokens } => {
-                self.complete(unspent_tokens);
-                Ok(None)
-            }
-            AnswerPiece::Broken => {
-                Err(Rejection::unknown(Reason::BackendFailed, "the answer broke off; ask for it again"))
-            }
-        }
-    }
-
-    fn record(&mut self, piece: &Bytes) {
-        let Some(recording) = &mut self.recording else { return };
-        if recording.len() + piece.len() > LARGEST_RECORDED {
-            self.recording = None;
-        } else {
-            recording.extend_from_slice(piece);
-        }
-    }
-
-    fn complete(&mut self, unspent_tokens: u32) {
-        if self.child.finished {
-            return;
-        }
-        self.child.give_back(unspent_tokens);
-        let failed = self.head.status >= 500;
-        self.child.finish(if failed { ChildEnd::Failed } else { ChildEnd::Succeeded });
-        let (Some(claimed), Some(body)) = (&self.claimed, self.recording.take()) else { return };
-        claimed.answered(RecordedAnswer {
-            status: self.head.status,
-            headers: self.head.headers.clone(),
-            body,
-        });
-    }
-}
-
 /// What an attempt at one server came to.
 enum Attempt {
     Answered(Box<AnswerHead>, CallStream),
@@ -494,23 +350,11 @@
         }
     }
 
-    fn learn_floor(&self, floor: seamhatch_core::priority::AdmissionFloor) {
+    fn learn_floor(&self, floor: AdmissionFloor) {
         self.parent.lower_chain_floor(floor);
     }
 }
 
-/// The next piece behind the kept beginning, once the window allows; pends for ever after the end.
-async fn next_of_rest(body: &mut ReplayBody, window: &CreditWindow) -> Result<Option<Bytes>, Rejection> {
-    let Some(rest) = &mut body.rest else { return std::future::pending().await };
-    window.ready().await;
-    body.rest_used = true;
-    let piece = next_piece(rest).await?;
-    if piece.is_none() {
-        body.rest = None;
-    }
-    Ok(piece)
-}
-
 fn call_end(attempt: &Attempt) -> CallEnd {
     match attempt {
         Attempt::Lost => CallEnd::Lost,
@@ -529,11 +373,7 @@
         reason: Reason::PeerLost,
         retry_after: 0,
         unspent_tokens: tokens,
-        server: seamhatch_wire::ServerReport {
-            load: 0,
-            limit: 0,
-            floor: seamhatch_core::priority::AdmissionFloor::OPEN,
-        },
+        server: ServerReport { load: 0, limit: 0, floor: AdmissionFloor::OPEN },
     }
 }
 
@@ -556,20 +396,3 @@
         _ => "no majority of the key's witnesses answered; repeat it with the same key after Retry-After",
     }
 }
-
-fn candidate(shared: &Shared, server: &Server) -> Candidate {
-    let now = clock::now();
-    let same_zone = server.zone == shared.settings.zone;
-    let Some(connection) = shared.pool.existing(server.peer) else {
-        let ejected = shared.pool.is_failing(server.peer, now);
-        return Candidate { same_zone, slots: server.slots, in_flight: 0, reported_load: 0, ejected };
-    };
-    let view = connection.view();
-    Candidate {
-        same_zone,
-        slots: view.server.map_or(server.slots, |report| report.limit),
-        in_flight: connection.in_flight(),
-        reported_load: view.server.map_or(0, |report| report.load),
-        ejected: view.draining || view.should_avoid(now),
-    }
-}
--- /dev/null
+++ b/crates/seamhatchd/src/dispatch/replay.rs
@@ -0,0 +1,81 @@
+//! Request bodies whose beginning is kept, so that a call can be sent again.
+
+use crate::filters::Rejection;
+use crate::peer::CreditWindow;
+use bytes::Bytes;
+use seamhatch_core::identity::Fingerprint;
+use seamhatch_core::outcome::Reason;
+use xitca_web::body::{BodyExt, RequestBody};
+
+/// Part of a request body that is kept, so that the call can be sent again.
+const REPLAY_BYTES: usize = 64 * 1024;
+
+/// A request body, its beginning kept for a second dispatch.
+pub struct ReplayBody {
+    pub(super) prefix: Vec<Bytes>,
+    pub(super) rest: Option<RequestBody>,
+    rest_used: bool,
+}
+
+impl ReplayBody {
+    /// Reads the beginning of a body.
+    ///
+    /// # Errors
+    /// The caller broke off.
+    pub async fn read_prefix(mut body: RequestBody) -> Result<Self, Rejection> {
+        let mut prefix = Vec::new();
+        let mut length = 0;
+        while length < REPLAY_BYTES {
+            match next_piece(&mut body).await? {
+                Some(piece) => {
+                    length += piece.len();
+                    prefix.push(piece);
+                }
+                None => return Ok(Self { prefix, rest: None, rest_used: false }),
+            }
+        }
+        Ok(Self { prefix, rest: Some(body), rest_used: false })
+    }
+
+    /// Whether there is no body at all.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.prefix.is_empty() && self.rest.is_none()
+    }
+
+    /// Whether the whole call can be sent again.
+    #[must_use]
+    pub fn can_replay(&self) -> bool {
+        !self.rest_used
+    }
+
+    pub(super) fn digest(&self) -> Fingerprint {
+        let parts: Vec<u8> = self.prefix.iter().flat_map(|piece| piece.iter().copied()).collect();
+        Fingerprint::of(&[&parts])
+    }
+}
+
+async fn next_piece(body: &mut RequestBody) -> Result<Option<Bytes>, Rejection> {
+    match body.data().await {
+        Some(Ok(piece)) => Ok(Some(piece)),
+        Some(Err(_)) => {
+            Err(Rejection::not_run(Reason::BadRequest, "the request body broke off; send it again"))
+        }
+        None => Ok(None),
+    }
+}
+
+/// The next piece behind the kept beginning, once the window allows; pends for ever after the end.
+pub(super) async fn next_of_rest(
+    body: &mut ReplayBody,
+    window: &CreditWindow,
+) -> Result<Option<Bytes>, Rejection> {
+    let Some(rest) = &mut body.rest else { return std::future::pending().await };
+    window.ready().await;
+    body.rest_used = true;
+    let piece = next_piece(rest).await?;
+    if piece.is_none() {
+        body.rest = None;
+    }
+    Ok(piece)
+}
