Concurrency limit no longer shrinks; a wait ends while the call can still be in time

Ruled out: refusals at the floor (status lookups waited at claimstatus, whose floor was open), retries. Change: the limit grows from a cold start and does not shrink. Conclusion: kept; shrinking needs a signal that fewer calls at once really are faster.

--- a/crates/seamhatch-core/src/admission.rs
+++ b/crates/seamhatch-core/src/admission.rs
@@ -129,6 +129,13 @@
         self.estimated_wait(self.waiting.len() + 1).clamp(100 * MILLISECOND, 10 * SECOND)
     }
 
+    /// The latest instant at which a call may start that must end by `expiry`:
+    /// half of the typical service time before it, since some calls are faster.
+    #[must_use]
+    pub fn latest_start(&self, expiry: Instant) -> Instant {
+        expiry.minus(self.limit.typical_service_time() / 2)
+    }
+
     /// Asks for a slot or a place in the queue.
     pub fn offer(&mut self, request: AdmissionRequest, now: Instant) -> Admission {
         self.floor.count_arrival(request.priority.level());
@@ -141,7 +148,7 @@
         }
         let key = (request.priority.level(), request.root_admitted, request.ticket);
         let ahead = self.waiting.range(..key).count();
-        if now.plus(self.estimated_wait(ahead)) >= request.expiry {
+        if now.plus(self.estimated_wait(ahead)) >= self.latest_start(request.expiry) {
             return Admission::Refuse(Reason::DeadlineExceeded);
         }
         let evicted = match self.make_room(key) {
@@ -167,7 +174,7 @@
         let Some(started) = self.running.remove(&ticket) else { return };
         self.floor.count_served();
         if succeeded {
-            self.limit.observe(now.since(started), self.waiting.len(), now);
+            self.limit.observe(now.since(started));
         }
     }
 
@@ -175,7 +182,7 @@
     pub fn next(&mut self, now: Instant) -> Option<Dequeued> {
         let (key, request) = self.waiting.first_key_value()?;
         let (key, request) = (*key, *request);
-        if request.expiry <= now {
+        if self.latest_start(request.expiry) <= now {
             self.remove(key);
             return Some(Dequeued::Expired(request.ticket));
         }
@@ -227,29 +234,17 @@
 /// The number of calls a back end should work on at once.
 ///
 /// It never exceeds the reported slots. A cold server starts low and grows with
-/// each success; a limit above one slot shrinks while service times stand far
-/// above the best that was seen lately.
+/// each success. It does not shrink when service times grow: a slower service
+/// below takes the same slots for longer, and fewer of them would only add to it.
 #[derive(Debug)]
 pub struct ConcurrencyLimit {
     slots: f64,
     current: f64,
-    best: Option<f64>,
     average: Option<f64>,
-    last_shrink: Instant,
 }
 
-/// Service time over the best one at which the limit shrinks.
-const SLOWDOWN_THRESHOLD: f64 = 3.0;
-/// Share that is kept at each shrink.
-const SHRINK_FACTOR: f64 = 0.9;
-/// At most one shrink in this time.
-const SHRINK_INTERVAL: Microseconds = 100 * MILLISECOND;
-/// The limit never falls below this share of the reported slots.
-const SMALLEST_SHARE: f64 = 0.5;
 /// Weight of a new sample in the average service time.
 const AVERAGE_WEIGHT: f64 = 0.05;
-/// How fast the best service time is forgotten, per sample.
-const BEST_DECAY: f64 = 1.0005;
 /// Assumed before the first sample.
 const ASSUMED_SERVICE_TIME: Microseconds = 5 * MILLISECOND;
 
@@ -260,9 +255,7 @@
         Self {
             slots: f64::from(policy.slots.max(1)),
             current: f64::from(policy.initial_slots.clamp(1, policy.slots.max(1))),
-            best: None,
             average: None,
-            last_shrink: Instant::default(),
         }
     }
 
@@ -279,29 +272,10 @@
     }
 
     /// Takes in the service time of a call that succeeded.
-    pub fn observe(&mut self, service_time: Microseconds, waiting: usize, now: Instant) {
+    pub fn observe(&mut self, service_time: Microseconds) {
         let sample = (service_time as f64).max(1.0);
-        let best = self.best.map_or(sample, |best| (best * BEST_DECAY).min(sample));
         let average = self.average.map_or(sample, |average| average + AVERAGE_WEIGHT * (sample - average));
-        self.best = Some(best);
         self.average = Some(average);
-        if average > best * SLOWDOWN_THRESHOLD && waiting > 0 {
-            self.shrink(now);
-        } else {
-            self.grow();
-        }
-    }
-
-    fn shrink(&mut self, now: Instant) {
-        if now.since(self.last_shrink) < SHRINK_INTERVAL {
-            return;
-        }
-        self.last_shrink = now;
-        let smallest = (self.slots * SMALLEST_SHARE).max(1.0);
-        self.current = (self.current * SHRINK_FACTOR).max(smallest.min(self.current));
-    }
-
-    fn grow(&mut self) {
         self.current = (self.current + 1.0 / self.current.max(1.0)).min(self.slots);
     }
 }
--- a/crates/seamhatchd/src/gate.rs
+++ b/crates/seamhatchd/src/gate.rs
@@ -105,7 +105,8 @@
             return Ok(self.permit(ticket));
         };
         let mut guard = WaitGuard { gate: self, ticket, armed: true };
-        let decided = tokio::time::timeout(clock::time_until(request.expiry), turn).await;
+        let latest_start = self.lock().queue.latest_start(request.expiry);
+        let decided = tokio::time::timeout(clock::time_until(latest_start), turn).await;
         let waited = clock::now().since(arrived);
         self.metrics.queue_seconds.observe(waited as f64 / 1e6);
         match decided {
