--- a/crates/seamhatchd/src/listeners/mod.rs
+++ b/crates/seamhatchd/src/listeners/mod.rs
@@ -8,8 +8,9 @@
 
 use crate::shared::Shared;
 use bytes::Bytes;
+use log::warn;
 use std::fmt;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::mpsc;
 use std::thread::JoinHandle;
@@ -35,9 +36,19 @@
 pub struct Listener {
     stop: Box<dyn Fn() + Send + Sync>,
     thread: JoinHandle<()>,
+    sockets: Vec<TcpListener>,
 }
 
 impl Listener {
+    /// Refuses new connections from now on; open ones go on.
+    pub fn refuse_connections(&self) {
+        for socket in &self.sockets {
+            if let Err(error) = rustix::net::shutdown(socket, rustix::net::Shutdown::Read) {
+                warn!(error = error.to_string().as_str(); "a listener can't be shut");
+            }
+        }
+    }
+
     /// Finishes what is in progress and ends the threads, for at most `longest`.
     pub fn stop(self, longest: Duration) {
         (self.stop)();
@@ -73,8 +84,11 @@
         .request_head_timeout(HEAD_TIMEOUT)
         .max_read_buf_size::<HEAD_BUFFER>()
         .max_request_headers::<HEADER_FIELDS>();
+    let mut sockets = Vec::new();
     for address in addresses {
-        server = server.bind(address)?;
+        let socket = TcpListener::bind(address)?;
+        sockets.push(socket.try_clone()?);
+        server = server.listen(socket)?;
     }
     // The server must be built on the thread that it runs on.
     let (sender, receiver) = mpsc::channel();
@@ -85,7 +99,7 @@
         let _ = running.wait();
     })?;
     let handle = receiver.recv().map_err(std::io::Error::other)?;
-    Ok(Listener { stop: Box::new(move || handle.stop(true)), thread })
+    Ok(Listener { stop: Box::new(move || handle.stop(true)), thread, sockets })
 }
 
 /// Binds and starts the ingress, egress and admin listeners.
--- a/crates/seamhatchd/src/startup.rs
+++ b/crates/seamhatchd/src/startup.rs
@@ -6,7 +6,7 @@
 use crate::controllers::{ControlHandle, ControlThread, DrainTarget};
 use crate::filters::EntryFloors;
 use crate::gate::AdmissionGate;
-use crate::listeners;
+use crate::listeners::{self, Listener};
 use crate::logging;
 use crate::metrics::Metrics;
 use crate::peer::{self, PeerPool};
@@ -17,6 +17,7 @@
 use crate::snapshot::Snapshot;
 use arc_swap::ArcSwap;
 use log::{error, info, warn};
+use seamhatch_core::Instant;
 use seamhatch_core::admission::AdmissionPolicy;
 use seamhatch_core::identity::Incarnation;
 use std::ffi::OsString;
@@ -97,7 +98,7 @@
         incarnation = shared.incarnation.to_string().as_str();
         "started"
     );
-    traffic.block_on(until_stopped(&shared))?;
+    traffic.block_on(until_stopped(&shared, &listeners))?;
     info!("stopped");
     // Not the listeners' own graceful stop: it lets new connections hang, and waits for idle
     // ones. Until here each request was answered with `Connection: close`.
@@ -157,7 +158,7 @@
     Ok(())
 }
 
-async fn until_stopped(shared: &Arc<Shared>) -> std::io::Result<()> {
+async fn until_stopped(shared: &Arc<Shared>, listeners: &[Listener]) -> std::io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     tokio::select! {
@@ -167,7 +168,7 @@
     info!("stop requested");
     shared.control.drain(DrainTarget::Own).await;
     tokio::select! {
-        () = drained(shared) => {}
+        () = drained(shared, listeners) => {}
         _ = terminate.recv() => warn!("second stop request: work in progress is cut off"),
         _ = interrupt.recv() => warn!("second stop request: work in progress is cut off"),
     }
@@ -175,22 +176,31 @@
     Ok(())
 }
 
-async fn drained(shared: &Shared) {
+/// Waits until the work in progress is done: first with callers still told to
+/// go elsewhere, then with their new connections refused, so that none is
+/// accepted at the very end and cut off.
+async fn drained(shared: &Shared, listeners: &[Listener]) {
     let started = clock::now();
-    let age = || Duration::from_micros(clock::now().since(started));
-    let mut busy_until = started;
-    loop {
-        let now = clock::now();
+    until_quiet(shared, started, SHORTEST_DRAIN).await;
+    listeners.iter().for_each(Listener::refuse_connections);
+    until_quiet(shared, started, Duration::ZERO).await;
+    if shared.in_flight() > 0 {
+        warn!(in_flight = shared.in_flight(); "work is still in progress after the longest drain");
+    }
+}
+
+/// Waits until nothing was in progress for [`QUIET_TO_STOP`], for at least
+/// `shortest` and at most [`LONGEST_DRAIN`] since `started`.
+async fn until_quiet(shared: &Shared, started: Instant, shortest: Duration) {
+    let since = |instant| Duration::from_micros(clock::now().since(instant));
+    let mut busy_until = clock::now();
+    while since(started) < LONGEST_DRAIN {
         if shared.in_flight() > 0 {
-            busy_until = now;
+            busy_until = clock::now();
         }
-        let quiet = Duration::from_micros(now.since(busy_until)) >= QUIET_TO_STOP;
-        if (age() >= SHORTEST_DRAIN && quiet) || age() >= LONGEST_DRAIN {
-            break;
+        if since(started) >= shortest && since(busy_until) >= QUIET_TO_STOP {
+            return;
         }
         tokio::time::sleep(DRAIN_POLL).await;
     }
-    if shared.in_flight() > 0 {
-        warn!(in_flight = shared.in_flight(); "work is still in progress after the longest drain");
-    }
 }
