--- a/crates/seamhatchd/src/claims/claimant.rs
+++ b/crates/seamhatchd/src/claims/claimant.rs
@@ -199,10 +199,7 @@
     claim: Claim,
 ) -> Option<ClaimReply> {
     let asking = async {
-        let connection = shared.pool.get(shared, witness.daemon).await.ok()?;
-        if connection.incarnation != witness.incarnation {
-            return None;
-        }
+        let connection = shared.pool.get_witness(shared, witness).await?;
         connection.claim(shard, epoch, claim).await
     };
     tokio::time::timeout(CLAIM_TIMEOUT, asking).await.ok().flatten()
--- a/crates/seamhatchd/src/controllers/registration.rs
+++ b/crates/seamhatchd/src/controllers/registration.rs
@@ -92,10 +92,7 @@
     request: ControlRequest,
 ) -> Option<ControlReply> {
     let asking = async {
-        let connection = shared.pool.get(shared, witness.daemon).await.ok()?;
-        if connection.incarnation != witness.incarnation {
-            return None;
-        }
+        let connection = shared.pool.get_witness(shared, witness).await?;
         connection.control(request).await
     };
     tokio::time::timeout(WITNESS_TIMEOUT, asking).await.ok().flatten()
--- a/crates/seamhatchd/src/peer/pool.rs
+++ b/crates/seamhatchd/src/peer/pool.rs
@@ -6,6 +6,7 @@
 use seamhatch_core::Instant;
 use seamhatch_core::balance::{CallEnd, Ejection};
 use seamhatch_core::identity::Address;
+use seamhatch_core::roster::WitnessId;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 use thiserror::Error;
@@ -80,6 +81,12 @@
         }
     }
 
+    /// A connection to a witness; none unless this very life of it answers.
+    pub async fn get_witness(&self, shared: &Arc<Shared>, witness: WitnessId) -> Option<PeerConnection> {
+        let connection = self.get(shared, witness.daemon).await.ok()?;
+        (connection.incarnation == witness.incarnation).then_some(connection)
+    }
+
     /// The open connection to a daemon, if there is one.
     #[must_use]
     pub fn existing(&self, address: Address) -> Option<PeerConnection> {
