Core and policy: instances of a back end, routes with attributes, patience in the queue

Cause: the users' platform routes by host and prefix with a rank, an objective, a time-out and a number of servers for each route, and names each life of a back end; the product knew neither. Ruled out: translating routes into policy programs in the adapter (decisions would lie in platform/). Change: routes carry attributes that bound what the policy decides, and are decided once per configuration where the policy reads nothing else; InstanceRegistry keeps which instance takes work; a waiting call is refused when its caller's patience ends.

--- a/crates/seamhatch-core/src/admission.rs
+++ b/crates/seamhatch-core/src/admission.rs
@@ -39,6 +39,9 @@
     pub root_admitted: Instant,
     /// When the call becomes useless, in the local clock.
     pub expiry: Instant,
+    /// When it is refused if it still waits, in the local clock: later, its answer is worth less
+    /// than an early refusal.
+    pub start_by: Instant,
 }
 
 /// The answer to a call that asks to run.
@@ -129,11 +132,25 @@
         self.estimated_wait(self.waiting.len() + 1).clamp(100 * MILLISECOND, 10 * SECOND)
     }
 
-    /// The latest instant at which a call may start that must end by `expiry`:
-    /// half of the typical service time before it, since some calls are faster.
+    /// The latest instant at which a call may start: when the caller's patience ends, and at least
+    /// half of the typical service time before its expiry, since some calls are faster.
     #[must_use]
-    pub fn latest_start(&self, expiry: Instant) -> Instant {
-        expiry.minus(self.limit.typical_service_time() / 2)
+    pub fn latest_start(&self, request: &AdmissionRequest) -> Instant {
+        request.expiry.minus(self.limit.typical_service_time() / 2).min(request.start_by)
+    }
+
+    /// Takes over what an instance of the back end tells: its slots, and whether it is cold.
+    /// What the last one's limit had grown to counts for nothing.
+    pub fn set_slots(&mut self, slots: u32, initial_slots: u32) {
+        self.policy.slots = slots;
+        self.policy.initial_slots = initial_slots;
+        self.limit = ConcurrencyLimit { average: self.limit.average, ..ConcurrencyLimit::new(self.policy) };
+    }
+
+    /// Takes all waiting calls out, as nothing will run here any more.
+    pub fn close(&mut self) -> Vec<Ticket> {
+        self.waiting.clear();
+        self.keys.drain().map(|(ticket, _)| ticket).collect()
     }
 
     /// Asks for a slot or a place in the queue.
@@ -148,7 +165,7 @@
         }
         let key = (request.priority.level(), request.root_admitted, request.ticket);
         let ahead = self.waiting.range(..key).count();
-        if now.plus(self.estimated_wait(ahead)) >= self.latest_start(request.expiry) {
+        if now.plus(self.estimated_wait(ahead)) >= self.latest_start(&request) {
             return Admission::Refuse(Reason::DeadlineExceeded);
         }
         let evicted = match self.make_room(key) {
@@ -182,7 +199,7 @@
     pub fn next(&mut self, now: Instant) -> Option<Dequeued> {
         let (key, request) = self.waiting.first_key_value()?;
         let (key, request) = (*key, *request);
-        if self.latest_start(request.expiry) <= now {
+        if self.latest_start(&request) <= now {
             self.remove(key);
             return Some(Dequeued::Expired(request.ticket));
         }
--- a/crates/seamhatch-core/src/clock.rs
+++ b/crates/seamhatch-core/src/clock.rs
@@ -33,6 +33,9 @@
 pub struct Instant(pub Microseconds);
 
 impl Instant {
+    /// Later than any instant that is reached.
+    pub const NEVER: Self = Self(Microseconds::MAX);
+
     /// The instant `span` microseconds later, saturating.
     #[must_use]
     pub fn plus(self, span: Microseconds) -> Self {
--- a/crates/seamhatch-core/src/lib.rs
+++ b/crates/seamhatch-core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod clock;
 pub mod generation;
 pub mod identity;
+pub mod instance;
 pub mod membership;
 pub mod outcome;
 pub mod priority;
--- a/crates/seamhatch-core/src/outcome.rs
+++ b/crates/seamhatch-core/src/outcome.rs
@@ -75,6 +75,16 @@
     BackendUnreachable,
     /// The back end closed the connection before a complete answer.
     BackendFailed,
+    /// The back end itself said that it did not run the call.
+    BackendRefused,
+    /// No instance of the back end is registered and ready beside the daemon.
+    NoInstance,
+    /// Another instance than the registered one has the back end's address.
+    OtherInstance,
+    /// The request's head is larger than the configuration allows.
+    HeadTooLarge,
+    /// The request's body is larger than the configuration allows.
+    BodyTooLarge,
 }
 
 impl Reason {
@@ -101,6 +111,11 @@
             Self::PeerLost => "peer-lost",
             Self::BackendUnreachable => "backend-unreachable",
             Self::BackendFailed => "backend-failed",
+            Self::BackendRefused => "backend-refused",
+            Self::NoInstance => "no-instance",
+            Self::OtherInstance => "other-instance",
+            Self::HeadTooLarge => "head-too-large",
+            Self::BodyTooLarge => "body-too-large",
         }
     }
 
@@ -109,9 +124,29 @@
     pub fn worth_another_server(self) -> bool {
         matches!(
             self,
-            Self::NotReady | Self::Draining | Self::NoServer | Self::BackendUnreachable | Self::PeerLost
+            Self::NotReady
+                | Self::Draining
+                | Self::NoServer
+                | Self::BackendUnreachable
+                | Self::PeerLost
+                | Self::BackendRefused
+                | Self::NoInstance
+                | Self::OtherInstance
         )
     }
+
+    /// Whether the refusing daemon may have shown the call to its back end, which then counts it as
+    /// an attempt. A call that a daemon turned away by itself costs no attempt and no retry.
+    #[must_use]
+    pub fn reached_back_end(self) -> bool {
+        matches!(self, Self::BackendRefused | Self::BackendFailed | Self::OtherInstance)
+    }
+
+    /// Whether the refusal tells of pressure at one server only, so that another may have room.
+    #[must_use]
+    pub fn is_pressure(self) -> bool {
+        matches!(self, Self::QueueFull | Self::Evicted | Self::AdmissionFloor)
+    }
 }
 
 impl fmt::Display for Reason {
--- a/crates/seamhatch-core/tests/admission.rs
+++ b/crates/seamhatch-core/tests/admission.rs
@@ -16,7 +16,8 @@
 
 fn request(ticket: u64, class: PriorityClass, root_admitted: Instant) -> AdmissionRequest {
     let priority = Priority { class, bucket: 5 };
-    AdmissionRequest { ticket: Ticket(ticket), priority, root_admitted, expiry: NOW.plus(60 * SECOND) }
+    let expiry = NOW.plus(60 * SECOND);
+    AdmissionRequest { ticket: Ticket(ticket), priority, root_admitted, expiry, start_by: Instant::NEVER }
 }
 
 /// A queue whose two slots are taken and whose four places hold `class`.
@@ -119,3 +120,25 @@
     }
     assert!(lowest < AdmissionFloor(256), "the floor never fell below normal work: {lowest:?}");
 }
+
+#[test]
+fn a_call_is_refused_when_the_callers_patience_ends_before_its_turn() {
+    let mut queue = full_of(PriorityClass::Normal);
+    let mut hasty = request(20, PriorityClass::Critical, NOW);
+    hasty.start_by = NOW;
+    assert_eq!(queue.offer(hasty, NOW), Admission::Refuse(Reason::DeadlineExceeded));
+    hasty.start_by = NOW.plus(20 * MILLISECOND);
+    assert!(matches!(queue.offer(hasty, NOW), Admission::Wait { .. }));
+    assert_eq!(queue.next(NOW.plus(21 * MILLISECOND)), Some(Dequeued::Expired(Ticket(20))));
+}
+
+#[test]
+fn a_new_instance_brings_its_own_slots_and_a_closed_queue_is_empty() {
+    let mut queue = full_of(PriorityClass::Normal);
+    queue.set_slots(5, 5);
+    assert_eq!(queue.limit(), 5);
+    let mut waiting = queue.close();
+    waiting.sort();
+    assert_eq!(waiting, [Ticket(2), Ticket(3), Ticket(4), Ticket(5)]);
+    assert_eq!((queue.running(), queue.waiting()), (2, 0));
+}
--- a/crates/seamhatch-policy/src/configuration.rs
+++ b/crates/seamhatch-policy/src/configuration.rs
@@ -1,34 +1,73 @@
 //! A checked configuration in the form that a daemon decides with.
 
-use crate::document::{Document, Sample, ServiceSettings};
+use crate::document::{Document, LimitSettings, RouteSettings, Sample, ServiceSettings, WeightedService};
 use crate::error::ConfigurationError;
-use crate::program::{PolicyProgram, PolicyRequest};
-use std::collections::BTreeMap;
+use crate::program::{Decision, PolicyProgram, PolicyRequest, RouteView};
+use std::collections::{BTreeMap, HashMap};
 
 /// Paths that every policy is tried on, besides its own samples.
 const BUILT_IN_SAMPLES: [(&str, &str); 2] = [("GET", "/"), ("POST", "/")];
 
-/// A path prefix and the service it leads to.
+/// A path prefix, where it leads to, and what is decided for its requests.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Route {
-    /// Absolute path without a slash at its end.
+    /// Absolute path; one with a slash at its end matches only what lies below.
     pub prefix: String,
-    /// Name of a service.
-    pub service: String,
+    /// Services that share its requests; never empty.
+    pub targets: Vec<WeightedService>,
+    /// What the policy sees of it.
+    pub view: RouteView,
+    /// The policy's decision, where that depends on the route alone.
+    pub decision: Option<Decision>,
 }
 
 impl Route {
+    fn new(settings: &RouteSettings) -> Self {
+        Self {
+            prefix: settings.prefix.clone(),
+            targets: settings.targets().collect(),
+            view: RouteView { name: settings.name.clone(), attributes: settings.attributes() },
+            decision: None,
+        }
+    }
+
     fn matches(&self, path: &str) -> bool {
-        path.strip_prefix(self.prefix.as_str()).is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+        let Some(rest) = path.strip_prefix(self.prefix.as_str()) else { return false };
+        self.prefix.ends_with('/') || rest.is_empty() || rest.starts_with('/')
+    }
+
+    /// The service that a request goes to. `random` draws a number below its argument.
+    #[must_use]
+    pub fn service(&self, random: impl FnOnce(u32) -> u32) -> &str {
+        if let [only] = self.targets.as_slice() {
+            return &only.service;
+        }
+        let total = self.targets.iter().map(|target| target.weight).sum();
+        let mut drawn = random(total);
+        for target in &self.targets {
+            if drawn < target.weight {
+                return &target.service;
+            }
+            drawn -= target.weight;
+        }
+        self.first_service()
+    }
+
+    fn first_service(&self) -> &str {
+        self.targets.first().map_or("", |target| target.service.as_str())
     }
 }
 
+/// The routes of each host, the longest prefix first; those of any host under none.
+type RoutesByHost = HashMap<Option<String>, Vec<Route>>;
+
 /// A checked and compiled configuration.
 #[derive(Debug)]
 pub struct Configuration {
     services: BTreeMap<String, ServiceSettings>,
-    routes: Vec<Route>,
+    routes: RoutesByHost,
     policy: PolicyProgram,
+    limits: LimitSettings,
 }
 
 impl Configuration {
@@ -38,32 +77,57 @@
     /// The first [`ConfigurationError`] found.
     pub fn compile(text: &str) -> Result<Self, ConfigurationError> {
         let document = Document::parse(text)?;
-        let policy = PolicyProgram::compile(&document.policy)?;
-        let mut routes: Vec<Route> = document
-            .routes
-            .iter()
-            .map(|route| Route {
-                prefix: route.prefix.trim_end_matches('/').to_owned(),
-                service: route.service.clone(),
-            })
-            .collect();
-        // The longest prefix wins.
-        routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
-        let configuration = Self { services: document.services.clone(), routes, policy };
+        let configuration = Self::from_document(&document)?;
         configuration.try_samples(&document)?;
         Ok(configuration)
     }
 
+    /// Checks and compiles a document whose policy was tried before.
+    ///
+    /// # Errors
+    /// The first [`ConfigurationError`] found.
+    pub fn from_document(document: &Document) -> Result<Self, ConfigurationError> {
+        document.check()?;
+        let mut policy = PolicyProgram::compile(&document.policy)?;
+        let mut routes = RoutesByHost::new();
+        for settings in &document.routes {
+            let mut route = Route::new(settings);
+            route.decision = policy.decide_route(&route.view, route.first_service());
+            routes.entry(settings.host.clone()).or_default().push(route);
+        }
+        for of_host in routes.values_mut() {
+            of_host.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        Ok(Self { services: document.services.clone(), routes, policy, limits: document.limits })
+    }
+
     /// The policy program.
     #[must_use]
     pub fn policy(&self) -> &PolicyProgram {
         &self.policy
     }
 
-    /// The service that a path from outside leads to.
+    /// Bounds on what a caller may send.
+    #[must_use]
+    pub fn limits(&self) -> &LimitSettings {
+        &self.limits
+    }
+
+    /// The route of a request: the longest prefix among those of its host, else among those of any host.
+    #[must_use]
+    pub fn find(&self, host: Option<&str>, path: &str) -> Option<&Route> {
+        let of_host = host.and_then(|host| self.routes.get(&Some(host.to_owned())));
+        let of_any = self.routes.get(&None);
+        let search = |routes: &'_ Vec<Route>| routes.iter().position(|route| route.matches(path));
+        of_host
+            .and_then(|routes| Some(&routes[search(routes)?]))
+            .or_else(|| of_any.and_then(|routes| Some(&routes[search(routes)?])))
+    }
+
+    /// The service that a path from outside leads to, whatever its host.
     #[must_use]
     pub fn route(&self, path: &str) -> Option<&str> {
-        self.routes.iter().find(|route| route.matches(path)).map(|route| route.service.as_str())
+        self.find(None, path).map(Route::first_service)
     }
 
     /// Settings of a service, or none when it isn't defined.
@@ -111,12 +175,14 @@
         headers: BTreeMap<String, String>,
     ) -> PolicyRequest {
         let (path, query) = path_and_query.split_once('?').unwrap_or((path_and_query, ""));
+        let route = self.find(headers.get("host").map(String::as_str), path);
         PolicyRequest {
             method: method.to_owned(),
             path: path.to_owned(),
             query: query.to_owned(),
-            service: self.route(path).unwrap_or_default().to_owned(),
+            service: route.map(Route::first_service).unwrap_or_default().to_owned(),
             headers,
+            route: route.map(|route| route.view.clone()).unwrap_or_default(),
         }
     }
 }
--- a/crates/seamhatch-policy/src/document.rs
+++ b/crates/seamhatch-policy/src/document.rs
@@ -21,6 +21,34 @@
     /// Requests that the policy is tried on before it is accepted.
     #[serde(default)]
     pub samples: Vec<Sample>,
+    /// Bounds on what a caller may send.
+    #[serde(default)]
+    pub limits: LimitSettings,
+}
+
+/// Bounds on what a caller may send and how long it may take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LimitSettings {
+    /// Request line and header fields, in bytes.
+    pub head_bytes: usize,
+    /// Request body, in bytes.
+    pub body_bytes: u64,
+    /// Longest wait for a request's head, in milliseconds.
+    pub head_timeout_ms: u64,
+    /// How long an idle connection of a caller is kept, in milliseconds.
+    pub idle_timeout_ms: u64,
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        Self {
+            head_bytes: 32 * 1024,
+            body_bytes: 1024 * 1024 * 1024,
+            head_timeout_ms: 10_000,
+            idle_timeout_ms: 30_000,
+        }
+    }
 }
 
 /// Settings of one service.
@@ -33,22 +61,91 @@
     pub retry_ratio: f64,
     /// Retries that may be saved up.
     pub retry_burst: f64,
+    /// Connections that each of its servers takes; none where it takes any number.
+    pub connections: Option<u32>,
 }
 
 impl Default for ServiceSettings {
     fn default() -> Self {
-        Self { queue_per_slot: 4, retry_ratio: 0.1, retry_burst: 10.0 }
+        Self { queue_per_slot: 4, retry_ratio: 0.1, retry_burst: 10.0, connections: None }
     }
 }
 
-/// A path prefix and the service it leads to.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+/// A path prefix, where it leads to, and what holds for its requests.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
 pub struct RouteSettings {
-    /// Absolute path; matches itself and what lies below.
+    /// Name, for policies and logs.
+    pub name: String,
+    /// Host that it belongs to; any other host when it is left out.
+    pub host: Option<String>,
+    /// Absolute path; matches itself and what lies below. One that ends with a slash matches only
+    /// what lies below.
     pub prefix: String,
+    /// Name of a service. Either this or `weighted`.
+    pub service: Option<String>,
+    /// Services that share its requests.
+    pub weighted: Vec<WeightedService>,
+    /// Whether its requests may run more than once; the policy or the method decides when left out.
+    pub repeatable: Option<bool>,
+    /// Order of importance, 0 first.
+    pub rank: Option<u8>,
+    /// Time within which an answer is worth most, in milliseconds.
+    pub objective_ms: Option<u64>,
+    /// Longest time that a request is held, in milliseconds.
+    pub timeout_ms: Option<u64>,
+    /// Servers that one request may be sent to, at most.
+    pub dispatches: Option<u32>,
+}
+
+/// A service's share of the requests of a route.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WeightedService {
     /// Name of a service.
     pub service: String,
+    /// Its share, relative to the sum of all.
+    pub weight: u32,
+}
+
+/// What an operator says of a route's requests. The policy program sees it and decides within it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct RouteAttributes {
+    /// Whether its requests may run more than once; the policy or the method decides when left out.
+    pub repeatable: Option<bool>,
+    /// Order of importance, 0 first.
+    pub rank: Option<u8>,
+    /// Time within which an answer is worth most, in milliseconds.
+    pub objective_ms: Option<u64>,
+    /// Longest time that a request is held, in milliseconds.
+    pub timeout_ms: Option<u64>,
+    /// Servers that one request may be sent to, at most.
+    pub dispatches: Option<u32>,
+}
+
+impl RouteSettings {
+    /// What holds for its requests.
+    #[must_use]
+    pub fn attributes(&self) -> RouteAttributes {
+        RouteAttributes {
+            repeatable: self.repeatable,
+            rank: self.rank,
+            objective_ms: self.objective_ms,
+            timeout_ms: self.timeout_ms,
+            dispatches: self.dispatches,
+        }
+    }
+
+    /// The services that it leads to, with their weights.
+    pub fn targets(&self) -> impl Iterator<Item = WeightedService> {
+        let single = self.service.clone().map(|service| WeightedService { service, weight: 1 });
+        single.into_iter().chain(self.weighted.iter().cloned())
+    }
+
+    /// Host and prefix, as errors show them.
+    fn place(&self) -> String {
+        format!("{}{}", self.host.as_deref().unwrap_or_default(), self.prefix)
+    }
 }
 
 /// A request that the policy is tried on.
@@ -78,11 +175,19 @@
         }
         let document: Self = toml::from_str(text)
             .map_err(|error| ConfigurationError::Syntax { detail: error.to_string().trim().to_owned() })?;
-        document.check_services()?;
-        document.check_routes()?;
+        document.check()?;
         Ok(document)
     }
 
+    /// Checks all that needs no policy run.
+    ///
+    /// # Errors
+    /// The first [`ConfigurationError`] found.
+    pub fn check(&self) -> Result<(), ConfigurationError> {
+        self.check_services()?;
+        self.check_routes()
+    }
+
     fn check_services(&self) -> Result<(), ConfigurationError> {
         for (name, service) in &self.services {
             let key = |field: &str| format!("services.{name}.{field}");
@@ -99,16 +204,29 @@
             if !route.prefix.starts_with('/') {
                 return Err(ConfigurationError::BadPrefix { prefix: route.prefix.clone() });
             }
-            if !prefixes.insert(&route.prefix) {
-                return Err(ConfigurationError::DuplicateRoute { prefix: route.prefix.clone() });
+            if !prefixes.insert((&route.host, &route.prefix)) {
+                return Err(ConfigurationError::DuplicateRoute { prefix: route.place() });
             }
-            if !self.services.contains_key(&route.service) {
+            self.check_targets(route)?;
+        }
+        Ok(())
+    }
+
+    fn check_targets(&self, route: &RouteSettings) -> Result<(), ConfigurationError> {
+        let mut weights = 0;
+        for target in route.targets() {
+            weights += target.weight;
+            if !self.services.contains_key(&target.service) {
                 return Err(ConfigurationError::UnknownService {
-                    prefix: route.prefix.clone(),
-                    service: route.service.clone(),
+                    prefix: route.place(),
+                    service: target.service,
                 });
             }
         }
+        let both = route.service.is_some() && !route.weighted.is_empty();
+        if both || weights == 0 {
+            return Err(ConfigurationError::NoTarget { prefix: route.place() });
+        }
         Ok(())
     }
 }
--- a/crates/seamhatch-policy/src/error.rs
+++ b/crates/seamhatch-policy/src/error.rs
@@ -39,6 +39,14 @@
         /// The service it names.
         service: String,
     },
+    /// A route leads nowhere, or says so twice.
+    #[error(
+        "route {prefix:?} needs either `service` or `weighted` with a weight above 0; write one of the two"
+    )]
+    NoTarget {
+        /// The route's path prefix.
+        prefix: String,
+    },
     /// Two routes have one prefix.
     #[error("two routes have the prefix {prefix:?}; remove one")]
     DuplicateRoute {
--- a/crates/seamhatch-policy/src/lib.rs
+++ b/crates/seamhatch-policy/src/lib.rs
@@ -12,7 +12,9 @@
 mod stored;
 
 pub use configuration::{Configuration, Route};
-pub use document::{Document, RouteSettings, Sample, ServiceSettings};
+pub use document::{
+    Document, LimitSettings, RouteAttributes, RouteSettings, Sample, ServiceSettings, WeightedService,
+};
 pub use error::ConfigurationError;
-pub use program::{Decision, PolicyProgram, PolicyRequest, ServerView};
+pub use program::{Decision, PolicyProgram, PolicyRequest, RouteView, ServerView};
 pub use stored::{StoredConfiguration, SubmissionRecord};
--- a/crates/seamhatch-policy/src/program.rs
+++ b/crates/seamhatch-policy/src/program.rs
@@ -10,6 +10,7 @@
 //! | `repeatable` | request | bool | method is GET, HEAD or OPTIONS |
 //! | `stop_sending` | server | bool | false |
 
+use crate::document::RouteAttributes;
 use crate::error::ConfigurationError;
 use rhai::{AST, Dynamic, Engine, Map, Scope};
 use seamhatch_core::claims::LONGEST_REQUEST;
@@ -57,6 +58,34 @@
     pub service: String,
     /// Header fields from outside, names in lower case.
     pub headers: BTreeMap<String, String>,
+    /// The route that it takes.
+    pub route: RouteView,
+}
+
+/// What a policy sees of a route.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct RouteView {
+    /// Its name; empty where it has none.
+    pub name: String,
+    /// What the operator says of its requests.
+    pub attributes: RouteAttributes,
+}
+
+impl RouteView {
+    fn to_map(&self) -> Map {
+        fn optional(value: Option<u64>) -> Dynamic {
+            value.map_or(Dynamic::UNIT, |value| Dynamic::from(value as i64))
+        }
+        let attributes = self.attributes;
+        let mut map = Map::new();
+        map.insert("name".into(), self.name.clone().into());
+        map.insert("repeatable".into(), attributes.repeatable.map_or(Dynamic::UNIT, Dynamic::from));
+        map.insert("rank".into(), optional(attributes.rank.map(u64::from)));
+        map.insert("objective_ms".into(), optional(attributes.objective_ms));
+        map.insert("timeout_ms".into(), optional(attributes.timeout_ms));
+        map.insert("dispatches".into(), optional(attributes.dispatches.map(u64::from)));
+        map
+    }
 }
 
 impl PolicyRequest {
@@ -69,6 +98,7 @@
         map.insert("query".into(), self.query.clone().into());
         map.insert("service".into(), self.service.clone().into());
         map.insert("headers".into(), headers.into());
+        map.insert("route".into(), self.route.to_map().into());
         map
     }
 }
@@ -150,29 +180,62 @@
     pub fn decide(&self, request: &PolicyRequest) -> Decision {
         let mut failed = Vec::new();
         let argument = request.to_map();
-        let class = self.class(&argument).unwrap_or_else(|_| {
+        let attributes = &request.route.attributes;
+        let class = self.class(&argument, attributes).unwrap_or_else(|_| {
             failed.push(CLASSIFY);
             PriorityClass::Normal
         });
-        let retries = self.retries(&argument).unwrap_or_else(|_| {
+        let retries = self.retries(&argument, attributes).unwrap_or_else(|_| {
             failed.push(RETRIES);
             0
         });
-        let deadline = self.deadline(&argument).unwrap_or_else(|_| {
+        let deadline = self.deadline(&argument, attributes).unwrap_or_else(|_| {
             failed.push(DEADLINE);
-            DEFAULT_DEADLINE
-        });
-        let repeatable = self.repeatable_map(&argument, &request.method).unwrap_or_else(|_| {
-            failed.push(REPEATABLE);
-            false
+            bounded_deadline(DEFAULT_DEADLINE, attributes)
         });
+        let repeatable =
+            self.repeatable_map(&argument, attributes, || is_safe(&request.method)).unwrap_or_else(|_| {
+                failed.push(REPEATABLE);
+                false
+            });
         Decision { class, retries, deadline, repeatable, failed }
     }
 
+    /// The decision for every request of a route, where it depends on nothing else.
+    ///
+    /// The functions run on the route and its service alone, and reading anything else of the
+    /// request fails. None when one of them failed: then each request is decided by itself. A
+    /// program that only looks whether a field is there (`"method" in request`) is not recognised.
+    #[must_use]
+    pub fn decide_route(&mut self, route: &RouteView, service: &str) -> Option<Decision> {
+        // Without the operator's word, the method decides.
+        if route.attributes.repeatable.is_none() && !self.defined.contains(&REPEATABLE) {
+            return None;
+        }
+        let mut argument = Map::new();
+        argument.insert("service".into(), service.into());
+        argument.insert("route".into(), route.to_map().into());
+        self.engine.set_fail_on_invalid_map_property(true);
+        let decision = self.decide_all(&argument, &route.attributes);
+        self.engine.set_fail_on_invalid_map_property(false);
+        decision.ok()
+    }
+
+    fn decide_all(&self, argument: &Map, attributes: &RouteAttributes) -> Result<Decision, Failure> {
+        Ok(Decision {
+            class: self.class(argument, attributes)?,
+            retries: self.retries(argument, attributes)?,
+            deadline: self.deadline(argument, attributes)?,
+            repeatable: self.repeatable_map(argument, attributes, || false)?,
+            failed: Vec::new(),
+        })
+    }
+
     /// Whether a request may run more than once; false when the function fails.
     #[must_use]
     pub fn repeatable(&self, request: &PolicyRequest) -> bool {
-        self.repeatable_map(&request.to_map(), &request.method).unwrap_or(false)
+        let otherwise = || is_safe(&request.method);
+        self.repeatable_map(&request.to_map(), &request.route.attributes, otherwise).unwrap_or(false)
     }
 
     /// Whether a server should get no work; false when the function is absent or fails.
@@ -192,11 +255,13 @@
             move |failure| to_error(function, sample, failure)
         };
         let argument = request.to_map();
+        let attributes = &request.route.attributes;
+        let otherwise = || is_safe(&request.method);
         Ok(Decision {
-            class: self.class(&argument).map_err(name(CLASSIFY))?,
-            retries: self.retries(&argument).map_err(name(RETRIES))?,
-            deadline: self.deadline(&argument).map_err(name(DEADLINE))?,
-            repeatable: self.repeatable_map(&argument, &request.method).map_err(name(REPEATABLE))?,
+            class: self.class(&argument, attributes).map_err(name(CLASSIFY))?,
+            retries: self.retries(&argument, attributes).map_err(name(RETRIES))?,
+            deadline: self.deadline(&argument, attributes).map_err(name(DEADLINE))?,
+            repeatable: self.repeatable_map(&argument, attributes, otherwise).map_err(name(REPEATABLE))?,
             failed: Vec::new(),
         })
     }
@@ -212,10 +277,10 @@
             .map_err(|failure| to_error(STOP_SENDING, "an idle server".into(), failure))
     }
 
-    fn class(&self, argument: &Map) -> Result<PriorityClass, Failure> {
+    fn class(&self, argument: &Map, attributes: &RouteAttributes) -> Result<PriorityClass, Failure> {
         const WANTED: &str = "\"critical\", \"normal\", \"bulk\" or \"background\"";
         let Some(value) = self.run(CLASSIFY, argument.clone())? else {
-            return Ok(PriorityClass::Normal);
+            return Ok(class_of_rank(attributes.rank));
         };
         let shown = show(&value);
         let name =
@@ -223,19 +288,36 @@
         name.parse().map_err(|_| Failure::Result { value: shown, wanted: WANTED })
     }
 
-    fn retries(&self, argument: &Map) -> Result<u32, Failure> {
+    fn retries(&self, argument: &Map, attributes: &RouteAttributes) -> Result<u32, Failure> {
         let value = self.integer(RETRIES, argument, 0..=MAX_RETRIES, "an integer from 0 to 100")?;
-        Ok(value.map_or(DEFAULT_RETRIES, |retries| retries as u32))
+        let most = attributes.dispatches.map(|dispatches| dispatches.saturating_sub(1));
+        let retries = value.map_or(most.unwrap_or(DEFAULT_RETRIES), |retries| retries as u32);
+        Ok(retries.min(most.unwrap_or(u32::MAX)))
     }
 
-    fn deadline(&self, argument: &Map) -> Result<Microseconds, Failure> {
+    fn deadline(&self, argument: &Map, attributes: &RouteAttributes) -> Result<Microseconds, Failure> {
         let value = self.integer(DEADLINE, argument, 1..=MAX_DEADLINE_MS, "an integer from 1 to 120000")?;
-        Ok(value.map_or(DEFAULT_DEADLINE, |milliseconds| milliseconds as u64 * MILLISECOND))
+        let deadline = value.map_or(MAX_DEADLINE_MS as u64, |milliseconds| milliseconds as u64);
+        let unbounded = value.is_none() && attributes.timeout_ms.is_none();
+        let deadline = if unbounded { DEFAULT_DEADLINE } else { deadline * MILLISECOND };
+        Ok(bounded_deadline(deadline, attributes))
     }
 
-    fn repeatable_map(&self, argument: &Map, method: &str) -> Result<bool, Failure> {
-        let value = self.boolean(REPEATABLE, argument.clone())?;
-        Ok(value.unwrap_or(matches!(method, "GET" | "HEAD" | "OPTIONS")))
+    /// The operator's word on the route bounds the policy's: it may forbid a repeat, not allow one.
+    fn repeatable_map(
+        &self,
+        argument: &Map,
+        attributes: &RouteAttributes,
+        otherwise: impl Fn() -> bool,
+    ) -> Result<bool, Failure> {
+        let allowed = attributes.repeatable;
+        let wanted = self.boolean(REPEATABLE, argument.clone())?;
+        Ok(match (allowed, wanted) {
+            (Some(allowed), Some(wanted)) => allowed && wanted,
+            (Some(allowed), None) => allowed,
+            (None, Some(wanted)) => wanted,
+            (None, None) => otherwise(),
+        })
     }
 
     fn stop_sending_result(&self, server: &ServerView) -> Result<bool, Failure> {
@@ -281,6 +363,21 @@
     }
 }
 
+/// Whether a method may run more than once by its own meaning.
+fn is_safe(method: &str) -> bool {
+    matches!(method, "GET" | "HEAD" | "OPTIONS")
+}
+
+/// The class of a route's rank where the policy does not say.
+fn class_of_rank(rank: Option<u8>) -> PriorityClass {
+    let Some(rank) = rank else { return PriorityClass::Normal };
+    PriorityClass::ALL.get(usize::from(rank)).copied().unwrap_or(PriorityClass::Background)
+}
+
+fn bounded_deadline(deadline: Microseconds, attributes: &RouteAttributes) -> Microseconds {
+    attributes.timeout_ms.map_or(deadline, |timeout| deadline.min(timeout * MILLISECOND))
+}
+
 fn limited_engine() -> Engine {
     let mut engine = Engine::new();
     engine.set_max_operations(MAX_OPERATIONS);
--- a/crates/seamhatch-wire/src/message.rs
+++ b/crates/seamhatch-wire/src/message.rs
@@ -8,6 +8,7 @@
 use seamhatch_core::clock::{Instant, Microseconds};
 use seamhatch_core::generation::Generation;
 use seamhatch_core::identity::{Address, CallId, Incarnation, RootId};
+use seamhatch_core::instance::InstanceId;
 use seamhatch_core::outcome::{Outcome, Reason};
 use seamhatch_core::priority::{AdmissionFloor, Priority};
 use seamhatch_core::roster::Roster;
@@ -117,6 +118,8 @@
     pub cluster: String,
     /// The speaker's peer address.
     pub peer: Address,
+    /// The speaker's gossip address, so that who is called learns of a restarted member.
+    pub gossip: Address,
     /// The speaker's life.
     pub incarnation: Incarnation,
     /// The speaker's boot clock.
@@ -164,6 +167,8 @@
     pub repeatable: bool,
     /// Expiry in the receiver's boot clock.
     pub expiry: Instant,
+    /// How long it may wait for a slot before a refusal is worth more than its answer.
+    pub patience: Microseconds,
     /// Services on the way from the entry to here, for the admission floors.
     pub depth: u32,
 }
@@ -290,6 +295,18 @@
         /// The newest accepted configuration, in the configuration shard.
         held: Option<StoredConfiguration>,
     },
+    /// Asks to remember that an instance of the back end beside `member` takes no work any more.
+    RememberDeparture {
+        /// Gossip address of the daemon beside it.
+        member: Address,
+        /// The instance.
+        instance: InstanceId,
+    },
+    /// Asks which instances beside `member` are remembered as departed.
+    GetDepartures {
+        /// Gossip address of the daemon beside them.
+        member: Address,
+    },
     /// Asks the holder of a claim what became of it.
     GetRecorded {
         /// The claim's key.
@@ -323,6 +340,8 @@
     },
     /// What became of a claim.
     Recorded(RecordedState),
+    /// Departed instances, the latest last.
+    Departures(Vec<InstanceId>),
 }
 
 /// What became of a claimed call, as its holder knows.
