--- a/crates/seamhatch-core/src/instance.rs
+++ b/crates/seamhatch-core/src/instance.rs
@@ -13,9 +13,7 @@
 pub const REMEMBERED_DEPARTURES: usize = 32;
 
 /// Names one life of a back end; chosen by the back end.
-#[derive(
-    Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Readable, Writable, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Readable, Writable, Serialize, Deserialize)]
 pub struct InstanceId(pub String);
 
 /// What an instance says of itself.
--- a/crates/seamhatch-lab/src/hollow.rs
+++ b/crates/seamhatch-lab/src/hollow.rs
@@ -11,9 +11,7 @@
 use seamhatchd::controllers::{ControlHandle, ControlThread, SubmitRequest};
 use seamhatchd::peer;
 use seamhatchd::ports::Ports;
-use seamhatchd::settings::{
-    AdvertiseSettings, ListenSettings, LogFormat, LogSettings, Settings,
-};
+use seamhatchd::settings::{AdvertiseSettings, ListenSettings, LogFormat, LogSettings, Settings};
 use seamhatchd::shared::Shared;
 use seamhatchd::startup::assemble;
 use std::ffi::OsString;
--- a/crates/seamhatch-policy/tests/routes.rs
+++ b/crates/seamhatch-policy/tests/routes.rs
@@ -83,7 +83,8 @@
 
 #[test]
 fn a_policy_that_reads_the_request_is_not_decided_by_route() {
-    let configuration = compile("fn classify(request) { if request.method == \"GET\" { \"bulk\" } else { \"normal\" } }");
+    let configuration =
+        compile("fn classify(request) { if request.method == \"GET\" { \"bulk\" } else { \"normal\" } }");
     assert_eq!(configuration.find(Some("shop.example"), "/a/1").expect("known").decision, None);
     let headers = BTreeMap::from([("host".to_owned(), "shop.example".to_owned())]);
     let decision = configuration.policy().decide(&configuration.request("GET", "/a/1", headers));
--- a/crates/seamhatchd/src/backend/mod.rs
+++ b/crates/seamhatchd/src/backend/mod.rs
@@ -47,7 +47,9 @@
 #[derive(Debug, Error)]
 pub enum BackendError {
     /// It did not run the call and won't: nothing was written, or it says so itself.
-    #[error("the back end did not run the call ({reason}): {detail}; check that it listens on backend.address")]
+    #[error(
+        "the back end did not run the call ({reason}): {detail}; check that it listens on backend.address"
+    )]
     NotRun {
         /// The kind of failure.
         reason: Reason,
@@ -228,10 +230,8 @@
         body: HttpRequestBody,
     ) -> Result<Request<HttpRequestBody>, http::Error> {
         let uri = request.path.parse::<Uri>()?;
-        let mut message = Request::builder()
-            .method(Method::from_bytes(request.method.as_bytes())?)
-            .uri(uri)
-            .body(body)?;
+        let mut message =
+            Request::builder().method(Method::from_bytes(request.method.as_bytes())?).uri(uri).body(body)?;
         let fields = message.headers_mut();
         headers::append_fields(fields, request.headers);
         headers::append_fields(fields, &self.conventions.back_end_fields(call));
--- a/crates/seamhatchd/src/controllers/control_thread/configuration.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/configuration.rs
@@ -3,8 +3,8 @@
 use super::{ControlThread, FANOUT};
 use crate::controllers::ask::{ask_daemon, ask_generation};
 use crate::controllers::events::{ControlEvent, SubmitRequest};
-use crate::ports::Backing;
 use crate::controllers::submission::{Submission, SubmitError};
+use crate::ports::Backing;
 use seamhatch_core::generation::{Generation, Offer};
 use seamhatch_core::identity::Address;
 use seamhatch_core::membership::GossipMessage;
--- a/crates/seamhatchd/src/controllers/control_thread/followed.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/followed.rs
@@ -215,7 +215,9 @@
         }
         following.next_departure_poll = now.plus(DEPARTURE_POLL);
         if now.since(self.started) > DEPARTURE_PATIENCE {
-            warn!("neither the store nor a peer tells what departed before this start; the back end's word is taken");
+            warn!(
+                "neither the store nor a peer tells what departed before this start; the back end's word is taken"
+            );
             return self.departures_learnt(&[]);
         }
         let peers = self.departure_peers(DEPARTURE_ASKED);
--- a/crates/seamhatchd/src/controllers/control_thread/requests.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/requests.rs
@@ -74,7 +74,9 @@
         ControlReply::Sealed { claims, held: self.configuration.highest().filter(|_| holds) }
     }
 
-    pub(super) fn report_status(&self, reply: oneshot::Sender<status::StatusReport>) {
+    pub(super) fn report_status(&mut self, reply: oneshot::Sender<status::StatusReport>) {
+        // What operators are told is what traffic goes by.
+        self.publish_if_changed();
         let input = StatusInput {
             me: self.membership.state.me().clone(),
             others: self.membership.state.others().cloned().collect(),
--- a/crates/seamhatchd/src/conventions/own.rs
+++ b/crates/seamhatchd/src/conventions/own.rs
@@ -1,8 +1,6 @@
 //! The product's own header fields.
 
-use super::{
-    AnswerMark, AnswerVerdict, BackEndCall, CallerTerms, HttpConventions, OwnAnswer, field, text,
-};
+use super::{AnswerMark, AnswerVerdict, BackEndCall, CallerTerms, HttpConventions, OwnAnswer, field, text};
 use crate::headers;
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
--- a/crates/seamhatchd/src/dispatch/replay.rs
+++ b/crates/seamhatchd/src/dispatch/replay.rs
@@ -8,7 +8,6 @@
 use seamhatch_core::identity::Fingerprint;
 use seamhatch_core::outcome::Reason;
 
-
 /// Part of a request body that is kept, so that the call can be sent again.
 const REPLAY_BYTES: usize = 64 * 1024;
 
--- a/crates/seamhatchd/src/filters/limits.rs
+++ b/crates/seamhatchd/src/filters/limits.rs
@@ -16,20 +16,18 @@
 impl RequestFilter for RequestLimits {
     fn apply(&self, shared: &Shared, request: &mut RequestState) -> Result<(), Rejection> {
         let headers: usize = request.headers.iter().map(|field| field.name.len() + field.value.len()).sum();
-        if let Some(rejection) = above_configured(shared, request, headers + request.path.len()) {
-            shared.metrics.bad_input(BadInput::Request);
-            return Err(rejection);
-        }
-        let problem = if request.path.len() > LONGEST_PATH {
-            Some("the path is longer than 8 KiB; shorten it or send the data in the body")
+        let rejection = if request.path.len() > LONGEST_PATH {
+            let detail = "the path is longer than 8 KiB; shorten it or send the data in the body";
+            Some(Rejection::not_run(Reason::HeadTooLarge, detail))
         } else if headers > LARGEST_HEADERS {
-            Some("the header fields are larger than 32 KiB; send the data in the body")
+            let detail = "the header fields are larger than 32 KiB; send the data in the body";
+            Some(Rejection::not_run(Reason::HeadTooLarge, detail))
         } else {
-            None
+            above_configured(shared, request, headers + request.path.len())
         };
-        let Some(detail) = problem else { return Ok(()) };
+        let Some(rejection) = rejection else { return Ok(()) };
         shared.metrics.bad_input(BadInput::Request);
-        Err(Rejection::not_run(Reason::BadRequest, detail))
+        Err(rejection)
     }
 }
 
--- a/crates/seamhatchd/src/headers.rs
+++ b/crates/seamhatchd/src/headers.rs
@@ -1,7 +1,7 @@
 //! Names of the HTTP header fields that seamhatch sets, and which fields pass through.
 
-use seamhatch_wire::HeaderField;
 use http::header::{HeaderMap, HeaderName, HeaderValue};
+use seamhatch_wire::HeaderField;
 
 /// Prefix of all fields that only daemons set.
 pub const PREFIX: &str = "seamhatch-";
--- a/crates/seamhatchd/src/instances.rs
+++ b/crates/seamhatchd/src/instances.rs
@@ -80,7 +80,8 @@
             Self::Fixed => false,
             Self::Registered(registry) => {
                 let mut registry = lock(registry);
-                departed.into_iter().fold(false, |closed, instance| registry.depart(instance) || closed)
+                let closed = departed.into_iter().filter(|instance| registry.depart(instance));
+                closed.count() > 0
             }
         }
     }
--- a/crates/seamhatchd/src/listeners/callers.rs
+++ b/crates/seamhatchd/src/listeners/callers.rs
@@ -12,7 +12,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::JoinHandle;
+use tokio::sync::oneshot;
 
 /// Buffer for a request head in bytes; the filters' own limits are lower and answer better.
 const HEAD_BUFFER: usize = 64 * 1024;
@@ -25,13 +25,9 @@
 
 /// A running listener for requests; dropping it refuses new connections, while open ones go on.
 #[derive(Debug)]
-pub struct CallerListener(JoinHandle<()>);
-
-impl Drop for CallerListener {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
+pub struct CallerListener(
+    #[expect(dead_code, reason = "its end is what the acceptor waits for")] oneshot::Sender<()>,
+);
 
 /// Binds an address and serves requests there.
 ///
@@ -39,12 +35,20 @@
 /// The address can't be bound.
 pub async fn listen(address: SocketAddr, handler: RequestHandler) -> std::io::Result<CallerListener> {
     let listener = TcpListener::bind(address).await?;
-    Ok(CallerListener(tokio::spawn(accept(listener, Arc::new(handler)))))
+    let (open, closed) = oneshot::channel();
+    tokio::spawn(accept(listener, Arc::new(handler), closed));
+    Ok(CallerListener(open))
 }
 
-async fn accept(listener: TcpListener, handler: Arc<RequestHandler>) {
+async fn accept(listener: TcpListener, handler: Arc<RequestHandler>, mut closed: oneshot::Receiver<()>) {
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            // Connections that have come up are served before the listener ends.
+            biased;
+            accepted = listener.accept() => accepted,
+            _ = &mut closed => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 tokio::spawn(serve(stream, handler.clone()));
             }
--- a/crates/seamhatchd/src/listeners/registry.rs
+++ b/crates/seamhatchd/src/listeners/registry.rs
@@ -61,7 +61,9 @@
     let response = match parts.method {
         Method::PUT => heartbeat(&shared, instance, body).await,
         Method::DELETE => answer(shared.control.instance_departs(instance).await),
-        _ => problem(StatusCode::METHOD_NOT_ALLOWED, "method", "use PUT for a heartbeat, DELETE for a goodbye"),
+        _ => {
+            problem(StatusCode::METHOD_NOT_ALLOWED, "method", "use PUT for a heartbeat, DELETE for a goodbye")
+        }
     };
     Ok(response)
 }
@@ -76,7 +78,8 @@
         Err(unusable) => return problem(unusable.status, "bad-heartbeat", &unusable.detail),
     };
     if told.service != shared.settings.service {
-        let detail = "the instance is of another service than this daemon's; check `service` in both settings";
+        let detail =
+            "the instance is of another service than this daemon's; check `service` in both settings";
         return problem(StatusCode::CONFLICT, "other-service", detail);
     }
     if told.slots == 0 || told.slots > MOST_SLOTS || !(0.0..=LONGEST_COLD_MS).contains(&told.cold_for_ms) {
--- a/crates/seamhatchd/src/peer/server.rs
+++ b/crates/seamhatchd/src/peer/server.rs
@@ -377,7 +377,12 @@
     }
 
     /// Passes the answer on; true when it was complete.
-    async fn pass_answer(&self, running: &RunningCall, mut answer: BackendAnswer, beginning: Beginning) -> bool {
+    async fn pass_answer(
+        &self,
+        running: &RunningCall,
+        mut answer: BackendAnswer,
+        beginning: Beginning,
+    ) -> bool {
         let report = self.shared.gate.report();
         let conventions = &self.shared.conventions;
         let head = AnswerHead {
@@ -391,15 +396,21 @@
         for piece in beginning.pieces {
             self.send_pieces(piece).await;
         }
-        while !beginning.whole {
+        if !beginning.whole && !self.pass_rest(&mut answer).await {
+            return false;
+        }
+        self.shared.backend.finish(answer);
+        true
+    }
+
+    async fn pass_rest(&self, answer: &mut BackendAnswer) -> bool {
+        loop {
             match answer.next().await {
                 Ok(Some(piece)) => self.send_pieces(piece).await,
-                Ok(None) => break,
+                Ok(None) => return true,
                 Err(_) => return false,
             }
         }
-        self.shared.backend.finish(answer);
-        true
     }
 
     async fn send_pieces(&self, mut data: Bytes) {
--- a/crates/seamhatchd/src/shared.rs
+++ b/crates/seamhatchd/src/shared.rs
@@ -3,8 +3,8 @@
 use crate::backend::Backend;
 use crate::claims::{ClaimRecords, Witnesses};
 use crate::controllers::ControlHandle;
-use crate::filters::EntryFloors;
 use crate::conventions::HttpConventions;
+use crate::filters::EntryFloors;
 use crate::gate::AdmissionGate;
 use crate::instances::Instances;
 use crate::metrics::Metrics;
