--- a/crates/seamhatchd/src/controllers/control_thread/store.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/store.rs
@@ -121,6 +121,6 @@
         }
         info!(generation = self.configuration.generation().0; "ready");
         self.shared.ready.store(true, Ordering::Release);
-        self.update_lifecycle();
+        self.work_changed();
     }
 }
--- a/crates/seamhatchd/src/peer/link.rs
+++ b/crates/seamhatchd/src/peer/link.rs
@@ -70,15 +70,20 @@
 /// Puts heartbeats into the outbox until it closes.
 pub async fn send_pulses(shared: &Shared, outbox: Outbox) {
     let mut interval = tokio::time::interval(PULSE_INTERVAL);
+    interval.tick().await;
     loop {
-        tokio::select! {
-            _ = interval.tick() => {}
-            // A drain must not wait for the next heartbeat.
-            () = shared.work_changed.notified() => {}
-        }
+        // Before the state is read, so that no later change of it is missed.
+        let changed = shared.work_changed.notified();
+        tokio::pin!(changed);
+        changed.as_mut().enable();
         if outbox.send(PeerMessage::Pulse(pulse(shared))).is_err() {
             return;
         }
+        tokio::select! {
+            _ = interval.tick() => {}
+            // A server that begins or ceases to take work must not wait for the next heartbeat.
+            () = changed => {}
+        }
     }
 }
 
