Admission floors reach the entry through the calls that servers make

Cause: at a shared listener a server's call became a running call of its own, so the floors it met were not told to the request that caused it, and the entry went on admitting what failed deep in the chain.

--- a/crates/seamhatchd/src/filters/classification.rs
+++ b/crates/seamhatchd/src/filters/classification.rs
@@ -73,9 +73,7 @@
         let call = match request.parent.take() {
             Some(parent) => {
                 request.class = parent.priority.class;
-                let expiry = parent.expiry.min(now.plus(held));
-                let depth = parent.depth.max(1);
-                RunningCall::new(parent.root, parent.priority, parent.root_admitted, expiry, depth, ledger)
+                RunningCall::caused_by(parent, now.plus(held), ledger)
             }
             None => {
                 request.class = decision.class;
--- a/crates/seamhatchd/src/running.rs
+++ b/crates/seamhatchd/src/running.rs
@@ -26,6 +26,7 @@
     pub depth: u32,
     ledger: Mutex<RetryLedger>,
     chain_floor: Mutex<AdmissionFloor>,
+    cause: Option<Arc<RunningCall>>,
 }
 
 impl RunningCall {
@@ -40,7 +41,18 @@
         ledger: RetryLedger,
     ) -> Self {
         let chain_floor = Mutex::new(AdmissionFloor::OPEN);
-        Self { root, priority, root_admitted, expiry, depth, ledger: Mutex::new(ledger), chain_floor }
+        let ledger = Mutex::new(ledger);
+        Self { root, priority, root_admitted, expiry, depth, ledger, chain_floor, cause: None }
+    }
+
+    /// A call that the running call `cause` makes, with its own deadline and retries. It has the place
+    /// of its cause in the order of shedding, and tells it the floors that it meets.
+    #[must_use]
+    pub fn caused_by(cause: Arc<RunningCall>, expiry: Instant, ledger: RetryLedger) -> Self {
+        let expiry = cause.expiry.min(expiry);
+        let depth = cause.depth.max(1);
+        let call = Self::new(cause.root, cause.priority, cause.root_admitted, expiry, depth, ledger);
+        Self { cause: Some(cause), ..call }
     }
 
     /// Its retry tokens and child calls.
@@ -56,6 +68,9 @@
 
     /// Takes in a floor met below.
     pub fn lower_chain_floor(&self, floor: AdmissionFloor) {
+        if let Some(cause) = &self.cause {
+            cause.lower_chain_floor(floor);
+        }
         let mut lowest = self.chain_floor.lock().expect("floor lock");
         *lowest = (*lowest).min(floor);
     }
