No class starves at a bottleneck; a refusal keeps its reason; a log line for each run and refusal

Also: a call refused by every server said 'no-server' (default advice); now the last server's reason.

--- a/crates/seamhatch-core/src/priority.rs
+++ b/crates/seamhatch-core/src/priority.rs
@@ -72,6 +72,9 @@
 /// Buckets in a class.
 pub const BUCKETS: u8 = 128;
 
+/// Buckets of each class that are kept from starving: one in 32 of its requests.
+pub const KEPT_BUCKETS: u8 = 4;
+
 /// A request's place in the order of shedding: class first, then bucket.
 ///
 /// The bucket comes from the root id alone, so every daemon of a chain gives
@@ -95,9 +98,16 @@
     }
 
     /// Position on a single scale from 0 (most important) upward.
+    ///
+    /// The first [`KEPT_BUCKETS`] of every class lie among the most important: however little a
+    /// bottleneck can serve, no class is starved there, and it is the same requests at every daemon.
     #[must_use]
     pub fn level(self) -> u16 {
-        self.class.rank() as u16 * u16::from(BUCKETS) + u16::from(self.bucket)
+        let bucket = u16::from(self.bucket);
+        if self.bucket < KEPT_BUCKETS {
+            return bucket;
+        }
+        self.class.rank() as u16 * u16::from(BUCKETS) + bucket
     }
 }
 
--- a/crates/seamhatch-core/tests/decisions.rs
+++ b/crates/seamhatch-core/tests/decisions.rs
@@ -157,3 +157,16 @@
     }
     assert!((95..=103).contains(&retries), "{retries}");
 }
+
+/// With a strict order of classes alone, a bottleneck that the most important class fills starves all others.
+#[test]
+fn a_few_requests_of_every_class_lie_among_the_most_important() {
+    use seamhatch_core::priority::{AdmissionFloor, BUCKETS, KEPT_BUCKETS, Priority, PriorityClass};
+    let floor = AdmissionFloor(u16::from(KEPT_BUCKETS));
+    for class in PriorityClass::ALL {
+        let admitted = (0..BUCKETS).filter(|&bucket| floor.admits(Priority { class, bucket })).count();
+        assert_eq!(admitted, usize::from(KEPT_BUCKETS), "{class:?}");
+    }
+    let level = |class, bucket| Priority { class, bucket }.level();
+    assert!(level(PriorityClass::Critical, BUCKETS - 1) < level(PriorityClass::Normal, KEPT_BUCKETS));
+}
--- a/crates/seamhatchd/src/dispatch/mod.rs
+++ b/crates/seamhatchd/src/dispatch/mod.rs
@@ -74,6 +74,7 @@
     tried: Vec<Address>,
     /// Servers that refused for pressure.
     pressed: u32,
+    last_refusal: Option<Refusal>,
     may_have_run: bool,
 }
 
@@ -113,6 +114,7 @@
         repeat: first.repeat,
         tried: Vec::new(),
         pressed: 0,
+        last_refusal: None,
         may_have_run: false,
     };
     // Before anything that may refuse: `not-run` is true of a request with a key
@@ -181,7 +183,11 @@
         loop {
             let connection = match self.connect().await {
                 Ok(connection) => connection,
-                Err(rejection) => return self.reject(rejection),
+                // What the last server said tells the caller more than that no other is left.
+                Err(rejection) => {
+                    let refused = self.last_refusal.take().map(|refusal| refused(&refusal));
+                    return self.reject(refused.unwrap_or(rejection));
+                }
             };
             let attempt = self.attempt(&connection).await;
             connection.record(call_end(&attempt));
@@ -197,6 +203,7 @@
                     if !self.may_send_again(refusal.reason, reached) {
                         return self.reject(refused(&refusal));
                     }
+                    self.last_refusal = Some(refusal);
                 }
                 Attempt::Lost => {
                     self.may_have_run = true;
--- a/crates/seamhatchd/src/peer/server.rs
+++ b/crates/seamhatchd/src/peer/server.rs
@@ -12,9 +12,10 @@
 use crate::running::RunningCall;
 use crate::shared::Shared;
 use bytes::Bytes;
-use log::{debug, warn};
+use log::{debug, info, warn};
+use seamhatch_core::Instant;
 use seamhatch_core::clock::{MILLISECOND, Microseconds};
-use seamhatch_core::identity::CallId;
+use seamhatch_core::identity::{Address, CallId};
 use seamhatch_core::outcome::{Outcome, Reason};
 use seamhatch_core::retry::RetryLedger;
 use seamhatch_wire::{
@@ -185,6 +186,8 @@
             window,
             cancelled,
             head,
+            from: self.hello.peer,
+            arrived: clock::now(),
         };
         tokio::spawn(async move { server_call.run(body).await });
     }
@@ -260,6 +263,9 @@
     window: Arc<CreditWindow>,
     cancelled: Arc<Cancellation>,
     head: CallHead,
+    /// Peer address of the daemon that sent it.
+    from: Address,
+    arrived: Instant,
 }
 
 impl Drop for ServerCall {
@@ -331,6 +337,7 @@
             instance: instance.id.as_ref(),
         };
         self.shared.metrics.execution(running.priority.class);
+        let started = clock::now();
         let exchange = async {
             let mut answer = self.shared.backend.send(&request, body).await?;
             let beginning = Beginning::read(&mut answer).await?;
@@ -342,6 +349,7 @@
         };
         match exchanged {
             Ok((answer, beginning)) => {
+                let status = answer.status.as_u16();
                 let complete = tokio::select! {
                     complete = self.pass_answer(running, answer, beginning) => complete,
                     () = self.given_up() => false,
@@ -350,6 +358,7 @@
                     permit.mark_succeeded();
                 }
                 drop(permit);
+                self.log_run(status, complete, started);
                 self.end(running, complete);
             }
             Err(BackendError::NotRun { reason, detail }) => {
@@ -424,6 +433,24 @@
         }
     }
 
+    fn log_run(&self, status: u16, complete: bool, started: Instant) {
+        info!(
+            request = self.log_name().as_str(),
+            from = self.from.to_string().as_str(),
+            status = status,
+            complete = complete,
+            waited_ms = started.since(self.arrived) / MILLISECOND,
+            ran_ms = clock::now().since(started) / MILLISECOND;
+            "call ran"
+        );
+    }
+
+    /// How logs name the request.
+    fn log_name(&self) -> String {
+        let name = self.shared.conventions.request_name(&self.head.headers);
+        name.map_or_else(|| self.head.context.root.to_string(), str::to_owned)
+    }
+
     fn end(&self, running: &RunningCall, complete: bool) {
         let unspent_tokens = running.ledger().tokens();
         let tail = AnswerTail { call: self.head.call, complete, unspent_tokens };
@@ -432,12 +459,26 @@
 
     fn refuse(&self, running: &RunningCall, outcome: Outcome, reason: Reason) {
         self.shared.metrics.refusal(outcome, reason, running.priority.class);
+        let server = self.shared.gate.report();
+        info!(
+            request = self.log_name().as_str(),
+            root = self.head.context.root.to_string().as_str(),
+            from = self.from.to_string().as_str(),
+            outcome = outcome.name(),
+            reason = reason.name(),
+            priority = running.priority.level(),
+            load = server.load,
+            limit = server.limit,
+            floor = server.floor.0,
+            left_ms = running.expiry.since(clock::now()) / MILLISECOND;
+            "call refused"
+        );
         let refusal = Refusal {
             outcome,
             reason,
             retry_after: self.retry_after(reason),
             unspent_tokens: running.ledger().tokens(),
-            server: self.shared.gate.report(),
+            server,
         };
         let _ = self.outbox.send(PeerMessage::Refused { call: self.head.call, refusal });
     }
--- /dev/null
+++ b/crates/seamhatchd/tests/running.rs
@@ -0,0 +1,39 @@
+//! Calls that run beside a daemon, and what they tell the call that caused them.
+
+use seamhatch_core::Instant;
+use seamhatch_core::identity::{Incarnation, RootId};
+use seamhatch_core::priority::{AdmissionFloor, Priority, PriorityClass};
+use seamhatch_core::retry::RetryLedger;
+use seamhatchd::running::{RunningCall, RunningCalls};
+use std::sync::Arc;
+
+fn call(expiry: u64) -> Arc<RunningCall> {
+    let root = RootId(7);
+    let priority = Priority::new(PriorityClass::Critical, root);
+    Arc::new(RunningCall::new(root, priority, Instant(1), Instant(expiry), 3, RetryLedger::new(2, false)))
+}
+
+/// Without it the entry goes on admitting what fails deep in the chain.
+#[test]
+fn a_floor_met_by_a_caused_call_is_told_to_its_cause() {
+    let cause = call(1_000);
+    let caused = RunningCall::caused_by(cause.clone(), Instant(5_000), RetryLedger::new(0, false));
+    assert_eq!((caused.root, caused.priority, caused.depth), (cause.root, cause.priority, 3));
+    assert_eq!(caused.expiry, cause.expiry);
+    caused.lower_chain_floor(AdmissionFloor(40));
+    assert_eq!((caused.chain_floor(), cause.chain_floor()), (AdmissionFloor(40), AdmissionFloor(40)));
+}
+
+#[test]
+fn a_call_is_found_by_its_name_until_it_ends() {
+    let calls = RunningCalls::new(Incarnation(1));
+    let first = calls.register(call(1), Some("a"));
+    let repeated = calls.register(call(2), Some("a"));
+    assert_eq!(calls.find_by_name("a").map(|call| call.expiry), Some(Instant(2)));
+    drop(first);
+    // The end of the first must not hide the repeat.
+    assert!(calls.find_by_name("a").is_some());
+    drop(repeated);
+    assert!(calls.find_by_name("a").is_none());
+    assert_eq!(calls.count(), 0);
+}
