seamhatch trace; settings, peers and controllers split by job; logs name server, attempts and time

A silent connection is replaced by a new one when something is to be asked. trace orders the lines of many daemons by time and adds what they came to believe meanwhile (test on lines of two daemons).

--- a/crates/seamhatch/src/arguments.rs
+++ b/crates/seamhatch/src/arguments.rs
@@ -20,6 +20,7 @@
   history         show the latest accepted submissions
   explain         show what the policy decides for a request
   drain           let a member finish its work and take no more
+  trace ID        show a request's path in the logs of daemons
 
   --daemon IP:PORT  admin address of a daemon; may be repeated, the next is
                     tried when one can't be reached (or set SEAMHATCH_DAEMON)
@@ -80,6 +81,14 @@
   --wait  wait until the daemon that is asked has nothing in progress
 ";
 
+const TRACE_HELP: &str = "\
+seamhatch trace ID [FILE]...
+
+Reads logs of daemons (JSON, one file for each, or standard input), and prints what
+happened to the request with this id and to its calls, in order of time. Lines marked
+with * tell what the daemons on its way came to believe meanwhile.
+";
+
 /// What the command line asks for.
 #[derive(Debug)]
 pub enum Invocation {
@@ -127,6 +136,17 @@
         /// Wait until it has nothing in progress.
         wait: bool,
     },
+    /// Show a request's path in logs.
+    Trace(TraceOptions),
+}
+
+/// Options of `trace`.
+#[derive(Debug)]
+pub struct TraceOptions {
+    /// Id of the request.
+    pub request: String,
+    /// Logs, one for each daemon; standard input if none.
+    pub files: Vec<PathBuf>,
 }
 
 /// Options of `submit`.
@@ -190,6 +210,7 @@
         "history" => Ok(HISTORY_HELP),
         "explain" => Ok(EXPLAIN_HELP),
         "drain" => Ok(DRAIN_HELP),
+        "trace" => Ok(TRACE_HELP),
         _ => Err(usage(format!("unknown command {command:?}"))),
     }
 }
@@ -204,10 +225,20 @@
         "drain" => {
             Ok(Action::Drain { member: value(arguments, "--member")?, wait: arguments.contains("--wait") })
         }
+        "trace" => trace(arguments).map(Action::Trace),
         _ => Err(usage(format!("unknown command {name:?}"))),
     }
 }
 
+fn trace(arguments: &mut Arguments) -> Result<TraceOptions, CliError> {
+    let request = arguments.free_from_str().map_err(|_| usage("trace needs the id of a request"))?;
+    let mut files = Vec::new();
+    while let Some(file) = arguments.opt_free_from_str::<String>().map_err(usage)? {
+        files.push(PathBuf::from(file));
+    }
+    Ok(TraceOptions { request, files })
+}
+
 fn submit(arguments: &mut Arguments) -> Result<SubmitOptions, CliError> {
     let id: Option<String> = value(arguments, "--id")?;
     let parse_id = |text: String| {
--- a/crates/seamhatch/src/commands.rs
+++ b/crates/seamhatch/src/commands.rs
@@ -4,6 +4,7 @@
 use crate::client::{AdminClient, Failure, Problem, Reply};
 use crate::error::CliError;
 use crate::output;
+use crate::trace;
 use seamhatch_core::identity::Address;
 use seamhatch_core::membership::{Lifecycle, Liveness};
 use seamhatch_policy::{Configuration, StoredConfiguration};
@@ -72,6 +73,10 @@
             Ok(output::show(json, &stored.recent, |recent| output::history(recent)))
         }
         Action::Explain(options) => explain(daemons, json, options).await,
+        Action::Trace(options) => {
+            let lines = trace::trace(&options)?;
+            Ok(output::show(json, &lines, |lines| trace::to_text(lines)))
+        }
         Action::Drain { member, wait } => drain(daemons, deadline, member, wait).await,
     }
 }
--- a/crates/seamhatch/src/lib.rs
+++ b/crates/seamhatch/src/lib.rs
@@ -6,6 +6,7 @@
 mod commands;
 mod error;
 mod output;
+pub mod trace;
 
 pub use arguments::HELP;
 pub use error::CliError;
--- a/crates/seamhatch/tests/cli.rs
+++ b/crates/seamhatch/tests/cli.rs
@@ -16,7 +16,7 @@
 
 #[test]
 fn help() {
-    let commands = ["check", "submit", "status", "history", "explain", "drain"];
+    let commands = ["check", "submit", "status", "history", "explain", "drain", "trace"];
     let mut report = text(&run(&["--help"]));
     commands.iter().for_each(|command| report.push_str(&text(&run(&[command, "--help"]))));
     insta::assert_snapshot!(report);
@@ -59,3 +59,32 @@
     let output = run(&["--daemon", "127.0.0.1:9", "status"]);
     assert_eq!(output.status.code(), Some(6));
 }
+
+/// Logs of two daemons: what the request met, and what one of them came to believe meanwhile.
+#[test]
+fn a_trace_shows_a_requests_path_through_the_logs_of_daemons() {
+    let directory = tempfile::tempdir().expect("a directory");
+    let entry = directory.path().join("entry.log");
+    let back = directory.path().join("back.log");
+    std::fs::write(
+        &entry,
+        "not a line of a log\n\
+         {\"time\":\"2026-01-01T00:00:03Z\",\"message\":\"request answered\",\"request\":\"r1\",\"status\":500}\n\
+         {\"time\":\"2026-01-01T00:00:01Z\",\"message\":\"request answered\",\"request\":\"r10\"}\n",
+    )
+    .expect("writes");
+    std::fs::write(
+        &back,
+        "1.25 back-1 {\"time\":\"2026-01-01T00:00:01Z\",\"message\":\"call refused\",\"request\":\"r1.c2\",\"reason\":\"queue-full\"}\n\
+         1.26 back-1 {\"time\":\"2026-01-01T00:00:02Z\",\"message\":\"instance lost\",\"instance\":\"i-7\"}\n\
+         1.27 back-1 {\"time\":\"2026-01-01T00:00:09Z\",\"message\":\"ready\"}\n",
+    )
+    .expect("writes");
+    let files = [entry.to_string_lossy().into_owned(), back.to_string_lossy().into_owned()];
+    let output = run(&["trace", "r1", &files[0], &files[1]]);
+    insta::assert_snapshot!(text(&output));
+    let json = run(&["--json", "trace", "r1", &files[0], &files[1]]);
+    let lines: serde_json::Value = serde_json::from_slice(&json.stdout).expect("JSON");
+    assert_eq!(lines.as_array().map(Vec::len), Some(3));
+    assert_eq!(run(&["trace", "unknown", &files[0]]).status.code(), Some(3));
+}
--- a/crates/seamhatchd/src/controllers/control_thread/mod.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/mod.rs
@@ -2,6 +2,7 @@
 
 mod configuration;
 mod followed;
+mod instances;
 mod publishing;
 mod requests;
 mod roster;
@@ -68,6 +69,7 @@
     backing: Backing,
     documents: Arc<dyn DocumentFormat>,
     following: followed::Following,
+    departures: instances::Departures,
     socket: Arc<UdpSocket>,
     stopped: BTreeSet<Address>,
     schedule: Schedule,
@@ -113,6 +115,7 @@
             backing: ports.backing.clone(),
             documents: ports.documents.clone(),
             following: followed::Following::default(),
+            departures: instances::Departures::default(),
             socket,
             stopped: BTreeSet::new(),
             schedule: Schedule::default(),
--- a/crates/seamhatchd/src/dispatch/answer.rs
+++ b/crates/seamhatchd/src/dispatch/answer.rs
@@ -7,6 +7,7 @@
 use crate::peer::{AnswerBody, AnswerPiece};
 use bytes::Bytes;
 use seamhatch_core::Instant;
+use seamhatch_core::identity::Address;
 use seamhatch_core::outcome::Reason;
 use seamhatch_core::retry::ChildEnd;
 use seamhatch_wire::{AnswerHead, RecordedAnswer};
@@ -18,6 +19,10 @@
 pub struct Answer {
     /// Status and header fields.
     pub head: AnswerHead,
+    /// Peer address of the daemon whose server answers.
+    pub server: Address,
+    /// Servers that the call was sent to.
+    pub dispatches: usize,
     pub(super) body: AnswerBody,
     pub(super) expiry: Instant,
     pub(super) child: Child,
--- a/crates/seamhatchd/src/dispatch/mod.rs
+++ b/crates/seamhatchd/src/dispatch/mod.rs
@@ -17,6 +17,7 @@
 use crate::snapshot::Server;
 use candidates::candidate;
 use child::Child;
+use log::info;
 use replay::next_of_rest;
 use seamhatch_core::Instant;
 use seamhatch_core::balance::{CallEnd, Candidate, pick};
@@ -192,7 +193,9 @@
             let attempt = self.attempt(&connection).await;
             connection.record(call_end(&attempt));
             match attempt {
-                Attempt::Answered(head, stream) => return self.answer(*head, stream),
+                Attempt::Answered(head, stream) => {
+                    return self.answer(*head, stream, connection.address);
+                }
                 Attempt::Refused(refusal) => {
                     self.learn_floor(refusal.server.floor);
                     self.child.give_back(refusal.unspent_tokens);
@@ -207,6 +210,7 @@
                 }
                 Attempt::Lost => {
                     self.may_have_run = true;
+                    self.last_refusal = None;
                     if !self.may_send_again(Reason::PeerLost, true) {
                         let detail =
                             "the connection to the server's daemon was lost; its result is not known";
@@ -220,15 +224,26 @@
                 }
                 Attempt::BrokenOff(rejection) => return self.reject(rejection),
             }
+            info!(
+                request = self.request.log_name().as_str(),
+                service = self.request.service.as_str(),
+                left = connection.address.to_string().as_str(),
+                reason = self.last_refusal.map_or(Reason::PeerLost, |refusal| refusal.reason).name(),
+                may_have_run = self.may_have_run,
+                tokens = self.parent.ledger().tokens();
+                "call sent again"
+            );
             self.tried.push(connection.address);
         }
     }
 
-    fn answer(self, head: AnswerHead, stream: CallStream) -> CallResult {
+    fn answer(self, head: AnswerHead, stream: CallStream, server: Address) -> CallResult {
         self.learn_floor(head.chain_floor);
         let recording = self.claimed.is_some().then(Vec::new);
         CallResult::Answered(Box::new(Answer {
             head,
+            server,
+            dispatches: self.tried.len() + 1,
             body: AnswerBody::new(stream),
             expiry: self.parent.expiry,
             child: self.child,
--- a/crates/seamhatchd/src/filters/request.rs
+++ b/crates/seamhatchd/src/filters/request.rs
@@ -1,8 +1,10 @@
 //! A request on its way through the filters.
 
+use crate::clock;
 use crate::conventions::CallerTerms;
 use crate::filters::Rejection;
 use crate::running::RunningCall;
+use seamhatch_core::Instant;
 use seamhatch_core::clock::Microseconds;
 use seamhatch_core::identity::RootId;
 use seamhatch_core::outcome::Reason;
@@ -27,6 +29,8 @@
 pub struct RequestState {
     /// Where it came in.
     pub entry: Entry,
+    /// When it came in.
+    pub arrived: Instant,
     /// HTTP method.
     pub method: String,
     /// Path and query as sent on to the back end.
@@ -65,6 +69,7 @@
     pub fn new(entry: Entry, method: String, path: String, headers: Vec<HeaderField>) -> Self {
         Self {
             entry,
+            arrived: clock::now(),
             method,
             path,
             headers,
--- a/crates/seamhatchd/src/listeners/proxy.rs
+++ b/crates/seamhatchd/src/listeners/proxy.rs
@@ -1,5 +1,6 @@
 //! One request at a listener: filters, dispatch, answer.
 
+use crate::clock;
 use crate::conventions::{AnswerMark, OwnAnswer};
 use crate::dispatch::{self, Answer, CallResult, ReplayBody};
 use crate::filters::{self, Entry, FilterChain, Rejection, RequestState};
@@ -11,7 +12,7 @@
 use http::{HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use log::info;
-use seamhatch_core::clock::Microseconds;
+use seamhatch_core::clock::{MILLISECOND, Microseconds};
 use seamhatch_core::outcome::Outcome;
 use seamhatch_wire::{HeaderField, RecordedAnswer};
 use std::convert::Infallible;
@@ -126,7 +127,11 @@
             request = request.log_name().as_str(),
             service = request.service.as_str(),
             class = request.class.name(),
-            status = answer.head.status;
+            status = answer.head.status,
+            server = answer.server.to_string().as_str(),
+            dispatches = answer.dispatches,
+            generation = self.shared.snapshot().generation().0,
+            took_ms = clock::now().since(request.arrived) / MILLISECOND;
             "request answered"
         );
         let (status, fields) = (answer.head.status, answer.head.headers.clone());
@@ -172,6 +177,8 @@
             class = request.class.name(),
             outcome = rejection.outcome.name(),
             reason = rejection.reason.name(),
+            generation = self.shared.snapshot().generation().0,
+            took_ms = clock::now().since(request.arrived) / MILLISECOND,
             retry_after_ms = retry_after.unwrap_or_default() / 1000;
             "request not answered"
         );
--- a/crates/seamhatchd/src/peer/connection.rs
+++ b/crates/seamhatchd/src/peer/connection.rs
@@ -5,17 +5,16 @@
 use crate::peer::call::{CallEvent, CallStream};
 use crate::peer::credit::CreditWindow;
 use crate::peer::link::{self, LinkClosed, Outbox};
+use crate::peer::view::PeerView;
 use crate::shared::Shared;
 use bytes::Bytes;
 use seamhatch_core::Instant;
-use seamhatch_core::balance::{CallEnd, Ejection};
+use seamhatch_core::balance::CallEnd;
 use seamhatch_core::claims::ClaimReply;
-use seamhatch_core::clock::{MILLISECOND, Microseconds, PeerClock, SECOND};
-use seamhatch_core::generation::Generation;
+use seamhatch_core::clock::{Microseconds, SECOND};
 use seamhatch_core::identity::{Address, CallId, Incarnation};
 use seamhatch_wire::{
-    CallHead, ControlReply, ControlRequest, FrameReader, PeerMessage, ServerReport, WireError, read_preface,
-    write_preface,
+    CallHead, ControlReply, ControlRequest, FrameReader, PeerMessage, WireError, read_preface, write_preface,
 };
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
@@ -28,9 +27,6 @@
 /// Longest wait for the connection and the peer's first message.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// A peer that was silent for this long gets no new calls.
-const SILENCE_TO_AVOID: Microseconds = 1_500 * MILLISECOND;
-
 /// A connection on which nothing was asked for this long is closed; random
 /// exchanges between controllers must not add up to a full mesh.
 const IDLE_TO_CLOSE: Microseconds = 10 * SECOND;
@@ -38,22 +34,6 @@
 /// A peer that was silent for this long is given up, with the calls it has.
 const SILENCE_TO_CLOSE: Microseconds = 20 * SECOND;
 
-/// What is known of the peer from its messages.
-#[derive(Debug, Clone)]
-pub struct PeerView {
-    /// When it was last heard.
-    pub last_heard: Instant,
-    /// It refuses new work.
-    pub draining: bool,
-    /// Its configuration.
-    pub generation: Generation,
-    /// State of its server; none before the first report.
-    pub server: Option<ServerReport>,
-    clock: PeerClock,
-    ejection: Ejection,
-    losses: u32,
-}
-
 #[derive(Debug)]
 struct Inner {
     view: Mutex<PeerView>,
@@ -322,7 +302,7 @@
     #[must_use]
     pub fn to_peer_clock(&self, instant: Instant) -> Instant {
         // The first message, which came before this connection existed, gave an offset.
-        self.inner.view().clock.to_peer(instant).unwrap_or(instant)
+        self.inner.view().to_peer_clock(instant)
     }
 
     /// Calls in flight on this connection.
@@ -333,9 +313,7 @@
 
     /// Takes in how a call ended.
     pub fn record(&self, end: CallEnd) {
-        let mut view = self.inner.view();
-        view.ejection.record(end, clock::now());
-        view.losses = if end == CallEnd::Lost { view.losses + 1 } else { 0 };
+        self.inner.view().record(end, clock::now());
     }
 
     /// What is known of the peer.
@@ -358,17 +336,7 @@
 impl Inner {
     fn new(peer_clock: Instant) -> Self {
         let now = clock::now();
-        let mut clock = PeerClock::default();
-        clock.observe(peer_clock, now);
-        let view = PeerView {
-            last_heard: now,
-            draining: false,
-            generation: Generation::default(),
-            server: None,
-            clock,
-            ejection: Ejection::default(),
-            losses: 0,
-        };
+        let view = PeerView::new(peer_clock, now);
         Self {
             view: Mutex::new(view),
             calls: Mutex::default(),
@@ -381,24 +349,3 @@
         }
     }
 }
-
-impl PeerView {
-    /// Whether it should get no new calls.
-    #[must_use]
-    pub fn should_avoid(&self, now: Instant) -> bool {
-        now.since(self.last_heard) > SILENCE_TO_AVOID || self.ejection.is_ejected(now)
-    }
-
-    /// Calls lost in a row.
-    #[must_use]
-    pub fn losses(&self) -> u32 {
-        self.losses
-    }
-
-    fn take_pulse(&mut self, pulse: &seamhatch_wire::Pulse) {
-        self.clock.observe(pulse.clock, clock::now());
-        self.draining = pulse.draining;
-        self.generation = pulse.generation;
-        self.server = Some(pulse.server);
-    }
-}
--- a/crates/seamhatchd/src/peer/mod.rs
+++ b/crates/seamhatchd/src/peer/mod.rs
@@ -6,13 +6,16 @@
 mod link;
 mod pool;
 mod server;
+mod server_call;
+mod view;
 
 pub use call::{AnswerBody, AnswerPiece, CallEvent, CallStream};
-pub use connection::{PeerConnection, PeerView};
+pub use connection::PeerConnection;
 pub use credit::CreditWindow;
 pub use link::{LinkClosed, Outbox, PULSE_INTERVAL};
 pub use pool::{PeerPool, PeerUnreachable};
 pub use server::serve;
+pub use view::PeerView;
 
 /// Bytes of a body that may be on the way before its receiver has asked for more.
 pub const BODY_WINDOW: usize = 256 * 1024;
--- a/crates/seamhatchd/src/peer/pool.rs
+++ b/crates/seamhatchd/src/peer/pool.rs
@@ -52,12 +52,12 @@
         shared: &Arc<Shared>,
         address: Address,
     ) -> Result<PeerConnection, PeerUnreachable> {
-        if let Some(connection) = self.existing(address) {
+        if let Some(connection) = self.usable(address) {
             return Ok(connection);
         }
         let opening = self.lock().entry(address).or_default().opening.clone();
         let _only_one = opening.lock().await;
-        if let Some(connection) = self.existing(address) {
+        if let Some(connection) = self.usable(address) {
             return Ok(connection);
         }
         let shared = shared.clone();
@@ -94,6 +94,13 @@
         entries.get(&address)?.connection.clone().filter(PeerConnection::is_open)
     }
 
+    /// The open connection, unless it has fallen silent: the peer may have restarted behind a cut, and
+    /// a new connection tells. Calls on the old one go on.
+    fn usable(&self, address: Address) -> Option<PeerConnection> {
+        let now = clock::now();
+        self.existing(address).filter(|connection| !connection.view().is_silent(now))
+    }
+
     /// Whether connecting to a daemon failed several times lately.
     #[must_use]
     pub fn is_failing(&self, address: Address, now: Instant) -> bool {
--- a/crates/seamhatchd/src/peer/server.rs
+++ b/crates/seamhatchd/src/peer/server.rs
@@ -1,27 +1,17 @@
 //! The receiving end of connections: calls for the back end beside this daemon,
 //! claims for this witness, and control messages.
 
-use crate::backend::{self, BackendAnswer, BackendError, BackendRequest, BodyPiece, BrokenOff};
+use crate::backend::{self, BodyPiece, BrokenOff};
 use crate::clock;
-use crate::gate::{GateRequest, Permit};
-use crate::headers;
 use crate::metrics::BadInput;
-use crate::peer::BODY_PIECE;
 use crate::peer::credit::CreditWindow;
 use crate::peer::link::{self, Outbox};
-use crate::running::RunningCall;
+use crate::peer::server_call::ServerCall;
 use crate::shared::Shared;
 use bytes::Bytes;
-use log::{debug, info, warn};
-use seamhatch_core::Instant;
-use seamhatch_core::clock::{MILLISECOND, Microseconds};
-use seamhatch_core::identity::{Address, CallId};
-use seamhatch_core::outcome::{Outcome, Reason};
-use seamhatch_core::retry::RetryLedger;
-use seamhatch_wire::{
-    AnswerHead, AnswerTail, CallHead, FrameReader, Hello, PeerMessage, Refusal, WireError, read_preface,
-    write_preface,
-};
+use log::warn;
+use seamhatch_core::identity::CallId;
+use seamhatch_wire::{CallHead, FrameReader, Hello, PeerMessage, WireError, read_preface, write_preface};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -34,8 +24,6 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// A peer that was silent for this long is gone.
 const SILENCE_TO_CLOSE: Duration = Duration::from_secs(20);
-/// Advice after a refusal that has nothing to do with load.
-const SHORT_RETRY_AFTER: Microseconds = 200 * MILLISECOND;
 
 /// Accepts connections of other daemons for ever.
 pub async fn serve(shared: Arc<Shared>, listener: TcpListener) {
@@ -99,7 +87,7 @@
 }
 
 /// What the connection keeps of a call in progress.
-struct CallEntry {
+pub(super) struct CallEntry {
     body: Option<mpsc::UnboundedSender<BodyPiece>>,
     window: Arc<CreditWindow>,
     cancelled: Arc<Cancellation>,
@@ -107,11 +95,12 @@
 
 /// Tells a call that its sender has given it up.
 #[derive(Debug, Default)]
-struct Cancellation {
-    notify: Notify,
+pub(super) struct Cancellation {
+    pub(super) notify: Notify,
 }
 
-type Calls = Arc<Mutex<HashMap<CallId, CallEntry>>>;
+/// Calls in progress on one connection.
+pub(super) type Calls = Arc<Mutex<HashMap<CallId, CallEntry>>>;
 
 /// One connection of a daemon that sends calls here.
 struct Session {
@@ -230,265 +219,3 @@
         self.cancelled.notify.notify_one();
     }
 }
-
-/// Part of an answer that is read before its head is passed on, in bytes. Where the whole answer fits,
-/// one that breaks off can still be asked for again, and nobody sees half of it.
-const BEGINNING: usize = 64 * 1024;
-
-/// The beginning of an answer's body.
-struct Beginning {
-    pieces: Vec<Bytes>,
-    /// It is the whole body.
-    whole: bool,
-}
-
-impl Beginning {
-    async fn read(answer: &mut BackendAnswer) -> Result<Self, BackendError> {
-        let mut pieces = Vec::new();
-        let mut length = 0;
-        while length < BEGINNING {
-            let Some(piece) = answer.next().await? else { return Ok(Self { pieces, whole: true }) };
-            length += piece.len();
-            pieces.push(piece);
-        }
-        Ok(Self { pieces, whole: false })
-    }
-}
-
-/// One call on its way through this daemon to the back end.
-struct ServerCall {
-    shared: Arc<Shared>,
-    outbox: Outbox,
-    calls: Calls,
-    window: Arc<CreditWindow>,
-    cancelled: Arc<Cancellation>,
-    head: CallHead,
-    /// Peer address of the daemon that sent it.
-    from: Address,
-    arrived: Instant,
-}
-
-impl Drop for ServerCall {
-    fn drop(&mut self) {
-        self.calls.lock().expect("calls lock").remove(&self.head.call);
-    }
-}
-
-impl ServerCall {
-    async fn run(self, body: backend::RequestBody) {
-        self.shared.control.saw_generation_of_call(self.head.generation);
-        let now = clock::now();
-        let context = &self.head.context;
-        let running = Arc::new(RunningCall::new(
-            context.root,
-            context.priority,
-            now.minus(context.root_age),
-            context.expiry,
-            context.depth + 1,
-            RetryLedger::new(context.tokens, context.repeat),
-        ));
-        match self.admit(&running).await {
-            Ok(permit) => self.execute(&running, permit, body).await,
-            Err(reason) => self.refuse(&running, Outcome::NotRun, reason),
-        }
-    }
-
-    async fn admit(&self, running: &RunningCall) -> Result<Permit, Reason> {
-        if self.head.service != self.shared.settings.service {
-            return Err(Reason::NoRoute);
-        }
-        if !self.shared.serves_callers() {
-            return Err(Reason::Draining);
-        }
-        if !self.shared.instances.is_open() {
-            return Err(Reason::NoInstance);
-        }
-        let request = GateRequest {
-            root: running.root,
-            priority: running.priority,
-            root_admitted: running.root_admitted,
-            expiry: running.expiry,
-            start_by: clock::now().plus(self.head.context.patience),
-        };
-        let permit = tokio::select! {
-            permit = self.shared.gate.admit(request) => permit?,
-            () = self.cancelled.notify.notified() => return Err(Reason::Cancelled),
-        };
-        Ok(permit)
-    }
-
-    async fn execute(&self, running: &Arc<RunningCall>, mut permit: Permit, body: backend::RequestBody) {
-        let name = self.shared.conventions.request_name(&self.head.headers);
-        let registration = self.shared.running.register(running.clone(), name);
-        // Last of all: this process may have been frozen since the slot was given, and the instance
-        // may have closed.
-        if running.expiry <= clock::now() {
-            return self.refuse(running, Outcome::NotRun, Reason::DeadlineExceeded);
-        }
-        let Some(instance) = self.shared.instances.open() else {
-            return self.refuse(running, Outcome::NotRun, Reason::NoInstance);
-        };
-        let request = BackendRequest {
-            method: &self.head.method,
-            path: &self.head.path,
-            headers: &self.head.headers,
-            context: registration.header(),
-            expiry: running.expiry,
-            instance: instance.id.as_ref(),
-        };
-        self.shared.metrics.execution(running.priority.class);
-        let started = clock::now();
-        let exchange = async {
-            let mut answer = self.shared.backend.send(&request, body).await?;
-            let beginning = Beginning::read(&mut answer).await?;
-            Ok((answer, beginning))
-        };
-        let exchanged = tokio::select! {
-            exchanged = exchange => exchanged,
-            () = self.given_up() => return self.refuse(running, Outcome::Unknown, Reason::Cancelled),
-        };
-        match exchanged {
-            Ok((answer, beginning)) => {
-                let status = answer.status.as_u16();
-                let complete = tokio::select! {
-                    complete = self.pass_answer(running, answer, beginning) => complete,
-                    () = self.given_up() => false,
-                };
-                if complete {
-                    permit.mark_succeeded();
-                }
-                drop(permit);
-                self.log_run(status, complete, started);
-                self.end(running, complete);
-            }
-            Err(BackendError::NotRun { reason, detail }) => {
-                debug!(reason = reason.name(), detail = detail.as_str(); "back end did not run a call");
-                let lost = matches!(reason, Reason::BackendUnreachable | Reason::OtherInstance);
-                if let Some(instance) = instance.id.filter(|_| lost) {
-                    self.shared.control.lost_instance(instance, reason);
-                }
-                self.refuse(running, Outcome::NotRun, reason);
-            }
-            Err(BackendError::Failed { detail }) => {
-                debug!(detail = detail.as_str(); "back end broke off");
-                self.refuse(running, Outcome::Unknown, Reason::BackendFailed);
-            }
-        }
-    }
-
-    /// Resolves when a call that may run again is given up; one that may not
-    /// runs to its end, since its effect is wanted or can't be undone.
-    async fn given_up(&self) {
-        self.cancelled.notify.notified().await;
-        if !self.head.context.repeatable {
-            std::future::pending::<()>().await;
-        }
-    }
-
-    /// Passes the answer on; true when it was complete.
-    async fn pass_answer(
-        &self,
-        running: &RunningCall,
-        mut answer: BackendAnswer,
-        beginning: Beginning,
-    ) -> bool {
-        let report = self.shared.gate.report();
-        let conventions = &self.shared.conventions;
-        let head = AnswerHead {
-            call: self.head.call,
-            status: answer.status.as_u16(),
-            headers: headers::passing_fields(&answer.headers, |name| conventions.passes_through(name)),
-            server: report,
-            chain_floor: running.chain_floor().min(report.floor),
-        };
-        let _ = self.outbox.send(PeerMessage::AnswerHead(Box::new(head)));
-        for piece in beginning.pieces {
-            self.send_pieces(piece).await;
-        }
-        if !beginning.whole && !self.pass_rest(&mut answer).await {
-            return false;
-        }
-        self.shared.backend.finish(answer);
-        true
-    }
-
-    async fn pass_rest(&self, answer: &mut BackendAnswer) -> bool {
-        loop {
-            match answer.next().await {
-                Ok(Some(piece)) => self.send_pieces(piece).await,
-                Ok(None) => return true,
-                Err(_) => return false,
-            }
-        }
-    }
-
-    async fn send_pieces(&self, mut data: Bytes) {
-        while !data.is_empty() {
-            let piece = data.split_to(data.len().min(BODY_PIECE));
-            self.window.ready().await;
-            self.window.spend(piece.len());
-            let message = PeerMessage::AnswerChunk { call: self.head.call, bytes: piece.to_vec() };
-            // A lost connection ends the call by its cancellation.
-            let _ = self.outbox.send(message);
-        }
-    }
-
-    fn log_run(&self, status: u16, complete: bool, started: Instant) {
-        info!(
-            request = self.log_name().as_str(),
-            from = self.from.to_string().as_str(),
-            status = status,
-            complete = complete,
-            waited_ms = started.since(self.arrived) / MILLISECOND,
-            ran_ms = clock::now().since(started) / MILLISECOND;
-            "call ran"
-        );
-    }
-
-    /// How logs name the request.
-    fn log_name(&self) -> String {
-        let name = self.shared.conventions.request_name(&self.head.headers);
-        name.map_or_else(|| self.head.context.root.to_string(), str::to_owned)
-    }
-
-    fn end(&self, running: &RunningCall, complete: bool) {
-        let unspent_tokens = running.ledger().tokens();
-        let tail = AnswerTail { call: self.head.call, complete, unspent_tokens };
-        let _ = self.outbox.send(PeerMessage::AnswerTail(tail));
-    }
-
-    fn refuse(&self, running: &RunningCall, outcome: Outcome, reason: Reason) {
-        self.shared.metrics.refusal(outcome, reason, running.priority.class);
-        let server = self.shared.gate.report();
-        info!(
-            request = self.log_name().as_str(),
-            root = self.head.context.root.to_string().as_str(),
-            from = self.from.to_string().as_str(),
-            outcome = outcome.name(),
-            reason = reason.name(),
-            priority = running.priority.level(),
-            load = server.load,
-            limit = server.limit,
-            floor = server.floor.0,
-            left_ms = running.expiry.since(clock::now()) / MILLISECOND;
-            "call refused"
-        );
-        let refusal = Refusal {
-            outcome,
-            reason,
-            retry_after: self.retry_after(reason),
-            unspent_tokens: running.ledger().tokens(),
-            server,
-        };
-        let _ = self.outbox.send(PeerMessage::Refused { call: self.head.call, refusal });
-    }
-
-    fn retry_after(&self, reason: Reason) -> Microseconds {
-        match reason {
-            Reason::QueueFull | Reason::Evicted | Reason::DeadlineExceeded | Reason::AdmissionFloor => {
-                self.shared.gate.retry_after()
-            }
-            _ => SHORT_RETRY_AFTER,
-        }
-    }
-}
--- /dev/null
+++ b/crates/seamhatchd/src/peer/view.rs
@@ -0,0 +1,84 @@
+//! What one daemon knows of another from its messages.
+
+use crate::clock;
+use seamhatch_core::Instant;
+use seamhatch_core::balance::{CallEnd, Ejection};
+use seamhatch_core::clock::{MILLISECOND, Microseconds, PeerClock};
+use seamhatch_core::generation::Generation;
+use seamhatch_wire::ServerReport;
+
+/// A peer that was silent for this long gets no new calls.
+const SILENCE_TO_AVOID: Microseconds = 1_500 * MILLISECOND;
+
+/// What is known of the peer from its messages.
+#[derive(Debug, Clone)]
+pub struct PeerView {
+    /// When it was last heard.
+    pub last_heard: Instant,
+    /// It refuses new work.
+    pub draining: bool,
+    /// Its configuration.
+    pub generation: Generation,
+    /// State of its server; none before the first report.
+    pub server: Option<ServerReport>,
+    clock: PeerClock,
+    ejection: Ejection,
+    losses: u32,
+}
+
+impl PeerView {
+    /// Of a peer that told its boot clock just now and nothing else.
+    #[must_use]
+    pub fn new(peer_clock: Instant, now: Instant) -> Self {
+        let mut clock = PeerClock::default();
+        clock.observe(peer_clock, now);
+        Self {
+            last_heard: now,
+            draining: false,
+            generation: Generation::default(),
+            server: None,
+            clock,
+            ejection: Ejection::default(),
+            losses: 0,
+        }
+    }
+
+    /// Translates a local instant into the peer's clock, erring early.
+    #[must_use]
+    pub fn to_peer_clock(&self, instant: Instant) -> Instant {
+        // The first message, which came before this view existed, gave an offset.
+        self.clock.to_peer(instant).unwrap_or(instant)
+    }
+
+    /// Takes in how a call to it ended.
+    pub fn record(&mut self, end: CallEnd, now: Instant) {
+        self.ejection.record(end, now);
+        self.losses = if end == CallEnd::Lost { self.losses + 1 } else { 0 };
+    }
+
+    /// Whether nothing was heard of it for so long that it should get no new calls.
+    #[must_use]
+    pub fn is_silent(&self, now: Instant) -> bool {
+        now.since(self.last_heard) > SILENCE_TO_AVOID
+    }
+
+    /// Whether it should get no new calls.
+    #[must_use]
+    pub fn should_avoid(&self, now: Instant) -> bool {
+        self.is_silent(now) || self.ejection.is_ejected(now)
+    }
+
+    /// Calls lost in a row.
+    #[must_use]
+    pub fn losses(&self) -> u32 {
+        self.losses
+    }
+
+    /// Takes in a heartbeat.
+    pub(super) fn take_pulse(&mut self, pulse: &seamhatch_wire::Pulse) {
+        self.clock.observe(pulse.clock, clock::now());
+        self.draining = pulse.draining;
+        self.generation = pulse.generation;
+        self.server = Some(pulse.server);
+    }
+}
--- /dev/null
+++ b/crates/seamhatchd/src/settings/file.rs
@@ -0,0 +1,104 @@
+//! The settings file as it is written.
+
+use super::SettingsError;
+use serde::Deserialize;
+use std::path::Path;
+
+/// The settings file as written; every key may be left out in favour of a flag.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub(super) struct SettingsFile {
+    pub(super) cluster: Option<String>,
+    pub(super) region: Option<String>,
+    pub(super) zone: Option<String>,
+    pub(super) service: Option<String>,
+    pub(super) listen: ListenFile,
+    pub(super) advertise: AdvertiseFile,
+    pub(super) backend: BackendFile,
+    pub(super) platform: PlatformFile,
+    pub(super) membership: MembershipFile,
+    pub(super) log: LogFile,
+    pub(super) threads: ThreadsFile,
+    pub(super) stop: StopFile,
+    pub(super) retries: RetriesFile,
+}
+
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub(super) struct ListenFile {
+    pub(super) ingress: Option<String>,
+    pub(super) egress: Option<String>,
+    pub(super) peer: Option<String>,
+    pub(super) gossip: Option<String>,
+    pub(super) admin: Option<String>,
+    pub(super) registry: Option<String>,
+}
+
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub(super) struct StopFile {
+    pub(super) grace_s: Option<f64>,
+}
+
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub(super) struct RetriesFile {
+    pub(super) ratio: Option<f64>,
+    pub(super) slack: Option<f64>,
+}
+
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub(super) struct AdvertiseFile {
+    pub(super) peer: Option<String>,
+    pub(super) gossip: Option<String>,
+}
+
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub(super) struct BackendFile {
+    pub(super) address: Option<String>,
+    pub(super) slots: Option<u32>,
+}
+
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub(super) struct PlatformFile {
+    pub(super) store: Option<String>,
+    pub(super) machines: Option<String>,
+}
+
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub(super) struct MembershipFile {
+    pub(super) seeds: Vec<String>,
+    pub(super) first_start: bool,
+}
+
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub(super) struct LogFile {
+    pub(super) level: Option<String>,
+    pub(super) format: Option<String>,
+}
+
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub(super) struct ThreadsFile {
+    pub(super) traffic: Option<usize>,
+}
+
+impl SettingsFile {
+    /// Reads a file; its values are checked later.
+    ///
+    /// # Errors
+    /// It can't be read, or has a key that is not known.
+    pub(super) fn read(path: &Path) -> Result<Self, SettingsError> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|source| SettingsError::Unreadable { path: path.to_owned(), source })?;
+        toml::from_str(&text).map_err(|error| SettingsError::Syntax {
+            path: path.to_owned(),
+            detail: error.to_string().trim().to_owned(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/seamhatchd/src/settings/mod.rs
@@ -0,0 +1,200 @@
+//! A daemon's settings, from a TOML file and from flags; flags win.
+
+mod checks;
+mod file;
+mod flags;
+
+pub use flags::HELP;
+
+use file::SettingsFile;
+use flags::{apply_flags, optional};
+use pico_args::Arguments;
+use seamhatch_core::identity::Address;
+use std::ffi::OsString;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use thiserror::Error;
+
+/// Settings that can't be used.
+#[derive(Debug, Error)]
+pub enum SettingsError {
+    /// The file can't be read.
+    #[error("the settings file {path} can't be read: {source}; check the path after --config")]
+    Unreadable {
+        /// The file.
+        path: PathBuf,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// The file isn't valid.
+    #[error("the settings file {path} is not valid: {detail}; correct the line it names")]
+    Syntax {
+        /// The file.
+        path: PathBuf,
+        /// The parser's message, with the place.
+        detail: String,
+    },
+    /// A value is missing.
+    #[error("`{key}` is not set; set it in the settings file or with {flag}")]
+    Missing {
+        /// The key in the file.
+        key: &'static str,
+        /// The flag.
+        flag: &'static str,
+    },
+    /// A value can't be used.
+    #[error("`{key}` is {value:?}, which is not {wanted}; write {wanted}")]
+    Invalid {
+        /// The key in the file.
+        key: String,
+        /// The value given.
+        value: String,
+        /// What it should be.
+        wanted: &'static str,
+    },
+    /// Two listeners share an address.
+    #[error("`{first}` and `{second}` are both {address}; give each listener its own port")]
+    SameAddress {
+        /// One key.
+        first: &'static str,
+        /// The other.
+        second: &'static str,
+        /// Their address.
+        address: Address,
+    },
+    /// An unknown flag or a flag without its value.
+    #[error("{detail}; see seamhatchd --help")]
+    Flag {
+        /// What is wrong.
+        detail: String,
+    },
+}
+
+/// Checked settings.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Name of the deployment.
+    pub cluster: String,
+    /// Region name.
+    pub region: String,
+    /// Zone name.
+    pub zone: String,
+    /// Service of the back end beside the daemon.
+    pub service: String,
+    /// Listening addresses.
+    pub listen: ListenSettings,
+    /// Addresses under which other daemons reach this one.
+    pub advertise: AdvertiseSettings,
+    /// HTTP address of the back end.
+    pub backend: Address,
+    /// Slots that the back end has; one that registers tells its own.
+    pub slots: u32,
+    /// HTTP address of the key-value service.
+    pub store: Address,
+    /// HTTP address of the machine list, if there is one.
+    pub machines: Option<Address>,
+    /// Gossip addresses to ask first.
+    pub seeds: Vec<Address>,
+    /// Whether the whole deployment starts for the first time, so that there is nothing to ask for.
+    pub first_start: bool,
+    /// Time between a stop request and the end of the process, at most; none for a patient stop.
+    pub grace: Option<Duration>,
+    /// Bound on the retries that the whole deployment may cause at one service, if there is one.
+    pub retries: Option<RetryBound>,
+    /// Logs.
+    pub log: LogSettings,
+    /// Threads for requests, connections between daemons and to the back end.
+    pub traffic_threads: usize,
+}
+
+/// Bound on the retries of all daemons at one service, in any short window.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RetryBound {
+    /// Retries for each request to the service.
+    pub ratio: f64,
+    /// Retries on top of these, whatever the number of requests.
+    pub slack: f64,
+}
+
+/// Listening addresses.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ListenSettings {
+    /// HTTP, for callers.
+    pub ingress: Address,
+    /// HTTP, for the back end's own calls; none where they come in at the ingress.
+    pub egress: Option<Address>,
+    /// TCP, for other daemons.
+    pub peer: Address,
+    /// UDP, for other daemons.
+    pub gossip: Address,
+    /// HTTP, for operators.
+    pub admin: Address,
+    /// HTTP, for the back end's heartbeats; none where it is always there.
+    pub registry: Option<Address>,
+}
+
+/// Addresses told to other daemons; those of the listeners unless set.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AdvertiseSettings {
+    /// TCP.
+    pub peer: Address,
+    /// UDP; names the member.
+    pub gossip: Address,
+}
+
+/// Log settings.
+#[derive(Debug, Clone, Copy)]
+pub struct LogSettings {
+    /// Least level that is written.
+    pub level: log::LevelFilter,
+    /// Form of a line.
+    pub format: LogFormat,
+}
+
+/// Form of a log line.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LogFormat {
+    /// For people.
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// What the command line asks for.
+#[derive(Debug)]
+pub enum Invocation {
+    /// Print the help.
+    Help,
+    /// Print the version.
+    Version,
+    /// Check the settings and stop.
+    Check(Box<Settings>),
+    /// Run.
+    Run(Box<Settings>),
+}
+
+/// Reads the command line and, if it names one, the settings file.
+///
+/// # Errors
+/// [`SettingsError`], the first that is found.
+pub fn from_arguments(arguments: Vec<OsString>) -> Result<Invocation, SettingsError> {
+    let mut arguments = Arguments::from_vec(arguments);
+    if arguments.contains(["-h", "--help"]) {
+        return Ok(Invocation::Help);
+    }
+    if arguments.contains(["-V", "--version"]) {
+        return Ok(Invocation::Version);
+    }
+    let check = arguments.contains("--check");
+    let mut file = match optional(&mut arguments, "--config")? {
+        Some(path) => SettingsFile::read(Path::new(&path))?,
+        None => SettingsFile::default(),
+    };
+    apply_flags(&mut file, &mut arguments)?;
+    if let Some(unknown) = arguments.finish().first() {
+        let detail = format!("unknown argument {:?}", unknown.to_string_lossy());
+        return Err(SettingsError::Flag { detail });
+    }
+    let settings = Box::new(file.check()?);
+    Ok(if check { Invocation::Check(settings) } else { Invocation::Run(settings) })
+}
