A request that may be repeated leaves a daemon that has fallen silent

Cause: a frozen, dead or cut-off daemon kept the calls sent to it until their time was up (1.5 s passed before it was avoided, 20 s before its calls were given up). Change: a daemon with calls in progress sends a heartbeat each 200 ms, idle ones each 400 ms (500 before); after 750 ms of silence it is avoided and a repeatable call is sent elsewhere, within the budget.

--- a/crates/seamhatchd/src/dispatch/mod.rs
+++ b/crates/seamhatchd/src/dispatch/mod.rs
@@ -365,6 +365,8 @@
                     }
                 },
                 () = &mut deadline => return Attempt::Expired,
+                // Its daemon is frozen, dead or cut off. One that may not be repeated can only wait.
+                () = connection.until_silent(), if self.request.repeatable => return Attempt::Lost,
             }
         }
     }
--- a/crates/seamhatchd/src/peer/connection.rs
+++ b/crates/seamhatchd/src/peer/connection.rs
@@ -155,7 +155,7 @@
         tokio::spawn(async move {
             let result = tokio::select! {
                 result = connection.read(&shared, frames) => result,
-                _ = link::send_pulses(&shared, connection.outbox.clone()) => Ok(()),
+                _ = link::send_pulses(&shared, connection.outbox.clone(), || false) => Ok(()),
                 () = connection.until_silent_or_idle() => Ok(()),
                 () = connection.inner.closing.notified() => Ok(()),
                 result = &mut writing => result.unwrap_or(Ok(())),
@@ -292,6 +292,18 @@
         self.inner.closing.notify_one();
     }
 
+    /// Waits until nothing has been heard of the peer for so long that it should be given up for now.
+    pub async fn until_silent(&self) {
+        loop {
+            let now = clock::now();
+            let due = self.inner.view().silent_at();
+            if now >= due {
+                return;
+            }
+            tokio::time::sleep(Duration::from_micros(due.since(now))).await;
+        }
+    }
+
     /// Whether it can still be used.
     #[must_use]
     pub fn is_open(&self) -> bool {
--- a/crates/seamhatchd/src/peer/link.rs
+++ b/crates/seamhatchd/src/peer/link.rs
@@ -9,7 +9,10 @@
 use tokio::sync::mpsc;
 
 /// Time between two heartbeats.
-pub const PULSE_INTERVAL: Duration = Duration::from_millis(500);
+pub const PULSE_INTERVAL: Duration = Duration::from_millis(400);
+/// Time between two heartbeats of a daemon that has calls of the other side in progress: whoever waits
+/// for an answer must soon learn that none will come.
+pub const BUSY_PULSE_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Bytes that are gathered for one write.
 const WRITE_BATCH: usize = 64 * 1024;
@@ -67,10 +70,8 @@
     Ok(())
 }
 
-/// Puts heartbeats into the outbox until it closes.
-pub async fn send_pulses(shared: &Shared, outbox: Outbox) {
-    let mut interval = tokio::time::interval(PULSE_INTERVAL);
-    interval.tick().await;
+/// Puts heartbeats into the outbox until it closes; `is_busy` tells whether the other side waits for answers.
+pub async fn send_pulses(shared: &Shared, outbox: Outbox, is_busy: impl Fn() -> bool) {
     loop {
         // Before the state is read, so that no later change of it is missed.
         let changed = shared.work_changed.notified();
@@ -80,13 +81,24 @@
             return;
         }
         tokio::select! {
-            _ = interval.tick() => {}
+            () = next_pulse(&is_busy) => {}
             // A server that begins or ceases to take work must not wait for the next heartbeat.
             () = changed => {}
         }
     }
 }
 
+/// Waits until a heartbeat is due. One that was idle may have become busy meanwhile.
+async fn next_pulse(is_busy: &impl Fn() -> bool) {
+    let due = tokio::time::Instant::now() + PULSE_INTERVAL;
+    loop {
+        tokio::time::sleep(BUSY_PULSE_INTERVAL).await;
+        if is_busy() || tokio::time::Instant::now() >= due {
+            return;
+        }
+    }
+}
+
 /// The present heartbeat.
 pub fn pulse(shared: &Shared) -> Pulse {
     Pulse {
--- a/crates/seamhatchd/src/peer/server.rs
+++ b/crates/seamhatchd/src/peer/server.rs
@@ -67,11 +67,15 @@
     // The outbox was made just now and can't be closed.
     let _ = outbox.send(PeerMessage::Hello(link::hello(shared)));
     let writing = AbortOnDrop(tokio::spawn(link::write_messages(writer, messages)));
+    let calls = Calls::default();
     let pulses = AbortOnDrop(tokio::spawn({
-        let (shared, outbox) = (shared.clone(), outbox.clone());
-        async move { link::send_pulses(&shared, outbox).await }
+        let (shared, outbox, calls) = (shared.clone(), outbox.clone(), calls.clone());
+        async move {
+            let is_busy = || !calls.lock().expect("calls lock").is_empty();
+            link::send_pulses(&shared, outbox, is_busy).await;
+        }
     }));
-    let session = Session { shared: shared.clone(), outbox, hello, calls: Arc::default() };
+    let session = Session { shared: shared.clone(), outbox, hello, calls };
     let result = session.read(frames).await;
     session.cancel_all();
     drop((writing, pulses));
--- a/crates/seamhatchd/src/peer/view.rs
+++ b/crates/seamhatchd/src/peer/view.rs
@@ -8,7 +8,8 @@
 use seamhatch_wire::ServerReport;
 
 /// A peer that was silent for this long gets no new calls.
-const SILENCE_TO_AVOID: Microseconds = 1_500 * MILLISECOND;
+/// Three heartbeats of a busy peer, with room for one that is late.
+const SILENCE_TO_AVOID: Microseconds = 750 * MILLISECOND;
 
 /// What is known of the peer from its messages.
 #[derive(Debug, Clone)]
@@ -56,10 +57,16 @@
         self.losses = if end == CallEnd::Lost { self.losses + 1 } else { 0 };
     }
 
+    /// When it counts as silent, unless it is heard before.
+    #[must_use]
+    pub fn silent_at(&self) -> Instant {
+        self.last_heard.plus(SILENCE_TO_AVOID)
+    }
+
     /// Whether nothing was heard of it for so long that it should get no new calls.
     #[must_use]
     pub fn is_silent(&self, now: Instant) -> bool {
-        now.since(self.last_heard) > SILENCE_TO_AVOID
+        now >= self.silent_at()
     }
 
     /// Whether it should get no new calls.
