--- a/crates/seamhatchd/src/listeners/mod.rs
+++ b/crates/seamhatchd/src/listeners/mod.rs
@@ -1,5 +1,5 @@
 //! The HTTP listeners, each a server of its own, so that nothing that one offers can be reached at
-//! another's port: requests by `hyper` ([`callers`]), operators and heartbeats by `xitca-web`.
+//! another's port: requests by `hyper`, operators and heartbeats by `xitca-web`.
 
 mod admin;
 mod answers;
