--- a/crates/seamhatch-lab/src/backends.rs
+++ b/crates/seamhatch-lab/src/backends.rs
@@ -13,7 +13,7 @@
 use seamhatchd::listeners::{self, Listener};
 use std::collections::HashMap;
 use std::convert::Infallible;
-use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -143,8 +143,9 @@
             .with_state(state.clone())
             .at("/", fn_service(handle))
             .at("/{*rest}", fn_service(handle));
-        let addresses: Vec<SocketAddr> = machines.iter().map(|machine| machine.backend().into()).collect();
-        let listener = listeners::serve(application.finish(), &addresses, THREADS, "backends")?;
+        let sockets: std::io::Result<Vec<TcpListener>> =
+            machines.iter().map(|machine| listeners::bind(machine.backend())).collect();
+        let listener = listeners::serve(application.finish(), sockets?, THREADS, "backends")?;
         Ok(Self { state, listener: Some(listener) })
     }
 
--- a/crates/seamhatch-lab/src/hollow.rs
+++ b/crates/seamhatch-lab/src/hollow.rs
@@ -155,6 +155,7 @@
             gossip,
             admin: unused(7004),
             registry: None,
+            metrics: None,
         },
         advertise: AdvertiseSettings { peer, gossip },
         backend: unused(8080),
--- a/crates/seamhatch-lab/src/platform.rs
+++ b/crates/seamhatch-lab/src/platform.rs
@@ -79,9 +79,10 @@
             .with_state(state.clone())
             .at("/", fn_service(handle))
             .at("/{*rest}", fn_service(handle));
-        let address = SocketAddr::new(ip.into(), STORE_PORT);
-        let listener = listeners::serve(application.finish(), &[address], 1, "platform")?;
-        Ok(Self { address: address.into(), state, listener: Some(listener) })
+        let address = Address::from(SocketAddr::new(ip.into(), STORE_PORT));
+        let socket = listeners::bind(address)?;
+        let listener = listeners::serve(application.finish(), vec![socket], 1, "platform")?;
+        Ok(Self { address, state, listener: Some(listener) })
     }
 
     /// Address of the key-value service and of the machine list.
--- a/crates/seamhatchd/src/controllers/follow/configuration.rs
+++ b/crates/seamhatchd/src/controllers/follow/configuration.rs
@@ -53,9 +53,9 @@
 impl Follower {
     /// Reads the configuration as it is now. Returns the revision that it was read at.
     async fn read(&mut self) -> Result<Revision, StoreError> {
-        self.metrics.store_requests.inc();
         let reading = self.followed.store.get(&self.followed.configuration_key);
-        let reading = tokio::time::timeout(ANSWER_TIMEOUT, reading).await.map_err(|_| no_answer())??;
+        let reading = tokio::time::timeout(ANSWER_TIMEOUT, reading);
+        let reading = self.metrics.time_store_call(reading).await.map_err(|_| no_answer())??;
         self.note_answer();
         if let Some(item) = reading.found {
             self.offer(&item);
--- a/crates/seamhatchd/src/controllers/follow/departures.rs
+++ b/crates/seamhatchd/src/controllers/follow/departures.rs
@@ -62,8 +62,8 @@
     let key = member_key(followed, shared.settings.advertise.gossip);
     // Only this daemon writes its key, so the write needs no condition.
     let write = Write { expect: Vec::new(), put: vec![(key, departures.to_bytes())], remove: Vec::new() };
-    shared.metrics.store_requests.inc();
-    matches!(followed.store.write(&write).await, Ok(WriteOutcome::Done(_)))
+    let written = shared.metrics.time_store_call(followed.store.write(&write)).await;
+    matches!(written, Ok(WriteOutcome::Done(_)))
 }
 
 async fn tell(shared: &Arc<Shared>, departures: &RememberedDepartures, peers: Vec<Address>) -> bool {
--- a/crates/seamhatchd/src/controllers/follow/discovery.rs
+++ b/crates/seamhatchd/src/controllers/follow/discovery.rs
@@ -28,8 +28,7 @@
 ) {
     let mut backoff = Backoff::default();
     let own_departures = loop {
-        metrics.store_requests.inc();
-        match register(&followed, gossip).await {
+        match metrics.time_store_call(register(&followed, gossip)).await {
             Ok(departures) => break departures,
             Err(error) => {
                 metrics.store_failures.inc();
@@ -75,11 +74,10 @@
     let mut members = Vec::new();
     let mut after: Option<String> = None;
     loop {
-        metrics.store_requests.inc();
         let reading = followed.store.range(&followed.member_prefix, after.as_deref());
         let timed_out = |_| StoreError::AnswerLost { detail: "no answer in time".into() };
-        let Page { items, more } =
-            tokio::time::timeout(ANSWER_TIMEOUT, reading).await.map_err(timed_out)??.found;
+        let reading = metrics.time_store_call(tokio::time::timeout(ANSWER_TIMEOUT, reading)).await;
+        let Page { items, more } = reading.map_err(timed_out)??.found;
         members.extend(items.iter().filter_map(|item| address_of(followed, item)));
         after = items.last().map(|item| item.key.clone());
         if !more || after.is_none() {
--- a/crates/seamhatchd/src/gate.rs
+++ b/crates/seamhatchd/src/gate.rs
@@ -1,7 +1,7 @@
 //! The admission queue as the traffic threads use it: a call awaits its slot.
 
 use crate::clock;
-use crate::metrics::Metrics;
+use crate::metrics::{Metrics, seconds};
 use seamhatch_core::Instant;
 use seamhatch_core::admission::{
     Admission, AdmissionPolicy, AdmissionQueue, AdmissionRequest, Dequeued, Ticket,
@@ -117,7 +117,7 @@
         let latest_start = self.lock().queue.latest_start(&offered);
         let decided = tokio::time::timeout(clock::time_until(latest_start), turn).await;
         let waited = clock::now().since(arrived);
-        self.metrics.queue_seconds.observe(waited as f64 / 1e6);
+        self.metrics.queue_seconds.observe(seconds(waited));
         match decided {
             Ok(Ok(Ok(()))) => {
                 guard.armed = false;
--- a/crates/seamhatchd/src/listeners/mod.rs
+++ b/crates/seamhatchd/src/listeners/mod.rs
@@ -10,6 +10,8 @@
 
 use crate::shared::Shared;
 use bytes::Bytes;
+use log::warn;
+use seamhatch_core::identity::Address;
 use std::fmt;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
@@ -52,13 +54,13 @@
     }
 }
 
-/// Binds addresses and serves an application there on threads of its own.
+/// Serves an application at bound sockets on threads of its own.
 ///
 /// # Errors
-/// An address can't be bound.
+/// The threads can't be started.
 pub fn serve<S, B>(
     service: S,
-    addresses: &[SocketAddr],
+    sockets: Vec<TcpListener>,
     threads: usize,
     name: &str,
 ) -> std::io::Result<Listener>
@@ -77,8 +79,7 @@
         .request_head_timeout(HEAD_TIMEOUT)
         .max_read_buf_size::<HEAD_BUFFER>()
         .max_request_headers::<HEADER_FIELDS>();
-    for address in addresses {
-        let socket = TcpListener::bind(address)?;
+    for socket in sockets {
         server = server.listen(socket)?;
     }
     // The server must be built on the thread that it runs on.
@@ -93,6 +94,24 @@
     Ok(Listener { stop: Box::new(move || handle.stop(true)), thread })
 }
 
+/// A socket that listens at `address`.
+///
+/// # Errors
+/// The address can't be bound.
+pub fn bind(address: Address) -> std::io::Result<TcpListener> {
+    TcpListener::bind(SocketAddr::from(address))
+}
+
+/// The port of collectors is fixed while all others are drawn, so it may be taken. Requests matter more.
+fn bind_metrics(address: Address) -> Option<TcpListener> {
+    bind(address)
+        .inspect_err(|error| {
+            let (address, error) = (address.to_string(), error.to_string());
+            warn!(address = address.as_str(), error = error.as_str(); "no metrics at listen.metrics; they are served at listen.admin");
+        })
+        .ok()
+}
+
 /// The listeners of a running daemon.
 pub struct Listeners {
     callers: Vec<CallerListener>,
@@ -119,13 +138,15 @@
             .with_state(shared.clone())
             .at("/", fn_service(admin::handle))
             .at("/{*rest}", fn_service(admin::handle));
-        let mut control = vec![serve(admin.finish(), &[listen.admin.into()], 1, "admin")?];
+        let mut sockets = vec![bind(listen.admin)?];
+        sockets.extend(listen.metrics.and_then(bind_metrics));
+        let mut control = vec![serve(admin.finish(), sockets, 1, "admin")?];
         if let Some(registry) = listen.registry {
             let app = App::new()
                 .with_state(shared.clone())
                 .at("/", fn_service(registry::handle))
                 .at("/{*rest}", fn_service(registry::handle));
-            control.push(serve(app.finish(), &[registry.into()], 1, "registry")?);
+            control.push(serve(app.finish(), vec![bind(registry)?], 1, "registry")?);
         }
         Ok(Self { callers, _control: control })
     }
--- a/crates/seamhatchd/src/listeners/proxy.rs
+++ b/crates/seamhatchd/src/listeners/proxy.rs
@@ -123,6 +123,8 @@
     }
 
     fn pass(&self, request: &RequestState, answer: Answer, open: OpenRequest) -> Response<CallerBody> {
+        let took = clock::now().since(request.arrived);
+        self.shared.metrics.request_ended(Outcome::Answered, request.class, took);
         info!(
             request = request.log_name().as_str(),
             service = request.service.as_str(),
@@ -131,7 +133,7 @@
             server = answer.server.to_string().as_str(),
             dispatches = answer.dispatches,
             generation = self.shared.snapshot().generation().0,
-            took_ms = clock::now().since(request.arrived) / MILLISECOND;
+            took_ms = took / MILLISECOND;
             "request answered"
         );
         let (status, fields) = (answer.head.status, answer.head.headers.clone());
@@ -169,7 +171,9 @@
     }
 
     fn reject(&self, request: &RequestState, rejection: &Rejection) -> Response<CallerBody> {
+        let took = clock::now().since(request.arrived);
         self.shared.metrics.refusal(rejection.outcome, rejection.reason, request.class);
+        self.shared.metrics.request_ended(rejection.outcome, request.class, took);
         let retry_after = rejection.retry_after.map(jittered);
         info!(
             request = request.log_name().as_str(),
@@ -178,7 +182,7 @@
             outcome = rejection.outcome.name(),
             reason = rejection.reason.name(),
             generation = self.shared.snapshot().generation().0,
-            took_ms = clock::now().since(request.arrived) / MILLISECOND,
+            took_ms = took / MILLISECOND,
             retry_after_ms = retry_after.unwrap_or_default() / 1000;
             "request not answered"
         );
--- a/crates/seamhatchd/src/metrics.rs
+++ b/crates/seamhatchd/src/metrics.rs
@@ -1,5 +1,6 @@
-//! Counters and gauges in the Prometheus text format.
+//! Counters, gauges and latency histograms in the Prometheus text format.
 
+use crate::clock;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -7,6 +8,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
+use seamhatch_core::clock::Microseconds;
 use seamhatch_core::outcome::{Outcome, Reason};
 use seamhatch_core::priority::PriorityClass;
 use std::sync::Mutex;
@@ -19,6 +21,13 @@
     class: &'static str,
 }
 
+/// Labels of a request that is over.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct EndLabels {
+    outcome: &'static str,
+    class: &'static str,
+}
+
 /// A single class label.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ClassLabel {
@@ -61,6 +70,17 @@
     }
 }
 
+/// From half a millisecond to about four seconds, doubling.
+fn latency_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(0.0005, 2.0, 14))
+}
+
+/// A span in the unit that histograms use.
+#[must_use]
+pub fn seconds(span: Microseconds) -> f64 {
+    span as f64 / 1e6
+}
+
 /// All metrics of a daemon.
 #[derive(Debug)]
 pub struct Metrics {
@@ -69,8 +89,13 @@
     refusals: Family<RefusalLabels, Counter>,
     executions: Family<ClassLabel, Counter>,
     bad_input: Family<KindLabel, Counter>,
+    request_seconds: Family<EndLabels, Histogram>,
     /// Dispatches that cost a retry token.
     pub retries: Counter,
+    /// Time that the back end took for calls that it answered, in seconds.
+    pub backend_seconds: Histogram,
+    /// Time that the store took to answer, watches left out, in seconds.
+    pub store_seconds: Histogram,
     /// Time that calls waited for a slot, in seconds.
     pub queue_seconds: Histogram,
     /// Calls that the back end works on.
@@ -115,8 +140,11 @@
             refusals: Family::default(),
             executions: Family::default(),
             bad_input: Family::default(),
+            request_seconds: Family::new_with_constructor(latency_histogram),
             retries: Counter::default(),
-            queue_seconds: Histogram::new(exponential_buckets(0.0005, 2.0, 14)),
+            backend_seconds: latency_histogram(),
+            store_seconds: latency_histogram(),
+            queue_seconds: latency_histogram(),
             running: Gauge::default(),
             waiting: Gauge::default(),
             limit: Gauge::default(),
@@ -141,6 +169,13 @@
         registry.register("executions", "Calls given to the back end", self.executions.clone());
         registry.register("bad_input", "Input that was turned away", self.bad_input.clone());
         registry.register("retries", "Dispatches that cost a retry token", self.retries.clone());
+        registry.register(
+            "request_seconds",
+            "Time from a request's arrival to the head of its answer",
+            self.request_seconds.clone(),
+        );
+        registry.register("backend_seconds", "Time the back end took", self.backend_seconds.clone());
+        registry.register("store_seconds", "Time the key-value service took", self.store_seconds.clone());
         registry.register("queue_seconds", "Wait for a slot", self.queue_seconds.clone());
         registry.register("running_calls", "Calls the back end works on", self.running.clone());
         registry.register("waiting_calls", "Calls that wait for a slot", self.waiting.clone());
@@ -165,6 +200,12 @@
         self.requests.get_or_create(&ClassLabel { class: class.name() }).inc();
     }
 
+    /// Takes in how long a request took from its arrival to the head of its answer.
+    pub fn request_ended(&self, outcome: Outcome, class: PriorityClass, took: Microseconds) {
+        let labels = EndLabels { outcome: outcome.name(), class: class.name() };
+        self.request_seconds.get_or_create(&labels).observe(seconds(took));
+    }
+
     /// Counts a call given to the back end.
     pub fn execution(&self, class: PriorityClass) {
         self.executions.get_or_create(&ClassLabel { class: class.name() }).inc();
@@ -176,6 +217,15 @@
         self.refusals.get_or_create(&labels).inc();
     }
 
+    /// Counts a call to the store and takes in how long its answer takes.
+    pub async fn time_store_call<T>(&self, call: impl Future<Output = T>) -> T {
+        self.store_requests.inc();
+        let started = clock::now();
+        let answer = call.await;
+        self.store_seconds.observe(seconds(clock::now().since(started)));
+        answer
+    }
+
     /// Counts input that was turned away.
     pub fn bad_input(&self, kind: BadInput) {
         self.bad_input.get_or_create(&KindLabel { kind: kind.name() }).inc();
--- a/crates/seamhatchd/src/peer/server_call.rs
+++ b/crates/seamhatchd/src/peer/server_call.rs
@@ -4,6 +4,7 @@
 use crate::clock;
 use crate::gate::{GateRequest, Permit};
 use crate::headers;
+use crate::metrics::seconds;
 use crate::peer::BODY_PIECE;
 use crate::peer::credit::CreditWindow;
 use crate::peer::link::Outbox;
@@ -149,6 +150,7 @@
                 };
                 if complete {
                     permit.mark_succeeded();
+                    self.shared.metrics.backend_seconds.observe(seconds(clock::now().since(started)));
                 }
                 drop(permit);
                 self.log_run(status, complete, started);
--- a/crates/seamhatchd/src/settings/checks.rs
+++ b/crates/seamhatchd/src/settings/checks.rs
@@ -25,6 +25,7 @@
             gossip: address("listen.gossip", "--gossip", self.listen.gossip)?,
             admin: address("listen.admin", "--admin", self.listen.admin)?,
             registry: optional_address("listen.registry", self.listen.registry)?,
+            metrics: optional_address("listen.metrics", self.listen.metrics)?,
         };
         check_listeners(&listen)?;
         let advertise = AdvertiseSettings {
--- a/crates/seamhatchd/src/settings/file.rs
+++ b/crates/seamhatchd/src/settings/file.rs
@@ -32,6 +32,7 @@
     pub(super) gossip: Option<String>,
     pub(super) admin: Option<String>,
     pub(super) registry: Option<String>,
+    pub(super) metrics: Option<String>,
 }
 
 #[derive(Debug, Clone, Default, Deserialize)]
--- a/crates/seamhatchd/src/settings/flags.rs
+++ b/crates/seamhatchd/src/settings/flags.rs
@@ -22,6 +22,7 @@
   --gossip IP:PORT   UDP for other daemons
   --admin IP:PORT    HTTP for operators
   --registry IP:PORT HTTP for the back end's heartbeats, if it sends any
+  --metrics IP:PORT  HTTP for collectors of metrics, besides --admin
   --advertise-peer IP:PORT, --advertise-gossip IP:PORT
                      where others reach --peer and --gossip, if elsewhere
   --backend IP:PORT  HTTP address of the back end
@@ -61,7 +62,7 @@
 /// # Errors
 /// A flag's value can't be read.
 pub(super) fn apply_flags(file: &mut SettingsFile, arguments: &mut Arguments) -> Result<(), SettingsError> {
-    let texts: [(&'static str, &mut Option<String>); 17] = [
+    let texts: [(&'static str, &mut Option<String>); 18] = [
         ("--cluster", &mut file.cluster),
         ("--region", &mut file.region),
         ("--zone", &mut file.zone),
@@ -72,6 +73,7 @@
         ("--gossip", &mut file.listen.gossip),
         ("--admin", &mut file.listen.admin),
         ("--registry", &mut file.listen.registry),
+        ("--metrics", &mut file.listen.metrics),
         ("--advertise-peer", &mut file.advertise.peer),
         ("--advertise-gossip", &mut file.advertise.gossip),
         ("--backend", &mut file.backend.address),
--- a/crates/seamhatchd/src/settings/mod.rs
+++ b/crates/seamhatchd/src/settings/mod.rs
@@ -131,6 +131,9 @@
     pub admin: Address,
     /// HTTP, for the back end's heartbeats; none where it is always there.
     pub registry: Option<Address>,
+    /// HTTP, where the operators' pages are served too, at a port that stays the same for collectors of
+    /// metrics. The daemon runs without it where it can't be bound.
+    pub metrics: Option<Address>,
 }
 
 /// Addresses told to other daemons; those of the listeners unless set.
