--- /dev/null
+++ b/crates/seamhatchd/src/store/exchange.rs
@@ -0,0 +1,98 @@
+//! One HTTP exchange with a store: what every client of one has to get right, whatever it speaks.
+
+use super::StoreError;
+use crate::backend::{HttpClient, http_client};
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use seamhatch_core::identity::Address;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Largest answer in bytes.
+const LARGEST_ANSWER: usize = 8 * 1024 * 1024;
+
+/// An HTTP client of one store; cheap to clone.
+#[derive(Debug, Clone)]
+pub struct StoreExchange {
+    address: Address,
+    client: HttpClient<Full<Bytes>>,
+}
+
+/// A whole answer of a store.
+#[derive(Debug, Clone)]
+pub struct StoreReply {
+    /// Status.
+    pub status: StatusCode,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl StoreReply {
+    /// Reads the body of a success as JSON.
+    ///
+    /// # Errors
+    /// [`StoreError::Malformed`].
+    pub fn parse<T: DeserializeOwned>(&self) -> Result<T, StoreError> {
+        if !self.status.is_success() {
+            return Err(StoreError::Malformed { detail: format!("status {}", self.status) });
+        }
+        self.parse_any()
+    }
+
+    /// Reads the body as JSON, whatever the status.
+    ///
+    /// # Errors
+    /// [`StoreError::Malformed`].
+    pub fn parse_any<T: DeserializeOwned>(&self) -> Result<T, StoreError> {
+        serde_json::from_slice(&self.body).map_err(|error| StoreError::malformed(&error))
+    }
+}
+
+impl StoreExchange {
+    /// Exchanges with the store at `address`.
+    #[must_use]
+    pub fn new(address: Address) -> Self {
+        Self { address, client: http_client() }
+    }
+
+    /// Sends a GET.
+    ///
+    /// # Errors
+    /// No whole answer came.
+    pub async fn get(&self, path_and_query: &str) -> Result<StoreReply, StoreError> {
+        let request = Request::get(self.uri(path_and_query)).body(Full::default());
+        self.send(request.map_err(|error| StoreError::malformed(&error))?).await
+    }
+
+    /// Sends a POST with a JSON body.
+    ///
+    /// # Errors
+    /// No whole answer came; what was asked for may have been done after [`StoreError::AnswerLost`].
+    pub async fn post(&self, path: &str, body: &impl Serialize) -> Result<StoreReply, StoreError> {
+        let json = serde_json::to_vec(body).map_err(|error| StoreError::malformed(&error))?;
+        let request = Request::post(self.uri(path))
+            .header("content-type", "application/json")
+            .body(Full::new(Bytes::from(json)));
+        self.send(request.map_err(|error| StoreError::malformed(&error))?).await
+    }
+
+    fn uri(&self, path_and_query: &str) -> String {
+        format!("http://{}{path_and_query}", self.address)
+    }
+
+    async fn send(&self, request: Request<Full<Bytes>>) -> Result<StoreReply, StoreError> {
+        let response = self.client.request(request).await.map_err(|error| {
+            let detail = error.to_string();
+            if error.is_connect() {
+                StoreError::Unreachable { detail }
+            } else {
+                StoreError::AnswerLost { detail }
+            }
+        })?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), LARGEST_ANSWER).collect().await;
+        let body = body.map_err(|error| StoreError::AnswerLost { detail: error.to_string() })?.to_bytes();
+        Ok(StoreReply { status, body })
+    }
+}
--- a/crates/seamhatchd/src/store/mod.rs
+++ b/crates/seamhatchd/src/store/mod.rs
@@ -4,9 +4,13 @@
 //! platform implements it; [`StoreClient`] speaks the JSON form of the etcd v3 protocol and serves
 //! deployments in which the daemons themselves accept configurations.
 
+mod error;
 mod etcd;
+mod exchange;
 
-pub use etcd::{CONFIGURATION_KEY, ROSTER_KEY, StoreClient, StoreError, Stored, Swap};
+pub use error::StoreError;
+pub use etcd::{CONFIGURATION_KEY, ROSTER_KEY, StoreClient, Stored, Swap};
+pub use exchange::{StoreExchange, StoreReply};
 
 use std::fmt;
 use std::future::Future;
