Admission floors are known by service, to all kinds of requests, and heard in heartbeats

Floors were learnt by kind of request: the urgent kind's quick answers confirmed its floor, the search's came after 0.7 s, in which its floor had risen to open.

Ruled out: a restart that comes late (instances open within 0.1 s of the start of their daemons); a server that refuses with slots free (all slots taken throughout).

A gate's floor rises faster the more slots are free.

--- a/crates/seamhatch-core/src/admission.rs
+++ b/crates/seamhatch-core/src/admission.rs
@@ -216,7 +216,8 @@
         let fill = self.waiting.len() as f64 / f64::from(self.capacity().max(1));
         let healthy = (f64::from(self.capacity()) * HIGH_FILL) as usize;
         let first_in_excess = self.waiting.keys().nth(healthy).map(|key| key.0);
-        self.floor.tick(fill, first_in_excess);
+        let free = 1.0 - self.running.len() as f64 / f64::from(self.limit.current().max(1));
+        self.floor.tick(fill, first_in_excess, free.max(0.0));
     }
 
     fn capacity(&self) -> u32 {
@@ -302,7 +303,7 @@
 /// Under pressure the floor goes to the level below which as much work arrived
 /// as was served lately, but not below what waits in the healthy part of the
 /// queue: a cold server serves little at first, and important work can wait.
-/// Without pressure the floor rises step by step.
+/// Without pressure the floor rises step by step, faster where slots are free.
 #[derive(Debug)]
 struct FloorController {
     floor: u16,
@@ -314,8 +315,10 @@
 const COUNT_DECAY: f32 = 0.7;
 /// Admitted work over served work under pressure.
 const ADMITTED_SHARE: f32 = 0.95;
-/// Levels that the floor rises in one tick.
+/// Levels that the floor rises in one tick at a server that is busy but has a short queue.
 const FLOOR_STEP_UP: u16 = 4;
+/// Levels that it rises in one tick more at a server with nothing to do; fewer the busier it is.
+const FLOOR_STEP_IDLE: f64 = 28.0;
 /// Queue fill at which the floor falls.
 const HIGH_FILL: f64 = 0.4;
 /// Queue fill below which the floor rises.
@@ -343,12 +346,14 @@
         self.served += 1.0;
     }
 
-    fn tick(&mut self, queue_fill: f64, first_in_excess: Option<u16>) {
+    /// `free` is the share of the slots that are not taken.
+    fn tick(&mut self, queue_fill: f64, first_in_excess: Option<u16>, free: f64) {
         if queue_fill > HIGH_FILL {
             let waits = first_in_excess.unwrap_or_default();
             self.floor = self.floor.min(self.sustainable_level().max(waits));
         } else if queue_fill < LOW_FILL {
-            self.floor = (self.floor + FLOOR_STEP_UP).min(AdmissionFloor::OPEN.0);
+            let step = FLOOR_STEP_UP + (FLOOR_STEP_IDLE * free) as u16;
+            self.floor = (self.floor + step).min(AdmissionFloor::OPEN.0);
         }
         self.arrived.iter_mut().for_each(|count| *count *= COUNT_DECAY);
         self.served *= COUNT_DECAY;
--- a/crates/seamhatch-core/tests/admission.rs
+++ b/crates/seamhatch-core/tests/admission.rs
@@ -142,3 +142,34 @@
     assert_eq!(waiting, [Ticket(2), Ticket(3), Ticket(4), Ticket(5)]);
     assert_eq!((queue.running(), queue.waiting()), (2, 0));
 }
+
+/// How many ticks a floor takes from the lowest level to open, at a server with this many of 8 slots taken.
+struct RecoveryCase {
+    running: u64,
+    most_ticks: u32,
+}
+
+/// Recovery after an overload: a server that has nothing to do must not go on having work refused.
+#[test]
+fn the_floor_opens_sooner_the_more_slots_are_free() {
+    let cases = [RecoveryCase { running: 0, most_ticks: 18 }, RecoveryCase { running: 4, most_ticks: 32 }];
+    for case in cases {
+        let policy = AdmissionPolicy { slots: 8, queue_per_slot: 2, initial_slots: 8 };
+        let mut queue = AdmissionQueue::new(policy);
+        let admissions: Vec<Admission> =
+            (0..24).map(|ticket| queue.offer(request(ticket, PriorityClass::Bulk, NOW), NOW)).collect();
+        assert!(
+            admissions.iter().filter(|admission| matches!(admission, Admission::Wait { .. })).count() > 8
+        );
+        queue.tick();
+        assert!(queue.floor() < AdmissionFloor(300), "{:?}", queue.floor());
+        queue.close();
+        (case.running..8).for_each(|ticket| queue.finish(Ticket(ticket), NOW, true));
+        let mut ticks = 0;
+        while queue.floor() < AdmissionFloor::OPEN {
+            queue.tick();
+            ticks += 1;
+        }
+        assert!(ticks <= case.most_ticks, "{} running: {ticks} ticks", case.running);
+    }
+}
--- a/crates/seamhatch-wire/src/message.rs
+++ b/crates/seamhatch-wire/src/message.rs
@@ -218,6 +218,29 @@
     pub server: ServerReport,
 }
 
+/// An admission floor below [`AdmissionFloor::OPEN`], and the service whose server told it.
+#[derive(Debug, Clone, PartialEq, Eq, Readable, Writable)]
+pub struct ChainFloor {
+    /// The first level that is refused there.
+    pub floor: AdmissionFloor,
+    /// The service.
+    pub service: String,
+}
+
+impl ChainFloor {
+    /// What a server of `service` tells; none where it admits everything.
+    #[must_use]
+    pub fn told_by(service: &str, floor: AdmissionFloor) -> Option<Self> {
+        (floor < AdmissionFloor::OPEN).then(|| Self { floor, service: service.to_owned() })
+    }
+
+    /// The lower one of two.
+    #[must_use]
+    pub fn lower(first: Option<Self>, second: Option<Self>) -> Option<Self> {
+        [first, second].into_iter().flatten().min_by_key(|chain| chain.floor)
+    }
+}
+
 /// The beginning of a back end's answer.
 #[derive(Debug, Clone, PartialEq, Eq, Readable, Writable)]
 pub struct AnswerHead {
@@ -229,8 +252,8 @@
     pub headers: Vec<HeaderField>,
     /// State of the server.
     pub server: ServerReport,
-    /// Lowest floor met by the call and the calls below it.
-    pub chain_floor: AdmissionFloor,
+    /// Lowest floor met by the call and the calls below it; none where all were open.
+    pub chain_floor: Option<ChainFloor>,
 }
 
 /// The end of an answer.
--- a/crates/seamhatchd/src/dispatch/mod.rs
+++ b/crates/seamhatchd/src/dispatch/mod.rs
@@ -28,7 +28,7 @@
 use seamhatch_core::priority::AdmissionFloor;
 use seamhatch_core::retry::{ChildEnd, Dispatch};
 use seamhatch_policy::ServiceSettings;
-use seamhatch_wire::{AnswerHead, CallContext, CallHead, RecordedAnswer, Refusal, ServerReport};
+use seamhatch_wire::{AnswerHead, CallContext, CallHead, ChainFloor, RecordedAnswer, Refusal, ServerReport};
 use std::sync::Arc;
 
 /// The receiver's deadline is this much earlier, so that its refusal arrives in time.
@@ -197,7 +197,7 @@
                     return self.answer(*head, stream, connection.address);
                 }
                 Attempt::Refused(refusal) => {
-                    self.learn_floor(refusal.server.floor);
+                    self.learn_floor(ChainFloor::told_by(&self.request.service, refusal.server.floor));
                     self.child.give_back(refusal.unspent_tokens);
                     let ran = refusal.outcome != Outcome::NotRun;
                     self.may_have_run |= ran;
@@ -238,7 +238,7 @@
     }
 
     fn answer(self, head: AnswerHead, stream: CallStream, server: Address) -> CallResult {
-        self.learn_floor(head.chain_floor);
+        self.learn_floor(head.chain_floor.clone());
         let recording = self.claimed.is_some().then(Vec::new);
         CallResult::Answered(Box::new(Answer {
             head,
@@ -396,8 +396,10 @@
         }
     }
 
-    fn learn_floor(&self, floor: AdmissionFloor) {
-        self.parent.lower_chain_floor(floor);
+    fn learn_floor(&self, floor: Option<ChainFloor>) {
+        if let Some(floor) = floor {
+            self.parent.lower_chain_floor(&floor);
+        }
     }
 }
 
--- a/crates/seamhatchd/src/filters/entry_floor.rs
+++ b/crates/seamhatchd/src/filters/entry_floor.rs
@@ -1,10 +1,12 @@
 //! Refusal at the entry of what a service below would refuse.
 //!
-//! Shedding deep in a chain wastes everything done above it. Every answer tells
-//! the lowest admission floor that its chain met; the entry remembers it by
-//! kind of request and refuses what lies above. One request has the same
-//! priority everywhere, so the entry's verdict is the deep service's (the idea
-//! of H. Zhou et al., "Overload Control for Scaling WeChat Microservices", 2018).
+//! Shedding deep in a chain wastes everything done above it. Every answer tells the lowest admission
+//! floor that its chain met, and whose it is; heartbeats tell the floors of the servers that this
+//! daemon has connections to. The entry remembers which services bound which kind of request, and the
+//! floor of each service once for all kinds: a kind whose answers are rare or slow must not try by
+//! itself what the others know. One request has the same priority everywhere, so the entry's verdict is
+//! the deep service's (the idea of H. Zhou et al., "Overload Control for Scaling WeChat Microservices",
+//! 2018).
 
 use crate::clock;
 use crate::filters::{Entry, Rejection, RequestFilter, RequestState};
@@ -13,8 +15,9 @@
 use seamhatch_core::clock::{MILLISECOND, Microseconds};
 use seamhatch_core::outcome::Reason;
 use seamhatch_core::priority::{AdmissionFloor, Priority};
+use seamhatch_wire::ChainFloor;
 use std::collections::HashMap;
-use std::sync::Mutex;
+use std::sync::{Mutex, MutexGuard};
 
 /// A floor that was not confirmed for this long begins to rise.
 const FLOOR_LIFETIME: Microseconds = 500 * MILLISECOND;
@@ -23,6 +26,8 @@
 const LEVELS_PER_MILLISECOND: f64 = 0.32;
 /// Kinds of requests that are remembered at most.
 const MOST_KINDS: usize = 4_096;
+/// Services that are remembered as the bounds of one kind of request.
+const MOST_BOTTLENECKS: usize = 4;
 
 #[derive(Debug, Clone, Copy)]
 struct LearntFloor {
@@ -30,38 +35,84 @@
     seen: Instant,
 }
 
-/// Floors by kind of request.
 #[derive(Debug, Default)]
-pub struct EntryFloors(Mutex<HashMap<String, LearntFloor>>);
+struct FloorTable {
+    /// Floors of the services that shed, or did lately.
+    by_service: HashMap<String, LearntFloor>,
+    /// Services that bound each kind of request.
+    by_kind: HashMap<String, Vec<String>>,
+}
+
+/// What is known of the floors behind the entry.
+#[derive(Debug, Default)]
+pub struct EntryFloors(Mutex<FloorTable>);
 
 impl EntryFloors {
-    /// Takes in the lowest floor that an answer's chain met.
-    ///
-    /// A lower floor counts at once; a higher one replaces a lower one only
-    /// when that is old, since another server of the same chain may still tell it.
-    pub fn learn(&self, kind: &str, floor: AdmissionFloor) {
+    /// Takes in the lowest floor that an answer's chain met, or that it met none.
+    pub fn learn(&self, kind: &str, met: Option<&ChainFloor>) {
         let now = clock::now();
-        let mut floors = self.0.lock().expect("entry floors lock");
-        if let Some(known) = floors.get_mut(kind) {
-            let old = now.since(known.seen) > FLOOR_LIFETIME / 4;
-            if floor <= known.at(now) || old {
-                *known = LearntFloor { floor, seen: now };
+        let mut table = self.lock();
+        match met {
+            Some(met) => {
+                table.note_bottleneck(kind, &met.service);
+                table.take(&met.service, met.floor, now);
+            }
+            None => {
+                for service in table.by_kind.get(kind).cloned().unwrap_or_default() {
+                    table.take(&service, AdmissionFloor::OPEN, now);
+                }
             }
-            return;
-        }
-        if floors.len() >= MOST_KINDS {
-            floors.retain(|_, known| known.at(now) < AdmissionFloor::OPEN);
-        }
-        if floors.len() < MOST_KINDS {
-            floors.insert(kind.to_owned(), LearntFloor { floor, seen: now });
         }
     }
 
+    /// Takes in what a server of `service` tells in its heartbeat.
+    pub fn learn_service(&self, service: &str, floor: AdmissionFloor) {
+        self.lock().take(service, floor, clock::now());
+    }
+
     /// Whether a request of this kind and priority is admitted.
     #[must_use]
     pub fn admits(&self, kind: &str, priority: Priority) -> bool {
-        let floors = self.0.lock().expect("entry floors lock");
-        floors.get(kind).is_none_or(|known| known.at(clock::now()).admits(priority))
+        let now = clock::now();
+        let table = self.lock();
+        let Some(services) = table.by_kind.get(kind) else { return true };
+        let mut floors = services.iter().filter_map(|service| table.by_service.get(service));
+        floors.all(|known| known.at(now).admits(priority))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, FloorTable> {
+        self.0.lock().expect("entry floors lock")
+    }
+}
+
+impl FloorTable {
+    /// A lower floor counts at once; a higher one replaces a lower one only when that is old, since
+    /// another server of the service may still tell it.
+    fn take(&mut self, service: &str, floor: AdmissionFloor, now: Instant) {
+        let Some(known) = self.by_service.get_mut(service) else {
+            if floor < AdmissionFloor::OPEN {
+                self.by_service.insert(service.to_owned(), LearntFloor { floor, seen: now });
+            }
+            return;
+        };
+        let old = now.since(known.seen) > FLOOR_LIFETIME / 4;
+        if floor <= known.at(now) || old {
+            *known = LearntFloor { floor, seen: now };
+        }
+    }
+
+    fn note_bottleneck(&mut self, kind: &str, service: &str) {
+        if self.by_kind.len() >= MOST_KINDS && !self.by_kind.contains_key(kind) {
+            self.by_kind.clear();
+        }
+        let services = self.by_kind.entry(kind.to_owned()).or_default();
+        if services.iter().any(|known| known == service) {
+            return;
+        }
+        if services.len() == MOST_BOTTLENECKS {
+            services.remove(0);
+        }
+        services.push(service.to_owned());
     }
 }
 
--- a/crates/seamhatchd/src/listeners/proxy.rs
+++ b/crates/seamhatchd/src/listeners/proxy.rs
@@ -118,7 +118,7 @@
     fn learn_floor(&self, request: &RequestState) {
         let Some(parent) = &request.parent else { return };
         if request.entry != Entry::Egress && parent.depth == 0 {
-            self.shared.entry_floors.learn(&request.entry_key, parent.chain_floor());
+            self.shared.entry_floors.learn(&request.entry_key, parent.chain_floor().as_ref());
         }
     }
 
--- a/crates/seamhatchd/src/peer/connection.rs
+++ b/crates/seamhatchd/src/peer/connection.rs
@@ -100,6 +100,8 @@
     pub address: Address,
     /// The peer's life.
     pub incarnation: Incarnation,
+    /// Service of its server, where it is known as one that takes work.
+    service: Option<Arc<str>>,
     outbox: Outbox,
     inner: Arc<Inner>,
 }
@@ -138,6 +140,7 @@
         let connection = Self {
             address,
             incarnation: hello.incarnation,
+            service: shared.snapshot().service_of(address).map(Arc::from),
             outbox,
             inner: Arc::new(Inner::new(hello.clock)),
         };
@@ -198,6 +201,9 @@
         match message {
             PeerMessage::Pulse(pulse) => {
                 self.inner.view().take_pulse(&pulse);
+                if let Some(service) = &self.service {
+                    shared.entry_floors.learn_service(service, pulse.server.floor);
+                }
                 shared.control.saw_generation(self.address, pulse.generation);
             }
             PeerMessage::Refused { call, refusal } => {
--- a/crates/seamhatchd/src/running.rs
+++ b/crates/seamhatchd/src/running.rs
@@ -4,8 +4,9 @@
 use base64::engine::general_purpose::URL_SAFE_NO_PAD;
 use seamhatch_core::Instant;
 use seamhatch_core::identity::{Incarnation, RootId};
-use seamhatch_core::priority::{AdmissionFloor, Priority};
+use seamhatch_core::priority::Priority;
 use seamhatch_core::retry::RetryLedger;
+use seamhatch_wire::ChainFloor;
 use speedy::{Readable, Writable};
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -25,7 +26,7 @@
     /// Services above it.
     pub depth: u32,
     ledger: Mutex<RetryLedger>,
-    chain_floor: Mutex<AdmissionFloor>,
+    chain_floor: Mutex<Option<ChainFloor>>,
     cause: Option<Arc<RunningCall>>,
 }
 
@@ -40,9 +41,17 @@
         depth: u32,
         ledger: RetryLedger,
     ) -> Self {
-        let chain_floor = Mutex::new(AdmissionFloor::OPEN);
         let ledger = Mutex::new(ledger);
-        Self { root, priority, root_admitted, expiry, depth, ledger, chain_floor, cause: None }
+        Self {
+            root,
+            priority,
+            root_admitted,
+            expiry,
+            depth,
+            ledger,
+            chain_floor: Mutex::default(),
+            cause: None,
+        }
     }
 
     /// A call that the running call `cause` makes, with its own deadline and retries. It has the place
@@ -60,19 +69,21 @@
         self.ledger.lock().expect("a thread panicked inside a retry ledger")
     }
 
-    /// Lowest admission floor met by the calls below it so far.
+    /// Lowest admission floor met by the calls below it so far; none where all were open.
     #[must_use]
-    pub fn chain_floor(&self) -> AdmissionFloor {
-        *self.chain_floor.lock().expect("floor lock")
+    pub fn chain_floor(&self) -> Option<ChainFloor> {
+        self.chain_floor.lock().expect("floor lock").clone()
     }
 
     /// Takes in a floor met below.
-    pub fn lower_chain_floor(&self, floor: AdmissionFloor) {
+    pub fn lower_chain_floor(&self, floor: &ChainFloor) {
         if let Some(cause) = &self.cause {
             cause.lower_chain_floor(floor);
         }
         let mut lowest = self.chain_floor.lock().expect("floor lock");
-        *lowest = (*lowest).min(floor);
+        if lowest.as_ref().is_none_or(|lowest| floor.floor < lowest.floor) {
+            *lowest = Some(floor.clone());
+        }
     }
 }
 
