The admission floor falls when calls can't be served in time, however short the queue is

The gate's floor moved with the length of its queue alone.

Change: refusals of calls below the floor, expired and evicted ones included, count against what was served; above 3 in 100 the floor falls to what can be sustained.

Test: core/tests/admission.rs; failed before (the floor stayed open).

--- a/crates/seamhatch-core/src/admission.rs
+++ b/crates/seamhatch-core/src/admission.rs
@@ -166,18 +166,30 @@
         let key = (request.priority.level(), request.root_admitted, request.ticket);
         let ahead = self.waiting.range(..key).count();
         if now.plus(self.estimated_wait(ahead)) >= self.latest_start(&request) {
+            self.floor.count_refused(key.0);
             return Admission::Refuse(Reason::DeadlineExceeded);
         }
         let evicted = match self.make_room(key) {
             Ok(evicted) => evicted,
-            Err(reason) => return Admission::Refuse(reason),
+            Err(reason) => {
+                self.floor.count_refused(key.0);
+                return Admission::Refuse(reason);
+            }
         };
         self.waiting.insert(key, request);
         self.keys.insert(request.ticket, key);
         Admission::Wait { evicted }
     }
 
-    /// Takes a waiting call out; false when it doesn't wait.
+    /// Takes out a call that has waited as long as it could; false when it doesn't wait.
+    pub fn expire(&mut self, ticket: Ticket) -> bool {
+        if let Some(key) = self.keys.get(&ticket) {
+            self.floor.count_refused(key.0);
+        }
+        self.cancel(ticket)
+    }
+
+    /// Takes out a waiting call that is not wanted any more; false when it doesn't wait.
     pub fn cancel(&mut self, ticket: Ticket) -> bool {
         let Some(key) = self.keys.remove(&ticket) else { return false };
         self.waiting.remove(&key);
@@ -201,6 +213,7 @@
         let (key, request) = (*key, *request);
         if self.latest_start(&request) <= now {
             self.remove(key);
+            self.floor.count_refused(key.0);
             return Some(Dequeued::Expired(request.ticket));
         }
         if self.running.len() >= self.limit.current() as usize {
@@ -240,6 +253,7 @@
             return Err(Reason::QueueFull);
         }
         self.remove(worst);
+        self.floor.count_refused(worst.0);
         Ok(Some(worst.2))
     }
 
@@ -300,7 +314,7 @@
 
 /// Moves the published admission floor with the pressure on the queue.
 ///
-/// Under pressure the floor goes to the level below which as much work arrived
+/// Under pressure (a long queue, or calls that can't be served in time) the floor goes to the level below which as much work arrived
 /// as was served lately, but not below what waits in the healthy part of the
 /// queue: a cold server serves little at first, and important work can wait.
 /// Without pressure the floor rises step by step, faster where slots are free.
@@ -309,6 +323,8 @@
     floor: u16,
     arrived: Vec<f32>,
     served: f32,
+    /// Calls below the floor that could not be served in time.
+    refused: f32,
 }
 
 /// Share of the counts that is kept from one tick to the next.
@@ -319,6 +335,11 @@
 const FLOOR_STEP_UP: u16 = 4;
 /// Levels that it rises in one tick more at a server with nothing to do; fewer the busier it is.
 const FLOOR_STEP_IDLE: f64 = 28.0;
+/// Refused work over served work at which the floor falls, however short the queue is: a queue may be
+/// short because calls don't wait long enough to be served.
+const REFUSED_SHARE: f32 = 0.03;
+/// Refused calls that may be chance.
+const REFUSED_BY_CHANCE: f32 = 3.0;
 /// Queue fill at which the floor falls.
 const HIGH_FILL: f64 = 0.4;
 /// Queue fill below which the floor rises.
@@ -327,7 +348,7 @@
 impl Default for FloorController {
     fn default() -> Self {
         let open = AdmissionFloor::OPEN.0;
-        Self { floor: open, arrived: vec![0.0; usize::from(open)], served: 0.0 }
+        Self { floor: open, arrived: vec![0.0; usize::from(open)], served: 0.0, refused: 0.0 }
     }
 }
 
@@ -346,9 +367,20 @@
         self.served += 1.0;
     }
 
+    fn count_refused(&mut self, level: u16) {
+        if level < self.floor {
+            self.refused += 1.0;
+        }
+    }
+
+    /// Whether more than chance would have it could not be served in time.
+    fn refuses(&self) -> bool {
+        self.refused > REFUSED_BY_CHANCE.max(self.served * REFUSED_SHARE)
+    }
+
     /// `free` is the share of the slots that are not taken.
     fn tick(&mut self, queue_fill: f64, first_in_excess: Option<u16>, free: f64) {
-        if queue_fill > HIGH_FILL {
+        if queue_fill > HIGH_FILL || self.refuses() {
             let waits = first_in_excess.unwrap_or_default();
             self.floor = self.floor.min(self.sustainable_level().max(waits));
         } else if queue_fill < LOW_FILL {
@@ -357,6 +389,7 @@
         }
         self.arrived.iter_mut().for_each(|count| *count *= COUNT_DECAY);
         self.served *= COUNT_DECAY;
+        self.refused *= COUNT_DECAY;
     }
 
     /// The highest floor that admits no more than was served. At least one level stays open.
--- a/crates/seamhatch-core/tests/admission.rs
+++ b/crates/seamhatch-core/tests/admission.rs
@@ -173,3 +173,37 @@
         assert!(ticks <= case.most_ticks, "{} running: {ticks} ticks", case.running);
     }
 }
+
+/// Bulk calls wait in vain behind calls that are in a hurry, and the queue stays short.
+#[test]
+fn the_floor_falls_when_calls_can_not_be_served_in_time_however_short_the_queue_is() {
+    let policy = AdmissionPolicy { slots: 4, queue_per_slot: 64, initial_slots: 4 };
+    let mut queue = AdmissionQueue::new(policy);
+    let mut now = NOW;
+    let mut running = std::collections::VecDeque::new();
+    for ticket in 0..800 {
+        let class = PriorityClass::ALL[ticket as usize % 3];
+        let mut offered = request(ticket, class, now);
+        offered.priority.bucket = (ticket * 37 % 128) as u8;
+        offered.start_by = now.plus(20 * MILLISECOND);
+        if queue.offer(offered, now) == Admission::Run {
+            running.push_back(Ticket(ticket));
+        }
+        now = now.plus(2_500);
+        // One call in two is served, each for 20 ms.
+        if ticket % 2 == 0 {
+            running.pop_front().into_iter().for_each(|done| queue.finish(done, now, true));
+        }
+        while let Some(dequeued) = queue.next(now) {
+            if let Dequeued::Run(next) = dequeued {
+                running.push_back(next);
+            }
+        }
+        if ticket % 40 == 39 {
+            queue.tick();
+        }
+        assert!(queue.waiting() < 100, "the queue is long: {}", queue.waiting());
+    }
+    let floor = queue.floor();
+    assert!(floor <= AdmissionFloor(256) && floor > AdmissionFloor(128), "{floor:?}");
+}
--- a/crates/seamhatchd/src/gate.rs
+++ b/crates/seamhatchd/src/gate.rs
@@ -72,6 +72,8 @@
     gate: &'a AdmissionGate,
     ticket: Ticket,
     armed: bool,
+    /// It has waited as long as it could.
+    expired: bool,
 }
 
 impl Drop for WaitGuard<'_> {
@@ -81,7 +83,9 @@
         }
         let mut state = self.gate.lock();
         state.waiters.remove(&self.ticket);
-        if !state.queue.cancel(self.ticket) {
+        let waited =
+            if self.expired { state.queue.expire(self.ticket) } else { state.queue.cancel(self.ticket) };
+        if !waited {
             state.queue.finish(self.ticket, clock::now(), false);
             self.gate.pump(&mut state);
         }
@@ -113,7 +117,7 @@
         let Some(turn) = self.offer(offered, arrived)? else {
             return Ok(self.permit(ticket));
         };
-        let mut guard = WaitGuard { gate: self, ticket, armed: true };
+        let mut guard = WaitGuard { gate: self, ticket, armed: true, expired: false };
         let latest_start = self.lock().queue.latest_start(&offered);
         let decided = tokio::time::timeout(clock::time_until(latest_start), turn).await;
         let waited = clock::now().since(arrived);
@@ -124,7 +128,10 @@
                 Ok(self.permit(ticket))
             }
             Ok(Ok(Err(reason))) => Err(reason),
-            Ok(Err(_)) | Err(_) => Err(Reason::DeadlineExceeded),
+            Ok(Err(_)) | Err(_) => {
+                guard.expired = true;
+                Err(Reason::DeadlineExceeded)
+            }
         }
     }
 
