--- a/crates/seamhatch-core/tests/admission.rs
+++ b/crates/seamhatch-core/tests/admission.rs
@@ -142,3 +142,68 @@
     assert_eq!(waiting, [Ticket(2), Ticket(3), Ticket(4), Ticket(5)]);
     assert_eq!((queue.running(), queue.waiting()), (2, 0));
 }
+
+/// How many ticks a floor takes from the lowest level to open, at a server with this many of 8 slots taken.
+struct RecoveryCase {
+    running: u64,
+    most_ticks: u32,
+}
+
+/// Recovery after an overload: a server that has nothing to do must not go on having work refused.
+#[test]
+fn the_floor_opens_sooner_the_more_slots_are_free() {
+    let cases = [RecoveryCase { running: 0, most_ticks: 18 }, RecoveryCase { running: 4, most_ticks: 32 }];
+    for case in cases {
+        let policy = AdmissionPolicy { slots: 8, queue_per_slot: 2, initial_slots: 8 };
+        let mut queue = AdmissionQueue::new(policy);
+        let admissions: Vec<Admission> =
+            (0..24).map(|ticket| queue.offer(request(ticket, PriorityClass::Bulk, NOW), NOW)).collect();
+        assert!(
+            admissions.iter().filter(|admission| matches!(admission, Admission::Wait { .. })).count() > 8
+        );
+        queue.tick();
+        assert!(queue.floor() < AdmissionFloor(300), "{:?}", queue.floor());
+        queue.close();
+        (case.running..8).for_each(|ticket| queue.finish(Ticket(ticket), NOW, true));
+        let mut ticks = 0;
+        while queue.floor() < AdmissionFloor::OPEN {
+            queue.tick();
+            ticks += 1;
+        }
+        assert!(ticks <= case.most_ticks, "{} running: {ticks} ticks", case.running);
+    }
+}
+
+/// Bulk calls wait in vain behind calls that are in a hurry, and the queue stays short.
+#[test]
+fn the_floor_falls_when_calls_can_not_be_served_in_time_however_short_the_queue_is() {
+    let policy = AdmissionPolicy { slots: 4, queue_per_slot: 64, initial_slots: 4 };
+    let mut queue = AdmissionQueue::new(policy);
+    let mut now = NOW;
+    let mut running = std::collections::VecDeque::new();
+    for ticket in 0..800 {
+        let class = PriorityClass::ALL[ticket as usize % 3];
+        let mut offered = request(ticket, class, now);
+        offered.priority.bucket = (ticket * 37 % 128) as u8;
+        offered.start_by = now.plus(20 * MILLISECOND);
+        if queue.offer(offered, now) == Admission::Run {
+            running.push_back(Ticket(ticket));
+        }
+        now = now.plus(2_500);
+        // One call in two is served, each for 20 ms.
+        if ticket % 2 == 0 {
+            running.pop_front().into_iter().for_each(|done| queue.finish(done, now, true));
+        }
+        while let Some(dequeued) = queue.next(now) {
+            if let Dequeued::Run(next) = dequeued {
+                running.push_back(next);
+            }
+        }
+        if ticket % 40 == 39 {
+            queue.tick();
+        }
+        assert!(queue.waiting() < 100, "the queue is long: {}", queue.waiting());
+    }
+    let floor = queue.floor();
+    assert!(floor <= AdmissionFloor(256) && floor > AdmissionFloor(128), "{floor:?}");
+}
