A server that loses part of its answers gets less work, before it loses them in a row

Three losses in a row eject a server; answers in between set the count back, so it kept its share of calls, and a search that makes ten of them in a row rarely met none. 71 losses at all other servers together.

Ruled out: a crash (its instance stayed open), lost daemons or links (reason backend-failed, none peer-lost), too few repeats (they stay within the deployment's bound; more of them would break it).

Change: SuccessRate, an average that fades within seconds, per connection; a candidate's cost is divided by its success to the fourth power, so one that loses three in ten is used when the others are four times as full. Nothing is cut off.

--- a/crates/seamhatch-core/src/balance.rs
+++ b/crates/seamhatch-core/src/balance.rs
@@ -2,7 +2,8 @@
 //!
 //! Two candidates are drawn and the less loaded is taken (power of two random
 //! choices, M. Mitzenmacher, "The Power of Two Choices in Randomized Load
-//! Balancing", 1996), on work in flight that this daemon knows of.
+//! Balancing", 1996), on work in flight that this daemon knows of, weighed by how many of a server's
+//! answers arrive.
 
 use crate::clock::{Instant, MILLISECOND, Microseconds, SECOND};
 
@@ -17,6 +18,8 @@
     pub in_flight: u32,
     /// Work at the server as its last answer told (running and waiting).
     pub reported_load: u32,
+    /// Share of its answers that arrived lately, 0 to 1.
+    pub success: f64,
     /// Health as seen from here.
     pub ejected: bool,
 }
@@ -24,10 +27,16 @@
 impl Candidate {
     fn cost(&self) -> f64 {
         let load = f64::from(self.in_flight.max(self.reported_load) + 1);
-        load / f64::from(self.slots.max(1))
+        let success = self.success.max(LEAST_SUCCESS).powi(CALLS_AT_STAKE);
+        load / f64::from(self.slots.max(1)) / success
     }
 }
 
+/// Calls of one request that usually go to one service, one after the other: all are lost with one.
+const CALLS_AT_STAKE: i32 = 4;
+/// Success below this makes no further difference.
+const LEAST_SUCCESS: f64 = 0.05;
+
 /// Load over slots above which a server in the caller's own zone loses its preference.
 const ZONE_SPILL_COST: f64 = 0.8;
 
@@ -73,6 +82,42 @@
     Lost,
 }
 
+/// Share of a server's answers that arrived lately.
+///
+/// A server that loses part of its answers is never ejected, since others arrive in between; its share
+/// makes it costlier. What is old counts less, so that a server that gets no calls is tried again.
+#[derive(Debug, Clone, Default)]
+pub struct SuccessRate {
+    lost: f64,
+    seen: Instant,
+}
+
+/// Weight of a new sample in the share of lost answers.
+const LOSS_WEIGHT: f64 = 0.1;
+/// Time in which the share of lost answers halves where nothing is sent.
+const LOSS_HALF_LIFE: Microseconds = SECOND;
+
+impl SuccessRate {
+    /// Takes in the end of a call.
+    pub fn record(&mut self, end: CallEnd, now: Instant) {
+        let sample = if end == CallEnd::Lost { 1.0 } else { 0.0 };
+        let lost = self.lost_at(now);
+        self.lost = lost + LOSS_WEIGHT * (sample - lost);
+        self.seen = now;
+    }
+
+    /// The share as it counts at `now`, 0 to 1.
+    #[must_use]
+    pub fn at(&self, now: Instant) -> f64 {
+        1.0 - self.lost_at(now)
+    }
+
+    fn lost_at(&self, now: Instant) -> f64 {
+        let age = now.since(self.seen) as f64 / LOSS_HALF_LIFE as f64;
+        self.lost * (-age).exp2()
+    }
+}
+
 /// Ejects a server after consecutive losses, for a time that grows when it happens again.
 #[derive(Debug, Clone, Default)]
 pub struct Ejection {
--- a/crates/seamhatch-core/tests/decisions.rs
+++ b/crates/seamhatch-core/tests/decisions.rs
@@ -1,7 +1,7 @@
 //! Clocks, claims, rosters, server choice and retry ratios, step by step.
 
 use seamhatch_core::Instant;
-use seamhatch_core::balance::{CallEnd, Candidate, Ejection, pick};
+use seamhatch_core::balance::{CallEnd, Candidate, Ejection, SuccessRate, pick};
 use seamhatch_core::claims::{
     CLAIM_MEMORY, Claim, ClaimHolder, ClaimKey, ClaimReply, Epoch, LONGEST_REQUEST, Witness,
 };
@@ -118,7 +118,7 @@
 }
 
 fn server(in_flight: u32, same_zone: bool, ejected: bool) -> Candidate {
-    Candidate { same_zone, slots: 10, in_flight, reported_load: 0, ejected }
+    Candidate { same_zone, slots: 10, in_flight, reported_load: 0, success: 1.0, ejected }
 }
 
 #[test]
@@ -170,3 +170,46 @@
     let level = |class, bucket| Priority { class, bucket }.level();
     assert!(level(PriorityClass::Critical, BUCKETS - 1) < level(PriorityClass::Normal, KEPT_BUCKETS));
 }
+
+/// Ends of calls to a server, the share of answers that counts, and later.
+struct SuccessCase {
+    name: &'static str,
+    ends: Vec<CallEnd>,
+    at_once: std::ops::RangeInclusive<f64>,
+    after_seconds: u64,
+    later: std::ops::RangeInclusive<f64>,
+}
+
+#[test]
+fn lost_answers_count_for_a_while() {
+    let every = |period: usize| {
+        (0..60).map(|call| if call % period == 0 { CallEnd::Lost } else { CallEnd::Answered }).collect()
+    };
+    let cases = [
+        SuccessCase { name: "none", ends: vec![], at_once: 1.0..=1.0, after_seconds: 0, later: 1.0..=1.0 },
+        SuccessCase { name: "half", ends: every(2), at_once: 0.4..=0.6, after_seconds: 1, later: 0.7..=0.8 },
+        SuccessCase { name: "all", ends: every(1), at_once: 0.0..=0.01, after_seconds: 4, later: 0.9..=0.95 },
+        SuccessCase { name: "few", ends: every(20), at_once: 0.9..=1.0, after_seconds: 1, later: 0.95..=1.0 },
+    ];
+    for case in cases {
+        let mut rate = SuccessRate::default();
+        let now = Instant(SECOND);
+        case.ends.iter().for_each(|end| rate.record(*end, now));
+        assert!(case.at_once.contains(&rate.at(now)), "{}: {}", case.name, rate.at(now));
+        let later = now.plus(case.after_seconds * SECOND);
+        assert!(case.later.contains(&rate.at(later)), "{}: {}", case.name, rate.at(later));
+    }
+}
+
+#[test]
+fn a_server_that_loses_answers_is_taken_only_when_the_others_are_much_busier() {
+    let lossy = Candidate { success: 0.7, ..server(1, false, false) };
+    let first = |_| 0;
+    assert_eq!(pick(&[lossy, server(5, false, false)], first), Some(1));
+    assert_eq!(pick(&[lossy, server(9, false, false)], first), Some(0));
+    // The own zone is preferred only while its servers answer.
+    let near = Candidate { same_zone: true, success: 0.8, ..lossy };
+    assert_eq!(pick(&[near, server(1, false, false)], first), Some(0));
+    let hopeless = Candidate { same_zone: true, success: 0.3, ..lossy };
+    assert_eq!(pick(&[hopeless, server(1, false, false)], first), Some(1));
+}
--- a/crates/seamhatchd/src/dispatch/candidates.rs
+++ b/crates/seamhatchd/src/dispatch/candidates.rs
@@ -11,7 +11,14 @@
     let same_zone = server.zone == shared.settings.zone;
     let Some(connection) = shared.pool.existing(server.peer) else {
         let ejected = shared.pool.is_failing(server.peer, now);
-        return Candidate { same_zone, slots: server.slots, in_flight: 0, reported_load: 0, ejected };
+        return Candidate {
+            same_zone,
+            slots: server.slots,
+            in_flight: 0,
+            reported_load: 0,
+            success: 1.0,
+            ejected,
+        };
     };
     let view = connection.view();
     Candidate {
@@ -19,6 +26,7 @@
         slots: view.server.map_or(server.slots, |report| report.limit),
         in_flight: connection.in_flight(),
         reported_load: view.server.map_or(0, |report| report.load),
+        success: view.success(now),
         ejected: view.draining || view.should_avoid(now),
     }
 }
--- a/crates/seamhatchd/src/peer/view.rs
+++ b/crates/seamhatchd/src/peer/view.rs
@@ -2,7 +2,7 @@
 
 use crate::clock;
 use seamhatch_core::Instant;
-use seamhatch_core::balance::{CallEnd, Ejection};
+use seamhatch_core::balance::{CallEnd, Ejection, SuccessRate};
 use seamhatch_core::clock::{MILLISECOND, Microseconds, PeerClock};
 use seamhatch_core::generation::Generation;
 use seamhatch_wire::ServerReport;
@@ -24,6 +24,7 @@
     pub server: Option<ServerReport>,
     clock: PeerClock,
     ejection: Ejection,
+    success: SuccessRate,
     losses: u32,
 }
 
@@ -40,6 +41,7 @@
             server: None,
             clock,
             ejection: Ejection::default(),
+            success: SuccessRate::default(),
             losses: 0,
         }
     }
@@ -54,6 +56,7 @@
     /// Takes in how a call to it ended.
     pub fn record(&mut self, end: CallEnd, now: Instant) {
         self.ejection.record(end, now);
+        self.success.record(end, now);
         self.losses = if end == CallEnd::Lost { self.losses + 1 } else { 0 };
     }
 
@@ -75,6 +78,12 @@
         self.is_silent(now) || self.ejection.is_ejected(now)
     }
 
+    /// Share of its answers that arrived lately, 0 to 1.
+    #[must_use]
+    pub fn success(&self, now: Instant) -> f64 {
+        self.success.at(now)
+    }
+
     /// Calls lost in a row.
     #[must_use]
     pub fn losses(&self) -> u32 {
