--- a/crates/seamhatchd/src/peer/server_call.rs
+++ b/crates/seamhatchd/src/peer/server_call.rs
@@ -12,7 +12,7 @@
 use crate::running::RunningCall;
 use crate::shared::Shared;
 use bytes::Bytes;
-use log::{debug, info};
+use log::info;
 use seamhatch_core::Instant;
 use seamhatch_core::clock::{MILLISECOND, Microseconds};
 use seamhatch_core::identity::Address;
@@ -83,7 +83,7 @@
         ));
         match self.admit(&running).await {
             Ok(permit) => self.execute(&running, permit, body).await,
-            Err(reason) => self.refuse(&running, Outcome::NotRun, reason),
+            Err(reason) => self.refuse(&running, Outcome::NotRun, reason, ""),
         }
     }
 
@@ -117,10 +117,10 @@
         // Last of all: this process may have been frozen since the slot was given, and the instance
         // may have closed.
         if running.expiry <= clock::now() {
-            return self.refuse(running, Outcome::NotRun, Reason::DeadlineExceeded);
+            return self.refuse(running, Outcome::NotRun, Reason::DeadlineExceeded, "");
         }
         let Some(instance) = self.shared.instances.open() else {
-            return self.refuse(running, Outcome::NotRun, Reason::NoInstance);
+            return self.refuse(running, Outcome::NotRun, Reason::NoInstance, "");
         };
         let request = BackendRequest {
             method: &self.head.method,
@@ -139,7 +139,7 @@
         };
         let exchanged = tokio::select! {
             exchanged = exchange => exchanged,
-            () = self.given_up() => return self.refuse(running, Outcome::Unknown, Reason::Cancelled),
+            () = self.given_up() => return self.refuse(running, Outcome::Unknown, Reason::Cancelled, ""),
         };
         match exchanged {
             Ok((answer, beginning)) => {
@@ -157,16 +157,14 @@
                 self.end(running, complete);
             }
             Err(BackendError::NotRun { reason, detail }) => {
-                debug!(reason = reason.name(), detail = detail.as_str(); "back end did not run a call");
                 let lost = matches!(reason, Reason::BackendUnreachable | Reason::OtherInstance);
                 if let Some(instance) = instance.id.filter(|_| lost) {
                     self.shared.control.lost_instance(instance, reason);
                 }
-                self.refuse(running, Outcome::NotRun, reason);
+                self.refuse(running, Outcome::NotRun, reason, &detail);
             }
             Err(BackendError::Failed { detail }) => {
-                debug!(detail = detail.as_str(); "back end broke off");
-                self.refuse(running, Outcome::Unknown, Reason::BackendFailed);
+                self.refuse(running, Outcome::Unknown, Reason::BackendFailed, &detail);
             }
         }
     }
@@ -255,7 +253,8 @@
         let _ = self.outbox.send(PeerMessage::AnswerTail(tail));
     }
 
-    fn refuse(&self, running: &RunningCall, outcome: Outcome, reason: Reason) {
+    /// `detail` is what the back end did, where it is the cause.
+    fn refuse(&self, running: &RunningCall, outcome: Outcome, reason: Reason, detail: &str) {
         self.shared.metrics.refusal(outcome, reason, running.priority.class);
         let server = self.shared.gate.report();
         info!(
@@ -264,6 +263,7 @@
             from = self.from.to_string().as_str(),
             outcome = outcome.name(),
             reason = reason.name(),
+            detail = detail,
             priority = running.priority.level(),
             load = server.load,
             limit = server.limit,
