--- a/crates/seamhatchd/src/controllers/control_thread/followed.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/followed.rs
@@ -50,7 +50,9 @@
     /// Begins to follow the store, where there is one to follow.
     pub(super) fn start_following(&mut self) {
         let Some(followed) = self.followed().cloned() else { return };
-        self.departures.known = self.shared.settings.first_start;
+        if self.shared.settings.first_start {
+            self.departures.settled = true;
+        }
         let metrics = self.shared.metrics.clone();
         tokio::spawn(follow_configuration(
             followed.clone(),
--- a/crates/seamhatchd/src/controllers/control_thread/instances.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/instances.rs
@@ -3,8 +3,8 @@
 use super::ControlThread;
 use super::followed::STORE_PATIENCE;
 use crate::clock;
-use crate::controllers::events::{ControlEvent, InstanceAnswer};
-use crate::controllers::follow::{RememberedDepartures, ask_departures, remember_departures};
+use crate::controllers::events::{ControlEvent, DepartureSource, InstanceAnswer};
+use crate::controllers::follow::{ask_departures, remember_departure};
 use crate::instances::OpenInstance;
 use log::{info, warn};
 use seamhatch_core::Instant;
@@ -21,8 +21,10 @@
 
 /// A starting daemon that reaches neither the store nor a peer takes its back end's word after this time.
 const DEPARTURE_PATIENCE: Microseconds = 4 * SECOND;
+/// A starting daemon that has the store's word waits this long for that of peers.
+const HOLDERS_PATIENCE: Microseconds = 500 * MILLISECOND;
 /// Time between two questions to peers about departures.
-const DEPARTURE_POLL: Microseconds = 500 * MILLISECOND;
+const DEPARTURE_POLL: Microseconds = 250 * MILLISECOND;
 /// Daemons that are told of a departure.
 const DEPARTURE_HOLDERS: usize = 3;
 /// Daemons that are asked for departures: more, as the membership may have changed.
@@ -37,8 +39,10 @@
 /// What is known of departed instances, here and on behalf of other daemons.
 #[derive(Debug, Default)]
 pub(super) struct Departures {
-    /// Those of an earlier life are known.
-    pub(super) known: bool,
+    /// Those of an earlier life are known as far as they can be.
+    pub(super) settled: bool,
+    store_told: bool,
+    peers_told: bool,
     asking: bool,
     next_poll: Instant,
     /// A heartbeat that arrived before they were.
@@ -51,42 +55,73 @@
 
 impl ControlThread {
     /// Departures of an earlier life, from the store or from the daemons that hold them.
-    pub(super) fn departures_learnt(&mut self, instances: &[InstanceId]) {
-        self.departures.asking = false;
+    pub(super) fn departures_learnt(&mut self, source: DepartureSource, instances: &[InstanceId]) {
+        match source {
+            DepartureSource::Store => self.departures.store_told = true,
+            DepartureSource::Peers => {
+                self.departures.asking = false;
+                self.departures.peers_told = true;
+            }
+        }
+        info!(source:? = source, instances = instances.len(); "departures of an earlier life told");
         if self.shared.instances.depart(instances) {
             warn!("the registered instance had departed before this daemon started");
             self.work_changed();
         }
-        if std::mem::replace(&mut self.departures.known, true) {
+        if self.departures.store_told && self.departures.peers_told {
+            self.settle_departures();
+        }
+    }
+
+    /// From now on the back end's heartbeats count.
+    fn settle_departures(&mut self) {
+        if std::mem::replace(&mut self.departures.settled, true) {
             return;
         }
-        info!(instances = instances.len(); "departures of an earlier life are known");
+        let departures = &self.departures;
+        info!(store = departures.store_told, peers = departures.peers_told; "departures of an earlier life are known");
         if let Some(heartbeat) = self.departures.early.take() {
             self.take_heartbeat(heartbeat);
         }
     }
 
+    /// Both the store and the daemons that hold departures are asked: either may have noted one that
+    /// the other has not. Each is waited for only so long.
     pub(super) fn learn_departures(&mut self, now: Instant) {
-        let departures = &mut self.departures;
-        if departures.known || departures.asking || now < departures.next_poll {
+        if self.departures.settled {
             return;
         }
-        departures.next_poll = now.plus(DEPARTURE_POLL);
-        if now.since(self.started) > DEPARTURE_PATIENCE {
+        let waited = now.since(self.started);
+        let departures = &self.departures;
+        let nobody_else = departures.store_told && !departures.asking && waited > HOLDERS_PATIENCE;
+        let no_store = departures.peers_told && waited > STORE_PATIENCE;
+        if nobody_else || no_store {
+            return self.settle_departures();
+        }
+        if waited > DEPARTURE_PATIENCE {
             warn!(
                 "neither the store nor a peer tells what departed before this start; the back end's word is taken"
             );
-            return self.departures_learnt(&[]);
+            return self.settle_departures();
+        }
+        self.ask_holders(now);
+    }
+
+    fn ask_holders(&mut self, now: Instant) {
+        let departures = &self.departures;
+        if departures.peers_told || departures.asking || now < departures.next_poll {
+            return;
         }
         let peers = self.departure_peers(DEPARTURE_ASKED);
-        if peers.is_empty() || now.since(self.started) < STORE_PATIENCE {
+        if peers.is_empty() {
             return;
         }
+        self.departures.next_poll = now.plus(DEPARTURE_POLL);
         self.departures.asking = true;
         let (shared, control) = (self.shared.clone(), self.control.clone());
         tokio::spawn(async move {
             control.send(match ask_departures(shared, peers).await {
-                Some(instances) => ControlEvent::DeparturesLearnt(instances),
+                Some(instances) => ControlEvent::DeparturesLearnt(DepartureSource::Peers, instances),
                 None => ControlEvent::DeparturesNotLearnt,
             });
         });
@@ -129,7 +164,7 @@
             self.take_heartbeat(heartbeat);
             return self.remember(instance, reply);
         }
-        if self.departures.known || self.followed().is_none() {
+        if self.departures.settled || self.followed().is_none() {
             self.take_heartbeat(heartbeat);
         } else {
             // The back end may be one that has departed: its word counts when that is known.
@@ -194,13 +229,10 @@
             let _ = reply.send(InstanceAnswer::Acknowledged);
             return;
         };
-        let mut departures = RememberedDepartures { instances: self.shared.instances.departed() };
-        departures.instances.retain(|departed| *departed != instance);
-        departures.instances.push(instance.clone());
         let peers = self.departure_peers(DEPARTURE_HOLDERS);
         let (shared, control) = (self.shared.clone(), self.control.clone());
         tokio::spawn(async move {
-            let remembered = remember_departures(shared, followed, departures, peers).await;
+            let remembered = remember_departure(shared, followed, instance.clone(), peers).await;
             info!(instance = instance.0.as_str(), remembered = remembered; "departure of an instance");
             let _ = reply.send(if remembered {
                 control.send(ControlEvent::DepartureRemembered(instance));
--- a/crates/seamhatchd/src/controllers/control_thread/mod.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/mod.rs
@@ -210,7 +210,9 @@
             ControlEvent::InstanceDeparts(instance, reply) => self.instance_departs(instance, reply),
             ControlEvent::InstanceLost(instance, reason) => self.lost_instance(&instance, reason.name()),
             ControlEvent::DepartureRemembered(instance) => self.departure_remembered(instance),
-            ControlEvent::DeparturesLearnt(instances) => self.departures_learnt(&instances),
+            ControlEvent::DeparturesLearnt(source, instances) => {
+                self.departures_learnt(source, &instances);
+            }
             ControlEvent::DeparturesNotLearnt => self.departures_not_learnt(),
             ControlEvent::StoreConfigurationRead => self.configuration_was_read(),
             ControlEvent::Discovered(members) => self.discovered(members),
--- a/crates/seamhatchd/src/controllers/events.rs
+++ b/crates/seamhatchd/src/controllers/events.rs
@@ -45,6 +45,15 @@
     NotRemembered,
 }
 
+/// Who tells a starting daemon what departed before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DepartureSource {
+    /// The followed store.
+    Store,
+    /// Daemons that were asked to remember it.
+    Peers,
+}
+
 /// An event for the control thread.
 #[derive(Debug)]
 pub enum ControlEvent {
@@ -93,8 +102,8 @@
     InstanceLost(InstanceId, Reason),
     /// The departure of an instance is remembered elsewhere.
     DepartureRemembered(InstanceId),
-    /// Instances that departed in an earlier life of this daemon.
-    DeparturesLearnt(Vec<InstanceId>),
+    /// Instances that departed in an earlier life of this daemon, and who tells.
+    DeparturesLearnt(DepartureSource, Vec<InstanceId>),
     /// No daemon answered the question for them.
     DeparturesNotLearnt,
     /// The followed store has told the configuration as it is, or that there is none.
--- a/crates/seamhatchd/src/controllers/follow/departures.rs
+++ b/crates/seamhatchd/src/controllers/follow/departures.rs
@@ -1,24 +1,35 @@
 //! Having it remembered that an instance takes no work any more, before it is told so.
 //!
 //! This daemon may restart and then get a late heartbeat of that instance. So the departure lies in the
-//! store or at other daemons before it is acknowledged, and a starting daemon asks both.
+//! store or at other daemons before it is acknowledged, and a starting daemon asks both. A write to the
+//! store adds to what lies there and is bound to its revision: an earlier life's write may land late, and
+//! a daemon that has just started may not know yet what its earlier lives have written.
 
+use super::Backoff;
 use super::discovery::member_key;
 use crate::controllers::ask::ask_daemon;
 use crate::ports::FollowedStore;
 use crate::shared::Shared;
-use crate::store::{Write, WriteOutcome};
+use crate::store::{Revision, StoreError, Write, WriteOutcome};
 use futures_util::future::join_all;
+use log::warn;
 use seamhatch_core::identity::Address;
-use seamhatch_core::instance::InstanceId;
+use seamhatch_core::instance::{InstanceId, REMEMBERED_DEPARTURES};
 use seamhatch_wire::{ControlReply, ControlRequest};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::oneshot;
 
 /// Longest time for the store and other daemons to note a departure; an acknowledgement that comes
 /// later than a second is none.
 const REMEMBER_TIMEOUT: Duration = Duration::from_millis(800);
+/// Longest wait for one answer of the store. What comes later may still be done.
+const WRITE_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Attempts to have the store note a departure that others have noted already.
+const WRITE_ATTEMPTS: u32 = 20;
+/// A starting daemon waits this long for each daemon that may hold its departures.
+const HOLDER_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Departed instances of one daemon's back end, as they lie in the store.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -38,39 +49,83 @@
     pub fn from_bytes(bytes: &[u8]) -> Self {
         serde_json::from_slice(bytes).unwrap_or_default()
     }
+
+    /// Adds an instance as the latest; the oldest are forgotten.
+    fn add(&mut self, instance: &InstanceId) {
+        self.instances.retain(|known| known != instance);
+        let forgotten = (self.instances.len() + 1).saturating_sub(REMEMBERED_DEPARTURES);
+        self.instances.drain(..forgotten);
+        self.instances.push(instance.clone());
+    }
 }
 
-/// Writes the departures of this daemon's back end to the store and tells `peers` of the latest. True
-/// when the store or at least one of them has noted it in time.
-pub async fn remember_departures(
+/// Has the store and `peers` note that an instance of this daemon's back end has departed. True when the
+/// store or at least one of them has noted it in time; the store is asked until it has, all the same.
+pub async fn remember_departure(
     shared: Arc<Shared>,
     followed: FollowedStore,
-    departures: RememberedDepartures,
+    instance: InstanceId,
     peers: Vec<Address>,
 ) -> bool {
-    let stored = tokio::time::timeout(REMEMBER_TIMEOUT, write(&shared, &followed, &departures));
-    let told = tokio::time::timeout(REMEMBER_TIMEOUT, tell(&shared, &departures, peers));
+    let (done, written) = oneshot::channel();
+    tokio::spawn(write_until_done(shared.clone(), followed, instance.clone(), done));
+    let stored = tokio::time::timeout(REMEMBER_TIMEOUT, written);
+    let told = tokio::time::timeout(REMEMBER_TIMEOUT, tell(&shared, &instance, peers));
     tokio::pin!(stored, told);
     // Whichever notes it first is enough; the other goes on while this waits.
     tokio::select! {
-        done = &mut stored => done.unwrap_or(false) || told.await.unwrap_or(false),
-        done = &mut told => done.unwrap_or(false) || stored.await.unwrap_or(false),
+        done = &mut stored => matches!(done, Ok(Ok(()))) || told.await.unwrap_or(false),
+        done = &mut told => done.unwrap_or(false) || matches!(stored.await, Ok(Ok(()))),
     }
 }
 
-async fn write(shared: &Shared, followed: &FollowedStore, departures: &RememberedDepartures) -> bool {
+async fn write_until_done(
+    shared: Arc<Shared>,
+    followed: FollowedStore,
+    instance: InstanceId,
+    done: oneshot::Sender<()>,
+) {
+    let mut backoff = Backoff::default();
+    for _attempt in 0..WRITE_ATTEMPTS {
+        match tokio::time::timeout(WRITE_TIMEOUT, write(&shared, &followed, &instance)).await {
+            Ok(Ok(WriteOutcome::Done(_))) => {
+                // Nobody waits where other daemons have noted it before.
+                let _ = done.send(());
+                return;
+            }
+            // Somebody else has written in between: what lies there is read again at once.
+            Ok(Ok(WriteOutcome::Refused(_))) => {}
+            Ok(Err(_)) | Err(_) => {
+                shared.metrics.store_failures.inc();
+                backoff.pause().await;
+            }
+        }
+    }
+    warn!(instance = instance.0.as_str(); "the store could not be told of a departure; other daemons hold it");
+}
+
+async fn write(
+    shared: &Shared,
+    followed: &FollowedStore,
+    instance: &InstanceId,
+) -> Result<WriteOutcome, StoreError> {
     let key = member_key(followed, shared.settings.advertise.gossip);
-    // Only this daemon writes its key, so the write needs no condition.
-    let write = Write { expect: Vec::new(), put: vec![(key, departures.to_bytes())], remove: Vec::new() };
-    let written = shared.metrics.time_store_call(followed.store.write(&write)).await;
-    matches!(written, Ok(WriteOutcome::Done(_)))
+    let item = shared.metrics.time_store_call(followed.store.get(&key)).await?.found;
+    let revision = item.as_ref().map_or(Revision(0), |item| item.revision);
+    let mut departures = item.map(|item| RememberedDepartures::from_bytes(&item.value)).unwrap_or_default();
+    departures.add(instance);
+    let write = Write {
+        expect: vec![(key.clone(), revision)],
+        put: vec![(key, departures.to_bytes())],
+        remove: Vec::new(),
+    };
+    shared.metrics.time_store_call(followed.store.write(&write)).await
 }
 
-async fn tell(shared: &Arc<Shared>, departures: &RememberedDepartures, peers: Vec<Address>) -> bool {
-    let Some(latest) = departures.instances.last() else { return true };
+async fn tell(shared: &Arc<Shared>, instance: &InstanceId, peers: Vec<Address>) -> bool {
     let request = ControlRequest::RememberDeparture {
         member: shared.settings.advertise.gossip,
-        instance: latest.clone(),
+        instance: instance.clone(),
     };
     let replies = join_all(peers.iter().map(|peer| ask_daemon(shared, *peer, request.clone()))).await;
     replies.contains(&Some(ControlReply::Done))
@@ -79,11 +134,12 @@
 /// Asks `peers` which instances of this daemon's back end have departed. None when nobody answers.
 pub async fn ask_departures(shared: Arc<Shared>, peers: Vec<Address>) -> Option<Vec<InstanceId>> {
     let request = ControlRequest::GetDepartures { member: shared.settings.advertise.gossip };
-    let replies = join_all(peers.iter().map(|peer| ask_daemon(&shared, *peer, request.clone()))).await;
+    let ask = |peer| tokio::time::timeout(HOLDER_TIMEOUT, ask_daemon(&shared, peer, request.clone()));
+    let replies = join_all(peers.into_iter().map(ask)).await;
     let mut answered = false;
     let mut departed = Vec::new();
     for reply in replies {
-        if let Some(ControlReply::Departures(instances)) = reply {
+        if let Ok(Some(ControlReply::Departures(instances))) = reply {
             answered = true;
             departed.extend(instances);
         }
--- a/crates/seamhatchd/src/controllers/follow/discovery.rs
+++ b/crates/seamhatchd/src/controllers/follow/discovery.rs
@@ -6,7 +6,7 @@
 use super::departures::RememberedDepartures;
 use super::{ANSWER_TIMEOUT, Backoff};
 use crate::controllers::ControlHandle;
-use crate::controllers::events::ControlEvent;
+use crate::controllers::events::{ControlEvent, DepartureSource};
 use crate::metrics::Metrics;
 use crate::ports::FollowedStore;
 use crate::store::{Item, Page, Revision, StoreError, Write, WriteOutcome};
@@ -37,7 +37,7 @@
             }
         }
     };
-    control.send(ControlEvent::DeparturesLearnt(own_departures.instances));
+    control.send(ControlEvent::DeparturesLearnt(DepartureSource::Store, own_departures.instances));
     backoff.succeeded();
     loop {
         match read_members(&followed, &metrics).await {
--- a/crates/seamhatchd/src/controllers/follow/mod.rs
+++ b/crates/seamhatchd/src/controllers/follow/mod.rs
@@ -8,7 +8,7 @@
 mod discovery;
 
 pub use configuration::follow_configuration;
-pub use departures::{RememberedDepartures, ask_departures, remember_departures};
+pub use departures::{ask_departures, remember_departure};
 pub use discovery::discover;
 
 use std::time::Duration;
