Departures: the rule is pure, and a model checks it through restarts, late heartbeats and late writes

Change: seamhatch-core::departure holds the record and when a starting daemon may trust heartbeats (DepartureInquiry); the controllers ask it. seamhatch-model::departures runs these and InstanceRegistry: two instances, up to two restarts, one holder, writes that land late or never. Bounds stand in the module.

--- /dev/null
+++ b/crates/seamhatch-core/src/departure.rs
@@ -0,0 +1,89 @@
+//! What a daemon has to know of departed instances before it trusts a heartbeat.
+//!
+//! A daemon may restart and then get a late heartbeat of an instance that has gone. So a departure lies
+//! in the store or at other daemons before it is acknowledged, and a starting daemon asks both: either
+//! may have noted one that the other has not.
+
+use crate::clock::{MILLISECOND, Microseconds, SECOND};
+use crate::instance::{InstanceId, REMEMBERED_DEPARTURES};
+use serde::{Deserialize, Serialize};
+
+/// A starting daemon that has the store's word waits this long for that of the holders.
+pub const HOLDERS_PATIENCE: Microseconds = 500 * MILLISECOND;
+/// A starting daemon that can't read the store relies on others after this time.
+pub const STORE_PATIENCE: Microseconds = 800 * MILLISECOND;
+/// A starting daemon that reaches neither the store nor a holder takes its back end's word after this time.
+pub const DEPARTURE_PATIENCE: Microseconds = 4 * SECOND;
+
+/// Who tells a starting daemon what departed before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DepartureSource {
+    /// The store.
+    Store,
+    /// Daemons that were asked to remember it.
+    Holders,
+}
+
+/// Departed instances of one daemon's back end, as they lie in the store.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct DepartureRecord {
+    /// The instances, the latest last.
+    #[serde(rename = "departed")]
+    pub instances: Vec<InstanceId>,
+}
+
+impl DepartureRecord {
+    /// Adds an instance as the latest; the oldest are forgotten.
+    pub fn add(&mut self, instance: &InstanceId) {
+        self.instances.retain(|known| known != instance);
+        let forgotten = (self.instances.len() + 1).saturating_sub(REMEMBERED_DEPARTURES);
+        self.instances.drain(..forgotten);
+        self.instances.push(instance.clone());
+    }
+}
+
+/// Whether a starting daemon may trust its back end's heartbeats.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum InquiryVerdict {
+    /// Not yet.
+    Wait,
+    /// What departed before is known as far as it can be.
+    Settled,
+    /// Nobody tells; what departed before is not known.
+    GivenUp,
+}
+
+/// What a starting daemon has been told of departures in its earlier lives.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+pub struct DepartureInquiry {
+    store_told: bool,
+    holders_told: bool,
+}
+
+impl DepartureInquiry {
+    /// Takes in that a source has answered.
+    pub fn told(&mut self, source: DepartureSource) {
+        match source {
+            DepartureSource::Store => self.store_told = true,
+            DepartureSource::Holders => self.holders_told = true,
+        }
+    }
+
+    /// Whether the holders have answered.
+    #[must_use]
+    pub fn holders_told(&self) -> bool {
+        self.holders_told
+    }
+
+    /// Whether heartbeats count, `waited` after the start; `asking` while holders are being asked.
+    #[must_use]
+    pub fn verdict(&self, waited: Microseconds, asking: bool) -> InquiryVerdict {
+        match (self.store_told, self.holders_told) {
+            (true, true) => InquiryVerdict::Settled,
+            (true, false) if waited > HOLDERS_PATIENCE && !asking => InquiryVerdict::Settled,
+            (false, true) if waited > STORE_PATIENCE => InquiryVerdict::Settled,
+            _ if waited > DEPARTURE_PATIENCE => InquiryVerdict::GivenUp,
+            _ => InquiryVerdict::Wait,
+        }
+    }
+}
--- a/crates/seamhatch-core/src/instance.rs
+++ b/crates/seamhatch-core/src/instance.rs
@@ -17,7 +17,7 @@
 pub struct InstanceId(pub String);
 
 /// What an instance says of itself.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum InstanceState {
     /// It takes work.
     Ready,
@@ -26,7 +26,7 @@
 }
 
 /// One heartbeat of the back end.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Heartbeat {
     /// Who speaks.
     pub instance: InstanceId,
@@ -54,7 +54,7 @@
 }
 
 /// The instance that is registered.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Registered {
     /// Its name.
     pub id: InstanceId,
@@ -71,7 +71,7 @@
 }
 
 /// Which instance is registered beside the daemon, and which ones never come back.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct InstanceRegistry {
     registered: Option<Registered>,
     departed: VecDeque<InstanceId>,
--- /dev/null
+++ b/crates/seamhatch-model/src/departures.rs
@@ -0,0 +1,282 @@
+//! Departures of back end instances through restarts of the daemon beside them, late heartbeats and
+//! late writes: an instance whose departure was acknowledged never takes work again.
+//!
+//! Bounds: two instances, one after the other; one daemon that holds departures and is not lost; the
+//! store and the holder answer a starting daemon within its patience.
+
+use crate::search::{Action, Model, SearchResult, Step, action, search};
+use seamhatch_core::Instant;
+use seamhatch_core::departure::{DepartureInquiry, DepartureRecord, DepartureSource, InquiryVerdict};
+use seamhatch_core::instance::{Heartbeat, InstanceId, InstanceRegistry, InstanceState};
+use std::collections::BTreeSet;
+
+/// A rule that is left out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DeparturesFault {
+    /// None.
+    None,
+    /// A departure is acknowledged before anybody else has noted it.
+    AcknowledgedAtOnce,
+    /// The store's word alone settles what departed before a start.
+    StoreAlone,
+    /// A write replaces the record, whatever lies there.
+    ReplacedRecord,
+    /// Heartbeats count before it is known what departed.
+    TrustedAtOnce,
+}
+
+/// Bounds of a search.
+#[derive(Debug, Clone, Copy)]
+pub struct DeparturesModel {
+    /// Restarts of the daemon.
+    pub restarts: u8,
+    /// Heartbeats in which each instance says that it is ready.
+    pub heartbeats: u64,
+    /// The seeded fault.
+    pub fault: DeparturesFault,
+}
+
+const INSTANCES: usize = 2;
+const NOW: Instant = Instant(1);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+enum Phase {
+    NotStarted,
+    Ready,
+    Left,
+}
+
+/// A write on its way to the store; it may land at any time, or never.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct StoreWrite {
+    expected: Option<u64>,
+    record: DepartureRecord,
+    instance: usize,
+    life: u8,
+}
+
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+struct DaemonState {
+    life: u8,
+    registry: InstanceRegistry,
+    inquiry: DepartureInquiry,
+    settled: bool,
+    early: Option<Heartbeat>,
+    /// Departures that this life has to have noted.
+    pending: BTreeSet<usize>,
+}
+
+/// A state of the instances, the daemon beside them, the store and the holder.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct DeparturesState {
+    phases: [Phase; INSTANCES],
+    sent: [u64; INSTANCES],
+    acknowledged: [bool; INSTANCES],
+    messages: BTreeSet<Heartbeat>,
+    daemon: DaemonState,
+    revision: u64,
+    record: DepartureRecord,
+    writes: Vec<StoreWrite>,
+    held: BTreeSet<usize>,
+}
+
+fn instance_id(instance: usize) -> InstanceId {
+    InstanceId(instance.to_string())
+}
+
+fn instance_number(id: &InstanceId) -> usize {
+    id.0.parse().unwrap_or_default()
+}
+
+type Steps = Vec<Step<DeparturesState>>;
+
+fn add(
+    steps: &mut Steps,
+    before: &DeparturesState,
+    action: Action,
+    change: impl FnOnce(&mut DeparturesState),
+) {
+    Step::add(steps, before, action, change);
+}
+
+impl Model for DeparturesModel {
+    type State = DeparturesState;
+
+    fn initial(&self) -> DeparturesState {
+        DeparturesState {
+            phases: [Phase::Ready, Phase::NotStarted],
+            sent: [0; INSTANCES],
+            acknowledged: [false; INSTANCES],
+            messages: BTreeSet::new(),
+            daemon: DaemonState { settled: true, ..DaemonState::default() },
+            revision: 0,
+            record: DepartureRecord::default(),
+            writes: Vec::new(),
+            held: BTreeSet::new(),
+        }
+    }
+
+    fn steps(&self, state: &DeparturesState) -> Steps {
+        let mut steps = Vec::new();
+        self.instance_steps(state, &mut steps);
+        self.delivery_steps(state, &mut steps);
+        self.remember_steps(state, &mut steps);
+        self.store_steps(state, &mut steps);
+        self.start_steps(state, &mut steps);
+        steps
+    }
+
+    fn violation(&self, state: &DeparturesState) -> Option<&'static str> {
+        let open = state.daemon.registry.open()?;
+        let gone = state.acknowledged[instance_number(&open.id)];
+        gone.then_some("an instance whose departure was acknowledged takes work")
+    }
+}
+
+impl DeparturesModel {
+    /// Searches all reachable states, at most `limit`.
+    #[must_use]
+    pub fn search(&self, limit: usize) -> SearchResult {
+        search(self, limit)
+    }
+
+    fn instance_steps(&self, state: &DeparturesState, steps: &mut Steps) {
+        for instance in 0..INSTANCES {
+            match state.phases[instance] {
+                Phase::NotStarted if state.phases[instance - 1] == Phase::Left => {
+                    add(steps, state, action("instance starts", instance, 0), |next| {
+                        next.phases[instance] = Phase::Ready;
+                    });
+                }
+                Phase::Ready => {
+                    if state.sent[instance] < self.heartbeats {
+                        add(steps, state, action("instance is ready", instance, 0), |next| {
+                            next.send(instance, InstanceState::Ready);
+                        });
+                    }
+                    add(steps, state, action("instance leaves", instance, 0), |next| {
+                        next.phases[instance] = Phase::Left;
+                        next.send(instance, InstanceState::Draining);
+                    });
+                }
+                Phase::NotStarted | Phase::Left => {}
+            }
+        }
+    }
+
+    fn delivery_steps(&self, state: &DeparturesState, steps: &mut Steps) {
+        for message in &state.messages {
+            let instance = instance_number(&message.instance);
+            add(steps, state, action("heartbeat arrives", instance, message.sequence as usize), |next| {
+                next.messages.remove(message);
+                self.deliver(next, message.clone());
+            });
+        }
+    }
+
+    fn deliver(&self, state: &mut DeparturesState, message: Heartbeat) {
+        let instance = instance_number(&message.instance);
+        let daemon = &mut state.daemon;
+        if message.state == InstanceState::Draining {
+            daemon.registry.heartbeat(message, NOW);
+            daemon.pending.insert(instance);
+            state.acknowledged[instance] |= self.fault == DeparturesFault::AcknowledgedAtOnce;
+        } else if daemon.settled || self.fault == DeparturesFault::TrustedAtOnce {
+            daemon.registry.heartbeat(message, NOW);
+        } else {
+            daemon.early = Some(message);
+        }
+    }
+
+    fn remember_steps(&self, state: &DeparturesState, steps: &mut Steps) {
+        for &instance in &state.daemon.pending {
+            add(steps, state, action("the holder notes instance", instance, 0), |next| {
+                next.held.insert(instance);
+                next.acknowledged[instance] = true;
+            });
+            let in_flight =
+                |write: &StoreWrite| write.instance == instance && write.life == state.daemon.life;
+            let noted = state.record.instances.contains(&instance_id(instance));
+            if noted || state.writes.iter().any(in_flight) {
+                continue;
+            }
+            add(steps, state, action("the daemon writes instance", instance, 0), |next| {
+                let write = self.write(next, instance);
+                next.writes.push(write);
+            });
+        }
+    }
+
+    fn write(&self, state: &DeparturesState, instance: usize) -> StoreWrite {
+        let life = state.daemon.life;
+        let replaced = self.fault == DeparturesFault::ReplacedRecord;
+        let known = DepartureRecord { instances: state.daemon.registry.departed().cloned().collect() };
+        let mut record = if replaced { known } else { state.record.clone() };
+        record.add(&instance_id(instance));
+        StoreWrite { expected: (!replaced).then_some(state.revision), record, instance, life }
+    }
+
+    fn store_steps(&self, state: &DeparturesState, steps: &mut Steps) {
+        for index in 0..state.writes.len() {
+            let instance = state.writes[index].instance;
+            add(steps, state, action("a write lands for instance", instance, index), |next| {
+                next.land(index);
+            });
+            add(steps, state, action("a write is lost for instance", instance, index), |next| {
+                next.writes.remove(index);
+            });
+        }
+    }
+
+    fn start_steps(&self, state: &DeparturesState, steps: &mut Steps) {
+        if state.daemon.life < self.restarts {
+            add(steps, state, action("the daemon restarts", 0, 0), |next| {
+                next.daemon = DaemonState { life: next.daemon.life + 1, ..DaemonState::default() };
+            });
+        }
+        if state.daemon.settled {
+            return;
+        }
+        add(steps, state, action("the store tells", 0, 0), |next| {
+            let instances = next.record.instances.clone();
+            self.tell(next, DepartureSource::Store, &instances);
+        });
+        add(steps, state, action("the holder tells", 0, 0), |next| {
+            let instances: Vec<InstanceId> = next.held.iter().map(|held| instance_id(*held)).collect();
+            self.tell(next, DepartureSource::Holders, &instances);
+        });
+    }
+
+    fn tell(&self, state: &mut DeparturesState, source: DepartureSource, instances: &[InstanceId]) {
+        let daemon = &mut state.daemon;
+        for instance in instances {
+            daemon.registry.depart(instance);
+        }
+        daemon.inquiry.told(source);
+        let alone = self.fault == DeparturesFault::StoreAlone && source == DepartureSource::Store;
+        daemon.settled = alone || daemon.inquiry.verdict(0, false) == InquiryVerdict::Settled;
+        if let Some(heartbeat) = daemon.early.take_if(|_| daemon.settled) {
+            daemon.registry.heartbeat(heartbeat, NOW);
+        }
+    }
+}
+
+impl DeparturesState {
+    fn send(&mut self, instance: usize, state: InstanceState) {
+        self.sent[instance] += 1;
+        let sequence = self.sent[instance];
+        let instance = instance_id(instance);
+        self.messages.insert(Heartbeat { instance, sequence, state, slots: 1, cold_for: 0 });
+    }
+
+    fn land(&mut self, index: usize) {
+        let write = self.writes.remove(index);
+        if write.expected.is_some_and(|expected| expected != self.revision) {
+            return;
+        }
+        self.record = write.record;
+        self.revision += 1;
+        let waited_for = write.life == self.daemon.life && self.daemon.pending.contains(&write.instance);
+        self.acknowledged[write.instance] |= waited_for;
+    }
+}
--- a/crates/seamhatchd/src/controllers/control_thread/followed.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/followed.rs
@@ -9,6 +9,7 @@
 use log::info;
 use seamhatch_core::Instant;
 use seamhatch_core::clock::{MILLISECOND, Microseconds, SECOND};
+use seamhatch_core::departure::STORE_PATIENCE;
 use seamhatch_core::generation::Generation;
 use seamhatch_core::identity::Address;
 use seamhatch_core::membership::{Lifecycle, MemberRecord};
@@ -18,8 +19,6 @@
 const PULL_PATIENCE: Microseconds = 300 * MILLISECOND;
 /// Time between two attempts to get a generation that peers have told.
 const PULL_INTERVAL: Microseconds = 400 * MILLISECOND;
-/// A starting daemon that can't read the store relies on its peers after this time.
-pub(super) const STORE_PATIENCE: Microseconds = 800 * MILLISECOND;
 /// Daemons that are greeted at once by one that starts.
 const GREETED: usize = 6;
 /// A generation that peers have and this daemon has not.
--- a/crates/seamhatchd/src/controllers/control_thread/instances.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/instances.rs
@@ -1,14 +1,14 @@
 //! The instance of the back end beside this daemon: its heartbeats, its goodbye, and who remembers it.
 
 use super::ControlThread;
-use super::followed::STORE_PATIENCE;
 use crate::clock;
-use crate::controllers::events::{ControlEvent, DepartureSource, InstanceAnswer};
+use crate::controllers::events::{ControlEvent, InstanceAnswer};
 use crate::controllers::follow::{ask_departures, remember_departure};
 use crate::instances::OpenInstance;
 use log::{info, warn};
 use seamhatch_core::Instant;
 use seamhatch_core::clock::{MILLISECOND, Microseconds, SECOND};
+use seamhatch_core::departure::{DepartureInquiry, DepartureSource, InquiryVerdict};
 use seamhatch_core::identity::Address;
 use seamhatch_core::instance::{
     Heartbeat, HeartbeatVerdict, InstanceId, InstanceState, REMEMBERED_DEPARTURES,
@@ -19,10 +19,6 @@
 use std::collections::{HashMap, HashSet};
 use tokio::sync::oneshot;
 
-/// A starting daemon that reaches neither the store nor a peer takes its back end's word after this time.
-const DEPARTURE_PATIENCE: Microseconds = 4 * SECOND;
-/// A starting daemon that has the store's word waits this long for that of peers.
-const HOLDERS_PATIENCE: Microseconds = 500 * MILLISECOND;
 /// Time between two questions to peers about departures.
 const DEPARTURE_POLL: Microseconds = 250 * MILLISECOND;
 /// Daemons that are told of a departure.
@@ -41,8 +37,7 @@
 pub(super) struct Departures {
     /// Those of an earlier life are known as far as they can be.
     pub(super) settled: bool,
-    store_told: bool,
-    peers_told: bool,
+    inquiry: DepartureInquiry,
     asking: bool,
     next_poll: Instant,
     /// A heartbeat that arrived before they were.
@@ -56,21 +51,16 @@
 impl ControlThread {
     /// Departures of an earlier life, from the store or from the daemons that hold them.
     pub(super) fn departures_learnt(&mut self, source: DepartureSource, instances: &[InstanceId]) {
-        match source {
-            DepartureSource::Store => self.departures.store_told = true,
-            DepartureSource::Peers => {
-                self.departures.asking = false;
-                self.departures.peers_told = true;
-            }
+        if source == DepartureSource::Holders {
+            self.departures.asking = false;
         }
+        self.departures.inquiry.told(source);
         info!(source:? = source, instances = instances.len(); "departures of an earlier life told");
         if self.shared.instances.depart(instances) {
             warn!("the registered instance had departed before this daemon started");
             self.work_changed();
         }
-        if self.departures.store_told && self.departures.peers_told {
-            self.settle_departures();
-        }
+        self.learn_departures(clock::now());
     }
 
     /// From now on the back end's heartbeats count.
@@ -78,8 +68,7 @@
         if std::mem::replace(&mut self.departures.settled, true) {
             return;
         }
-        let departures = &self.departures;
-        info!(store = departures.store_told, peers = departures.peers_told; "departures of an earlier life are known");
+        info!("departures of an earlier life are known");
         if let Some(heartbeat) = self.departures.early.take() {
             self.take_heartbeat(heartbeat);
         }
@@ -92,24 +81,22 @@
             return;
         }
         let waited = now.since(self.started);
-        let departures = &self.departures;
-        let nobody_else = departures.store_told && !departures.asking && waited > HOLDERS_PATIENCE;
-        let no_store = departures.peers_told && waited > STORE_PATIENCE;
-        if nobody_else || no_store {
-            return self.settle_departures();
-        }
-        if waited > DEPARTURE_PATIENCE {
-            warn!(
-                "neither the store nor a peer tells what departed before this start; the back end's word is taken"
-            );
-            return self.settle_departures();
+        match self.departures.inquiry.verdict(waited, self.departures.asking) {
+            InquiryVerdict::Settled => return self.settle_departures(),
+            InquiryVerdict::GivenUp => {
+                warn!(
+                    "neither the store nor a peer tells what departed before this start; the back end's word is taken"
+                );
+                return self.settle_departures();
+            }
+            InquiryVerdict::Wait => {}
         }
         self.ask_holders(now);
     }
 
     fn ask_holders(&mut self, now: Instant) {
         let departures = &self.departures;
-        if departures.peers_told || departures.asking || now < departures.next_poll {
+        if departures.inquiry.holders_told() || departures.asking || now < departures.next_poll {
             return;
         }
         let peers = self.departure_peers(DEPARTURE_ASKED);
@@ -121,7 +108,7 @@
         let (shared, control) = (self.shared.clone(), self.control.clone());
         tokio::spawn(async move {
             control.send(match ask_departures(shared, peers).await {
-                Some(instances) => ControlEvent::DeparturesLearnt(DepartureSource::Peers, instances),
+                Some(instances) => ControlEvent::DeparturesLearnt(DepartureSource::Holders, instances),
                 None => ControlEvent::DeparturesNotLearnt,
             });
         });
--- a/crates/seamhatchd/src/controllers/events.rs
+++ b/crates/seamhatchd/src/controllers/events.rs
@@ -5,6 +5,7 @@
 use crate::controllers::status::StatusReport;
 use crate::controllers::submission::SubmitError;
 use crate::store::{StoreError, Stored};
+use seamhatch_core::departure::DepartureSource;
 use seamhatch_core::generation::{Generation, SubmissionId};
 use seamhatch_core::identity::Address;
 use seamhatch_core::instance::{Heartbeat, InstanceId};
@@ -45,15 +46,6 @@
     NotRemembered,
 }
 
-/// Who tells a starting daemon what departed before.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum DepartureSource {
-    /// The followed store.
-    Store,
-    /// Daemons that were asked to remember it.
-    Peers,
-}
-
 /// An event for the control thread.
 #[derive(Debug)]
 pub enum ControlEvent {
--- a/crates/seamhatchd/src/controllers/follow/departures.rs
+++ b/crates/seamhatchd/src/controllers/follow/departures.rs
@@ -13,10 +13,10 @@
 use crate::store::{Revision, StoreError, Write, WriteOutcome};
 use futures_util::future::join_all;
 use log::warn;
+use seamhatch_core::departure::DepartureRecord;
 use seamhatch_core::identity::Address;
-use seamhatch_core::instance::{InstanceId, REMEMBERED_DEPARTURES};
+use seamhatch_core::instance::InstanceId;
 use seamhatch_wire::{ControlReply, ControlRequest};
-use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -31,32 +31,14 @@
 /// A starting daemon waits this long for each daemon that may hold its departures.
 const HOLDER_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Departed instances of one daemon's back end, as they lie in the store.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RememberedDepartures {
-    /// The instances, the latest last.
-    #[serde(rename = "departed")]
-    pub instances: Vec<InstanceId>,
+/// A record as it lies in the store.
+pub(super) fn to_bytes(record: &DepartureRecord) -> Vec<u8> {
+    serde_json::to_vec(record).unwrap_or_default()
 }
 
-impl RememberedDepartures {
-    /// As it lies in the store.
-    pub fn to_bytes(&self) -> Vec<u8> {
-        serde_json::to_vec(self).unwrap_or_default()
-    }
-
-    /// What the store holds; nothing where that can't be read.
-    pub fn from_bytes(bytes: &[u8]) -> Self {
-        serde_json::from_slice(bytes).unwrap_or_default()
-    }
-
-    /// Adds an instance as the latest; the oldest are forgotten.
-    fn add(&mut self, instance: &InstanceId) {
-        self.instances.retain(|known| known != instance);
-        let forgotten = (self.instances.len() + 1).saturating_sub(REMEMBERED_DEPARTURES);
-        self.instances.drain(..forgotten);
-        self.instances.push(instance.clone());
-    }
+/// What the store holds; nothing where that can't be read.
+pub(super) fn from_bytes(bytes: &[u8]) -> DepartureRecord {
+    serde_json::from_slice(bytes).unwrap_or_default()
 }
 
 /// Has the store and `peers` note that an instance of this daemon's back end has departed. True when the
@@ -112,11 +94,11 @@
     let key = member_key(followed, shared.settings.advertise.gossip);
     let item = shared.metrics.time_store_call(followed.store.get(&key)).await?.found;
     let revision = item.as_ref().map_or(Revision(0), |item| item.revision);
-    let mut departures = item.map(|item| RememberedDepartures::from_bytes(&item.value)).unwrap_or_default();
-    departures.add(instance);
+    let mut record = item.map(|item| from_bytes(&item.value)).unwrap_or_default();
+    record.add(instance);
     let write = Write {
         expect: vec![(key.clone(), revision)],
-        put: vec![(key, departures.to_bytes())],
+        put: vec![(key, to_bytes(&record))],
         remove: Vec::new(),
     };
     shared.metrics.time_store_call(followed.store.write(&write)).await
--- a/crates/seamhatchd/src/controllers/follow/discovery.rs
+++ b/crates/seamhatchd/src/controllers/follow/discovery.rs
@@ -3,14 +3,15 @@
 //! Each daemon has one key, whose value is what it must not forget. It writes its key before it reads
 //! all others, so that of two daemons that start together at least one sees the other.
 
-use super::departures::RememberedDepartures;
+use super::departures::{from_bytes, to_bytes};
 use super::{ANSWER_TIMEOUT, Backoff};
 use crate::controllers::ControlHandle;
-use crate::controllers::events::{ControlEvent, DepartureSource};
+use crate::controllers::events::ControlEvent;
 use crate::metrics::Metrics;
 use crate::ports::FollowedStore;
 use crate::store::{Item, Page, Revision, StoreError, Write, WriteOutcome};
 use log::warn;
+use seamhatch_core::departure::{DepartureRecord, DepartureSource};
 use seamhatch_core::identity::Address;
 use std::sync::Arc;
 
@@ -52,19 +53,19 @@
 }
 
 /// Makes this daemon's record unless an earlier life has. Returns what that remembered.
-async fn register(followed: &FollowedStore, gossip: Address) -> Result<RememberedDepartures, StoreError> {
+async fn register(followed: &FollowedStore, gossip: Address) -> Result<DepartureRecord, StoreError> {
     let key = member_key(followed, gossip);
     let write = Write {
         expect: vec![(key.clone(), Revision(0))],
-        put: vec![(key, RememberedDepartures::default().to_bytes())],
+        put: vec![(key, to_bytes(&DepartureRecord::default()))],
         remove: Vec::new(),
     };
     let written = tokio::time::timeout(ANSWER_TIMEOUT, followed.store.write(&write));
     let timed_out = |_| StoreError::AnswerLost { detail: "no answer in time".into() };
     match written.await.map_err(timed_out)?? {
-        WriteOutcome::Done(_) => Ok(RememberedDepartures::default()),
+        WriteOutcome::Done(_) => Ok(DepartureRecord::default()),
         WriteOutcome::Refused(items) => {
-            let own = items.first().map(|item| RememberedDepartures::from_bytes(&item.value));
+            let own = items.first().map(|item| from_bytes(&item.value));
             Ok(own.unwrap_or_default())
         }
     }
