--- /dev/null
+++ b/crates/seamhatch-core/src/membership/exchange.rs
@@ -0,0 +1,75 @@
+//! What goes out: exchanges of whole lists, and news that rides on every message.
+
+use super::{
+    EARLY_SYNC_INTERVAL, GossipBody, GossipMessage, Member, MemberRecord, Membership, NEWS_PER_MESSAGE,
+    Outgoing, SETTLING_TIME,
+};
+use crate::clock::Instant;
+use crate::identity::Address;
+
+impl Membership {
+    /// Exchanges whole lists with one live member, and asks one seed that is not
+    /// a live member: groups that formed apart find each other through seeds.
+    pub(super) fn start_sync(
+        &mut self,
+        now: Instant,
+        random: &mut impl FnMut(usize) -> usize,
+        outgoing: &mut Vec<Outgoing>,
+    ) {
+        let started = *self.started.get_or_insert(now);
+        let settled = now.since(started) > SETTLING_TIME;
+        self.next_sync = now.plus(if settled { self.policy.sync_interval } else { EARLY_SYNC_INTERVAL });
+        let live = self.live_addresses();
+        let own = self.me.info.gossip;
+        let strangers: Vec<Address> =
+            self.seeds.iter().copied().filter(|seed| *seed != own && !live.contains(seed)).collect();
+        for pool in [live, strangers] {
+            if let Some(&target) = pool.get(random(pool.len().max(1))) {
+                let request = GossipBody::SyncRequest { digest: self.digest() };
+                outgoing.push((target, self.message_with(request, vec![self.me.clone()])));
+            }
+        }
+    }
+
+    pub(super) fn sync_pages(&mut self, to: Address, digest: u64) -> Vec<Outgoing> {
+        if digest == self.digest() {
+            return Vec::new();
+        }
+        let all: Vec<MemberRecord> = std::iter::once(&self.me).chain(self.others()).cloned().collect();
+        all.chunks(NEWS_PER_MESSAGE)
+            .map(|page| (to, self.message_with(GossipBody::SyncPage, page.to_vec())))
+            .collect()
+    }
+
+    pub(super) fn message(&mut self, body: GossipBody) -> GossipMessage {
+        let news = self.take_news();
+        self.message_with(body, news)
+    }
+
+    pub(super) fn message_with(&self, body: GossipBody, news: Vec<MemberRecord>) -> GossipMessage {
+        GossipMessage {
+            from: self.me.info.gossip,
+            generation: self.generation,
+            roster_version: self.roster_version,
+            body,
+            news,
+        }
+    }
+
+    /// The records that were sent on least often so far.
+    pub(super) fn take_news(&mut self) -> Vec<MemberRecord> {
+        let mut news = Vec::new();
+        if self.my_transmissions_left > 0 {
+            self.my_transmissions_left -= 1;
+            news.push(self.me.clone());
+        }
+        let mut fresh: Vec<&mut Member> =
+            self.members.values_mut().filter(|member| member.transmissions_left > 0).collect();
+        fresh.sort_by_key(|member| std::cmp::Reverse(member.transmissions_left));
+        for member in fresh.into_iter().take(NEWS_PER_MESSAGE - news.len()) {
+            member.transmissions_left -= 1;
+            news.push(member.record.clone());
+        }
+        news
+    }
+}
--- /dev/null
+++ b/crates/seamhatchd/src/dispatch/claiming.rs
@@ -0,0 +1,62 @@
+//! Claiming the key of a call that may not be repeated, before anything that may refuse it.
+
+use super::{CallResult, Dispatcher, call_fingerprint};
+use crate::claims::{self, ClaimRefused, Claimed};
+use crate::clock;
+use crate::filters::Rejection;
+use seamhatch_core::claims::ClaimKey;
+use seamhatch_core::identity::Fingerprint;
+use seamhatch_core::outcome::Reason;
+use seamhatch_core::retry::ChildEnd;
+
+const MISMATCH_ADVICE: &str = "this idempotency key was used with another request; use a new key";
+
+impl Dispatcher<'_> {
+    /// Claims the key of a call that has one.
+    ///
+    /// # Errors
+    /// What the caller is told instead: the key is another request's, its answer is recorded, or nobody
+    /// can tell.
+    pub(super) async fn claim(&mut self, body: Fingerprint) -> Result<Option<Claimed>, CallResult> {
+        let Some(text) = &self.request.claim_text else { return Ok(None) };
+        // A key that the back end did not set is completed by the body.
+        let text =
+            if text.starts_with("derived") { format!("{text}\n{:016x}", body.0) } else { text.clone() };
+        let key = ClaimKey::of(&self.request.service, &text);
+        let content = call_fingerprint(self.request, body);
+        let claiming = claims::claim(self.shared, key, content);
+        let claimed = tokio::time::timeout(clock::time_until(self.parent.expiry), claiming).await;
+        let result = claimed.unwrap_or(Err(ClaimRefused::Undecided(Reason::DeadlineExceeded)));
+        match result {
+            Ok(claimed) => Ok(Some(claimed)),
+            Err(refused) => Err(self.refuse_claim(refused)),
+        }
+    }
+
+    fn refuse_claim(&mut self, refused: ClaimRefused) -> CallResult {
+        match refused {
+            ClaimRefused::KeyMismatch => {
+                self.child.finish(ChildEnd::NotRun);
+                CallResult::Rejected(Rejection::not_run(Reason::KeyMismatch, MISMATCH_ADVICE))
+            }
+            // This attempt was not run, but an earlier one with the same key may have been.
+            ClaimRefused::Undecided(reason) => {
+                self.child.finish(ChildEnd::NotRun);
+                CallResult::Rejected(Rejection::unknown(reason, claim_advice(reason)))
+            }
+            ClaimRefused::Duplicate(Some(answer)) => {
+                let failed = answer.status >= 500;
+                self.child.finish(if failed { ChildEnd::Failed } else { ChildEnd::Succeeded });
+                CallResult::Recorded(answer)
+            }
+            ClaimRefused::Duplicate(None) => CallResult::Rejected(Rejection::duplicate()),
+        }
+    }
+}
+
+fn claim_advice(reason: Reason) -> &'static str {
+    match reason {
+        Reason::DeadlineExceeded => "the deadline passed before the key could be claimed",
+        _ => "no majority of the key's witnesses answered; repeat it with the same key after Retry-After",
+    }
+}
--- a/crates/seamhatchd/src/dispatch/mod.rs
+++ b/crates/seamhatchd/src/dispatch/mod.rs
@@ -1,44 +1,38 @@
 //! Sends a call to a server and, where the limits allow, to another one after a failure.
 
 mod answer;
+mod attempt;
 mod candidates;
 mod child;
+mod claiming;
 mod replay;
 
 pub use answer::Answer;
 pub use replay::ReplayBody;
 
-use crate::claims::{self, ClaimRefused, Claimed};
+use crate::claims::Claimed;
 use crate::clock;
 use crate::filters::{Rejection, RequestState, check_entry_floor};
-use crate::peer::{AnswerBody, CallEvent, CallStream, PeerConnection};
+use crate::peer::{AnswerBody, CallStream, PeerConnection};
 use crate::running::RunningCall;
 use crate::shared::Shared;
 use crate::snapshot::Server;
+use attempt::{Attempt, call_end, refused};
 use candidates::candidate;
 use child::Child;
 use log::info;
-use replay::next_of_rest;
 use seamhatch_core::Instant;
-use seamhatch_core::balance::{CallEnd, Candidate, pick};
-use seamhatch_core::claims::ClaimKey;
-use seamhatch_core::clock::{MILLISECOND, Microseconds};
+use seamhatch_core::balance::{Candidate, pick};
 use seamhatch_core::identity::{Address, Fingerprint};
 use seamhatch_core::outcome::{Outcome, Reason};
-use seamhatch_core::priority::AdmissionFloor;
 use seamhatch_core::retry::{ChildEnd, Dispatch};
 use seamhatch_policy::ServiceSettings;
-use seamhatch_wire::{AnswerHead, CallContext, CallHead, ChainFloor, RecordedAnswer, Refusal, ServerReport};
+use seamhatch_wire::{AnswerHead, ChainFloor, RecordedAnswer, Refusal};
 use std::sync::Arc;
 
-/// The receiver's deadline is this much earlier, so that its refusal arrives in time.
-const EXPIRY_MARGIN: Microseconds = 5 * MILLISECOND;
-
 /// Servers that may refuse a call for pressure before it is refused as a whole.
 const MOST_PRESSED: u32 = 2;
 
-const MISMATCH_ADVICE: &str = "this idempotency key was used with another request; use a new key";
-
 /// How a dispatched call ended.
 pub enum CallResult {
     /// The back end answers.
@@ -49,18 +43,6 @@
     Rejected(Rejection),
 }
 
-/// What an attempt at one server came to.
-enum Attempt {
-    Answered(Box<AnswerHead>, CallStream),
-    Refused(Refusal),
-    /// The connection was lost after the call was sent.
-    Lost,
-    /// The deadline passed.
-    Expired,
-    /// The caller broke off its body.
-    BrokenOff(Rejection),
-}
-
 /// One call and all that its dispatches share.
 struct Dispatcher<'a> {
     shared: &'a Arc<Shared>,
@@ -144,42 +126,6 @@
 }
 
 impl Dispatcher<'_> {
-    async fn claim(&mut self, body: Fingerprint) -> Result<Option<Claimed>, CallResult> {
-        let Some(text) = &self.request.claim_text else { return Ok(None) };
-        // A key that the back end did not set is completed by the body.
-        let text =
-            if text.starts_with("derived") { format!("{text}\n{:016x}", body.0) } else { text.clone() };
-        let key = ClaimKey::of(&self.request.service, &text);
-        let content = call_fingerprint(self.request, body);
-        let claiming = claims::claim(self.shared, key, content);
-        let claimed = tokio::time::timeout(clock::time_until(self.parent.expiry), claiming).await;
-        let result = claimed.unwrap_or(Err(ClaimRefused::Undecided(Reason::DeadlineExceeded)));
-        match result {
-            Ok(claimed) => Ok(Some(claimed)),
-            Err(refused) => Err(self.refuse_claim(refused)),
-        }
-    }
-
-    fn refuse_claim(&mut self, refused: ClaimRefused) -> CallResult {
-        match refused {
-            ClaimRefused::KeyMismatch => {
-                self.child.finish(ChildEnd::NotRun);
-                CallResult::Rejected(Rejection::not_run(Reason::KeyMismatch, MISMATCH_ADVICE))
-            }
-            // This attempt was not run, but an earlier one with the same key may have been.
-            ClaimRefused::Undecided(reason) => {
-                self.child.finish(ChildEnd::NotRun);
-                CallResult::Rejected(Rejection::unknown(reason, claim_advice(reason)))
-            }
-            ClaimRefused::Duplicate(Some(answer)) => {
-                let failed = answer.status >= 500;
-                self.child.finish(if failed { ChildEnd::Failed } else { ChildEnd::Succeeded });
-                CallResult::Recorded(answer)
-            }
-            ClaimRefused::Duplicate(None) => CallResult::Rejected(Rejection::duplicate()),
-        }
-    }
-
     async fn run(mut self) -> CallResult {
         loop {
             let connection = match self.connect().await {
@@ -331,116 +277,9 @@
         Some(untried[index].peer)
     }
 
-    async fn attempt(&mut self, connection: &PeerConnection) -> Attempt {
-        let head = self.call_head(connection);
-        if let Some(claimed) = &mut self.claimed {
-            claimed.dispatched();
-        }
-        let Ok(mut stream) = connection.start_call(head) else {
-            // Closed between the choice and here: nothing was written.
-            return Attempt::Refused(not_sent(self.child.handed_over));
-        };
-        for piece in &self.body.prefix {
-            stream.send_piece(piece);
-        }
-        if self.body.rest.is_none() && !self.body.is_empty() {
-            stream.finish_body();
-        }
-        let deadline = tokio::time::sleep(clock::time_until(self.parent.expiry));
-        tokio::pin!(deadline);
-        let window = stream.window.clone();
-        loop {
-            tokio::select! {
-                event = stream.next() => match event {
-                    Some(CallEvent::Head(head)) => return Attempt::Answered(head, stream),
-                    Some(CallEvent::Refused(refusal)) => return Attempt::Refused(refusal),
-                    Some(CallEvent::Chunk(_) | CallEvent::Tail(_)) | None => return Attempt::Lost,
-                },
-                piece = next_of_rest(&mut self.body, &window) => match piece {
-                    Ok(Some(piece)) => stream.send_piece(&piece),
-                    Ok(None) => stream.finish_body(),
-                    Err(rejection) => {
-                        self.may_have_run = true;
-                        return Attempt::BrokenOff(rejection);
-                    }
-                },
-                () = &mut deadline => return Attempt::Expired,
-                // Its daemon is frozen, dead or cut off. One that may not be repeated can only wait.
-                () = connection.until_silent(), if self.request.repeatable => return Attempt::Lost,
-            }
-        }
-    }
-
-    fn call_head(&mut self, connection: &PeerConnection) -> CallHead {
-        let expiry = self.parent.expiry.minus(EXPIRY_MARGIN);
-        let context = CallContext {
-            root: self.request.root,
-            priority: self.parent.priority,
-            root_age: clock::now().since(self.parent.root_admitted),
-            tokens: self.child.hand_over(),
-            repeat: self.repeat,
-            repeatable: self.request.repeatable,
-            expiry: connection.to_peer_clock(expiry),
-            patience: self.request.patience.saturating_sub(clock::now().since(self.started)),
-            depth: self.parent.depth,
-        };
-        CallHead {
-            call: self.shared.new_call_id(),
-            generation: self.shared.snapshot().generation(),
-            service: self.request.service.clone(),
-            context,
-            method: self.request.method.clone(),
-            path: self.request.path.clone(),
-            headers: self.request.headers.clone(),
-            has_body: !self.body.is_empty(),
-        }
-    }
-
     fn learn_floor(&self, floor: Option<ChainFloor>) {
         if let Some(floor) = floor {
             self.parent.lower_chain_floor(&floor);
         }
     }
 }
-
-fn call_end(attempt: &Attempt) -> CallEnd {
-    match attempt {
-        Attempt::Lost => CallEnd::Lost,
-        Attempt::Refused(refusal)
-            if matches!(refusal.reason, Reason::BackendUnreachable | Reason::BackendFailed) =>
-        {
-            CallEnd::Lost
-        }
-        _ => CallEnd::Answered,
-    }
-}
-
-fn not_sent(tokens: u32) -> Refusal {
-    Refusal {
-        outcome: Outcome::NotRun,
-        reason: Reason::PeerLost,
-        retry_after: 0,
-        unspent_tokens: tokens,
-        server: ServerReport { load: 0, limit: 0, floor: AdmissionFloor::OPEN },
-    }
-}
-
-fn refused(refusal: &Refusal) -> Rejection {
-    let detail = match refusal.outcome {
-        Outcome::NotRun => "the server refused the call; come back after Retry-After",
-        _ => "the back end broke off; its result is not known",
-    };
-    Rejection {
-        outcome: refusal.outcome,
-        reason: refusal.reason,
-        retry_after: Some(refusal.retry_after),
-        detail: detail.to_owned(),
-    }
-}
-
-fn claim_advice(reason: Reason) -> &'static str {
-    match reason {
-        Reason::DeadlineExceeded => "the deadline passed before the key could be claimed",
-        _ => "no majority of the key's witnesses answered; repeat it with the same key after Retry-After",
-    }
-}
