Repeats: what was earned in the last second is at hand, and calls of repeated runs are charged below

And calls that a repeated run makes were counted as first tries there: only half of the deployment's ratio was used, as room for them, which a chain of four levels could exceed.

Ruled out: tokens of the requests (the calls that failed had one left), deadlines, bodies that can't be sent again.

Change: a balance above one retry fades with a half-life of 1 s instead of a cap: each daemon has what it earned lately, so all together stay within the ratio in a window of some seconds. RunningCall::repeats tells that a run repeats an earlier one; its calls are charged to the services they go to (not refused), which own retries then wait for. So 0.8 of the ratio can be used at each level.

Tests: core/tests/decisions.rs: both tables failed before (no such interface; the second is the fault).

--- a/crates/seamhatch-core/src/retry.rs
+++ b/crates/seamhatch-core/src/retry.rs
@@ -1,6 +1,7 @@
 //! The limits on retries: tokens of one request over its whole chain, and a
 //! ratio per daemon and target service.
 
+use crate::clock::{Instant, Microseconds};
 use crate::identity::Fingerprint;
 use std::collections::HashMap;
 
@@ -146,6 +147,9 @@
     pub ratio: f64,
     /// Retries that may be saved up.
     pub burst: f64,
+    /// Time in which what is saved up beyond one retry halves; none where it is kept. With it, a daemon
+    /// has at hand what it earned lately, so that all daemons together have a share of what all earned.
+    pub half_life: Option<Microseconds>,
     /// Retries that a daemon has when it starts. Where the bound holds for a whole deployment, a restart
     /// must not make new ones.
     pub initial: f64,
@@ -153,26 +157,38 @@
 
 impl Default for RetryRatioPolicy {
     fn default() -> Self {
-        Self { ratio: 0.1, burst: 10.0, initial: 10.0 }
+        Self { ratio: 0.1, burst: 10.0, half_life: None, initial: 10.0 }
     }
 }
 
+/// Debt of a balance at most. What a bound allows is counted over some seconds, so that older debts don't
+/// matter.
+const LARGEST_DEBT: f64 = 50.0;
+/// What is kept however old it is: less would never come to a whole retry where calls are rare.
+const KEPT_BALANCE: f64 = 1.0;
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Balance {
+    amount: f64,
+    seen: Instant,
+}
+
 /// Keeps retries a small share of first tries, per target service.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct RetryRatio {
-    balances: HashMap<String, f64>,
+    balances: HashMap<String, Balance>,
 }
 
 impl RetryRatio {
     /// Counts a first try to `service`.
-    pub fn first_try(&mut self, service: &str, policy: RetryRatioPolicy) {
-        let balance = self.balance(service, policy);
+    pub fn first_try(&mut self, service: &str, policy: RetryRatioPolicy, now: Instant) {
+        let balance = self.balance(service, policy, now);
         *balance = (*balance + policy.ratio).min(policy.burst);
     }
 
     /// Takes one retry from the balance of `service`; false when there is none.
-    pub fn try_retry(&mut self, service: &str, policy: RetryRatioPolicy) -> bool {
-        let balance = self.balance(service, policy);
+    pub fn try_retry(&mut self, service: &str, policy: RetryRatioPolicy, now: Instant) -> bool {
+        let balance = self.balance(service, policy, now);
         if *balance < 1.0 {
             return false;
         }
@@ -180,10 +196,25 @@
         true
     }
 
-    fn balance(&mut self, service: &str, policy: RetryRatioPolicy) -> &mut f64 {
+    /// Counts a call that a repeated run makes. It is not refused, as the run would be in vain, but
+    /// own retries wait until its price has been earned.
+    pub fn count_repeat(&mut self, service: &str, policy: RetryRatioPolicy, now: Instant) {
+        let balance = self.balance(service, policy, now);
+        *balance = (*balance - 1.0).max(-LARGEST_DEBT);
+    }
+
+    /// The balance of `service` as it counts at `now`.
+    fn balance(&mut self, service: &str, policy: RetryRatioPolicy, now: Instant) -> &mut f64 {
         if !self.balances.contains_key(service) {
-            self.balances.insert(service.to_owned(), policy.initial);
+            self.balances.insert(service.to_owned(), Balance { amount: policy.initial, seen: now });
+        }
+        let balance = self.balances.get_mut(service).expect("inserted above");
+        if let Some(half_life) = policy.half_life {
+            let age = now.since(balance.seen) as f64 / half_life as f64;
+            let beyond = (balance.amount - KEPT_BALANCE).max(0.0);
+            balance.amount -= beyond * (1.0 - (-age).exp2());
         }
-        self.balances.get_mut(service).expect("inserted above")
+        balance.seen = now;
+        &mut balance.amount
     }
 }
--- a/crates/seamhatch-core/tests/decisions.rs
+++ b/crates/seamhatch-core/tests/decisions.rs
@@ -13,6 +13,8 @@
     plan_change, seal_progress, union_of_claims,
 };
 
+const NOW: Instant = Instant(10 * SECOND);
+
 fn address(number: u8) -> Address {
     format!("127.0.0.{number}:1").parse().expect("valid")
 }
@@ -148,12 +150,12 @@
 
 #[test]
 fn retries_stay_a_share_of_first_tries() {
-    let policy = RetryRatioPolicy { ratio: 0.1, burst: 2.0, initial: 2.0 };
+    let policy = RetryRatioPolicy { ratio: 0.1, burst: 2.0, half_life: None, initial: 2.0 };
     let mut ratio = RetryRatio::default();
     let mut retries = 0;
     for _ in 0..1_000 {
-        ratio.first_try("a", policy);
-        retries += u32::from(ratio.try_retry("a", policy));
+        ratio.first_try("a", policy, NOW);
+        retries += u32::from(ratio.try_retry("a", policy, NOW));
     }
     assert!((95..=103).contains(&retries), "{retries}");
 }
@@ -213,3 +215,63 @@
     let hopeless = Candidate { same_zone: true, success: 0.3, ..lossy };
     assert_eq!(pick(&[hopeless, server(1, false, false)], first), Some(1));
 }
+
+/// Retries that are taken, and calls of repeated runs, against 100 first tries that earn a fifth each.
+struct BudgetCase {
+    name: &'static str,
+    repeats_of_runs: usize,
+    expected_own: usize,
+}
+
+/// Repeats high in a chain use up what the services below could repeat by themselves.
+#[test]
+fn calls_of_repeated_runs_are_charged_to_the_service_that_they_go_to() {
+    let policy = RetryRatioPolicy { ratio: 0.2, burst: 100.0, half_life: None, initial: 0.0 };
+    let cases = [
+        BudgetCase { name: "none", repeats_of_runs: 0, expected_own: 20 },
+        BudgetCase { name: "some", repeats_of_runs: 12, expected_own: 8 },
+        BudgetCase { name: "more than is earned", repeats_of_runs: 30, expected_own: 0 },
+    ];
+    for case in cases {
+        let mut ratio = RetryRatio::default();
+        (0..case.repeats_of_runs).for_each(|_| ratio.count_repeat("stock", policy, NOW));
+        // Not quite a fifth in binary.
+        (0..101).for_each(|_| ratio.first_try("stock", policy, NOW));
+        let own = (0..50).filter(|_| ratio.try_retry("stock", policy, NOW)).count();
+        assert_eq!(own, case.expected_own, "{}", case.name);
+    }
+}
+
+/// First tries a second at one daemon, and how many retries it has at hand after a while of them.
+struct SavedCase {
+    per_second: u64,
+    at_hand: std::ops::RangeInclusive<usize>,
+}
+
+/// Answers are lost in clumps: what was earned in the last second or two must be at hand, and no more, so
+/// that all daemons together stay within the bound of some seconds.
+#[test]
+fn a_daemon_has_at_hand_what_it_earned_lately() {
+    let policy =
+        RetryRatioPolicy { ratio: 0.16, burst: f64::INFINITY, half_life: Some(SECOND), initial: 0.0 };
+    let cases = [
+        SavedCase { per_second: 1, at_hand: 1..=1 },
+        SavedCase { per_second: 100, at_hand: 20..=25 },
+        SavedCase { per_second: 1000, at_hand: 220..=235 },
+    ];
+    for case in cases {
+        let mut ratio = RetryRatio::default();
+        let mut now = NOW;
+        for _ in 0..case.per_second * 30 {
+            ratio.first_try("stock", policy, now);
+            now = now.plus(SECOND / case.per_second);
+        }
+        let mut later = ratio.clone();
+        let taken = (0..1000).filter(|_| ratio.try_retry("stock", policy, now)).count();
+        assert!(case.at_hand.contains(&taken), "{} a second: {taken}", case.per_second);
+        let long_after = now.plus(20 * SECOND);
+        assert!(
+            later.try_retry("stock", policy, long_after) && !later.try_retry("stock", policy, long_after)
+        );
+    }
+}
--- a/crates/seamhatchd/src/dispatch/mod.rs
+++ b/crates/seamhatchd/src/dispatch/mod.rs
@@ -85,6 +85,7 @@
     let call = call_fingerprint(request, digest);
     let (child, first) = Child::begin(&parent, call)
         .map_err(|error| rejected(Reason::RetriesExhausted, &error.to_string()))?;
+    let parent_repeats = parent.repeats;
     let mut dispatcher = Dispatcher {
         shared,
         request,
@@ -94,7 +95,7 @@
         body,
         child,
         claimed: None,
-        repeat: first.repeat,
+        repeat: first.repeat || parent_repeats,
         tried: Vec::new(),
         pressed: 0,
         last_refusal: None,
@@ -233,13 +234,18 @@
     }
 
     fn check_limits(&self, first: Dispatch) -> Result<(), Rejection> {
+        let budget = &self.shared.retry_budget;
         if self.claimed.is_some() {
             check_entry_floor(self.shared, self.request)?;
         }
         if first.charged {
             return self.take_from_ratio();
         }
-        self.shared.retry_budget.first_try(&self.request.service, &self.settings);
+        if self.parent.repeats {
+            budget.count_repeat(&self.request.service, &self.settings);
+        } else {
+            budget.first_try(&self.request.service, &self.settings);
+        }
         Ok(())
     }
 
--- a/crates/seamhatchd/src/retry_budget.rs
+++ b/crates/seamhatchd/src/retry_budget.rs
@@ -1,15 +1,23 @@
 //! The retry ratio as the traffic threads share it.
+//!
+//! Where a bound holds for a whole deployment, it is kept without agreement: each daemon earns from its
+//! own first tries, has at hand what it earned in the last seconds, and starts with nothing; the calls
+//! that a repeated run makes are charged to the services that they go to. So at every service, however
+//! deep, repeats of both kinds together stay within the ratio, in any window of some seconds.
 
+use crate::clock;
 use crate::settings::RetryBound;
+use seamhatch_core::clock::{Microseconds, SECOND};
 use seamhatch_core::retry::{RetryRatio, RetryRatioPolicy};
 use seamhatch_policy::ServiceSettings;
-use std::sync::Mutex;
+use std::sync::{Mutex, MutexGuard};
 
-/// Part of the deployment's ratio that daemons earn from their own first tries. The other part is for
-/// the calls that repeats cause at services below.
-const OWN_SHARE: f64 = 0.5;
-/// Retries that one daemon may save up where a bound holds for the whole deployment.
-const BOUNDED_BURST: f64 = 1.0;
+/// Part of the deployment's ratio that is used. The rest is for what is not seen here, as a call whose
+/// cause is not known to be a repeat.
+const USED_SHARE: f64 = 0.8;
+/// Time in which what a daemon has saved up halves: short against the window of the bound, and long
+/// against the clumps in which answers are lost.
+const SAVED_HALF_LIFE: Microseconds = SECOND;
 
 /// Retries of this daemon, by target service.
 #[derive(Debug, Default)]
@@ -27,23 +35,33 @@
 
     /// Counts a first try.
     pub fn first_try(&self, service: &str, settings: &ServiceSettings) {
-        self.ratio.lock().expect("retry ratio lock").first_try(service, self.policy(settings));
+        self.lock().first_try(service, self.policy(settings), clock::now());
+    }
+
+    /// Counts a call that a repeated run makes.
+    pub fn count_repeat(&self, service: &str, settings: &ServiceSettings) {
+        self.lock().count_repeat(service, self.policy(settings), clock::now());
     }
 
     /// Takes one retry; false when the share is used up.
     pub fn try_retry(&self, service: &str, settings: &ServiceSettings) -> bool {
-        self.ratio.lock().expect("retry ratio lock").try_retry(service, self.policy(settings))
+        self.lock().try_retry(service, self.policy(settings), clock::now())
     }
 
     fn policy(&self, settings: &ServiceSettings) -> RetryRatioPolicy {
         let (ratio, burst) = (settings.retry_ratio, settings.retry_burst);
         match self.bound {
-            None => RetryRatioPolicy { ratio, burst, initial: burst },
+            None => RetryRatioPolicy { ratio, burst, half_life: None, initial: burst },
             Some(bound) => RetryRatioPolicy {
-                ratio: ratio.min(bound.ratio * OWN_SHARE),
-                burst: burst.min(BOUNDED_BURST),
+                ratio: bound.ratio * USED_SHARE,
+                burst: f64::INFINITY,
+                half_life: Some(SAVED_HALF_LIFE),
                 initial: 0.0,
             },
         }
     }
+
+    fn lock(&self) -> MutexGuard<'_, RetryRatio> {
+        self.ratio.lock().expect("retry ratio lock")
+    }
 }
--- a/crates/seamhatchd/src/running.rs
+++ b/crates/seamhatchd/src/running.rs
@@ -25,6 +25,8 @@
     pub expiry: Instant,
     /// Services above it.
     pub depth: u32,
+    /// It is made by a run that repeats an earlier one, so that it may repeat an earlier call.
+    pub repeats: bool,
     ledger: Mutex<RetryLedger>,
     chain_floor: Mutex<Option<ChainFloor>>,
     cause: Option<Arc<RunningCall>>,
@@ -51,6 +53,7 @@
             ledger,
             chain_floor: Mutex::default(),
             cause: None,
+            repeats: false,
         }
     }
 
@@ -61,7 +64,8 @@
         let expiry = cause.expiry.min(expiry);
         let depth = cause.depth.max(1);
         let call = Self::new(cause.root, cause.priority, cause.root_admitted, expiry, depth, ledger);
-        Self { cause: Some(cause), ..call }
+        let repeats = cause.ledger().is_repeat();
+        Self { cause: Some(cause), repeats, ..call }
     }
 
     /// Its retry tokens and child calls.
--- a/crates/seamhatchd/src/settings/mod.rs
+++ b/crates/seamhatchd/src/settings/mod.rs
@@ -112,7 +112,8 @@
 pub struct RetryBound {
     /// Retries for each request to the service.
     pub ratio: f64,
-    /// Retries on top of these, whatever the number of requests.
+    /// Retries on top of these, whatever the number of requests. What each daemon keeps where calls are rare
+    /// comes out of it.
     pub slack: f64,
 }
 
