--- a/crates/seamhatchd/src/controllers/events.rs
+++ b/crates/seamhatchd/src/controllers/events.rs
@@ -5,6 +5,7 @@
 use crate::controllers::status::StatusReport;
 use crate::controllers::submission::SubmitError;
 use crate::store::{StoreError, Stored};
+use seamhatch_core::departure::DepartureSource;
 use seamhatch_core::generation::{Generation, SubmissionId};
 use seamhatch_core::identity::Address;
 use seamhatch_core::instance::{Heartbeat, InstanceId};
@@ -93,8 +94,8 @@
     InstanceLost(InstanceId, Reason),
     /// The departure of an instance is remembered elsewhere.
     DepartureRemembered(InstanceId),
-    /// Instances that departed in an earlier life of this daemon.
-    DeparturesLearnt(Vec<InstanceId>),
+    /// Instances that departed in an earlier life of this daemon, and who tells.
+    DeparturesLearnt(DepartureSource, Vec<InstanceId>),
     /// No daemon answered the question for them.
     DeparturesNotLearnt,
     /// The followed store has told the configuration as it is, or that there is none.
