Callers that go on coming to a daemon that stops are refused in time, not cut off by its end

Ruled out: a drain that is not told (not ready at once, answers close their connections); work of others at the server (its server drained).

Change: from 0.45 of the grace period on, callers are told 503, not run, with when to come back; calls of work that runs here still pass. What was taken before has the rest of the time.

--- a/crates/seamhatchd/src/filters/mod.rs
+++ b/crates/seamhatchd/src/filters/mod.rs
@@ -80,6 +80,8 @@
         Box::new(routing::RouteByHostAndPath),
         // A call of work that runs here keeps its request's place in the order of shedding.
         Box::new(context::ParentFromName),
+        // After it is known whose call it is: what runs here must be able to finish.
+        Box::new(readiness::BeforeTheEnd),
         // Sets class, attempts, deadline and patience; a parent found before takes precedence.
         Box::new(classification::RouteDecision),
         // Last, as it needs the class and the route: refuse what a service below would refuse.
--- a/crates/seamhatchd/src/filters/readiness.rs
+++ b/crates/seamhatchd/src/filters/readiness.rs
@@ -3,6 +3,7 @@
 use crate::filters::{Rejection, RequestFilter, RequestState};
 use crate::headers;
 use crate::shared::Shared;
+use seamhatch_core::clock::{MILLISECOND, Microseconds};
 use seamhatch_core::outcome::Reason;
 
 /// Refuses at once, so that the caller goes to another daemon.
@@ -28,6 +29,23 @@
     }
 }
 
+/// Refuses callers that come so late in a planned stop that the end of the process would cut them off.
+/// Some still come, where too few other daemons are near.
+pub struct BeforeTheEnd;
+
+/// A restarted daemon serves again by then, as one that takes no callers soon has nothing to wait for.
+const RETURN_AFTER: Microseconds = 800 * MILLISECOND;
+
+impl RequestFilter for BeforeTheEnd {
+    fn apply(&self, shared: &Shared, request: &mut RequestState) -> Result<(), Rejection> {
+        if request.parent.is_some() || !shared.is_too_late_for_callers() {
+            return Ok(());
+        }
+        let detail = "this daemon is about to end; use another one, or come back after Retry-After";
+        Err(Rejection::not_run(Reason::Draining, detail).retry_after(RETURN_AFTER))
+    }
+}
+
 /// Holds on to the configuration in force, so that one configuration decides the whole request.
 pub struct PinConfiguration;
 
--- a/crates/seamhatchd/src/shared.rs
+++ b/crates/seamhatchd/src/shared.rs
@@ -2,6 +2,7 @@
 
 use crate::backend::Backend;
 use crate::claims::{ClaimRecords, Witnesses};
+use crate::clock;
 use crate::controllers::ControlHandle;
 use crate::conventions::HttpConventions;
 use crate::filters::EntryFloors;
@@ -14,9 +15,11 @@
 use crate::settings::Settings;
 use crate::snapshot::Snapshot;
 use arc_swap::{ArcSwap, Guard};
+use seamhatch_core::Instant;
 use seamhatch_core::identity::{CallId, Incarnation};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::time::Duration;
 use tokio::sync::Notify;
 
 /// The parts of a daemon that its threads share.
@@ -54,6 +57,8 @@
     pub published: ArcSwap<Snapshot>,
     /// Refuses new work.
     pub draining: AtomicBool,
+    /// When it began to, in microseconds of the boot clock.
+    pub draining_since: AtomicU64,
     /// Woken when the server begins or ceases to take work.
     pub work_changed: Notify,
     /// Has a configuration and may take work.
@@ -64,6 +69,10 @@
     pub next_call: AtomicU64,
 }
 
+/// Part of the time between a stop request and the end in which callers are still served. What is taken
+/// then has the rest of the time to end.
+const SERVED_SHARE_OF_GRACE: f64 = 0.45;
+
 impl Shared {
     /// The published state.
     pub fn snapshot(&self) -> Guard<Arc<Snapshot>> {
@@ -78,10 +87,22 @@
 
     /// Refuses new work from now on, and tells every connected daemon at once.
     pub fn start_draining(&self) {
-        self.draining.store(true, Ordering::Release);
+        if !self.draining.swap(true, Ordering::AcqRel) {
+            self.draining_since.store(clock::now().0, Ordering::Release);
+        }
         self.tell_peers();
     }
 
+    /// Whether callers that come now would be cut off by the end of the process. Until then they are served,
+    /// as they may not have learnt yet that it leaves.
+    #[must_use]
+    pub fn is_too_late_for_callers(&self) -> bool {
+        let Some(grace) = self.settings.grace.filter(|_| self.is_draining()) else { return false };
+        let since = Instant(self.draining_since.load(Ordering::Acquire));
+        let draining = Duration::from_micros(clock::now().since(since));
+        draining > grace.mul_f64(SERVED_SHARE_OF_GRACE)
+    }
+
     /// Tells every connected daemon at once whether the server takes work.
     pub fn tell_peers(&self) {
         self.work_changed.notify_waiters();
--- a/crates/seamhatchd/src/startup.rs
+++ b/crates/seamhatchd/src/startup.rs
@@ -162,6 +162,7 @@
         control,
         published: ArcSwap::from_pointee(Snapshot::default()),
         draining: AtomicBool::new(false),
+        draining_since: AtomicU64::new(0),
         work_changed: tokio::sync::Notify::new(),
         ready: AtomicBool::new(false),
         open_requests: Arc::default(),
