Shares of a bottleneck's slot time for each class

Cause: a queue in strict order of classes, with one in 32 requests of each class among the most important, knows nothing of what requests cost.

Ruled out: keeping more or fewer buckets (tried before: one in 8 halves the critical work); weighted fair queueing among all classes (no more urgency than the weight where there is just enough).

Change: the waiting queue has a line for each class; a class below its share of the slots goes first. The admission floor is a level and the buckets of each class that fit its share. The special case inside Priority::level is gone; its test is replaced by one that checks the kept buckets of any floor. The admission module is split (limit, floor, shares, waiting lines).

--- /dev/null
+++ b/crates/seamhatch-core/src/admission/floor.rs
@@ -0,0 +1,149 @@
+//! The admission floor that a server publishes.
+
+use super::shares::{ClassShares, share_of};
+use crate::priority::{AdmissionFloor, BUCKETS, Priority, PriorityClass};
+
+/// Moves the published admission floor with the pressure on the queue.
+///
+/// Under pressure (a long queue, or calls that can't be served in time) the floor goes to the level
+/// below which as much work arrived as was served lately, but not below what waits in the healthy part
+/// of the queue: a cold server serves little at first, and important work can wait.
+/// Without pressure the floor rises step by step, faster where slots are free.
+///
+/// Whatever the level, as many buckets of each class pass as fit into the class's share of the slots.
+#[derive(Debug)]
+pub struct FloorController {
+    level: u16,
+    /// Buckets of each class that fit into its share.
+    kept: [f64; PriorityClass::ALL.len()],
+    /// Calls that came lately, by level.
+    arrived: Vec<f32>,
+    served: f32,
+    /// Calls below the floor that could not be served in time.
+    refused: f32,
+}
+
+/// Share of the counts that is kept from one tick to the next.
+const COUNT_DECAY: f32 = 0.7;
+/// Admitted work over served work under pressure.
+const ADMITTED_SHARE: f32 = 0.95;
+/// Levels that the floor rises in one tick at a server that is busy but has a short queue.
+const FLOOR_STEP_UP: u16 = 4;
+/// Levels that it rises in one tick more at a server with nothing to do; fewer the busier it is.
+const FLOOR_STEP_IDLE: f64 = 28.0;
+/// Refused work over served work at which the floor falls, however short the queue is: a queue may be
+/// short because calls don't wait long enough to be served.
+const REFUSED_SHARE: f32 = 0.03;
+/// Refused calls that may be chance.
+const REFUSED_BY_CHANCE: f32 = 3.0;
+/// Queue fill at which the floor falls.
+pub const HIGH_FILL: f64 = 0.4;
+/// Queue fill below which the floor rises.
+const LOW_FILL: f64 = 0.2;
+/// Most that the kept buckets of a class grow in one tick: the calls of what is let in at the entry
+/// come some time later.
+const KEPT_GROWTH: f64 = 1.1;
+/// Most that they shrink in one tick.
+const KEPT_SHRINKAGE: f64 = 0.5;
+/// Buckets of a class that are kept at least: one in 128 of its requests.
+const FEWEST_KEPT: f64 = 1.0;
+
+/// What presses on a queue.
+#[derive(Debug, Clone, Copy)]
+pub struct Pressure {
+    /// Calls that wait, over the queue's places.
+    pub fill: f64,
+    /// Level of the first call that waits beyond the healthy part of the queue.
+    pub first_in_excess: Option<u16>,
+    /// Share of the slots that are not taken.
+    pub free: f64,
+}
+
+impl Default for FloorController {
+    fn default() -> Self {
+        let open = AdmissionFloor::OPEN.level;
+        Self {
+            level: open,
+            kept: AdmissionFloor::OPEN.kept.map(f64::from),
+            arrived: vec![0.0; usize::from(open)],
+            served: 0.0,
+            refused: 0.0,
+        }
+    }
+}
+
+impl FloorController {
+    /// The floor to publish.
+    pub fn floor(&self) -> AdmissionFloor {
+        AdmissionFloor { level: self.level, kept: self.kept.map(|kept| kept as u8) }
+    }
+
+    /// A call has come.
+    pub fn count_arrival(&mut self, priority: Priority) {
+        if let Some(count) = self.arrived.get_mut(usize::from(priority.level())) {
+            *count += 1.0;
+        }
+    }
+
+    /// A call has been served.
+    pub fn count_served(&mut self) {
+        self.served += 1.0;
+    }
+
+    /// A call could not be served in time, or found no place.
+    pub fn count_refused(&mut self, priority: Priority) {
+        if self.floor().admits(priority) {
+            self.refused += 1.0;
+        }
+    }
+
+    /// Moves the floor; `limit` is in slots.
+    pub fn tick(&mut self, pressure: Pressure, shares: &ClassShares, limit: u32) {
+        PriorityClass::ALL.into_iter().for_each(|class| self.fit_kept(class, shares.used(class), limit));
+        if pressure.fill > HIGH_FILL || self.refuses() {
+            let waits = pressure.first_in_excess.unwrap_or_default();
+            self.level = self.level.min(self.sustainable_level().max(waits));
+        } else if pressure.fill < LOW_FILL {
+            let step = FLOOR_STEP_UP + (FLOOR_STEP_IDLE * pressure.free) as u16;
+            self.level = (self.level + step).min(AdmissionFloor::OPEN.level);
+        }
+        self.arrived.iter_mut().for_each(|count| *count *= COUNT_DECAY);
+        self.served *= COUNT_DECAY;
+        self.refused *= COUNT_DECAY;
+    }
+
+    /// Moves the kept buckets of `class` towards as many as fill its share, going by the slots that the
+    /// buckets which are let in now have `used`.
+    fn fit_kept(&mut self, class: PriorityClass, used: f64, limit: u32) {
+        let most = f64::from(BUCKETS);
+        let kept = &mut self.kept[class.rank()];
+        let by_level = f64::from(self.level) - class.rank() as f64 * most;
+        let let_in = kept.max(by_level.min(most));
+        let share = share_of(class) * f64::from(limit);
+        let fitting = if used > 0.0 { let_in * share / used } else { most };
+        let moved = fitting.clamp(*kept * KEPT_SHRINKAGE, *kept * KEPT_GROWTH);
+        *kept = moved.clamp(FEWEST_KEPT, most);
+    }
+
+    /// Whether more than chance would have it could not be served in time.
+    fn refuses(&self) -> bool {
+        self.refused > REFUSED_BY_CHANCE.max(self.served * REFUSED_SHARE)
+    }
+
+    /// The highest level that, together with the kept buckets, admits no more than was served. At least
+    /// one level stays open.
+    fn sustainable_level(&self) -> u16 {
+        let budget = self.served * ADMITTED_SHARE;
+        let kept_only = AdmissionFloor { level: 0, ..self.floor() };
+        let is_kept = |level: usize| kept_only.admits(Priority::at_level(level as u16));
+        let arrivals = || self.arrived.iter().enumerate();
+        let mut admitted: f32 = arrivals().filter(|(level, _)| is_kept(*level)).map(|(_, count)| count).sum();
+        for (level, count) in arrivals().filter(|(level, _)| !is_kept(*level)) {
+            admitted += count;
+            if admitted > budget {
+                return (level as u16).max(1);
+            }
+        }
+        AdmissionFloor::OPEN.level
+    }
+}
--- /dev/null
+++ b/crates/seamhatch-core/src/admission/mod.rs
@@ -0,0 +1,307 @@
+//! Admission at one server: slots, an adaptive limit, shares of the classes, and a bounded waiting queue.
+
+mod floor;
+mod limit;
+mod shares;
+mod waiting;
+
+pub use limit::ConcurrencyLimit;
+pub use shares::{ClassShares, share_of};
+
+use crate::clock::{Instant, MILLISECOND, Microseconds, SECOND};
+use crate::outcome::Reason;
+use crate::priority::{AdmissionFloor, Priority, PriorityClass};
+use floor::{FloorController, HIGH_FILL, Pressure};
+use std::collections::HashMap;
+use waiting::WaitingLines;
+
+/// Names a call that waits or runs; unique within one server's queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(pub u64);
+
+/// How a server admits work.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct AdmissionPolicy {
+    /// Calls that the back end works on at once, as it reports.
+    pub slots: u32,
+    /// Calls that may wait, for each slot.
+    pub queue_per_slot: u32,
+    /// Slots that a cold server starts with.
+    pub initial_slots: u32,
+}
+
+impl AdmissionPolicy {
+    /// The policy of a server that reports `slots`.
+    #[must_use]
+    pub fn for_slots(slots: u32) -> Self {
+        Self { slots, queue_per_slot: 4, initial_slots: slots.div_ceil(4).max(1) }
+    }
+}
+
+/// A call that asks to run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AdmissionRequest {
+    /// Name of the call in this queue.
+    pub ticket: Ticket,
+    /// Order of shedding.
+    pub priority: Priority,
+    /// When the root request was admitted, in the local clock.
+    pub root_admitted: Instant,
+    /// When the call becomes useless, in the local clock.
+    pub expiry: Instant,
+    /// When it is refused if it still waits, in the local clock: later, its answer is worth less
+    /// than an early refusal.
+    pub start_by: Instant,
+}
+
+/// The answer to a call that asks to run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Admission {
+    /// It has a slot; [`AdmissionQueue::finish`] must follow.
+    Run,
+    /// It waits, in place of `evicted` if that is set.
+    Wait {
+        /// A less important call that lost its place.
+        evicted: Option<Ticket>,
+    },
+    /// It is refused.
+    Refuse(Reason),
+}
+
+/// A call that leaves the waiting queue.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Dequeued {
+    /// It has a slot now.
+    Run(Ticket),
+    /// Its deadline can't be met any more.
+    Expired(Ticket),
+}
+
+/// A call with a slot.
+#[derive(Debug, Clone, Copy)]
+struct RunningSlot {
+    class: PriorityClass,
+    started: Instant,
+}
+
+/// Decides which calls run at one server, which wait and which are refused.
+///
+/// A class that has less than its share of the slots goes first; else the most important one that
+/// waits. Within a class calls are ordered by bucket, so that every server of a chain prefers the same
+/// requests, and then by the age of the whole request.
+#[derive(Debug)]
+pub struct AdmissionQueue {
+    policy: AdmissionPolicy,
+    limit: ConcurrencyLimit,
+    running: HashMap<Ticket, RunningSlot>,
+    waiting: WaitingLines,
+    shares: ClassShares,
+    floor: FloorController,
+}
+
+impl AdmissionQueue {
+    /// An empty queue of a cold server.
+    #[must_use]
+    pub fn new(policy: AdmissionPolicy) -> Self {
+        Self {
+            policy,
+            limit: ConcurrencyLimit::new(policy),
+            running: HashMap::new(),
+            waiting: WaitingLines::default(),
+            shares: ClassShares::default(),
+            floor: FloorController::default(),
+        }
+    }
+
+    /// Sets how many calls may wait for each slot; calls that wait already stay.
+    pub fn set_queue_per_slot(&mut self, queue_per_slot: u32) {
+        self.policy.queue_per_slot = queue_per_slot;
+    }
+
+    /// Calls with a slot.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Calls that wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Slots in use at most, at present.
+    #[must_use]
+    pub fn limit(&self) -> u32 {
+        self.limit.current()
+    }
+
+    /// The admission floor to publish.
+    #[must_use]
+    pub fn floor(&self) -> AdmissionFloor {
+        self.floor.floor()
+    }
+
+    /// How long a refused caller should stay away, before jitter.
+    #[must_use]
+    pub fn retry_after(&self) -> Microseconds {
+        self.estimated_wait(self.waiting.len() + 1).clamp(100 * MILLISECOND, 10 * SECOND)
+    }
+
+    /// The latest instant at which a call may start: when the caller's patience ends, and at least
+    /// half of the typical service time before its expiry, since some calls are faster.
+    #[must_use]
+    pub fn latest_start(&self, request: &AdmissionRequest) -> Instant {
+        request.expiry.minus(self.limit.typical_service_time() / 2).min(request.start_by)
+    }
+
+    /// Takes over what an instance of the back end tells: its slots, and whether it is cold.
+    /// What the last one's limit had grown to counts for nothing.
+    pub fn set_slots(&mut self, slots: u32, initial_slots: u32) {
+        self.policy.slots = slots;
+        self.policy.initial_slots = initial_slots;
+        self.limit = self.limit.anew(self.policy);
+    }
+
+    /// Takes all waiting calls out, as nothing will run here any more.
+    pub fn close(&mut self) -> Vec<Ticket> {
+        self.waiting.clear()
+    }
+
+    /// Asks for a slot or a place in the queue.
+    pub fn offer(&mut self, request: AdmissionRequest, now: Instant) -> Admission {
+        self.floor.count_arrival(request.priority);
+        if request.expiry <= now {
+            return Admission::Refuse(Reason::DeadlineExceeded);
+        }
+        if self.waiting.is_empty() && self.has_free_slot() {
+            self.start(request.ticket, request.priority.class, now);
+            return Admission::Run;
+        }
+        if now.plus(self.estimated_wait(self.ahead_of(&request))) >= self.latest_start(&request) {
+            self.floor.count_refused(request.priority);
+            return Admission::Refuse(Reason::DeadlineExceeded);
+        }
+        let evicted = match self.make_room(&request) {
+            Ok(evicted) => evicted,
+            Err(reason) => {
+                self.floor.count_refused(request.priority);
+                return Admission::Refuse(reason);
+            }
+        };
+        self.waiting.insert(request);
+        Admission::Wait { evicted }
+    }
+
+    /// Takes out a call that has waited as long as it could; false when it doesn't wait.
+    pub fn expire(&mut self, ticket: Ticket) -> bool {
+        let Some(request) = self.waiting.remove(ticket) else { return false };
+        self.floor.count_refused(request.priority);
+        true
+    }
+
+    /// Takes out a waiting call that is not wanted any more; false when it doesn't wait.
+    pub fn cancel(&mut self, ticket: Ticket) -> bool {
+        self.waiting.remove(ticket).is_some()
+    }
+
+    /// Frees the slot of a call that ran.
+    ///
+    /// `succeeded` says that its service time is a fair sample.
+    pub fn finish(&mut self, ticket: Ticket, now: Instant, succeeded: bool) {
+        let Some(slot) = self.running.remove(&ticket) else { return };
+        self.shares.finish(slot.class, now);
+        self.floor.count_served();
+        if succeeded {
+            self.limit.observe(now.since(slot.started));
+        }
+    }
+
+    /// The next call to leave the queue, if one can.
+    pub fn next(&mut self, now: Instant) -> Option<Dequeued> {
+        let request = *self.waiting.first_of(self.next_class()?)?;
+        if self.latest_start(&request) <= now {
+            self.expire(request.ticket);
+            return Some(Dequeued::Expired(request.ticket));
+        }
+        if !self.has_free_slot() {
+            return None;
+        }
+        self.waiting.remove(request.ticket);
+        self.start(request.ticket, request.priority.class, now);
+        Some(Dequeued::Run(request.ticket))
+    }
+
+    /// Moves the floor; to be called at a steady pace (every 100 ms).
+    pub fn tick(&mut self) {
+        let healthy = (f64::from(self.capacity()) * HIGH_FILL) as usize;
+        let taken = self.running.len() as f64 / f64::from(self.limit.current().max(1));
+        let pressure = Pressure {
+            fill: self.waiting.len() as f64 / f64::from(self.capacity().max(1)),
+            first_in_excess: self.waiting.level_at(healthy),
+            free: (1.0 - taken).max(0.0),
+        };
+        self.floor.tick(pressure, &self.shares, self.limit.current());
+    }
+
+    fn capacity(&self) -> u32 {
+        self.policy.slots * self.policy.queue_per_slot
+    }
+
+    fn has_free_slot(&self) -> bool {
+        self.running.len() < self.limit.current() as usize
+    }
+
+    fn start(&mut self, ticket: Ticket, class: PriorityClass, now: Instant) {
+        self.running.insert(ticket, RunningSlot { class, started: now });
+        self.shares.start(class, now);
+    }
+
+    fn is_owed(&self, class: PriorityClass) -> bool {
+        self.shares.is_owed(class, self.limit.current())
+    }
+
+    /// The class whose turn it is: one that is owed slots, else the most important that waits.
+    fn next_class(&self) -> Option<PriorityClass> {
+        let waits = |class: &PriorityClass| self.waiting.len_of(*class) > 0;
+        let owed = PriorityClass::ALL.into_iter().find(|class| waits(class) && self.is_owed(*class));
+        owed.or_else(|| PriorityClass::ALL.into_iter().find(waits))
+    }
+
+    /// Calls that go before `request`, as it looks now.
+    fn ahead_of(&self, request: &AdmissionRequest) -> usize {
+        let class = request.priority.class;
+        let before = if self.is_owed(class) { 0 } else { self.waiting.more_important(class) };
+        before + self.waiting.ahead_in_class(request)
+    }
+
+    fn estimated_wait(&self, ahead: usize) -> Microseconds {
+        let service_time = self.limit.typical_service_time();
+        service_time * (ahead as u64 + 1) / u64::from(self.limit.current().max(1))
+    }
+
+    /// Finds a place for `request` in the queue; the call that lost its place, if one did.
+    fn make_room(&mut self, request: &AdmissionRequest) -> Result<Option<Ticket>, Reason> {
+        if self.waiting.len() < self.capacity() as usize {
+            return Ok(None);
+        }
+        let victim = self.victim(request.priority).ok_or(Reason::QueueFull)?;
+        self.expire(victim);
+        Ok(Some(victim))
+    }
+
+    /// The waiting call to give up for one of this priority: a less important one, of a class that has
+    /// more places than its share, or any such one where the class of `priority` has fewer.
+    fn victim(&self, priority: Priority) -> Option<Ticket> {
+        let entitled = self.waiting.len_of(priority.class) < self.places_of(priority.class);
+        let mut classes = PriorityClass::ALL.into_iter().rev();
+        let class = classes.find(|class| self.waiting.len_of(*class) > self.places_of(*class))?;
+        let worst = self.waiting.last_of(class)?;
+        (entitled || worst.priority.level() > priority.level()).then_some(worst.ticket)
+    }
+
+    /// Places in the queue that a class owns.
+    fn places_of(&self, class: PriorityClass) -> usize {
+        (f64::from(self.capacity()) * share_of(class)) as usize
+    }
+}
--- a/crates/seamhatch-core/src/priority.rs
+++ b/crates/seamhatch-core/src/priority.rs
@@ -72,9 +72,6 @@
 /// Buckets in a class.
 pub const BUCKETS: u8 = 128;
 
-/// Buckets of each class that are kept from starving: one in 32 of its requests.
-pub const KEPT_BUCKETS: u8 = 4;
-
 /// A request's place in the order of shedding: class first, then bucket.
 ///
 /// The bucket comes from the root id alone, so every daemon of a chain gives
@@ -97,33 +94,56 @@
         Self { class, bucket: (hash % u64::from(BUCKETS)) as u8 }
     }
 
-    /// Position on a single scale from 0 (most important) upward.
-    ///
-    /// The first [`KEPT_BUCKETS`] of every class lie among the most important: however little a
-    /// bottleneck can serve, no class is starved there, and it is the same requests at every daemon.
+    /// Position on a single scale from 0 (most important) upward: class first, then bucket.
     #[must_use]
     pub fn level(self) -> u16 {
-        let bucket = u16::from(self.bucket);
-        if self.bucket < KEPT_BUCKETS {
-            return bucket;
-        }
-        self.class.rank() as u16 * u16::from(BUCKETS) + bucket
+        self.class.rank() as u16 * u16::from(BUCKETS) + u16::from(self.bucket)
+    }
+
+    /// The priority at this position; the least important one beyond the end.
+    #[must_use]
+    pub fn at_level(level: u16) -> Self {
+        let rank = usize::from(level / u16::from(BUCKETS)).min(PriorityClass::ALL.len() - 1);
+        Self { class: PriorityClass::ALL[rank], bucket: (level % u16::from(BUCKETS)) as u8 }
     }
 }
 
-/// The first level that is refused: a request is admitted when its level is below.
+/// What a server admits: a request whose level lies below `level`, or whose bucket is one of those that
+/// are kept of its class, so that no class is starved by more important ones.
+///
+/// It is the same requests at every daemon. Floors are compared by their level first.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Readable, Writable, Serialize, Deserialize,
 )]
-pub struct AdmissionFloor(pub u16);
+pub struct AdmissionFloor {
+    /// The first level that is refused.
+    pub level: u16,
+    /// Buckets of each class that pass whatever the level, from 0 on.
+    pub kept: [u8; PriorityClass::ALL.len()],
+}
 
 impl AdmissionFloor {
     /// Admits every request.
-    pub const OPEN: Self = Self(PriorityClass::ALL.len() as u16 * BUCKETS as u16);
+    pub const OPEN: Self = Self::at(PriorityClass::ALL.len() as u16 * BUCKETS as u16);
+
+    /// Buckets of each class that are kept before a server has learnt how many fit.
+    pub const KEPT_AT_FIRST: u8 = 4;
+
+    /// The floor at this level that keeps one in 32 requests of each class.
+    #[must_use]
+    pub const fn at(level: u16) -> Self {
+        Self { level, kept: [Self::KEPT_AT_FIRST; PriorityClass::ALL.len()] }
+    }
+
+    /// Whether it admits every request.
+    #[must_use]
+    pub fn is_open(self) -> bool {
+        self.level >= Self::OPEN.level
+    }
 
     /// Whether a request of this priority passes.
     #[must_use]
     pub fn admits(self, priority: Priority) -> bool {
-        priority.level() < self.0
+        priority.level() < self.level || priority.bucket < self.kept[priority.class.rank()]
     }
 }
--- a/crates/seamhatch-wire/src/message.rs
+++ b/crates/seamhatch-wire/src/message.rs
@@ -146,7 +146,7 @@
     pub load: u32,
     /// Calls that may run at once at present.
     pub limit: u32,
-    /// The first level that is refused.
+    /// What it admits.
     pub floor: AdmissionFloor,
 }
 
@@ -221,7 +221,7 @@
 /// An admission floor below [`AdmissionFloor::OPEN`], and the service whose server told it.
 #[derive(Debug, Clone, PartialEq, Eq, Readable, Writable)]
 pub struct ChainFloor {
-    /// The first level that is refused there.
+    /// What is admitted there.
     pub floor: AdmissionFloor,
     /// The service.
     pub service: String,
@@ -231,7 +231,7 @@
     /// What a server of `service` tells; none where it admits everything.
     #[must_use]
     pub fn told_by(service: &str, floor: AdmissionFloor) -> Option<Self> {
-        (floor < AdmissionFloor::OPEN).then(|| Self { floor, service: service.to_owned() })
+        (!floor.is_open()).then(|| Self { floor, service: service.to_owned() })
     }
 
     /// The lower one of two.
--- a/crates/seamhatchd/src/controllers/status.rs
+++ b/crates/seamhatchd/src/controllers/status.rs
@@ -99,7 +99,7 @@
         draining: shared.is_draining(),
         in_flight: shared.in_flight(),
         generation: input.generation.0,
-        floor: floor.0,
+        floor: floor.level,
         members,
         shards: join_all(shards).await,
     }
--- a/crates/seamhatchd/src/filters/entry_floor.rs
+++ b/crates/seamhatchd/src/filters/entry_floor.rs
@@ -90,7 +90,7 @@
     /// another server of the service may still tell it.
     fn take(&mut self, service: &str, floor: AdmissionFloor, now: Instant) {
         let Some(known) = self.by_service.get_mut(service) else {
-            if floor < AdmissionFloor::OPEN {
+            if !floor.is_open() {
                 self.by_service.insert(service.to_owned(), LearntFloor { floor, seen: now });
             }
             return;
@@ -121,8 +121,9 @@
     fn at(&self, now: Instant) -> AdmissionFloor {
         let unconfirmed = now.since(self.seen).saturating_sub(FLOOR_LIFETIME);
         let risen = unconfirmed as f64 / MILLISECOND as f64 * LEVELS_PER_MILLISECOND;
-        let level = f64::from(self.floor.0) + risen;
-        AdmissionFloor(level.min(f64::from(AdmissionFloor::OPEN.0)) as u16)
+        let level = f64::from(self.floor.level) + risen;
+        let level = level.min(f64::from(AdmissionFloor::OPEN.level)) as u16;
+        AdmissionFloor { level, ..self.floor }
     }
 }
 
--- a/crates/seamhatchd/src/gate.rs
+++ b/crates/seamhatchd/src/gate.rs
@@ -190,7 +190,7 @@
         self.metrics.running.set(state.queue.running() as i64);
         self.metrics.waiting.set(state.queue.waiting() as i64);
         self.metrics.limit.set(i64::from(state.queue.limit()));
-        self.metrics.floor.set(i64::from(state.queue.floor().0));
+        self.metrics.floor.set(i64::from(state.queue.floor().level));
     }
 
     fn permit(self: &Arc<Self>, ticket: Ticket) -> Permit {
--- a/crates/seamhatchd/src/peer/server_call.rs
+++ b/crates/seamhatchd/src/peer/server_call.rs
@@ -267,7 +267,8 @@
             priority = running.priority.level(),
             load = server.load,
             limit = server.limit,
-            floor = server.floor.0,
+            floor = server.floor.level,
+            kept = server.floor.kept[running.priority.class.rank()],
             left_ms = running.expiry.since(clock::now()) / MILLISECOND;
             "call refused"
         );
