--- a/crates/seamhatch-lab/src/lib.rs
+++ b/crates/seamhatch-lab/src/lib.rs
@@ -8,7 +8,6 @@
 pub mod deployment;
 pub mod experiment;
 pub mod faults;
-pub mod hollow;
 pub mod load;
 pub mod network;
 pub mod platform;
--- a/crates/seamhatch-lab/src/main.rs
+++ b/crates/seamhatch-lab/src/main.rs
@@ -10,7 +10,6 @@
 
   demo               start a small deployment, send load, print what happened
   run SCENARIO.toml  run an experiment, with control and without, and report
-  hollow             run many members' control state in one process and measure it
   daemon FLAGS       run seamhatchd (ends when its standard input closes)
   client ARGUMENTS   run the operators' client
 ";
@@ -25,7 +24,6 @@
     match command.to_string_lossy().as_ref() {
         "demo" => seamhatch_lab::demo::run(arguments),
         "run" => seamhatch_lab::experiment::run(arguments),
-        "hollow" => seamhatch_lab::hollow::run(arguments),
         "daemon" => {
             seamhatch_lab::process::end_with_standard_input();
             seamhatchd::run(arguments)
