A soak of our own: drawn faults, real processes, promises checked over a recorded history

Ruled out: checks inside the load loop (they can't be tested without a deployment, nor tried again on a kept history). Change: `seamhatch-lab soak`: plans (drawn from a seed, printed, read back, checked), faults, run, history as JSON lines, nine checks as pure functions with a good and a broken history each. Not there yet: the platform's binary in the soak, clocks, shrinking, seeded faults in a daemon, HTML report.

--- a/crates/seamhatch-lab/src/lib.rs
+++ b/crates/seamhatch-lab/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod platform;
 pub mod process;
 pub mod report;
+pub mod soak;
 pub mod topology;
--- a/crates/seamhatch-lab/src/main.rs
+++ b/crates/seamhatch-lab/src/main.rs
@@ -9,6 +9,7 @@
 USAGE: seamhatch-lab COMMAND
 
   demo               start a small deployment, send load, print what happened
+  soak               bring faults about under load and check the promises
   run SCENARIO.toml  run an experiment, with control and without, and report
   daemon FLAGS       run seamhatchd (ends when its standard input closes)
   client ARGUMENTS   run the operators' client
@@ -23,6 +24,7 @@
     let command = arguments.remove(0);
     match command.to_string_lossy().as_ref() {
         "demo" => seamhatch_lab::demo::run(arguments),
+        "soak" => seamhatch_lab::soak::run(arguments),
         "run" => seamhatch_lab::experiment::run(arguments),
         "daemon" => {
             seamhatch_lab::process::end_with_standard_input();
--- /dev/null
+++ b/crates/seamhatch-lab/src/soak/checks.rs
@@ -0,0 +1,286 @@
+//! The promises of docs/GUARANTEES.md, checked over a recorded history. Each check is a pure function of
+//! what callers, back ends and operators saw.
+
+use super::history::{HistoryEvent, RequestName, SeenAnswer, SoakMillis};
+use super::plan::{DaemonIndex, SoakFault};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+
+/// Retry tokens of a request, as the soak's configuration gives them.
+pub const RETRY_TOKENS: usize = 3;
+/// Outcome of a request that was not run.
+const NOT_RUN: &str = "not-run";
+/// Name prefix of the requests that are sent when everything is over.
+pub const PROBE_PREFIX: &str = "probe-";
+
+/// What a deployment promises.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Promise {
+    /// Retries of a request stay within its total.
+    RetriesBounded,
+    /// Each caller gets the complete answer to its own request.
+    AnswersWhole,
+    /// What is said not to have run has not run.
+    RefusalsTrue,
+    /// A refusal says when to come back.
+    RefusalsAdvise,
+    /// What may not be repeated runs once at most.
+    AtMostOnce,
+    /// A planned stop cuts off nothing.
+    StopsCutNothing,
+    /// A configuration never gives way to an older one.
+    ConfigurationForward,
+    /// An accepted configuration is in force everywhere.
+    ConfigurationEverywhere,
+    /// After the faults everything is served again.
+    Recovers,
+}
+
+/// A promise that was not kept.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Violation {
+    /// Which.
+    pub promise: Promise,
+    /// The request or daemon that shows it.
+    pub subject: String,
+    /// What was seen.
+    pub detail: String,
+}
+
+type Check = fn(&[HistoryEvent]) -> Vec<Violation>;
+
+/// All checks.
+const CHECKS: [Check; 9] = [
+    retries_bounded,
+    answers_whole,
+    refusals_true,
+    refusals_advise,
+    at_most_once,
+    stops_cut_nothing,
+    configuration_forward,
+    configuration_everywhere,
+    recovers,
+];
+
+/// Every violation in a history.
+#[must_use]
+pub fn check(history: &[HistoryEvent]) -> Vec<Violation> {
+    CHECKS.iter().flat_map(|check| check(history)).collect()
+}
+
+fn violation(promise: Promise, subject: impl ToString, detail: String) -> Violation {
+    Violation { promise, subject: subject.to_string(), detail }
+}
+
+fn answers(history: &[HistoryEvent]) -> impl Iterator<Item = (&RequestName, &SeenAnswer)> {
+    history.iter().filter_map(|event| match event {
+        HistoryEvent::Answered { request, answer, .. } => Some((request, answer)),
+        _ => None,
+    })
+}
+
+fn retries_bounded(history: &[HistoryEvent]) -> Vec<Violation> {
+    let mut runs: BTreeMap<&RequestName, (usize, BTreeSet<&str>)> = BTreeMap::new();
+    for event in history {
+        if let HistoryEvent::Executed { request, trail, .. } = event {
+            let (count, distinct) = runs.entry(request).or_default();
+            *count += 1;
+            distinct.insert(trail);
+        }
+    }
+    let repeats = runs.into_iter().map(|(request, (count, distinct))| (request, count - distinct.len()));
+    repeats
+        .filter(|(_, repeats)| *repeats > RETRY_TOKENS)
+        .map(|(request, repeats)| {
+            let detail = format!("{repeats} repeats for {RETRY_TOKENS} tokens");
+            violation(Promise::RetriesBounded, request, detail)
+        })
+        .collect()
+}
+
+fn answers_whole(history: &[HistoryEvent]) -> Vec<Violation> {
+    answers(history)
+        .filter(|(_, answer)| answer.status == 200 && !answer.whole)
+        .map(|(request, _)| {
+            let detail = "a success without the whole answer to this request".to_owned();
+            violation(Promise::AnswersWhole, request, detail)
+        })
+        .collect()
+}
+
+fn refusals_true(history: &[HistoryEvent]) -> Vec<Violation> {
+    let ran: HashSet<&RequestName> = history
+        .iter()
+        .filter_map(|event| match event {
+            HistoryEvent::Executed { request, .. } => Some(request),
+            _ => None,
+        })
+        .collect();
+    answers(history)
+        .filter(|(request, answer)| answer.outcome == NOT_RUN && ran.contains(request))
+        .map(|(request, answer)| {
+            let detail = format!("said not to have run ({}), and ran", answer.reason);
+            violation(Promise::RefusalsTrue, request, detail)
+        })
+        .collect()
+}
+
+fn refusals_advise(history: &[HistoryEvent]) -> Vec<Violation> {
+    answers(history)
+        .filter(|(_, answer)| answer.outcome == NOT_RUN && !answer.comes_back)
+        .map(|(request, answer)| {
+            let detail = format!("refused ({}) without a time to come back", answer.reason);
+            violation(Promise::RefusalsAdvise, request, detail)
+        })
+        .collect()
+}
+
+fn at_most_once(history: &[HistoryEvent]) -> Vec<Violation> {
+    let keyed: HashSet<&RequestName> = history
+        .iter()
+        .filter_map(|event| match event {
+            HistoryEvent::Sent { request, keyed: true, .. } => Some(request),
+            _ => None,
+        })
+        .collect();
+    let mut runs: BTreeMap<(&RequestName, &str, &str), usize> = BTreeMap::new();
+    for event in history {
+        if let HistoryEvent::Executed { request, call, trail, .. } = event
+            && keyed.contains(request)
+            && call.starts_with("POST")
+        {
+            *runs.entry((request, trail, call)).or_default() += 1;
+        }
+    }
+    runs.into_iter()
+        .filter(|(_, count)| *count > 1)
+        .map(|((request, _, call), count)| {
+            violation(Promise::AtMostOnce, request, format!("{call} ran {count} times"))
+        })
+        .collect()
+}
+
+/// A planned stop with nothing else around it.
+#[derive(Debug, Clone, Copy)]
+struct StopWindow {
+    daemon: DaemonIndex,
+    from_ms: SoakMillis,
+    to_ms: SoakMillis,
+}
+
+/// No other fault may be going on this long before a stop, in milliseconds.
+const CALM_BEFORE_MS: SoakMillis = 4_000;
+
+fn stop_windows(history: &[HistoryEvent]) -> Vec<StopWindow> {
+    let spans = fault_spans(history);
+    let stops = spans.iter().filter_map(|(fault, from_ms, to_ms)| match fault {
+        SoakFault::PlannedStop { daemon } => {
+            Some(StopWindow { daemon: *daemon, from_ms: *from_ms, to_ms: *to_ms })
+        }
+        _ => None,
+    });
+    let alone = |stop: &StopWindow| {
+        let beside = |(_, from, to): &&(SoakFault, SoakMillis, SoakMillis)| {
+            *from <= stop.to_ms && to + CALM_BEFORE_MS >= stop.from_ms
+        };
+        spans.iter().filter(beside).count() == 1
+    };
+    stops.filter(alone).collect()
+}
+
+fn fault_spans(history: &[HistoryEvent]) -> Vec<(SoakFault, SoakMillis, SoakMillis)> {
+    let mut open: Vec<(SoakFault, SoakMillis)> = Vec::new();
+    let mut spans = Vec::new();
+    for event in history {
+        match event {
+            HistoryEvent::FaultBegins { at_ms, fault } => open.push((fault.clone(), *at_ms)),
+            HistoryEvent::FaultEnds { at_ms, fault } => {
+                if let Some(index) = open.iter().position(|(begun, _)| begun == fault) {
+                    let (fault, from) = open.remove(index);
+                    spans.push((fault, from, *at_ms));
+                }
+            }
+            _ => {}
+        }
+    }
+    spans.extend(open.into_iter().map(|(fault, from)| (fault, from, SoakMillis::MAX - CALM_BEFORE_MS)));
+    spans
+}
+
+fn stops_cut_nothing(history: &[HistoryEvent]) -> Vec<Violation> {
+    let windows = stop_windows(history);
+    let stopping = |daemon: DaemonIndex, at_ms: SoakMillis| {
+        windows.iter().any(|stop| stop.daemon == daemon && (stop.from_ms..=stop.to_ms).contains(&at_ms))
+    };
+    let sent_into_stop: HashSet<&RequestName> = history
+        .iter()
+        .filter_map(|event| match event {
+            HistoryEvent::Sent { at_ms, request, daemon, .. } if stopping(*daemon, *at_ms) => Some(request),
+            _ => None,
+        })
+        .collect();
+    let is_cut = |answer: &SeenAnswer| {
+        let good = answer.status == 200 && answer.whole;
+        !good && answer.outcome != NOT_RUN && answer.reason != "connection-refused"
+    };
+    answers(history)
+        .filter(|(request, answer)| sent_into_stop.contains(request) && is_cut(answer))
+        .map(|(request, answer)| {
+            let detail = format!("cut off by a planned stop: {} {}", answer.status, answer.reason);
+            violation(Promise::StopsCutNothing, request, detail)
+        })
+        .collect()
+}
+
+fn configuration_forward(history: &[HistoryEvent]) -> Vec<Violation> {
+    let mut newest: HashMap<(DaemonIndex, u32), u64> = HashMap::new();
+    let mut violations = Vec::new();
+    for event in history {
+        let HistoryEvent::Status { daemon, life, generation, at_ms } = event else { continue };
+        let known = newest.entry((*daemon, *life)).or_default();
+        if generation < known {
+            let detail = format!("generation {generation} in force after {known}, at {at_ms} ms");
+            violations.push(violation(Promise::ConfigurationForward, format!("daemon {daemon}"), detail));
+        }
+        *known = (*known).max(*generation);
+    }
+    violations
+}
+
+fn configuration_everywhere(history: &[HistoryEvent]) -> Vec<Violation> {
+    let accepted = history.iter().filter_map(|event| match event {
+        HistoryEvent::Accepted { generation, .. } => Some(*generation),
+        _ => None,
+    });
+    let Some(newest) = accepted.max() else { return Vec::new() };
+    let Some(healed) = history.iter().position(|event| matches!(event, HistoryEvent::Healed { .. })) else {
+        return Vec::new();
+    };
+    history[healed..]
+        .iter()
+        .filter_map(|event| match event {
+            HistoryEvent::Status { daemon, generation, .. } if *generation < newest => {
+                let detail = format!("generation {generation} in force after the end, {newest} was accepted");
+                Some(violation(Promise::ConfigurationEverywhere, format!("daemon {daemon}"), detail))
+            }
+            _ => None,
+        })
+        .collect()
+}
+
+fn recovers(history: &[HistoryEvent]) -> Vec<Violation> {
+    let not_ready = history.iter().filter_map(|event| match event {
+        HistoryEvent::Healed { ready: false, at_ms } => {
+            let detail = format!("not all daemons were ready {at_ms} ms after the beginning");
+            Some(violation(Promise::Recovers, "deployment", detail))
+        }
+        _ => None,
+    });
+    let probes = answers(history).filter(|(request, answer)| {
+        request.starts_with(PROBE_PREFIX) && !(answer.status == 200 && answer.whole)
+    });
+    let unserved = probes.map(|(request, answer)| {
+        let detail = format!("not served after the end: {} {}", answer.status, answer.reason);
+        violation(Promise::Recovers, request, detail)
+    });
+    not_ready.chain(unserved).collect()
+}
--- /dev/null
+++ b/crates/seamhatch-lab/tests/soak.rs
@@ -0,0 +1,234 @@
+//! The soak's plans and checks; no processes are started but in the last test.
+
+use seamhatch_lab::soak::checks::{PROBE_PREFIX, Promise, RETRY_TOKENS, check};
+use seamhatch_lab::soak::history::{HistoryEvent, SeenAnswer, from_lines, to_lines};
+use seamhatch_lab::soak::plan::{PlanError, PlannedFault, SoakFault, SoakPlan};
+use std::io::Write;
+use std::process::{Command, Stdio};
+
+const DAEMONS: usize = 8;
+const STOP: SoakFault = SoakFault::PlannedStop { daemon: 2 };
+
+fn answer(status: u16, outcome: &str, reason: &str) -> SeenAnswer {
+    let refused = outcome == "not-run";
+    SeenAnswer {
+        status,
+        outcome: outcome.into(),
+        reason: reason.into(),
+        comes_back: refused,
+        whole: status == 200,
+    }
+}
+
+fn good() -> SeenAnswer {
+    answer(200, "answered", "")
+}
+
+fn sent(at_ms: u64, request: &str, daemon: usize, keyed: bool) -> HistoryEvent {
+    HistoryEvent::Sent { at_ms, request: request.into(), daemon, keyed }
+}
+
+fn answered(at_ms: u64, request: &str, answer: SeenAnswer) -> HistoryEvent {
+    HistoryEvent::Answered { at_ms, request: request.into(), answer }
+}
+
+fn executed(request: &str, call: &str, trail: &str) -> HistoryEvent {
+    HistoryEvent::Executed {
+        request: request.into(),
+        service: "settlement".into(),
+        call: call.into(),
+        trail: trail.into(),
+    }
+}
+
+fn status(at_ms: u64, daemon: usize, life: u32, generation: u64) -> HistoryEvent {
+    HistoryEvent::Status { at_ms, daemon, life, generation }
+}
+
+fn begins(at_ms: u64, fault: SoakFault) -> HistoryEvent {
+    HistoryEvent::FaultBegins { at_ms, fault }
+}
+
+fn ends(at_ms: u64, fault: SoakFault) -> HistoryEvent {
+    HistoryEvent::FaultEnds { at_ms, fault }
+}
+
+/// A history and the promises that it breaks.
+struct HistoryCase {
+    name: &'static str,
+    history: Vec<HistoryEvent>,
+    broken: Vec<Promise>,
+}
+
+fn kept(name: &'static str, history: Vec<HistoryEvent>) -> HistoryCase {
+    HistoryCase { name, history, broken: Vec::new() }
+}
+
+fn broken(name: &'static str, promise: Promise, history: Vec<HistoryEvent>) -> HistoryCase {
+    HistoryCase { name, history, broken: vec![promise] }
+}
+
+fn repeated(times: usize) -> Vec<HistoryEvent> {
+    (0..=times).map(|_| executed("a", "GET /records/record/a", ">fieldbook/record")).collect()
+}
+
+fn cut_at_stop(at_ms: u64, beside: Vec<HistoryEvent>) -> Vec<HistoryEvent> {
+    let mut history = vec![begins(10_000, STOP)];
+    history.extend(beside);
+    history.push(sent(at_ms, "a", 2, false));
+    history.push(answered(at_ms + 50, "a", answer(0, "", "connection-lost")));
+    history.push(ends(13_000, STOP));
+    history
+}
+
+fn request_cases() -> Vec<HistoryCase> {
+    let payout = || executed("a", "POST /payouts/payouts/a", "");
+    let refused = || answered(5, "a", answer(503, "not-run", "queue-full"));
+    let unadvised = SeenAnswer { comes_back: false, ..answer(503, "not-run", "queue-full") };
+    let half = SeenAnswer { whole: false, ..good() };
+    vec![
+        kept("an answered request", vec![sent(0, "a", 0, true), answered(9, "a", good()), payout()]),
+        kept("a refused request", vec![sent(0, "a", 0, true), refused()]),
+        broken("a refused request that ran", Promise::RefusalsTrue, vec![refused(), payout()]),
+        broken("no time to come back", Promise::RefusalsAdvise, vec![answered(5, "a", unadvised)]),
+        broken("half an answer", Promise::AnswersWhole, vec![answered(5, "a", half)]),
+        kept("a failure without a body", vec![answered(5, "a", answer(502, "unknown", "peer-lost"))]),
+        broken("twice", Promise::AtMostOnce, vec![sent(0, "a", 0, true), payout(), payout()]),
+        kept("twice, and may be", vec![sent(0, "a", 0, false), payout(), payout()]),
+        kept(
+            "two calls of one request",
+            vec![sent(0, "a", 0, true), payout(), executed("a", "POST /x", ">x")],
+        ),
+        kept("all tokens", repeated(RETRY_TOKENS)),
+        broken("a repeat too many", Promise::RetriesBounded, repeated(RETRY_TOKENS + 1)),
+    ]
+}
+
+fn deployment_cases() -> Vec<HistoryCase> {
+    let healed = |ready| HistoryEvent::Healed { at_ms: 50_000, ready };
+    let accepted = |generation| HistoryEvent::Accepted { at_ms: 20_000, generation };
+    let probe = format!("{PROBE_PREFIX}0");
+    let kill = SoakFault::Kill { daemons: vec![1] };
+    vec![
+        broken("cut off by a stop", Promise::StopsCutNothing, cut_at_stop(11_000, Vec::new())),
+        kept("cut off after the stop", cut_at_stop(13_500, Vec::new())),
+        kept(
+            "a kill beside the stop",
+            cut_at_stop(11_000, vec![begins(10_500, kill.clone()), ends(10_900, kill)]),
+        ),
+        kept(
+            "forward, and anew in another life",
+            vec![status(1, 0, 0, 3), status(2, 0, 1, 2), status(3, 0, 1, 3)],
+        ),
+        broken("backward", Promise::ConfigurationForward, vec![status(1, 0, 0, 3), status(2, 0, 0, 2)]),
+        kept("in force everywhere", vec![accepted(4), healed(true), status(51_000, 0, 0, 4)]),
+        broken(
+            "in force not everywhere",
+            Promise::ConfigurationEverywhere,
+            vec![accepted(4), status(21_000, 1, 0, 3), healed(true), status(51_000, 1, 0, 3)],
+        ),
+        broken("not ready again", Promise::Recovers, vec![healed(false)]),
+        broken(
+            "not served again",
+            Promise::Recovers,
+            vec![healed(true), answered(51_000, &probe, answer(503, "not-run", "not-ready"))],
+        ),
+    ]
+}
+
+#[test]
+fn each_promise_is_found_broken_where_it_is_and_nowhere_else() {
+    for case in request_cases().into_iter().chain(deployment_cases()) {
+        let found: Vec<Promise> =
+            check(&case.history).into_iter().map(|violation| violation.promise).collect();
+        assert_eq!(found, case.broken, "{}", case.name);
+        let read = from_lines(&to_lines(&case.history)).expect("was written by this");
+        assert_eq!(read, case.history, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_line_that_is_no_event_is_named() {
+    let text = to_lines(&[sent(0, "a", 0, false)]) + "{\"event\":\"heard\"}\n";
+    assert_eq!(from_lines(&text).expect_err("the second line is none").line, 2);
+}
+
+#[test]
+fn a_plan_comes_from_its_seed_alone_and_survives_its_file() {
+    let directory = tempfile::tempdir().expect("a directory");
+    for seed in 0..200 {
+        let plan = SoakPlan::draw(seed, 60, DAEMONS);
+        assert_eq!(plan, SoakPlan::draw(seed, 60, DAEMONS));
+        let path = directory.path().join("plan.toml");
+        std::fs::write(&path, plan.to_text()).expect("is written");
+        assert_eq!(SoakPlan::read(&path, DAEMONS).expect("is a plan"), plan, "seed {seed}");
+    }
+    assert_ne!(SoakPlan::draw(1, 60, DAEMONS), SoakPlan::draw(2, 60, DAEMONS));
+}
+
+/// A plan that can't be used, and what its error says.
+struct PlanCase {
+    plan: SoakPlan,
+    is: fn(&PlanError) -> bool,
+}
+
+#[test]
+fn a_plan_that_can_not_be_used_is_refused() {
+    let with = |at_ms, fault| SoakPlan {
+        seed: 1,
+        seconds: 10,
+        rate: 10.0,
+        faults: vec![PlannedFault { at_ms, for_ms: 1_000, fault }],
+    };
+    let cases = [
+        PlanCase {
+            plan: with(1_000, SoakFault::Kill { daemons: vec![0, DAEMONS] }),
+            is: |error| matches!(error, PlanError::Daemon { number: 1, daemon: DAEMONS, last: 7 }),
+        },
+        PlanCase {
+            plan: with(9_500, SoakFault::StoreOut),
+            is: |error| matches!(error, PlanError::Late { number: 1, end_ms: 10_500, load_ms: 10_000 }),
+        },
+    ];
+    for case in cases {
+        let mut file = tempfile::NamedTempFile::new().expect("a file");
+        file.write_all(case.plan.to_text().as_bytes()).expect("is written");
+        let error = SoakPlan::read(file.path(), DAEMONS).expect_err("can't be used");
+        assert!((case.is)(&error), "{error}");
+    }
+    let mut file = tempfile::NamedTempFile::new().expect("a file");
+    file.write_all(b"seed = 1\nfault = 3\n").expect("is written");
+    assert!(matches!(SoakPlan::read(file.path(), DAEMONS), Err(PlanError::Form { .. })));
+    assert!(matches!(SoakPlan::read("no/such/file".as_ref(), DAEMONS), Err(PlanError::Read { .. })));
+}
+
+/// The whole path, short: processes, faults of each group, checks. Its verdict depends on promises alone, not
+/// on how much was served.
+#[test]
+fn a_short_soak_of_real_processes_keeps_all_promises() {
+    let plan = SoakPlan {
+        seed: 1,
+        seconds: 12,
+        rate: 40.0,
+        faults: vec![
+            PlannedFault { at_ms: 1_500, for_ms: 800, fault: SoakFault::StoreOut },
+            PlannedFault { at_ms: 2_500, for_ms: 700, fault: SoakFault::Reset { daemon: 3 } },
+            PlannedFault { at_ms: 3_500, for_ms: 1_000, fault: SoakFault::Kill { daemons: vec![6] } },
+            PlannedFault { at_ms: 5_000, for_ms: 500, fault: SoakFault::Configuration { daemon: 1 } },
+            PlannedFault { at_ms: 6_000, for_ms: 700, fault: SoakFault::ServerCuts { daemon: 5 } },
+        ],
+    };
+    let directory = tempfile::tempdir().expect("a directory");
+    let path = directory.path().join("plan.toml");
+    std::fs::write(&path, plan.to_text()).expect("is written");
+    let output = Command::new(env!("CARGO_BIN_EXE_seamhatch-lab"))
+        .args(["soak", "--replay"])
+        .arg(&path)
+        .arg("--keep")
+        .arg(directory.path().join("kept"))
+        .stdin(Stdio::null())
+        .output()
+        .expect("the program starts");
+    let text = String::from_utf8_lossy(&output.stdout);
+    assert_eq!(output.status.code(), Some(0), "{text}\n{}", String::from_utf8_lossy(&output.stderr));
+}
