A shard that lost claims waits from the loss on, not from its latest change

Its logs: roster versions 15 to 46 between 14:33:59 and 14:36:37, as members were suspected and cleared on a machine that other runs kept busy (load average 33 to 36); the wait was counted for the epoch that is to follow, so each change began it anew. 1,512 lines of one warning stood in one log. Ruled out: restarts after the last fault (each daemon's last `started` is at 14:33:54 or earlier); requests that hold claims (none lives longer than 120 s). Change: `LossWaits`: the wait belongs to the assignment whose claims may be lost, begins when that is first seen, and is told once. The soak itself was part of it: a submission to a store that is out held up the whole plan for 30 s, and load that could not be sent in time came in one burst. Submissions go beside the plan now, a late step is told, load is left out beyond 1 s of backlog. A signal for a daemon that another fault has killed no longer ends the run.

--- a/crates/seamhatch-core/src/roster.rs
+++ b/crates/seamhatch-core/src/roster.rs
@@ -8,12 +8,13 @@
 //! stay listed in `previous` and are sealed too.
 
 use crate::claims::{Claim, ClaimHolder, ClaimKey, Epoch};
-use crate::clock::Microseconds;
+use crate::clock::{Instant, Microseconds};
 use crate::identity::{Address, Incarnation};
 use crate::rendezvous;
 use serde::{Deserialize, Serialize};
 use speedy::{Readable, Writable};
-use std::collections::BTreeMap;
+use std::collections::btree_map::Entry;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Shards of the claims.
 pub const SHARDS: usize = 16;
@@ -172,6 +173,42 @@
     }
 }
 
+/// Assignments that ended with a loss, and since when that has been known.
+///
+/// A wait belongs to the assignment whose claims may be lost, not to the one that is to follow: that one
+/// changes again while its witnesses come and go, and the wait would never end.
+#[derive(Debug, Default)]
+pub struct LossWaits {
+    known_since: BTreeMap<(usize, Epoch), Instant>,
+}
+
+impl LossWaits {
+    /// Notes that the assignment of `shard` in `epoch` is over with a loss; true when that is news.
+    pub fn note(&mut self, shard: usize, epoch: Epoch, now: Instant) -> bool {
+        match self.known_since.entry((shard, epoch)) {
+            Entry::Occupied(_) => false,
+            Entry::Vacant(vacant) => {
+                vacant.insert(now);
+                true
+            }
+        }
+    }
+
+    /// Epochs of `shard` whose wait is over: no request that held a claim in them lives any more.
+    #[must_use]
+    pub fn over(&self, shard: usize, now: Instant) -> BTreeSet<Epoch> {
+        let own = self.known_since.range((shard, Epoch(0))..=(shard, Epoch(u64::MAX)));
+        own.filter(|(_, since)| now.since(**since) > RESTART_WAIT).map(|((_, epoch), _)| *epoch).collect()
+    }
+
+    /// Forgets the waits of `shard` for epochs that are not listed any more.
+    pub fn retain(&mut self, shard: usize, previous: &[Assignment]) {
+        self.known_since.retain(|(other, epoch), _| {
+            *other != shard || previous.iter().any(|assignment| assignment.epoch == *epoch)
+        });
+    }
+}
+
 /// The claims of an ended epoch, from its sealed witnesses.
 ///
 /// Where they disagree about the holder of a key, either may have won at a
--- a/crates/seamhatch-lab/src/deployment.rs
+++ b/crates/seamhatch-lab/src/deployment.rs
@@ -24,6 +24,8 @@
 const SEEDS: usize = 3;
 /// Longest wait for a deployment to be ready.
 const START_TIMEOUT: Duration = Duration::from_secs(40);
+/// File of the document that was submitted last.
+const DOCUMENT: &str = "document.toml";
 /// Pause between two looks at what is waited for.
 const POLL: Duration = Duration::from_millis(20);
 
@@ -176,10 +178,26 @@
     /// # Errors
     /// The client can't be started.
     pub fn client(&self, daemon: usize, arguments: &[&str]) -> std::io::Result<Output> {
+        self.client_command(daemon, arguments).output()
+    }
+
+    /// The operators' client against a daemon, to be run.
+    fn client_command(&self, daemon: usize, arguments: &[&str]) -> Command {
         let mut all: Vec<OsString> = vec!["client".into(), "--daemon".into()];
         all.push(self.daemons[daemon].machine.admin().to_string().into());
         all.extend(arguments.iter().map(OsString::from));
-        Command::new(&self.options.program).args(all).stdin(Stdio::null()).output()
+        let mut command = Command::new(&self.options.program);
+        command.args(all).stdin(Stdio::null());
+        command
+    }
+
+    /// The client as it submits the document that the deployment began with once more, to be run.
+    #[must_use]
+    pub fn submission(&self, daemon: usize, more: &[&str]) -> Command {
+        let file = self.directory.path().join(DOCUMENT).to_string_lossy().into_owned();
+        let mut arguments = vec!["submit", &file, "--author", "lab"];
+        arguments.extend_from_slice(more);
+        self.client_command(daemon, &arguments)
     }
 
     /// Submits a document through a daemon and waits until it is in force everywhere.
@@ -187,7 +205,7 @@
     /// # Errors
     /// The client's error output.
     pub fn submit(&self, daemon: usize, document: &str, more: &[&str]) -> Result<String, String> {
-        let file = self.directory.path().join("document.toml");
+        let file = self.directory.path().join(DOCUMENT);
         std::fs::write(&file, document).map_err(|error| error.to_string())?;
         let path = file.to_string_lossy().into_owned();
         let mut arguments = vec!["submit", &path, "--author", "lab"];
--- a/crates/seamhatch-lab/src/soak/faults.rs
+++ b/crates/seamhatch-lab/src/soak/faults.rs
@@ -38,18 +38,15 @@
 }
 
 /// Makes a fault begin. A fault that strikes a process that has ended already does nothing.
-///
-/// # Errors
-/// What could not be done.
-pub fn begin(deployment: &mut Deployment, lives: &DaemonLives, fault: &SoakFault) -> std::io::Result<()> {
+pub fn begin(deployment: &mut Deployment, lives: &DaemonLives, fault: &SoakFault) {
     match fault {
         SoakFault::Kill { daemons } => daemons.iter().for_each(|&daemon| {
             deployment.daemons[daemon].kill();
             lives.ended(daemon);
         }),
-        SoakFault::Pause { daemon } => deployment.daemons[*daemon].signal(Signal::STOP)?,
+        SoakFault::Pause { daemon } => signal(deployment, *daemon, Signal::STOP),
         SoakFault::PlannedStop { daemon } => {
-            deployment.daemons[*daemon].signal(Signal::TERM)?;
+            signal(deployment, *daemon, Signal::TERM);
             tokio::task::block_in_place(|| deployment.daemons[*daemon].wait(STOP_TIMEOUT));
             lives.ended(*daemon);
         }
@@ -84,7 +81,6 @@
         // Submitted by the run itself, which records what became of it.
         SoakFault::Configuration { .. } => {}
     }
-    Ok(())
 }
 
 /// Ends a fault.
@@ -95,8 +91,7 @@
     match fault {
         SoakFault::Kill { daemons } => daemons.iter().try_for_each(|daemon| deployment.restart(*daemon))?,
         SoakFault::PlannedStop { daemon } => deployment.restart(*daemon)?,
-        // It may have been killed meanwhile by another fault.
-        SoakFault::Pause { daemon } => drop(deployment.daemons[*daemon].signal(Signal::CONT)),
+        SoakFault::Pause { daemon } => signal(deployment, *daemon, Signal::CONT),
         SoakFault::Cut { daemon, .. } | SoakFault::Reset { daemon } | SoakFault::Delay { daemon, .. } => {
             between(deployment, *daemon, Rule::Pass);
         }
@@ -116,6 +111,12 @@
     Ok(())
 }
 
+/// Sends a signal to a daemon, unless another fault has ended it.
+fn signal(deployment: &Deployment, daemon: DaemonIndex, signal: Signal) {
+    // The only error is that there is no such process.
+    let _ = deployment.daemons[daemon].signal(signal);
+}
+
 fn behaviour(deployment: &Deployment, daemon: DaemonIndex) -> Arc<Behaviour> {
     deployment.backends.behaviour(&deployment.machines[daemon])
 }
--- a/crates/seamhatch-lab/src/soak/run.rs
+++ b/crates/seamhatch-lab/src/soak/run.rs
@@ -14,7 +14,7 @@
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
-use tokio::task::JoinSet;
+use tokio::task::{JoinHandle, JoinSet};
 
 /// Servers of each service in a soak.
 const SERVERS: u8 = 2;
@@ -27,6 +27,10 @@
 const PROBES: usize = 40;
 /// Calls that were held up somewhere run within this time, or never.
 const SETTLING: Duration = Duration::from_millis(500);
+/// A step of a plan that comes later than this tells of a machine that is too busy, in milliseconds.
+const MOST_LATE_MS: SoakMillis = 1_000;
+/// Load that could not be sent in time, as this machine was too busy, is left out beyond this.
+const MOST_BACKLOG: Duration = Duration::from_secs(1);
 /// Pause between two looks at what is waited for.
 const POLL: Duration = Duration::from_millis(20);
 
@@ -89,7 +93,7 @@
     let watch = tokio::spawn(watch_daemons(admins(&deployment), lives.clone(), recorder.clone()));
     bring_about(&mut deployment, &lives, &plan.faults, &recorder).await.map_err(|error| error.to_string())?;
     load.await.map_err(|error| error.to_string())?;
-    submit(&deployment, 0, &recorder);
+    submit(&deployment, 0, &recorder).await.map_err(|error| error.to_string())?;
     let ready = deployment.wait_ready(RECOVERY).await;
     watch.abort();
     recorder.note(HistoryEvent::Healed { at_ms: recorder.at_ms(), ready });
@@ -127,14 +131,19 @@
         steps.push((entry.at_ms + entry.for_ms, Step::End(&entry.fault)));
     }
     steps.sort_by_key(|(at_ms, _)| *at_ms);
+    let mut submissions = Vec::new();
     for (at_ms, step) in steps {
         tokio::time::sleep_until((recorder.start + Duration::from_millis(at_ms)).into()).await;
+        let late_ms = recorder.at_ms().saturating_sub(at_ms);
+        if late_ms > MOST_LATE_MS {
+            println!("this machine is too busy for the plan: the step of {at_ms} ms came {late_ms} ms late");
+        }
         match step {
             Step::Begin(fault) => {
                 recorder.note(HistoryEvent::FaultBegins { at_ms: recorder.at_ms(), fault: fault.clone() });
-                faults::begin(deployment, lives, fault)?;
+                faults::begin(deployment, lives, fault);
                 if let SoakFault::Configuration { daemon } = fault {
-                    submit(deployment, *daemon, recorder);
+                    submissions.push(submit(deployment, *daemon, recorder));
                 }
             }
             Step::End(fault) => {
@@ -143,17 +152,24 @@
             }
         }
     }
+    for submission in submissions {
+        submission.await.map_err(std::io::Error::other)?;
+    }
     Ok(())
 }
 
-/// Submits the configuration once more, under another number. What the client can't tell isn't noted.
-fn submit(deployment: &Deployment, daemon: DaemonIndex, recorder: &Recorder) {
-    let document = &deployment.topology.document;
-    let submitted = tokio::task::block_in_place(|| deployment.submit(daemon, document, &["--json"]));
-    let generation = submitted.ok().and_then(|output| generation_of(&output));
-    if let Some(generation) = generation {
-        recorder.note(HistoryEvent::Accepted { at_ms: recorder.at_ms(), generation });
-    }
+/// Submits the configuration once more, under another number, beside whatever else happens. What the client
+/// can't tell isn't noted.
+fn submit(deployment: &Deployment, daemon: DaemonIndex, recorder: &Recorder) -> JoinHandle<()> {
+    let mut submission = deployment.submission(daemon, &["--json"]);
+    let recorder = recorder.clone();
+    tokio::task::spawn_blocking(move || {
+        let output = submission.output().ok().filter(|output| output.status.success());
+        let text = output.map(|output| String::from_utf8_lossy(&output.stdout).into_owned());
+        if let Some(generation) = text.and_then(|text| generation_of(&text)) {
+            recorder.note(HistoryEvent::Accepted { at_ms: recorder.at_ms(), generation });
+        }
+    })
 }
 
 fn generation_of(output: &str) -> Option<u64> {
@@ -171,6 +187,7 @@
     let mut number = 0_u64;
     while at < end {
         tokio::time::sleep_until(at.into()).await;
+        at = at.max(Instant::now().checked_sub(MOST_BACKLOG).unwrap_or(at));
         let daemon = rng.random_range(0..ingresses.len());
         let kind = draw_kind(&kinds, &mut rng);
         let request = caller_request(kind, format!("soak-{number}"));
--- a/crates/seamhatchd/src/controllers/control_thread/mod.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/mod.rs
@@ -246,7 +246,7 @@
             ControlEvent::NotRegistered => self.registering = None,
             ControlEvent::RosterRead(result) => self.roster_read(result),
             ControlEvent::RosterOffered(roster) => self.offer_roster(roster),
-            ControlEvent::Transition(result) => self.roster.finish_transition(&result),
+            ControlEvent::Transition(result) => self.finish_transition(&result),
             ControlEvent::MachinesRead(result) => self.machines_read(result),
         }
     }
--- a/crates/seamhatchd/src/controllers/control_thread/roster.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/roster.rs
@@ -5,14 +5,14 @@
 use crate::controllers::ask::ask_daemon;
 use crate::controllers::events::ControlEvent;
 use crate::controllers::machines::{Machine, MachineState, read_machines};
-use crate::controllers::roster_change::Transition;
+use crate::controllers::roster_change::{Transition, TransitionResult};
 use crate::ports::Backing;
 use crate::store::{ROSTER_KEY, StoreError, Stored, Swap};
-use log::info;
+use log::{info, warn};
 use seamhatch_core::Instant;
 use seamhatch_core::identity::Address;
 use seamhatch_core::membership::MemberRecord;
-use seamhatch_core::roster::{RESTART_WAIT, Roster};
+use seamhatch_core::roster::Roster;
 use seamhatch_wire::{ControlReply, ControlRequest};
 
 impl ControlThread {
@@ -69,13 +69,12 @@
     pub(super) fn start_transitions(&mut self, now: Instant) {
         let members = self.all_members();
         for (shard, target) in self.roster.start_transitions() {
-            let since = self.roster.waiting_since(shard, target.current.epoch, now);
             let transition = Transition {
                 shared: self.shared.clone(),
                 shard,
                 ended: self.roster.ended(&target, &members),
                 target,
-                waited: now.since(since) > RESTART_WAIT,
+                waited: self.roster.waited(shard, now),
                 newest: self.configuration.highest(),
             };
             let control = self.control.clone();
@@ -83,6 +82,12 @@
         }
     }
 
+    pub(super) fn finish_transition(&mut self, result: &TransitionResult) {
+        for epoch in self.roster.finish_transition(result, clock::now()) {
+            warn!(shard = result.shard, epoch = epoch.0; "claims may be lost: the shard waits");
+        }
+    }
+
     /// Writes a planned roster, if the store still holds the one it was planned from.
     pub(super) fn write_roster(&self, next: Roster) {
         let Backing::Witnessed(store) = &self.backing else { return };
--- a/crates/seamhatchd/src/controllers/roster.rs
+++ b/crates/seamhatchd/src/controllers/roster.rs
@@ -6,7 +6,7 @@
 use seamhatch_core::identity::Incarnation;
 use seamhatch_core::membership::{Liveness, MemberRecord};
 use seamhatch_core::roster::{
-    Roster, ShardRoster, WitnessCandidate, WitnessHealth, WitnessId, first_roster, plan_change,
+    LossWaits, Roster, ShardRoster, WitnessCandidate, WitnessHealth, WitnessId, first_roster, plan_change,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::IpAddr;
@@ -21,7 +21,7 @@
     confirmed: BTreeMap<usize, Epoch>,
     complete: BTreeMap<usize, Epoch>,
     running: BTreeSet<usize>,
-    waiting_since: BTreeMap<(usize, Epoch), Instant>,
+    loss_waits: LossWaits,
     gone_machines: BTreeSet<IpAddr>,
     listed_machines: BTreeSet<IpAddr>,
 }
@@ -108,8 +108,8 @@
         pending
     }
 
-    /// Takes in how far a transition came.
-    pub fn finish_transition(&mut self, result: &TransitionResult) {
+    /// Takes in how far a transition came; the epochs that turned out to have ended with a loss.
+    pub fn finish_transition(&mut self, result: &TransitionResult, now: Instant) -> Vec<Epoch> {
         self.running.remove(&result.shard);
         self.checked.insert(result.shard, result.epoch);
         if result.confirmed {
@@ -118,11 +118,16 @@
         if result.complete {
             self.complete.insert(result.shard, result.epoch);
         }
+        if let Some(shard) = self.roster.shards.get(result.shard) {
+            self.loss_waits.retain(result.shard, &shard.previous);
+        }
+        let lossy = result.lossy.iter().copied();
+        lossy.filter(|epoch| self.loss_waits.note(result.shard, *epoch, now)).collect()
     }
 
-    /// Since when a shard's lossy change has been waiting.
-    pub fn waiting_since(&mut self, shard: usize, epoch: Epoch, now: Instant) -> Instant {
-        *self.waiting_since.entry((shard, epoch)).or_insert(now)
+    /// Epochs of a shard that ended with a loss, whose wait is over.
+    pub fn waited(&self, shard: usize, now: Instant) -> BTreeSet<Epoch> {
+        self.loss_waits.over(shard, now)
     }
 
     /// Looks at every shard anew, for a coordinator that has just been chosen or now and then.
--- a/crates/seamhatchd/src/controllers/roster_change.rs
+++ b/crates/seamhatchd/src/controllers/roster_change.rs
@@ -3,7 +3,7 @@
 use crate::controllers::registration::{ask_witness, newer};
 use crate::shared::Shared;
 use futures_util::future::join_all;
-use log::{info, warn};
+use log::info;
 use seamhatch_core::claims::{Claim, Epoch};
 use seamhatch_core::roster::{
     Assignment, CONFIGURATION_SHARD, SealProgress, ShardRoster, WitnessId, seal_progress, union_of_claims,
@@ -23,8 +23,8 @@
     pub target: ShardRoster,
     /// Witnesses that are known to have ended.
     pub ended: BTreeSet<WitnessId>,
-    /// The wait after a loss is over.
-    pub waited: bool,
+    /// Epochs that ended with a loss, whose wait is over.
+    pub waited: BTreeSet<Epoch>,
     /// The newest accepted configuration that this daemon knows.
     pub newest: Option<StoredConfiguration>,
 }
@@ -40,8 +40,8 @@
     pub confirmed: bool,
     /// Installed at all witnesses.
     pub complete: bool,
-    /// Waits because claims may be lost.
-    pub waits: bool,
+    /// Earlier epochs that are over, whose claims may be lost: the change waits for them.
+    pub lossy: Vec<Epoch>,
 }
 
 impl Transition {
@@ -54,16 +54,15 @@
         }
         let sealed = if result.confirmed {
             // A majority has the claims of earlier epochs; a late witness may start without.
-            Sealed { claims: Vec::new(), held: self.newest.clone(), loss: false }
+            Sealed { claims: Vec::new(), held: self.newest.clone(), lossy: Vec::new() }
         } else {
             match self.seal_previous().await {
                 Some(sealed) => sealed,
                 None => return result,
             }
         };
-        if sealed.loss && !self.waited {
-            warn!(shard = self.shard, epoch = self.target.current.epoch.0; "claims may be lost: the shard waits");
-            result.waits = true;
+        if sealed.lossy.iter().any(|epoch| !self.waited.contains(epoch)) {
+            result.lossy = sealed.lossy;
             return result;
         }
         let installed = self.install(&missing, sealed).await;
@@ -79,7 +78,7 @@
             epoch: self.target.current.epoch,
             confirmed: witnesses - missing > witnesses / 2,
             complete: missing == 0,
-            waits: false,
+            lossy: Vec::new(),
         }
     }
 
@@ -98,21 +97,21 @@
     async fn seal_previous(&self) -> Option<Sealed> {
         let mut claims = Vec::new();
         let mut held = self.newest.clone();
-        let mut loss = false;
+        let mut lossy = Vec::new();
         for assignment in &self.target.previous {
             let replies = self.seal(assignment).await;
             let sealed = |id: &WitnessId| replies.contains_key(id);
             match seal_progress(assignment, sealed, |id| self.ended.contains(id)) {
                 SealProgress::Incomplete => return None,
                 SealProgress::Complete => {}
-                SealProgress::CompleteWithLoss => loss = true,
+                SealProgress::CompleteWithLoss => lossy.push(assignment.epoch),
             }
             for (told, configuration) in replies.into_values() {
                 claims.extend(told);
                 held = newer(held, configuration);
             }
         }
-        Some(Sealed { claims: union_of_claims(claims), held, loss })
+        Some(Sealed { claims: union_of_claims(claims), held, lossy })
     }
 
     async fn seal(&self, assignment: &Assignment) -> BTreeMap<WitnessId, Memory> {
@@ -148,5 +147,6 @@
 struct Sealed {
     claims: Vec<Claim>,
     held: Option<StoredConfiguration>,
-    loss: bool,
+    /// Epochs that are over, whose claims may be lost.
+    lossy: Vec<Epoch>,
 }
