--- a/crates/seamhatchd/src/controllers/handle.rs
+++ b/crates/seamhatchd/src/controllers/handle.rs
@@ -118,7 +118,7 @@
         matches!(answer, Ok(Ok(true)))
     }
 
-    /// Tells everyone that this daemon has left; waits for that no longer than [`STOP_TIMEOUT`].
+    /// Tells everyone that this daemon has left; waits for that no longer than 0.4 s.
     pub async fn leave(&self) {
         let (sender, receiver) = oneshot::channel();
         self.send(ControlEvent::Leave(sender));
