A daemon that stops takes what no other daemon of its service can

Cause: from the first moment of a planned stop a daemon took no call for its server, and the others gave it none. Where all daemons of a service are stopped within a short time, or all but those that just start, the service is answered no-server for seconds, beside servers that are well.

Change: a drain is a preference. Heartbeats tell which calls the server gets: all, those that nobody else can take (with the time until the process ends), none. Servers whose daemons stop are picked when no other is left, and of several not the next to go, which so falls quiet, ends and is back first. The stopping daemon takes what can end before it does, or what comes while it still serves callers. A server that leaves is closed as before: its daemon says none. A back end that doesn't tell by itself when it leaves stops with its daemon, as before.

Ruled out: to go on until the end of the grace period everywhere (all end together and are away together); an order of stops agreed by gossip (the time left, told by heartbeats, gives one).

--- a/crates/seamhatch-core/src/balance.rs
+++ b/crates/seamhatch-core/src/balance.rs
@@ -7,6 +7,17 @@
 
 use crate::clock::{Instant, MILLISECOND, Microseconds, SECOND};
 
+/// Whether a candidate is used while others are there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CandidateStanding {
+    /// It takes work.
+    Usual,
+    /// Its daemon is about to stop, in this time; its server stays.
+    Leaving(Microseconds),
+    /// Seen from here it fails.
+    Ejected,
+}
+
 /// What is known of one candidate server.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Candidate {
@@ -20,8 +31,8 @@
     pub reported_load: u32,
     /// Share of its answers that arrived lately, 0 to 1.
     pub success: f64,
-    /// Health as seen from here.
-    pub ejected: bool,
+    /// Whether it is used while others are there.
+    pub standing: CandidateStanding,
 }
 
 impl Candidate {
@@ -47,11 +58,11 @@
 /// Picks the index of a server, or none when `candidates` is empty.
 ///
 /// `random` draws a number below its argument. Servers in the caller's zone go first, until they are
-/// nearly full and clearly fuller than those of other zones. Ejected servers are used only when no
-/// other is left, so that a whole pool is never given up.
+/// nearly full and clearly fuller than those of other zones. Servers whose daemons are about to stop are
+/// used only when no other is left, and ejected ones only after these, so that a whole pool is never
+/// given up.
 pub fn pick(candidates: &[Candidate], mut random: impl FnMut(usize) -> usize) -> Option<usize> {
-    let healthy: Vec<usize> = indices(candidates, |candidate| !candidate.ejected);
-    let pool = if healthy.is_empty() { indices(candidates, |_| true) } else { healthy };
+    let pool = best_standing(candidates);
     let (near, far): (Vec<usize>, Vec<usize>) = pool.iter().partition(|index| candidates[**index].same_zone);
     let near = less_loaded_of_two(candidates, &near, &mut random);
     if near.is_some_and(|near| candidates[near].cost() < ZONE_SPILL_COST) {
@@ -63,6 +74,31 @@
     if spills { far } else { near }
 }
 
+/// The candidates among which the choice is made.
+fn best_standing(candidates: &[Candidate]) -> Vec<usize> {
+    let usual = indices(candidates, |candidate| candidate.standing == CandidateStanding::Usual);
+    if !usual.is_empty() {
+        return usual;
+    }
+    let leaving = leaving_but_the_next(candidates);
+    if leaving.is_empty() { indices(candidates, |_| true) } else { leaving }
+}
+
+/// Those that leave, without the next to go where there are several: given nothing more, it ends, is back
+/// soonest and takes over. If all went on until their ends, all would be away at the same time.
+fn leaving_but_the_next(candidates: &[Candidate]) -> Vec<usize> {
+    let time_left = |index: &usize| match candidates[*index].standing {
+        CandidateStanding::Leaving(left) => Some(left),
+        CandidateStanding::Usual | CandidateStanding::Ejected => None,
+    };
+    let mut leaving: Vec<usize> = (0..candidates.len()).filter(|index| time_left(index).is_some()).collect();
+    leaving.sort_by_key(time_left);
+    if leaving.len() > 1 {
+        leaving.remove(0);
+    }
+    leaving
+}
+
 /// The less loaded one of two that are drawn from `pool`.
 fn less_loaded_of_two(
     candidates: &[Candidate],
--- a/crates/seamhatch-core/src/membership/record.rs
+++ b/crates/seamhatch-core/src/membership/record.rs
@@ -14,7 +14,7 @@
     Joining,
     /// Takes work.
     Ready,
-    /// Takes no new work; finishes what it has.
+    /// Finishes what it has, and takes new work only where nobody else can.
     Draining,
     /// Stopped in an orderly way.
     Left,
@@ -77,6 +77,13 @@
         self.lifecycle == Lifecycle::Ready && self.liveness != Liveness::Dead && !self.leaving
     }
 
+    /// Whether it takes work at least where no other member can.
+    #[must_use]
+    pub fn may_take_work(&self) -> bool {
+        let drains = self.lifecycle == Lifecycle::Draining && self.is_live() && !self.leaving;
+        self.takes_work() || drains
+    }
+
     /// Whether it takes part in the protocol.
     #[must_use]
     pub fn is_live(&self) -> bool {
--- a/crates/seamhatch-core/tests/decisions.rs
+++ b/crates/seamhatch-core/tests/decisions.rs
@@ -1,7 +1,7 @@
 //! Clocks, claims, rosters, server choice and retry ratios, step by step.
 
 use seamhatch_core::Instant;
-use seamhatch_core::balance::{CallEnd, Candidate, Ejection, SuccessRate, pick};
+use seamhatch_core::balance::{CallEnd, Candidate, CandidateStanding, Ejection, SuccessRate, pick};
 use seamhatch_core::claims::{
     CLAIM_MEMORY, Claim, ClaimHolder, ClaimKey, ClaimReply, Epoch, LONGEST_REQUEST, Witness,
 };
@@ -120,7 +120,8 @@
 }
 
 fn server(in_flight: u32, same_zone: bool, ejected: bool) -> Candidate {
-    Candidate { same_zone, slots: 10, in_flight, reported_load: 0, success: 1.0, ejected }
+    let standing = if ejected { CandidateStanding::Ejected } else { CandidateStanding::Usual };
+    Candidate { same_zone, slots: 10, in_flight, reported_load: 0, success: 1.0, standing }
 }
 
 #[test]
@@ -137,6 +138,39 @@
     assert_eq!(pick(&[], first), None);
 }
 
+/// Standings of idle servers alike, and the ones that may be picked.
+struct StandingCase {
+    name: &'static str,
+    standings: &'static [CandidateStanding],
+    picked: &'static [usize],
+}
+
+#[test]
+fn servers_whose_daemons_stop_are_used_where_no_other_is_left() {
+    use CandidateStanding::{Ejected, Leaving, Usual};
+    let cases = [
+        StandingCase { name: "one stays", standings: &[Leaving(9), Usual, Leaving(5)], picked: &[1] },
+        StandingCase { name: "the only one leaves", standings: &[Leaving(5)], picked: &[0] },
+        StandingCase {
+            name: "the next to go rests",
+            standings: &[Leaving(9), Leaving(5), Leaving(7)],
+            picked: &[0, 2],
+        },
+        StandingCase { name: "two go at once", standings: &[Leaving(5), Leaving(5)], picked: &[1] },
+        StandingCase { name: "the other one fails", standings: &[Ejected, Leaving(5)], picked: &[1] },
+        StandingCase { name: "all fail", standings: &[Ejected, Ejected], picked: &[0, 1] },
+    ];
+    for case in cases {
+        let candidates: Vec<Candidate> =
+            case.standings.iter().map(|&standing| Candidate { standing, ..server(0, true, false) }).collect();
+        let mut picked: Vec<usize> =
+            (0..candidates.len()).filter_map(|first| pick(&candidates, |below| first % below)).collect();
+        picked.sort_unstable();
+        picked.dedup();
+        assert_eq!(picked, case.picked, "{}", case.name);
+    }
+}
+
 #[test]
 fn ejection_takes_several_losses_and_grows() {
     let mut ejection = Ejection::default();
--- a/crates/seamhatch-wire/src/message.rs
+++ b/crates/seamhatch-wire/src/message.rs
@@ -129,6 +129,20 @@
     pub clock: Instant,
 }
 
+/// Which calls the server beside a daemon gets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Readable, Writable)]
+pub enum CallIntake {
+    /// All.
+    Open,
+    /// The daemon is about to stop: those that no other daemon of the service can take, if they end in time.
+    LastResort {
+        /// Until the process ends.
+        left: Microseconds,
+    },
+    /// None.
+    Closed,
+}
+
 /// A heartbeat on an open connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Readable, Writable)]
 pub struct Pulse {
@@ -136,8 +150,8 @@
     pub clock: Instant,
     /// Its configuration.
     pub generation: Generation,
-    /// Whether it refuses new work.
-    pub draining: bool,
+    /// Which calls its server gets.
+    pub intake: CallIntake,
     /// The state of the server beside it.
     pub server: ServerReport,
 }
--- a/crates/seamhatchd/src/controllers/control_thread/requests.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/requests.rs
@@ -105,7 +105,7 @@
     }
 
     pub(super) fn start_drain(&mut self) {
-        info!("draining: no new work is taken");
+        info!("draining: new work is taken only where no other daemon can");
         self.shared.start_draining();
         self.work_changed();
     }
--- a/crates/seamhatchd/src/dispatch/mod.rs
+++ b/crates/seamhatchd/src/dispatch/mod.rs
@@ -27,7 +27,7 @@
 use seamhatch_core::outcome::{Outcome, Reason};
 use seamhatch_core::retry::{ChildEnd, Dispatch};
 use seamhatch_policy::ServiceSettings;
-use seamhatch_wire::{AnswerHead, ChainFloor, RecordedAnswer, Refusal};
+use seamhatch_wire::{AnswerHead, CallIntake, ChainFloor, RecordedAnswer, Refusal};
 use std::sync::Arc;
 
 /// Servers that may refuse a call for pressure before it is refused as a whole.
@@ -276,7 +276,7 @@
     /// Whether the daemon takes calls for this service, as it says itself: a record of the member may be
     /// older than the machine that has its address now.
     fn can_serve(&self, connection: &PeerConnection) -> bool {
-        !connection.view().draining && *connection.service == *self.request.service
+        connection.view().intake != CallIntake::Closed && *connection.service == *self.request.service
     }
 
     fn choose(&self) -> Option<Address> {
--- a/crates/seamhatchd/src/instances.rs
+++ b/crates/seamhatchd/src/instances.rs
@@ -48,6 +48,12 @@
         }
     }
 
+    /// Whether the back end tells by itself when it leaves.
+    #[must_use]
+    pub fn tell_departures(&self) -> bool {
+        matches!(self, Self::Registered(_))
+    }
+
     /// Slots of the open instance and when it is warm; none where it doesn't register.
     #[must_use]
     pub fn capacity(&self) -> Option<(u32, Instant)> {
--- a/crates/seamhatchd/src/peer/connection.rs
+++ b/crates/seamhatchd/src/peer/connection.rs
@@ -14,8 +14,8 @@
 use seamhatch_core::clock::{Microseconds, SECOND};
 use seamhatch_core::identity::{Address, CallId, Incarnation};
 use seamhatch_wire::{
-    CallHead, ControlReply, ControlRequest, FrameReader, PeerMessage, ServerReport, WireError, read_preface,
-    write_preface,
+    CallHead, CallIntake, ControlReply, ControlRequest, FrameReader, PeerMessage, ServerReport, WireError,
+    read_preface, write_preface,
 };
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
@@ -203,7 +203,7 @@
         match message {
             PeerMessage::Pulse(pulse) => {
                 self.inner.view().take_pulse(&pulse);
-                if pulse.draining {
+                if pulse.intake != CallIntake::Open {
                     shared.service_floors.forget(&self.service, self.address);
                 } else {
                     let floors = &shared.service_floors;
@@ -243,12 +243,12 @@
 
     /// Takes in what the peer tells of its server beside an answer, unless that takes no more work.
     fn note_report(&self, shared: &Shared, report: ServerReport) {
-        let draining = {
+        let intake = {
             let mut view = self.inner.view();
             view.server = Some(report);
-            view.draining
+            view.intake
         };
-        if !draining {
+        if intake == CallIntake::Open {
             shared.service_floors.note(&self.service, self.address, report, clock::now());
         }
     }
--- a/crates/seamhatchd/src/peer/link.rs
+++ b/crates/seamhatchd/src/peer/link.rs
@@ -104,7 +104,7 @@
     Pulse {
         clock: clock::now(),
         generation: shared.snapshot().generation(),
-        draining: !shared.takes_work(),
+        intake: shared.intake(),
         server: shared.gate.report(),
     }
 }
--- a/crates/seamhatchd/src/peer/server_call.rs
+++ b/crates/seamhatchd/src/peer/server_call.rs
@@ -20,7 +20,7 @@
 use seamhatch_core::outcome::{Outcome, Reason};
 use seamhatch_core::priority::PriorityClass;
 use seamhatch_core::retry::RetryLedger;
-use seamhatch_wire::{AnswerHead, AnswerTail, CallHead, PeerMessage, Refusal};
+use seamhatch_wire::{AnswerHead, AnswerTail, CallHead, CallIntake, PeerMessage, Refusal};
 use std::sync::Arc;
 
 /// Advice after a refusal that has nothing to do with load.
@@ -94,11 +94,11 @@
             // The route exists; only the sender's idea of this server is old.
             return Err(Reason::OtherService);
         }
-        if !self.shared.serves_callers() {
-            return Err(Reason::Draining);
-        }
-        if !self.shared.instances.is_open() {
-            return Err(Reason::NoInstance);
+        match self.shared.intake() {
+            CallIntake::Open => {}
+            CallIntake::LastResort { .. } if self.shared.can_finish(running.expiry) => {}
+            CallIntake::Closed if self.shared.serves_callers() => return Err(Reason::NoInstance),
+            CallIntake::LastResort { .. } | CallIntake::Closed => return Err(Reason::Draining),
         }
         let request = GateRequest {
             root: running.root,
--- a/crates/seamhatchd/src/peer/view.rs
+++ b/crates/seamhatchd/src/peer/view.rs
@@ -2,10 +2,10 @@
 
 use crate::clock;
 use seamhatch_core::Instant;
-use seamhatch_core::balance::{CallEnd, Ejection, SuccessRate};
+use seamhatch_core::balance::{CallEnd, CandidateStanding, Ejection, SuccessRate};
 use seamhatch_core::clock::{MILLISECOND, Microseconds, PeerClock};
 use seamhatch_core::generation::Generation;
-use seamhatch_wire::ServerReport;
+use seamhatch_wire::{CallIntake, ServerReport};
 
 /// A peer that was silent for this long gets no new calls.
 /// Three heartbeats of a busy peer, with room for one that is late.
@@ -16,8 +16,8 @@
 pub struct PeerView {
     /// When it was last heard.
     pub last_heard: Instant,
-    /// It refuses new work.
-    pub draining: bool,
+    /// Which calls its server gets.
+    pub intake: CallIntake,
     /// Its configuration.
     pub generation: Generation,
     /// State of its server; none before the first report.
@@ -36,7 +36,7 @@
         clock.observe(peer_clock, now);
         Self {
             last_heard: now,
-            draining: false,
+            intake: CallIntake::Open,
             generation: Generation::default(),
             server: None,
             clock,
@@ -78,6 +78,19 @@
         self.is_silent(now) || self.ejection.is_ejected(now)
     }
 
+    /// Whether it is used while other servers are there.
+    #[must_use]
+    pub fn standing(&self, now: Instant) -> CandidateStanding {
+        match self.intake {
+            _ if self.should_avoid(now) => CandidateStanding::Ejected,
+            CallIntake::Open => CandidateStanding::Usual,
+            CallIntake::LastResort { left } => {
+                CandidateStanding::Leaving(left.saturating_sub(now.since(self.last_heard)))
+            }
+            CallIntake::Closed => CandidateStanding::Ejected,
+        }
+    }
+
     /// Share of its answers that arrived lately, 0 to 1.
     #[must_use]
     pub fn success(&self, now: Instant) -> f64 {
@@ -93,7 +106,7 @@
     /// Takes in a heartbeat.
     pub(super) fn take_pulse(&mut self, pulse: &seamhatch_wire::Pulse) {
         self.clock.observe(pulse.clock, clock::now());
-        self.draining = pulse.draining;
+        self.intake = pulse.intake;
         self.generation = pulse.generation;
         self.server = Some(pulse.server);
     }
--- a/crates/seamhatchd/src/shared.rs
+++ b/crates/seamhatchd/src/shared.rs
@@ -17,7 +17,9 @@
 use crate::snapshot::Snapshot;
 use arc_swap::{ArcSwap, Guard};
 use seamhatch_core::Instant;
+use seamhatch_core::clock::Microseconds;
 use seamhatch_core::identity::{CallId, Incarnation};
+use seamhatch_wire::CallIntake;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
@@ -58,9 +60,9 @@
     pub control: ControlHandle,
     /// The state that the control thread published last.
     pub published: ArcSwap<Snapshot>,
-    /// Refuses new work.
+    /// It is leaving.
     pub draining: AtomicBool,
-    /// When it began to, in microseconds of the boot clock.
+    /// Since when, in microseconds of the boot clock.
     pub draining_since: AtomicU64,
     /// Woken when the server begins or ceases to take work.
     pub work_changed: Notify,
@@ -72,6 +74,8 @@
     pub next_call: AtomicU64,
 }
 
+/// Work in progress is given up this long before the grace period ends: others are still told.
+pub const END_MARGIN: Duration = Duration::from_millis(700);
 /// Part of the time between a stop request and the end in which callers are still served. What is taken
 /// then has the rest of the time to end.
 const SERVED_SHARE_OF_GRACE: f64 = 0.45;
@@ -82,13 +86,13 @@
         self.published.load()
     }
 
-    /// Whether new work is refused because the daemon is leaving.
+    /// Whether the daemon is leaving.
     #[must_use]
     pub fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Acquire)
     }
 
-    /// Refuses new work from now on, and tells every connected daemon at once.
+    /// Takes new work only where nobody else can from now on, and tells every connected daemon at once.
     pub fn start_draining(&self) {
         if !self.draining.swap(true, Ordering::AcqRel) {
             self.draining_since.store(clock::now().0, Ordering::Release);
@@ -101,9 +105,7 @@
     #[must_use]
     pub fn is_too_late_for_callers(&self) -> bool {
         let Some(grace) = self.settings.grace.filter(|_| self.is_draining()) else { return false };
-        let since = Instant(self.draining_since.load(Ordering::Acquire));
-        let draining = Duration::from_micros(clock::now().since(since));
-        draining > grace.mul_f64(SERVED_SHARE_OF_GRACE)
+        Duration::from_micros(self.draining_for()) > grace.mul_f64(SERVED_SHARE_OF_GRACE)
     }
 
     /// Tells every connected daemon at once whether the server takes work.
@@ -111,6 +113,42 @@
         self.work_changed.notify_waiters();
     }
 
+    /// Which calls the server beside this daemon gets.
+    ///
+    /// While the daemon stops, its server may be the last one of its service that can be reached, since
+    /// daemons are also stopped together. A back end that doesn't tell itself when it leaves stops with its
+    /// daemon.
+    #[must_use]
+    pub fn intake(&self) -> CallIntake {
+        if !self.ready.load(Ordering::Acquire) || !self.instances.is_open() {
+            return CallIntake::Closed;
+        }
+        if !self.is_draining() {
+            return CallIntake::Open;
+        }
+        match self.time_left() {
+            Some(left) if left > 0 && self.instances.tell_departures() => CallIntake::LastResort { left },
+            _ => CallIntake::Closed,
+        }
+    }
+
+    /// Whether a call that is taken now, while the daemon stops, can end before the process does.
+    #[must_use]
+    pub fn can_finish(&self, expiry: Instant) -> bool {
+        let ends = self.time_left().map(|left| clock::now().plus(left));
+        ends.is_some_and(|ends| expiry <= ends) || !self.is_too_late_for_callers()
+    }
+
+    /// Time until work in progress is given up, while the daemon stops; none where nothing bounds it.
+    fn time_left(&self) -> Option<Microseconds> {
+        let grace = self.settings.grace?.saturating_sub(END_MARGIN).as_micros() as Microseconds;
+        Some(grace.saturating_sub(self.draining_for()))
+    }
+
+    fn draining_for(&self) -> Microseconds {
+        clock::now().since(Instant(self.draining_since.load(Ordering::Acquire)))
+    }
+
     /// Calls and HTTP requests in progress here.
     #[must_use]
     pub fn in_flight(&self) -> usize {
--- a/crates/seamhatchd/src/snapshot.rs
+++ b/crates/seamhatchd/src/snapshot.rs
@@ -17,6 +17,8 @@
     pub zone: String,
     /// Slots it reports.
     pub slots: u32,
+    /// Its daemon is about to stop: for calls that no other can take.
+    pub leaving: bool,
 }
 
 /// Witnesses of one shard.
--- a/crates/seamhatchd/src/startup.rs
+++ b/crates/seamhatchd/src/startup.rs
@@ -17,7 +17,7 @@
 use crate::running::RunningCalls;
 use crate::service_floors::ServiceFloors;
 use crate::settings::{self, Invocation, Settings, SettingsError};
-use crate::shared::Shared;
+use crate::shared::{END_MARGIN, Shared};
 use crate::snapshot::Snapshot;
 use arc_swap::ArcSwap;
 use log::{error, info, warn};
@@ -40,8 +40,6 @@
 const SHORTEST_DRAIN: Duration = Duration::from_millis(2300);
 /// Longest wait for requests in progress at a planned stop.
 const LONGEST_DRAIN: Duration = Duration::from_secs(300);
-/// Work in progress is given up this long before the grace period ends: others are still told.
-const END_MARGIN: Duration = Duration::from_millis(700);
 /// Pause between two looks at what is in progress.
 const DRAIN_POLL: Duration = Duration::from_millis(10);
 /// Nothing must be in progress for this long before the process ends.
