Daemons that stop are used where those that stay are nearly full; they leave in the order they told

Change: a server whose daemon stops is weighed against those that stay once these no longer start a call at once (the load at which calls also spill into other zones); its reports count for its service's floor while it takes calls. The moment of leaving is kept as told.

--- a/crates/seamhatch-core/src/balance.rs
+++ b/crates/seamhatch-core/src/balance.rs
@@ -41,6 +41,11 @@
         let success = self.success.max(LEAST_SUCCESS).powi(CALLS_AT_STAKE);
         load / f64::from(self.slots.max(1)) / success
     }
+
+    /// Whether no other server would do better for a call.
+    fn starts_at_once(&self) -> bool {
+        self.cost() < SPILL_COST
+    }
 }
 
 /// Calls of one request that usually go to one service, one after the other: all are lost with one.
@@ -48,8 +53,8 @@
 /// Success below this makes no further difference.
 const LEAST_SUCCESS: f64 = 0.05;
 
-/// Load over slots below which a server in the caller's own zone starts a call about at once.
-const ZONE_SPILL_COST: f64 = 0.8;
+/// Load over slots below which a server starts a call about at once.
+const SPILL_COST: f64 = 0.8;
 /// How much more load over slots a server in the own zone may have than one in another zone: about the part
 /// of a service time that a call waits longer so that its bytes stay in the zone. Without it all work is
 /// spread over all zones as soon as a service is full everywhere.
@@ -57,31 +62,21 @@
 
 /// Picks the index of a server, or none when `candidates` is empty.
 ///
-/// `random` draws a number below its argument. Servers in the caller's zone go first, until they are
-/// nearly full and clearly fuller than those of other zones. Servers whose daemons are about to stop are
-/// used only when no other is left, and ejected ones only after these, so that a whole pool is never
-/// given up.
+/// `random` draws a number below its argument. Servers whose daemons are about to stop are used only where
+/// those that stay are nearly full or none is left, and ejected ones only where there is no other, so that a
+/// whole pool is never given up.
 pub fn pick(candidates: &[Candidate], mut random: impl FnMut(usize) -> usize) -> Option<usize> {
-    let pool = best_standing(candidates);
-    let (near, far): (Vec<usize>, Vec<usize>) = pool.iter().partition(|index| candidates[**index].same_zone);
-    let near = less_loaded_of_two(candidates, &near, &mut random);
-    if near.is_some_and(|near| candidates[near].cost() < ZONE_SPILL_COST) {
-        return near;
-    }
-    let far = less_loaded_of_two(candidates, &far, &mut random);
-    let (Some(nearer), Some(farther)) = (near, far) else { return near.or(far) };
-    let spills = candidates[nearer].cost() > candidates[farther].cost() + ZONE_SPILL_MARGIN;
-    if spills { far } else { near }
-}
-
-/// The candidates among which the choice is made.
-fn best_standing(candidates: &[Candidate]) -> Vec<usize> {
     let usual = indices(candidates, |candidate| candidate.standing == CandidateStanding::Usual);
-    if !usual.is_empty() {
+    let usual = nearest(candidates, &usual, &mut random);
+    if usual.is_some_and(|usual| candidates[usual].starts_at_once()) {
         return usual;
     }
-    let leaving = leaving_but_the_next(candidates);
-    if leaving.is_empty() { indices(candidates, |_| true) } else { leaving }
+    let leaving = nearest(candidates, &leaving_but_the_next(candidates), &mut random);
+    match (usual, leaving) {
+        (Some(usual), Some(leaving)) => Some(less_loaded(candidates, usual, leaving)),
+        (None, None) => nearest(candidates, &indices(candidates, |_| true), &mut random),
+        (usual, leaving) => usual.or(leaving),
+    }
 }
 
 /// Those that leave, without the next to go where there are several: given nothing more, it ends, is back
@@ -99,6 +94,24 @@
     leaving
 }
 
+/// Picks from `pool`: servers in the caller's zone go first, until they are nearly full and clearly fuller
+/// than those of other zones.
+fn nearest(
+    candidates: &[Candidate],
+    pool: &[usize],
+    random: &mut impl FnMut(usize) -> usize,
+) -> Option<usize> {
+    let (near, far): (Vec<usize>, Vec<usize>) = pool.iter().partition(|index| candidates[**index].same_zone);
+    let near = less_loaded_of_two(candidates, &near, random);
+    if near.is_some_and(|near| candidates[near].starts_at_once()) {
+        return near;
+    }
+    let far = less_loaded_of_two(candidates, &far, random);
+    let (Some(nearer), Some(farther)) = (near, far) else { return near.or(far) };
+    let spills = candidates[nearer].cost() > candidates[farther].cost() + ZONE_SPILL_MARGIN;
+    if spills { far } else { near }
+}
+
 /// The less loaded one of two that are drawn from `pool`.
 fn less_loaded_of_two(
     candidates: &[Candidate],
--- a/crates/seamhatch-core/tests/decisions.rs
+++ b/crates/seamhatch-core/tests/decisions.rs
@@ -138,9 +138,11 @@
     assert_eq!(pick(&[], first), None);
 }
 
-/// Standings of idle servers alike, and the ones that may be picked.
+/// Standings of servers, and the ones that may be picked.
 struct StandingCase {
     name: &'static str,
+    /// Those that have as many calls as slots; the others have none.
+    full: &'static [usize],
     standings: &'static [CandidateStanding],
     picked: &'static [usize],
 }
@@ -149,20 +151,49 @@
 fn servers_whose_daemons_stop_are_used_where_no_other_is_left() {
     use CandidateStanding::{Ejected, Leaving, Usual};
     let cases = [
-        StandingCase { name: "one stays", standings: &[Leaving(9), Usual, Leaving(5)], picked: &[1] },
-        StandingCase { name: "the only one leaves", standings: &[Leaving(5)], picked: &[0] },
+        StandingCase {
+            name: "one stays and is full",
+            full: &[1],
+            standings: &[Leaving(9), Usual, Leaving(5)],
+            picked: &[0],
+        },
+        StandingCase {
+            name: "one stays",
+            full: &[],
+            standings: &[Leaving(9), Usual, Leaving(5)],
+            picked: &[1],
+        },
+        StandingCase { name: "the only one leaves", full: &[], standings: &[Leaving(5)], picked: &[0] },
         StandingCase {
             name: "the next to go rests",
+            full: &[],
             standings: &[Leaving(9), Leaving(5), Leaving(7)],
             picked: &[0, 2],
         },
-        StandingCase { name: "two go at once", standings: &[Leaving(5), Leaving(5)], picked: &[1] },
-        StandingCase { name: "the other one fails", standings: &[Ejected, Leaving(5)], picked: &[1] },
-        StandingCase { name: "all fail", standings: &[Ejected, Ejected], picked: &[0, 1] },
+        StandingCase {
+            name: "two go at once",
+            full: &[],
+            standings: &[Leaving(5), Leaving(5)],
+            picked: &[1],
+        },
+        StandingCase {
+            name: "the other one fails",
+            full: &[],
+            standings: &[Ejected, Leaving(5)],
+            picked: &[1],
+        },
+        StandingCase { name: "all fail", full: &[], standings: &[Ejected, Ejected], picked: &[0, 1] },
     ];
     for case in cases {
-        let candidates: Vec<Candidate> =
-            case.standings.iter().map(|&standing| Candidate { standing, ..server(0, true, false) }).collect();
+        let candidates: Vec<Candidate> = case
+            .standings
+            .iter()
+            .enumerate()
+            .map(|(index, &standing)| {
+                let in_flight = if case.full.contains(&index) { 10 } else { 0 };
+                Candidate { standing, ..server(in_flight, true, false) }
+            })
+            .collect();
         let mut picked: Vec<usize> =
             (0..candidates.len()).filter_map(|first| pick(&candidates, |below| first % below)).collect();
         picked.sort_unstable();
--- a/crates/seamhatchd/src/peer/connection.rs
+++ b/crates/seamhatchd/src/peer/connection.rs
@@ -203,7 +203,7 @@
         match message {
             PeerMessage::Pulse(pulse) => {
                 self.inner.view().take_pulse(&pulse);
-                if pulse.intake != CallIntake::Open {
+                if pulse.intake == CallIntake::Closed {
                     shared.service_floors.forget(&self.service, self.address);
                 } else {
                     let floors = &shared.service_floors;
@@ -248,7 +248,7 @@
             view.server = Some(report);
             view.intake
         };
-        if intake == CallIntake::Open {
+        if intake != CallIntake::Closed {
             shared.service_floors.note(&self.service, self.address, report, clock::now());
         }
     }
--- a/crates/seamhatchd/src/peer/view.rs
+++ b/crates/seamhatchd/src/peer/view.rs
@@ -22,6 +22,8 @@
     pub generation: Generation,
     /// State of its server; none before the first report.
     pub server: Option<ServerReport>,
+    /// When its process ends, where it is about to.
+    leaves_at: Instant,
     clock: PeerClock,
     ejection: Ejection,
     success: SuccessRate,
@@ -39,6 +41,7 @@
             intake: CallIntake::Open,
             generation: Generation::default(),
             server: None,
+            leaves_at: now,
             clock,
             ejection: Ejection::default(),
             success: SuccessRate::default(),
@@ -84,9 +87,7 @@
         match self.intake {
             _ if self.should_avoid(now) => CandidateStanding::Ejected,
             CallIntake::Open => CandidateStanding::Usual,
-            CallIntake::LastResort { left } => {
-                CandidateStanding::Leaving(left.saturating_sub(now.since(self.last_heard)))
-            }
+            CallIntake::LastResort { .. } => CandidateStanding::Leaving(self.leaves_at.since(now)),
             CallIntake::Closed => CandidateStanding::Ejected,
         }
     }
@@ -107,6 +108,9 @@
     pub(super) fn take_pulse(&mut self, pulse: &seamhatch_wire::Pulse) {
         self.clock.observe(pulse.clock, clock::now());
         self.intake = pulse.intake;
+        if let CallIntake::LastResort { left } = pulse.intake {
+            self.leaves_at = clock::now().plus(left);
+        }
         self.generation = pulse.generation;
         self.server = Some(pulse.server);
     }
