Members are published soon after a change, not only once a tick

Cause: a daemon that has just started refuses all calls as no-server until it knows a server; its members' records come in within a few ms of its greeting and waited for the next tick of 100 ms.

--- a/crates/seamhatchd/src/controllers/control_thread/mod.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/mod.rs
@@ -82,6 +82,7 @@
     registering: Option<Generation>,
     pulling: HashSet<Address>,
     published_changes: u64,
+    published_at: Instant,
 }
 
 impl ControlThread {
@@ -128,6 +129,7 @@
             registering: None,
             pulling: HashSet::new(),
             published_changes: u64::MAX,
+            published_at: Instant::default(),
             shared,
         }
     }
@@ -148,6 +150,7 @@
                     debug_assert!(LARGEST_DATAGRAM <= buffer.len());
                     if let Some(message) = self.membership.datagram(received, from) {
                         self.note_versions(&message);
+                        self.publish_soon_after_a_change();
                     }
                 }
             }
@@ -157,7 +160,6 @@
     fn tick(&mut self) {
         let now = clock::now();
         self.membership.tick();
-        // Once a tick, however many records changed: a snapshot costs time by members.
         self.publish_if_changed();
         self.shared.gate.tick();
         self.become_ready_if_verified();
--- a/crates/seamhatchd/src/controllers/control_thread/publishing.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/publishing.rs
@@ -1,11 +1,17 @@
 //! Publishing snapshots and metrics.
 
 use super::ControlThread;
+use crate::clock;
 use crate::controllers::publish;
 use rustix::time::{ClockId, clock_gettime};
+use seamhatch_core::clock::{MILLISECOND, Microseconds};
 use seamhatch_core::membership::MemberRecord;
 use std::sync::Arc;
 
+/// Shortest time between two snapshots that datagrams cause: a snapshot copies the name and addresses of
+/// each member, and a burst of records comes in several datagrams.
+const SNAPSHOT_PAUSE: Microseconds = 20 * MILLISECOND;
+
 impl ControlThread {
     pub(super) fn all_members(&self) -> Vec<MemberRecord> {
         std::iter::once(self.membership.state.me()).chain(self.membership.state.others()).cloned().collect()
@@ -20,6 +26,14 @@
         }
     }
 
+    /// Publishes a change of the members at once where the last snapshot is old enough, else with the next
+    /// tick: a daemon that has just started refuses all calls until it knows a server.
+    pub(super) fn publish_soon_after_a_change(&mut self) {
+        if clock::now().since(self.published_at) >= SNAPSHOT_PAUSE {
+            self.publish_if_changed();
+        }
+    }
+
     pub(super) fn publish_if_changed(&mut self) {
         if self.membership.state.changes() != self.published_changes {
             self.publish();
@@ -28,6 +42,7 @@
 
     pub(super) fn publish(&mut self) {
         self.published_changes = self.membership.state.changes();
+        self.published_at = clock::now();
         let state = &self.membership.state;
         let members = std::iter::once(state.me()).chain(state.others());
         let roster = self.roster.roster().clone();
