Callers' connections wait at a daemon's start until it knows a server for each service

Cause: for 0.1 s after its start a daemon refused what came, as not ready and then as no-server, though the store's answer and the members' records were on their way. Callers whose zone has few daemons left come at just that moment.

Change: the listener is bound at once, and accepts when there is a configuration and a server for each of its services, or after 0.3 s.

Ruled out: a later bind (connections would be refused); a wait for each request (only the start needs one).

--- a/crates/seamhatchd/src/listeners/callers.rs
+++ b/crates/seamhatchd/src/listeners/callers.rs
@@ -20,6 +20,10 @@
 const DEFAULT_IDLE: Duration = Duration::from_secs(30);
 /// An idle connection is kept this much longer than callers may reuse it.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
+/// Callers' connections wait for this long at most for a daemon that starts: with its store and members at
+/// hand it knows enough within 0.1 s, and would refuse until then what it can serve. Later it answers that it
+/// is not ready.
+const START_PATIENCE: Duration = Duration::from_millis(300);
 /// Wait after a failed accept, so that a lack of file descriptors doesn't spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -41,6 +45,7 @@
 }
 
 async fn accept(listener: TcpListener, handler: Arc<RequestHandler>, mut closed: oneshot::Receiver<()>) {
+    handler.until_decidable(START_PATIENCE).await;
     loop {
         let accepted = tokio::select! {
             // Connections that have come up are served before the listener ends.
--- a/crates/seamhatchd/src/listeners/proxy.rs
+++ b/crates/seamhatchd/src/listeners/proxy.rs
@@ -22,6 +22,9 @@
 /// Jitter that is added to the advice when to come back, as a share of it.
 const RETRY_JITTER: f64 = 0.5;
 
+/// Pause between two looks at what a starting daemon knows.
+const START_POLL: Duration = Duration::from_millis(5);
+
 /// What answers the requests of one listener.
 pub struct RequestHandler {
     shared: Arc<Shared>,
@@ -52,6 +55,14 @@
         Some(Duration::from_millis(limits.idle_timeout_ms.max(limits.head_timeout_ms)))
     }
 
+    /// Waits until there is a configuration and a server for each of its services, or for `patience`.
+    pub async fn until_decidable(&self, patience: Duration) {
+        let end = tokio::time::Instant::now() + patience;
+        while !self.shared.snapshot().is_decidable() && tokio::time::Instant::now() < end {
+            tokio::time::sleep(START_POLL).await;
+        }
+    }
+
     /// Answers one request. Dropping the future cancels it, unless its answer is recorded for repeats.
     pub async fn handle(
         self: Arc<Self>,
--- a/crates/seamhatchd/src/snapshot.rs
+++ b/crates/seamhatchd/src/snapshot.rs
@@ -56,6 +56,13 @@
         self.configuration.as_ref().map(|(_, configuration)| configuration)
     }
 
+    /// Whether there is a configuration, and a server for each of its services.
+    #[must_use]
+    pub fn is_decidable(&self) -> bool {
+        let known = |service: &str| self.servers.get(service).is_some_and(|servers| !servers.is_empty());
+        self.configuration().is_some_and(|configuration| configuration.services().all(known))
+    }
+
     /// The witnesses that decide about `key`; none before the first roster.
     #[must_use]
     pub fn shard_of(&self, key: ClaimKey) -> Option<ShardView<'_>> {
