A request to stop that is repeated cuts nothing off

Series of planned stops overlap, and a platform may ask again; within the grace period it has SIGKILL for its last word.

Change: only an interrupt, as from a terminal, ends a stop early.

--- a/crates/seamhatchd/src/startup.rs
+++ b/crates/seamhatchd/src/startup.rs
@@ -210,10 +210,11 @@
         warn!("the control thread is held up: the drain begins without it");
         shared.start_draining();
     }
+    // A platform may repeat its request to stop, and its series may overlap: SIGKILL is its last word. Only
+    // somebody at a terminal means a second one.
     tokio::select! {
         () = drained(shared, &mut listeners, started) => {}
-        _ = terminate.recv() => warn!("second stop request: work in progress is cut off"),
-        _ = interrupt.recv() => warn!("second stop request: work in progress is cut off"),
+        _ = interrupt.recv() => warn!("interrupted while stopping: work in progress is cut off"),
     }
     shared.control.leave().await;
     Ok(())
