Only the entry's own verdict blames the caller

Cause: a refusal of another daemon was told to the caller with that daemon's reason, so whatever a peer or the back end beside it found wrong became a 4xx of the entry: a back end's 400 that says "not run" was a 400 of ours.

Change: a rejection knows who reached the verdict. Reasons that blame the caller become a 4xx only from the entry; from a peer they are 503 (not run) or 502 (unknown), with a time to come back. What back ends turn down for want of a name is turned down at the entry, which alone can say so.

--- a/crates/seamhatchd/src/conventions/mod.rs
+++ b/crates/seamhatchd/src/conventions/mod.rs
@@ -90,6 +90,9 @@
     /// Reads what a caller tells.
     fn caller_terms(&self, headers: &HeaderMap) -> CallerTerms;
 
+    /// Whether a request must have a name. Back ends turn down one that has none.
+    fn requires_name(&self) -> bool;
+
     /// Whether a request field goes on to the back end. Names are in lower case; fields of a single
     /// connection are left out before.
     fn passes_through(&self, name: &str) -> bool;
--- a/crates/seamhatchd/src/conventions/own.rs
+++ b/crates/seamhatchd/src/conventions/own.rs
@@ -30,6 +30,10 @@
         CallerTerms { context, ..CallerTerms::default() }
     }
 
+    fn requires_name(&self) -> bool {
+        false
+    }
+
     fn passes_through(&self, name: &str) -> bool {
         // `expect` is answered here, and `host` is set anew by whoever sends the message on.
         !name.starts_with(headers::PREFIX) && !matches!(name, "expect" | "host")
--- a/crates/seamhatchd/src/dispatch/attempt.rs
+++ b/crates/seamhatchd/src/dispatch/attempt.rs
@@ -116,17 +116,3 @@
         server: ServerReport { load: 0, limit: 0, floor: AdmissionFloor::OPEN },
     }
 }
-
-/// What the caller is told of a server's refusal.
-pub(super) fn refused(refusal: &Refusal) -> Rejection {
-    let detail = match refusal.outcome {
-        Outcome::NotRun => "the server refused the call; come back after Retry-After",
-        _ => "the back end broke off; its result is not known",
-    };
-    Rejection {
-        outcome: refusal.outcome,
-        reason: refusal.reason,
-        retry_after: Some(refusal.retry_after),
-        detail: detail.to_owned(),
-    }
-}
--- a/crates/seamhatchd/src/dispatch/mod.rs
+++ b/crates/seamhatchd/src/dispatch/mod.rs
@@ -17,7 +17,7 @@
 use crate::running::RunningCall;
 use crate::shared::Shared;
 use crate::snapshot::Server;
-use attempt::{Attempt, call_end, refused};
+use attempt::{Attempt, call_end};
 use candidates::candidate;
 use child::Child;
 use log::info;
@@ -133,7 +133,7 @@
                 Ok(connection) => connection,
                 // What the last server said tells the caller more than that no other is left.
                 Err(rejection) => {
-                    let refused = self.last_refusal.take().map(|refusal| refused(&refusal));
+                    let refused = self.last_refusal.take().map(|refusal| Rejection::of_peer(&refusal));
                     return self.reject(refused.unwrap_or(rejection));
                 }
             };
@@ -151,7 +151,7 @@
                     let reached = ran || refusal.reason.reached_back_end();
                     self.pressed += u32::from(refusal.reason.is_pressure());
                     if !self.may_send_again(refusal.reason, reached) {
-                        return self.reject(refused(&refusal));
+                        return self.reject(Rejection::of_peer(&refusal));
                     }
                     self.last_refusal = Some(refusal);
                 }
--- a/crates/seamhatchd/src/filters/mod.rs
+++ b/crates/seamhatchd/src/filters/mod.rs
@@ -7,13 +7,14 @@
 mod entry_floor;
 mod idempotency;
 mod limits;
+mod naming;
 mod readiness;
 mod rejection;
 mod request;
 mod routing;
 
 pub use entry_floor::{EntryFloors, check_entry_floor};
-pub use rejection::Rejection;
+pub use rejection::{Rejection, VerdictSource};
 pub use request::{Entry, RequestState};
 
 use crate::shared::Shared;
@@ -78,6 +79,8 @@
         Box::new(readiness::PinConfiguration),
         // Without a configuration, or with none that knows the route, nothing can be decided.
         Box::new(routing::RouteByHostAndPath),
+        // What no back end takes is not sent to any.
+        Box::new(naming::RequiredName),
         // A call of work that runs here keeps its request's place in the order of shedding.
         Box::new(context::ParentFromName),
         // After it is known whose call it is: what runs here must be able to finish.
--- /dev/null
+++ b/crates/seamhatchd/src/filters/naming.rs
@@ -0,0 +1,20 @@
+//! Requests that have to have a name.
+
+use crate::filters::{Rejection, RequestFilter, RequestState};
+use crate::metrics::BadInput;
+use crate::shared::Shared;
+use seamhatch_core::outcome::Reason;
+
+/// Refuses a request without a name where the conventions ask for one. Every back end would turn it down,
+/// and only the entry can tell the caller that the request itself is wrong.
+pub struct RequiredName;
+
+impl RequestFilter for RequiredName {
+    fn apply(&self, shared: &Shared, request: &mut RequestState) -> Result<(), Rejection> {
+        if request.terms.name.is_some() || !shared.conventions.requires_name() {
+            return Ok(());
+        }
+        shared.metrics.bad_input(BadInput::Request);
+        Err(Rejection::not_run(Reason::BadRequest, "the request has no id; give it one of its own"))
+    }
+}
--- a/crates/seamhatchd/src/filters/rejection.rs
+++ b/crates/seamhatchd/src/filters/rejection.rs
@@ -3,10 +3,21 @@
 use http::StatusCode;
 use seamhatch_core::clock::{MILLISECOND, Microseconds};
 use seamhatch_core::outcome::{Outcome, Reason};
+use seamhatch_wire::Refusal;
 
 /// Advice where the reason has nothing to do with load.
 const DEFAULT_RETRY_AFTER: Microseconds = 500 * MILLISECOND;
 
+/// Who reached a verdict.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum VerdictSource {
+    /// The daemon that took the request from its caller.
+    Entry,
+    /// Another daemon, or the back end beside it. It knows the sender's view of the request, which may be
+    /// out of date, and nothing of the caller's.
+    Peer,
+}
+
 /// Why a request has no answer of a back end, as told to its caller.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Rejection {
@@ -14,6 +25,8 @@
     pub outcome: Outcome,
     /// Why.
     pub reason: Reason,
+    /// Who says so.
+    pub source: VerdictSource,
     /// When to come back, before jitter; none where coming back does not help.
     pub retry_after: Option<Microseconds>,
     /// What to do about it.
@@ -24,13 +37,33 @@
     /// The request was not run.
     #[must_use]
     pub fn not_run(reason: Reason, detail: impl Into<String>) -> Self {
-        Self { outcome: Outcome::NotRun, reason, retry_after: advice(reason), detail: detail.into() }
+        Self::of_entry(Outcome::NotRun, reason, detail.into())
     }
 
     /// The request may have run.
     #[must_use]
     pub fn unknown(reason: Reason, detail: impl Into<String>) -> Self {
-        Self { outcome: Outcome::Unknown, reason, retry_after: advice(reason), detail: detail.into() }
+        Self::of_entry(Outcome::Unknown, reason, detail.into())
+    }
+
+    /// What the caller is told of a peer's refusal.
+    #[must_use]
+    pub fn of_peer(refusal: &Refusal) -> Self {
+        let detail = match refusal.outcome {
+            Outcome::NotRun => "the server refused the call; come back after Retry-After",
+            _ => "the back end broke off; its result is not known",
+        };
+        Self {
+            outcome: refusal.outcome,
+            reason: refusal.reason,
+            source: VerdictSource::Peer,
+            retry_after: Some(refusal.retry_after),
+            detail: detail.to_owned(),
+        }
+    }
+
+    fn of_entry(outcome: Outcome, reason: Reason, detail: String) -> Self {
+        Self { outcome, reason, source: VerdictSource::Entry, retry_after: advice(reason), detail }
     }
 
     /// Another attempt of the same request holds its key.
@@ -39,6 +72,7 @@
         Self {
             outcome: Outcome::Duplicate,
             reason: Reason::KeyHeld,
+            source: VerdictSource::Entry,
             retry_after: Some(DEFAULT_RETRY_AFTER),
             detail: "another attempt with this idempotency key was made first; ask again for its answer"
                 .into(),
@@ -52,16 +86,19 @@
         self
     }
 
-    /// The HTTP status.
+    /// The HTTP status. Only what the entry itself finds wrong with a request may blame its caller, who
+    /// won't come back after that.
     #[must_use]
     pub fn status(&self) -> StatusCode {
+        let blame = match self.source {
+            VerdictSource::Entry => callers_fault(self.reason),
+            VerdictSource::Peer => None,
+        };
+        blame.unwrap_or_else(|| self.failure_status())
+    }
+
+    fn failure_status(&self) -> StatusCode {
         match (self.reason, self.outcome) {
-            (Reason::BadRequest, _) => StatusCode::BAD_REQUEST,
-            (Reason::BadContext, _) => StatusCode::FORBIDDEN,
-            (Reason::NoRoute, _) => StatusCode::NOT_FOUND,
-            (Reason::HeadTooLarge, _) => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
-            (Reason::BodyTooLarge, _) => StatusCode::PAYLOAD_TOO_LARGE,
-            (Reason::KeyHeld | Reason::KeyMismatch, _) => StatusCode::CONFLICT,
             (Reason::DeadlineExceeded, Outcome::Unknown) => StatusCode::GATEWAY_TIMEOUT,
             (Reason::Draining | Reason::NotReady | Reason::NoClaimMajority, _) => {
                 StatusCode::SERVICE_UNAVAILABLE
@@ -72,14 +109,21 @@
     }
 }
 
-fn advice(reason: Reason) -> Option<Microseconds> {
+/// The status that blames the caller, where the reason does.
+fn callers_fault(reason: Reason) -> Option<StatusCode> {
     match reason {
-        Reason::BadRequest
-        | Reason::BadContext
-        | Reason::NoRoute
-        | Reason::KeyMismatch
-        | Reason::HeadTooLarge
-        | Reason::BodyTooLarge => None,
-        _ => Some(DEFAULT_RETRY_AFTER),
+        Reason::BadRequest => Some(StatusCode::BAD_REQUEST),
+        Reason::BadContext => Some(StatusCode::FORBIDDEN),
+        Reason::NoRoute => Some(StatusCode::NOT_FOUND),
+        Reason::KeyHeld | Reason::KeyMismatch => Some(StatusCode::CONFLICT),
+        Reason::BodyTooLarge => Some(StatusCode::PAYLOAD_TOO_LARGE),
+        Reason::HeadTooLarge => Some(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE),
+        _ => None,
     }
 }
+
+/// Coming back helps after all but a fault of the caller's; a key that is held will be free or answered.
+fn advice(reason: Reason) -> Option<Microseconds> {
+    let helps = reason == Reason::KeyHeld || callers_fault(reason).is_none();
+    helps.then_some(DEFAULT_RETRY_AFTER)
+}
