A route is found however its host is written

Cause: routes were looked up by the Host field up to its first colon, in lower case. A name that ends with a dot, an address in brackets, and a host in the request's target (which goes before the field, RFC 9112) led to 404. The policy's view of the route was looked up by the field as it came, with its port.

Change: one spelling of hosts, used for documents, requests and the policy's view alike.

Ruled out: case and port, which were handled for the lookup itself (cases of the new test passed before).

--- a/crates/seamhatch-policy/src/configuration.rs
+++ b/crates/seamhatch-policy/src/configuration.rs
@@ -2,6 +2,7 @@
 
 use crate::document::{Document, LimitSettings, RouteSettings, Sample, ServiceSettings, WeightedService};
 use crate::error::ConfigurationError;
+use crate::host::host_name;
 use crate::program::{Decision, PolicyProgram, PolicyRequest, RouteView};
 use std::collections::{BTreeMap, HashMap};
 
@@ -103,7 +104,7 @@
         for settings in &document.routes {
             let mut route = Route::new(settings);
             route.decision = policy.decide_route(&route.view, route.first_service());
-            routes.entry(settings.host.clone()).or_default().push(route);
+            routes.entry(settings.host.as_deref().map(host_name)).or_default().push(route);
         }
         for of_host in routes.values_mut() {
             of_host.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
@@ -123,7 +124,7 @@
         &self.limits
     }
 
-    /// The route of a request: the longest prefix among those of its host, else among those of any host.
+    /// The route of a request to a host, as [`host_name`] spells it: the longest prefix among those of its host, else among those of any host.
     #[must_use]
     pub fn find(&self, host: Option<&str>, path: &str) -> Option<&Route> {
         let of_host = host.and_then(|host| self.routes.get(&Some(host.to_owned())));
@@ -185,7 +186,8 @@
         headers: BTreeMap<String, String>,
     ) -> PolicyRequest {
         let (path, query) = path_and_query.split_once('?').unwrap_or((path_and_query, ""));
-        let route = self.find(headers.get("host").map(String::as_str), path);
+        let host = headers.get("host").map(|host| host_name(host));
+        let route = self.find(host.as_deref(), path);
         PolicyRequest {
             method: method.to_owned(),
             path: path.to_owned(),
--- a/crates/seamhatch-policy/src/document.rs
+++ b/crates/seamhatch-policy/src/document.rs
@@ -1,6 +1,7 @@
 //! The document as operators write it.
 
 use crate::error::ConfigurationError;
+use crate::host::host_name;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -204,7 +205,7 @@
             if !route.prefix.starts_with('/') {
                 return Err(ConfigurationError::BadPrefix { prefix: route.prefix.clone() });
             }
-            if !prefixes.insert((&route.host, &route.prefix)) {
+            if !prefixes.insert((route.host.as_deref().map(host_name), &route.prefix)) {
                 return Err(ConfigurationError::DuplicateRoute { prefix: route.place() });
             }
             self.check_targets(route)?;
--- a/crates/seamhatch-policy/src/lib.rs
+++ b/crates/seamhatch-policy/src/lib.rs
@@ -8,6 +8,7 @@
 mod configuration;
 mod document;
 mod error;
+mod host;
 mod program;
 mod stored;
 
@@ -16,5 +17,6 @@
     Document, LimitSettings, RouteAttributes, RouteSettings, Sample, ServiceSettings, WeightedService,
 };
 pub use error::ConfigurationError;
+pub use host::host_name;
 pub use program::{Decision, PolicyProgram, PolicyRequest, RouteView, ServerView};
 pub use stored::{StoredConfiguration, SubmissionRecord};
--- a/crates/seamhatch-policy/tests/routes.rs
+++ b/crates/seamhatch-policy/tests/routes.rs
@@ -2,7 +2,7 @@
 
 use seamhatch_core::clock::MILLISECOND;
 use seamhatch_core::priority::PriorityClass;
-use seamhatch_policy::Configuration;
+use seamhatch_policy::{Configuration, host_name};
 use std::collections::BTreeMap;
 
 const DOCUMENT: &str = r#"
@@ -126,3 +126,24 @@
     let error = Configuration::compile(text).expect_err("refused").to_string();
     assert!(error.contains("unknown field `retries`"), "{error}");
 }
+
+/// One host can be written in several ways, in requests and in documents.
+#[test]
+fn a_host_is_the_same_however_it_is_written() {
+    let cases = [
+        ("shop.example", "shop.example"),
+        ("Shop.EXAMPLE", "shop.example"),
+        ("shop.example:8080", "shop.example"),
+        ("shop.example.", "shop.example"),
+        (" shop.example.:80 ", "shop.example"),
+        ("10.0.0.7:80", "10.0.0.7"),
+        ("[FD00::7]:80", "[fd00::7]"),
+        ("[fd00::7]", "[fd00::7]"),
+    ];
+    for (written, name) in cases {
+        assert_eq!(host_name(written), name, "{written:?}");
+    }
+    let document = DOCUMENT.replace("POLICY", "").replace("\"shop.example\"", "\"Shop.Example.\"");
+    let configuration = Configuration::compile(&document).expect("valid");
+    assert_eq!(service(&configuration, "shop.example", "/a/1"), Some("orders"));
+}
--- a/crates/seamhatchd/src/filters/request.rs
+++ b/crates/seamhatchd/src/filters/request.rs
@@ -37,7 +37,7 @@
     pub path: String,
     /// Header fields, without those of the connection.
     pub headers: Vec<HeaderField>,
-    /// Host that it was sent to, in lower case and without a port.
+    /// Host that it was sent to, as `host_name` spells it.
     pub host: Option<String>,
     /// What its caller tells.
     pub terms: CallerTerms,
--- a/crates/seamhatchd/src/listeners/proxy.rs
+++ b/crates/seamhatchd/src/listeners/proxy.rs
@@ -9,11 +9,13 @@
 use crate::shared::Shared;
 use bytes::Bytes;
 use http::header::{CONNECTION, CONTENT_LENGTH, HOST};
+use http::request::Parts;
 use http::{HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use log::info;
 use seamhatch_core::clock::{MILLISECOND, Microseconds};
 use seamhatch_core::outcome::Outcome;
+use seamhatch_policy::host_name;
 use seamhatch_wire::{HeaderField, RecordedAnswer};
 use std::convert::Infallible;
 use std::sync::Arc;
@@ -78,7 +80,7 @@
         fields.extend(conventions.entry_fields(&self.shared.settings.service));
         let mut state = RequestState::new(self.entry, parts.method.as_str().to_owned(), path, fields);
         state.terms = conventions.caller_terms(&parts.headers);
-        state.host = parts.headers.get(HOST).and_then(|value| value.to_str().ok()).map(host_name);
+        state.host = host_of(&parts);
         state.body_length = content_length(&parts.headers);
         (state, body)
     }
@@ -205,9 +207,10 @@
     }
 }
 
-/// The name in a `Host` field, as routes write it.
-fn host_name(value: &str) -> String {
-    value.split(':').next().unwrap_or_default().to_ascii_lowercase()
+/// The host that a request is for. One in the target itself goes before the field (RFC 9112, section 3.2.2).
+fn host_of(parts: &Parts) -> Option<String> {
+    let field = || parts.headers.get(HOST).and_then(|value| value.to_str().ok());
+    parts.uri.host().or_else(field).map(host_name)
 }
 
 fn content_length(headers: &http::HeaderMap) -> Option<u64> {
