One configuration decides a request, its bounds included

Cause: heads were bounded by three things besides the operator's limits: 8 KiB of path and 32 KiB of fields in the filter, 100 fields and 64 KiB in the HTTP library. A head within the operator's bounds could get 431. Fields that the entry adds counted too. The limits were those of the configuration in force when the filter ran, the route that of another; only the shared listener held on to one. At the listener of the back end's own calls a daemon without a configuration said 404, and a service that left the configuration between two filters would be a 404 as well.

Change: each chain begins by holding on to the configuration; without one the answer is 503. Path and head are bounded by it alone (8 KiB of path is the default of the product's own documents now; the platform's operator bounds the head as a whole), by the bytes that the caller sent. The library's buffer follows the configured bound and its limit of fields is 512.

Ruled out: chunked bodies, which are not bounded and so never refused.

What the larger table of fields costs in processor time was not measured.

--- a/crates/seamhatch-policy/src/document.rs
+++ b/crates/seamhatch-policy/src/document.rs
@@ -31,8 +31,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct LimitSettings {
-    /// Request line and header fields, in bytes.
+    /// Path, query and header fields, in bytes.
     pub head_bytes: usize,
+    /// Path and query alone, in bytes.
+    pub path_bytes: usize,
     /// Request body, in bytes.
     pub body_bytes: u64,
     /// Longest wait for a request's head, in milliseconds.
@@ -45,6 +47,7 @@
     fn default() -> Self {
         Self {
             head_bytes: 32 * 1024,
+            path_bytes: 8 * 1024,
             body_bytes: 1024 * 1024 * 1024,
             head_timeout_ms: 10_000,
             idle_timeout_ms: 30_000,
--- a/crates/seamhatchd/src/filters/mod.rs
+++ b/crates/seamhatchd/src/filters/mod.rs
@@ -37,6 +37,8 @@
     vec![
         // Cheapest first: a daemon that is leaving or has no configuration decides nothing.
         Box::new(readiness::Readiness),
+        // One configuration decides the whole request. Without one, nothing is known to be wrong with it.
+        Box::new(readiness::PinConfiguration),
         // Before anything reads the fields, so that later filters see bounded input.
         Box::new(limits::RequestLimits),
         // Callers can't set trusted fields; the policy must not see forged ones either.
@@ -56,6 +58,8 @@
 #[must_use]
 pub fn egress_chain() -> FilterChain {
     vec![
+        // One configuration decides the whole request. Without one, nothing is known to be wrong with it.
+        Box::new(readiness::PinConfiguration),
         // A draining daemon still lets its running calls finish, so there is no readiness check.
         Box::new(limits::RequestLimits),
         // Finds the running call that causes this one; all else is inherited from it.
@@ -73,11 +77,12 @@
 #[must_use]
 pub fn shared_chain() -> FilterChain {
     vec![
+        // One configuration decides the whole request. Without one, nothing is known to be wrong with it. A
+        // daemon that is leaving still serves callers.
+        Box::new(readiness::PinConfiguration),
         // Before anything reads the fields, so that later filters see bounded input.
         Box::new(limits::RequestLimits),
-        // Before all that reads the configuration. A daemon that is leaving still serves callers.
-        Box::new(readiness::PinConfiguration),
-        // Without a configuration, or with none that knows the route, nothing can be decided.
+        // With no route, nothing can be decided.
         Box::new(routing::RouteByHostAndPath),
         // What no back end takes is not sent to any.
         Box::new(naming::RequiredName),
--- a/crates/seamhatchd/src/filters/request.rs
+++ b/crates/seamhatchd/src/filters/request.rs
@@ -43,6 +43,8 @@
     pub terms: CallerTerms,
     /// The configuration that decides it from its first filter on, whatever comes into force meanwhile.
     pub configuration: Option<Arc<Configuration>>,
+    /// Header fields as its caller sent them, names and values, in bytes.
+    pub field_bytes: usize,
     /// Length of its body, when it says so.
     pub body_length: Option<u64>,
     /// Service that it goes to.
@@ -78,6 +80,7 @@
             host: None,
             terms: CallerTerms::default(),
             configuration: None,
+            field_bytes: 0,
             body_length: None,
             service: String::new(),
             entry_key: String::new(),
--- a/crates/seamhatchd/src/filters/routing.rs
+++ b/crates/seamhatchd/src/filters/routing.rs
@@ -8,11 +8,10 @@
 pub struct RouteByPath;
 
 impl RequestFilter for RouteByPath {
-    fn apply(&self, shared: &Shared, request: &mut RequestState) -> Result<(), Rejection> {
-        let snapshot = shared.snapshot();
+    fn apply(&self, _shared: &Shared, request: &mut RequestState) -> Result<(), Rejection> {
+        let configuration = request.configuration()?;
         let path = request.path.split('?').next().unwrap_or_default();
-        let service = snapshot.configuration().and_then(|configuration| configuration.route(path));
-        let Some(service) = service else {
+        let Some(service) = configuration.route(path) else {
             let detail = "no route has this path; add one to the configuration or correct the path";
             return Err(Rejection::not_run(Reason::NoRoute, detail));
         };
@@ -51,14 +50,12 @@
 pub struct ServiceFromPath;
 
 impl RequestFilter for ServiceFromPath {
-    fn apply(&self, shared: &Shared, request: &mut RequestState) -> Result<(), Rejection> {
+    fn apply(&self, _shared: &Shared, request: &mut RequestState) -> Result<(), Rejection> {
+        let configuration = request.configuration()?;
         let rest = request.path.strip_prefix('/').unwrap_or(&request.path);
         let end = rest.find(['/', '?']).unwrap_or(rest.len());
         let (service, path) = rest.split_at(end);
-        let snapshot = shared.snapshot();
-        let known =
-            snapshot.configuration().is_some_and(|configuration| configuration.service(service).is_some());
-        if !known {
+        if configuration.service(service).is_none() {
             let detail = "the first segment of the path must name a service of the configuration";
             return Err(Rejection::not_run(Reason::NoRoute, detail));
         }
--- a/crates/seamhatchd/src/listeners/callers.rs
+++ b/crates/seamhatchd/src/listeners/callers.rs
@@ -14,10 +14,14 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
 
-/// Buffer for a request head in bytes; the filters' own limits are lower and answer better.
+/// Smallest buffer for a request head in bytes. It is larger where the configuration allows larger heads, so
+/// that the filters refuse what is too large and not the library.
 const HEAD_BUFFER: usize = 64 * 1024;
-/// How long an idle connection is kept where no configuration says.
-const DEFAULT_IDLE: Duration = Duration::from_secs(30);
+/// What the line of a request and the separators of its fields add to a head, as a multiple of the bytes that
+/// the configuration bounds.
+const HEAD_OVERHEAD: usize = 2;
+/// Header fields that a request may have. The library's own limit of 100 is within reach of proper heads.
+const HEADER_FIELDS: usize = 512;
 /// An idle connection is kept this much longer than callers may reuse it.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
 /// Wait after a failed accept, so that a lack of file descriptors doesn't spin.
@@ -66,7 +70,10 @@
         return;
     }
     // The time for a head also runs while a connection is idle, so it has to cover both.
-    let longest_wait = handler.idle_timeout().map_or(DEFAULT_IDLE, |idle| idle + IDLE_MARGIN);
+    let limits = handler.limits();
+    let longest_wait =
+        Duration::from_millis(limits.idle_timeout_ms.max(limits.head_timeout_ms)) + IDLE_MARGIN;
+    let head_buffer = limits.head_bytes.saturating_mul(HEAD_OVERHEAD).max(HEAD_BUFFER);
     let service = service_fn(move |request| {
         let handler = handler.clone();
         async move { handler.handle(request).await }
@@ -74,7 +81,8 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(longest_wait)
-        .max_buf_size(HEAD_BUFFER)
+        .max_buf_size(head_buffer)
+        .max_headers(HEADER_FIELDS)
         .serve_connection(TokioIo::new(stream), service);
     if let Err(error) = connection.await {
         debug!(error = error.to_string().as_str(); "a caller's connection ended");
--- a/crates/seamhatchd/src/listeners/proxy.rs
+++ b/crates/seamhatchd/src/listeners/proxy.rs
@@ -15,11 +15,10 @@
 use log::info;
 use seamhatch_core::clock::{MILLISECOND, Microseconds};
 use seamhatch_core::outcome::Outcome;
-use seamhatch_policy::host_name;
+use seamhatch_policy::{LimitSettings, host_name};
 use seamhatch_wire::{HeaderField, RecordedAnswer};
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::time::Duration;
 
 /// Jitter that is added to the advice when to come back, as a share of it.
 const RETRY_JITTER: f64 = 0.5;
@@ -47,11 +46,10 @@
         Self { shared, entry: Entry::Shared, chain: filters::shared_chain() }
     }
 
-    /// How long callers may keep a connection idle, by the configuration in force.
-    pub fn idle_timeout(&self) -> Option<Duration> {
+    /// What callers may send, and how long they may take, by the configuration in force.
+    pub fn limits(&self) -> LimitSettings {
         let snapshot = self.shared.snapshot();
-        let limits = snapshot.configuration()?.limits();
-        Some(Duration::from_millis(limits.idle_timeout_ms.max(limits.head_timeout_ms)))
+        snapshot.configuration().map(|configuration| *configuration.limits()).unwrap_or_default()
     }
 
     /// Answers one request. Dropping the future cancels it, unless its answer is recorded for repeats.
@@ -81,6 +79,7 @@
         let mut state = RequestState::new(self.entry, parts.method.as_str().to_owned(), path, fields);
         state.terms = conventions.caller_terms(&parts.headers);
         state.host = host_of(&parts);
+        state.field_bytes = parts.headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
         state.body_length = content_length(&parts.headers);
         (state, body)
     }
