A connection waits for its idle time and then for a head

Cause: the library's time for a head also runs while the connection is idle before it; it was the longer of the two times. A caller that used its connection near the end of the idle time and sent its head slowly, within both bounds, was cut off without an answer (no 4xx; the library answers nothing then).

Change: the sum of both.

--- a/crates/seamhatchd/src/listeners/callers.rs
+++ b/crates/seamhatchd/src/listeners/callers.rs
@@ -69,10 +69,10 @@
         debug!(error = error.to_string().as_str(); "a connection ended at once");
         return;
     }
-    // The time for a head also runs while a connection is idle, so it has to cover both.
+    // The library's time for a head also runs while the connection is idle before it.
     let limits = handler.limits();
     let longest_wait =
-        Duration::from_millis(limits.idle_timeout_ms.max(limits.head_timeout_ms)) + IDLE_MARGIN;
+        Duration::from_millis(limits.idle_timeout_ms.saturating_add(limits.head_timeout_ms)) + IDLE_MARGIN;
     let head_buffer = limits.head_bytes.saturating_mul(HEAD_OVERHEAD).max(HEAD_BUFFER);
     let service = service_fn(move |request| {
         let handler = handler.clone();
