A configuration that may be out of date turns nothing down for good

Cause: a daemon that starts while the store is out gets a configuration from a peer, and serves with it before it knows that there is none newer. A route that it lacked was a 404, a head or body above its limits a 431 or 413, before the daemon was ready.

Change: until the daemon is ready, verdicts that rest on the configuration are 503 not-ready with a time to come back.

Not mended: a ready daemon that has heard of a newer generation and has not got it yet still says 404; that is known to the control thread alone.

Test: denials.rs, a daemon restarted with the store silent, failed before (404 before it was ready) and passes, alone and three more times with its neighbours.

--- a/crates/seamhatchd/src/filters/mod.rs
+++ b/crates/seamhatchd/src/filters/mod.rs
@@ -18,6 +18,8 @@
 pub use request::{Entry, RequestState};
 
 use crate::shared::Shared;
+use seamhatch_core::outcome::Reason;
+use std::sync::atomic::Ordering;
 
 /// One step of the request path.
 pub trait RequestFilter: Send + Sync {
@@ -100,7 +102,16 @@
 /// Runs a chain.
 ///
 /// # Errors
-/// The first filter's [`Rejection`].
+/// The first filter's [`Rejection`]. A daemon that does not know yet whether it has the newest configuration
+/// turns down nothing for good by the one that it has.
 pub fn run_chain(chain: &FilterChain, shared: &Shared, request: &mut RequestState) -> Result<(), Rejection> {
-    chain.iter().try_for_each(|filter| filter.apply(shared, request))
+    let rejected = chain.iter().try_for_each(|filter| filter.apply(shared, request));
+    let verified = shared.ready.load(Ordering::Acquire);
+    rejected.map_err(|rejection| {
+        if verified || !rejection.rests_on_configuration() {
+            return rejection;
+        }
+        let detail = "this daemon's configuration may be out of date; come back after Retry-After";
+        Rejection::not_run(Reason::NotReady, detail)
+    })
 }
--- a/crates/seamhatchd/src/filters/rejection.rs
+++ b/crates/seamhatchd/src/filters/rejection.rs
@@ -86,6 +86,12 @@
         self
     }
 
+    /// Whether the verdict is true only where the configuration that decided is the one in force.
+    #[must_use]
+    pub fn rests_on_configuration(&self) -> bool {
+        matches!(self.reason, Reason::NoRoute | Reason::HeadTooLarge | Reason::BodyTooLarge)
+    }
+
     /// The HTTP status. Only what the entry itself finds wrong with a request may blame its caller, who
     /// won't come back after that.
     #[must_use]
