--- a/crates/seamhatch-policy/src/configuration.rs
+++ b/crates/seamhatch-policy/src/configuration.rs
@@ -124,7 +124,8 @@
         &self.limits
     }
 
-    /// The route of a request to a host, as [`host_name`] spells it: the longest prefix among those of its host, else among those of any host.
+    /// The route of a request to a host, as [`host_name`] spells it: the longest prefix among those of its
+    /// host, else among those of any host.
     #[must_use]
     pub fn find(&self, host: Option<&str>, path: &str) -> Option<&Route> {
         let of_host = host.and_then(|host| self.routes.get(&Some(host.to_owned())));
