--- a/crates/seamhatch-policy/src/document.rs
+++ b/crates/seamhatch-policy/src/document.rs
@@ -1,6 +1,7 @@
 //! The document as operators write it.
 
 use crate::error::ConfigurationError;
+use crate::host::host_name;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -30,8 +31,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct LimitSettings {
-    /// Request line and header fields, in bytes.
+    /// Path, query and header fields, in bytes.
     pub head_bytes: usize,
+    /// Path and query alone, in bytes.
+    pub path_bytes: usize,
     /// Request body, in bytes.
     pub body_bytes: u64,
     /// Longest wait for a request's head, in milliseconds.
@@ -44,6 +47,7 @@
     fn default() -> Self {
         Self {
             head_bytes: 32 * 1024,
+            path_bytes: 8 * 1024,
             body_bytes: 1024 * 1024 * 1024,
             head_timeout_ms: 10_000,
             idle_timeout_ms: 30_000,
@@ -204,7 +208,7 @@
             if !route.prefix.starts_with('/') {
                 return Err(ConfigurationError::BadPrefix { prefix: route.prefix.clone() });
             }
-            if !prefixes.insert((&route.host, &route.prefix)) {
+            if !prefixes.insert((route.host.as_deref().map(host_name), &route.prefix)) {
                 return Err(ConfigurationError::DuplicateRoute { prefix: route.place() });
             }
             self.check_targets(route)?;
--- a/crates/seamhatchd/src/filters/mod.rs
+++ b/crates/seamhatchd/src/filters/mod.rs
@@ -7,16 +7,19 @@
 mod entry_floor;
 mod idempotency;
 mod limits;
+mod naming;
 mod readiness;
 mod rejection;
 mod request;
 mod routing;
 
 pub use entry_floor::{EntryFloors, check_entry_floor};
-pub use rejection::Rejection;
+pub use rejection::{Rejection, VerdictSource};
 pub use request::{Entry, RequestState};
 
 use crate::shared::Shared;
+use seamhatch_core::outcome::Reason;
+use std::sync::atomic::Ordering;
 
 /// One step of the request path.
 pub trait RequestFilter: Send + Sync {
@@ -36,6 +39,8 @@
     vec![
         // Cheapest first: a daemon that is leaving or has no configuration decides nothing.
         Box::new(readiness::Readiness),
+        // One configuration decides the whole request. Without one, nothing is known to be wrong with it.
+        Box::new(readiness::PinConfiguration),
         // Before anything reads the fields, so that later filters see bounded input.
         Box::new(limits::RequestLimits),
         // Callers can't set trusted fields; the policy must not see forged ones either.
@@ -55,6 +60,8 @@
 #[must_use]
 pub fn egress_chain() -> FilterChain {
     vec![
+        // One configuration decides the whole request. Without one, nothing is known to be wrong with it.
+        Box::new(readiness::PinConfiguration),
         // A draining daemon still lets its running calls finish, so there is no readiness check.
         Box::new(limits::RequestLimits),
         // Finds the running call that causes this one; all else is inherited from it.
@@ -72,12 +79,15 @@
 #[must_use]
 pub fn shared_chain() -> FilterChain {
     vec![
+        // One configuration decides the whole request. Without one, nothing is known to be wrong with it. A
+        // daemon that is leaving still serves callers.
+        Box::new(readiness::PinConfiguration),
         // Before anything reads the fields, so that later filters see bounded input.
         Box::new(limits::RequestLimits),
-        // Before all that reads the configuration. A daemon that is leaving still serves callers.
-        Box::new(readiness::PinConfiguration),
-        // Without a configuration, or with none that knows the route, nothing can be decided.
+        // With no route, nothing can be decided.
         Box::new(routing::RouteByHostAndPath),
+        // What no back end takes is not sent to any.
+        Box::new(naming::RequiredName),
         // A call of work that runs here keeps its request's place in the order of shedding.
         Box::new(context::ParentFromName),
         // After it is known whose call it is: what runs here must be able to finish.
@@ -92,7 +102,16 @@
 /// Runs a chain.
 ///
 /// # Errors
-/// The first filter's [`Rejection`].
+/// The first filter's [`Rejection`]. A daemon that does not know yet whether it has the newest configuration
+/// turns down nothing for good by the one that it has.
 pub fn run_chain(chain: &FilterChain, shared: &Shared, request: &mut RequestState) -> Result<(), Rejection> {
-    chain.iter().try_for_each(|filter| filter.apply(shared, request))
+    let rejected = chain.iter().try_for_each(|filter| filter.apply(shared, request));
+    let verified = shared.ready.load(Ordering::Acquire);
+    rejected.map_err(|rejection| {
+        if verified || !rejection.rests_on_configuration() {
+            return rejection;
+        }
+        let detail = "this daemon's configuration may be out of date; come back after Retry-After";
+        Rejection::not_run(Reason::NotReady, detail)
+    })
 }
--- a/crates/seamhatchd/src/filters/request.rs
+++ b/crates/seamhatchd/src/filters/request.rs
@@ -37,12 +37,14 @@
     pub path: String,
     /// Header fields, without those of the connection.
     pub headers: Vec<HeaderField>,
-    /// Host that it was sent to, in lower case and without a port.
+    /// Host that it was sent to, as `host_name` spells it.
     pub host: Option<String>,
     /// What its caller tells.
     pub terms: CallerTerms,
     /// The configuration that decides it from its first filter on, whatever comes into force meanwhile.
     pub configuration: Option<Arc<Configuration>>,
+    /// Header fields as its caller sent them, names and values, in bytes.
+    pub field_bytes: usize,
     /// Length of its body, when it says so.
     pub body_length: Option<u64>,
     /// Service that it goes to.
@@ -78,6 +80,7 @@
             host: None,
             terms: CallerTerms::default(),
             configuration: None,
+            field_bytes: 0,
             body_length: None,
             service: String::new(),
             entry_key: String::new(),
--- a/crates/seamhatchd/src/listeners/proxy.rs
+++ b/crates/seamhatchd/src/listeners/proxy.rs
@@ -9,15 +9,16 @@
 use crate::shared::Shared;
 use bytes::Bytes;
 use http::header::{CONNECTION, CONTENT_LENGTH, HOST};
+use http::request::Parts;
 use http::{HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use log::info;
 use seamhatch_core::clock::{MILLISECOND, Microseconds};
 use seamhatch_core::outcome::Outcome;
+use seamhatch_policy::{LimitSettings, host_name};
 use seamhatch_wire::{HeaderField, RecordedAnswer};
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::time::Duration;
 
 /// Jitter that is added to the advice when to come back, as a share of it.
 const RETRY_JITTER: f64 = 0.5;
@@ -48,11 +49,10 @@
         Self { shared, entry: Entry::Shared, chain: filters::shared_chain() }
     }
 
-    /// How long callers may keep a connection idle, by the configuration in force.
-    pub fn idle_timeout(&self) -> Option<Duration> {
+    /// What callers may send, and how long they may take, by the configuration in force.
+    pub fn limits(&self) -> LimitSettings {
         let snapshot = self.shared.snapshot();
-        let limits = snapshot.configuration()?.limits();
-        Some(Duration::from_millis(limits.idle_timeout_ms.max(limits.head_timeout_ms)))
+        snapshot.configuration().map(|configuration| *configuration.limits()).unwrap_or_default()
     }
 
     /// Waits until there is a configuration and a server for each of its services, or for `patience`.
@@ -89,7 +89,8 @@
         fields.extend(conventions.entry_fields(&self.shared.settings.service));
         let mut state = RequestState::new(self.entry, parts.method.as_str().to_owned(), path, fields);
         state.terms = conventions.caller_terms(&parts.headers);
-        state.host = parts.headers.get(HOST).and_then(|value| value.to_str().ok()).map(host_name);
+        state.host = host_of(&parts);
+        state.field_bytes = parts.headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
         state.body_length = content_length(&parts.headers);
         (state, body)
     }
@@ -216,9 +217,10 @@
     }
 }
 
-/// The name in a `Host` field, as routes write it.
-fn host_name(value: &str) -> String {
-    value.split(':').next().unwrap_or_default().to_ascii_lowercase()
+/// The host that a request is for. One in the target itself goes before the field (RFC 9112, section 3.2.2).
+fn host_of(parts: &Parts) -> Option<String> {
+    let field = || parts.headers.get(HOST).and_then(|value| value.to_str().ok());
+    parts.uri.host().or_else(field).map(host_name)
 }
 
 fn content_length(headers: &http::HeaderMap) -> Option<u64> {
