--- a/crates/seamhatchd/src/listeners/proxy.rs
+++ b/crates/seamhatchd/src/listeners/proxy.rs
@@ -19,6 +19,7 @@
 use seamhatch_wire::{HeaderField, RecordedAnswer};
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Jitter that is added to the advice when to come back, as a share of it.
 const RETRY_JITTER: f64 = 0.5;
