A daemon that has heard of a newer configuration turns nothing down for good by its own

Cause: between a peer's word of a newer generation and the configuration itself (0.3 s or more where the store doesn't answer) a route that only the newer one has was told 404, which callers take for final.

Change: the newest generation told is kept beside the one in force; while it is ahead, what rests on the configuration is 503 with a time to come back.

The test failed before ([404, 200], now [404, 503, 200]); the first 404 is from before any daemon has told.

--- a/crates/seamhatchd/src/controllers/control_thread/configuration.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/configuration.rs
@@ -70,7 +70,7 @@
     }
 
     pub(super) fn note_versions(&mut self, message: &GossipMessage) {
-        if message.generation > self.configuration.generation() {
+        if self.control.note_told(message.generation) {
             let peer = self.membership.state.member(message.from).map(|record| record.info.peer);
             match self.backing {
                 Backing::Witnessed(_) => self.pull_if_behind(peer, message.generation),
--- a/crates/seamhatchd/src/controllers/handle.rs
+++ b/crates/seamhatchd/src/controllers/handle.rs
@@ -23,6 +23,8 @@
 pub struct ControlHandle {
     events: mpsc::UnboundedSender<ControlEvent>,
     generation_in_force: Arc<AtomicU64>,
+    /// The newest that any daemon has told.
+    generation_told: Arc<AtomicU64>,
 }
 
 impl ControlHandle {
@@ -30,7 +32,8 @@
     #[must_use]
     pub fn new() -> (Self, mpsc::UnboundedReceiver<ControlEvent>) {
         let (events, receiver) = mpsc::unbounded_channel();
-        (Self { events, generation_in_force: Arc::default() }, receiver)
+        let (generation_in_force, generation_told) = Default::default();
+        (Self { events, generation_in_force, generation_told }, receiver)
     }
 
     /// Puts an event in; lost when the control thread has ended, as at a stop.
@@ -127,12 +130,26 @@
     }
 
     fn note_generation(&self, peer: Option<Address>, generation: Generation) {
-        let in_force = self.generation_in_force.load(Ordering::Relaxed);
-        if generation.0 > in_force {
+        if self.note_told(generation) {
             self.send(ControlEvent::SawGeneration { peer, generation });
         }
     }
 
+    /// Notes a generation that a daemon told. True when it is newer than the one in force.
+    pub fn note_told(&self, generation: Generation) -> bool {
+        let newer = generation.0 > self.generation_in_force.load(Ordering::Relaxed);
+        if newer {
+            self.generation_told.fetch_max(generation.0, Ordering::Relaxed);
+        }
+        newer
+    }
+
+    /// Whether a daemon has told a newer generation than the one in force.
+    #[must_use]
+    pub fn is_behind(&self) -> bool {
+        self.generation_told.load(Ordering::Relaxed) > self.generation_in_force.load(Ordering::Relaxed)
+    }
+
     /// Sets the generation in force; only higher ones are passed on from here on.
     pub fn set_generation(&self, generation: Generation) {
         self.generation_in_force.fetch_max(generation.0, Ordering::Relaxed);
--- a/crates/seamhatchd/src/filters/mod.rs
+++ b/crates/seamhatchd/src/filters/mod.rs
@@ -102,13 +102,13 @@
 /// Runs a chain.
 ///
 /// # Errors
-/// The first filter's [`Rejection`]. A daemon that does not know yet whether it has the newest configuration
-/// turns down nothing for good by the one that it has.
+/// The first filter's [`Rejection`]. A daemon that does not know yet whether it has the newest configuration,
+/// or knows that it has not, turns down nothing for good by the one that it has.
 pub fn run_chain(chain: &FilterChain, shared: &Shared, request: &mut RequestState) -> Result<(), Rejection> {
     let rejected = chain.iter().try_for_each(|filter| filter.apply(shared, request));
-    let verified = shared.ready.load(Ordering::Acquire);
+    let newest = shared.ready.load(Ordering::Acquire) && !shared.control.is_behind();
     rejected.map_err(|rejection| {
-        if verified || !rejection.rests_on_configuration() {
+        if newest || !rejection.rests_on_configuration() {
             return rejection;
         }
         let detail = "this daemon's configuration may be out of date; come back after Retry-After";
