Tests: a network of loopback addresses stays taken until its listeners have ended

Cause: two tests of lifecycle.rs could not bind their store's address in one run beside other test processes: the lock of a network ends with its deployment, its listeners a moment later with the runtime, and another process takes the network in between. Change: the lock is held for 2 s longer. Two runs beside the same processes passed before the change, too; the race is read from the code.

--- a/crates/seamhatch-lab/src/network.rs
+++ b/crates/seamhatch-lab/src/network.rs
@@ -3,6 +3,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::Duration;
 
 /// Port whose listener marks a network as taken.
 const LOCK_PORT: u16 = 7999;
@@ -10,13 +11,27 @@
 const FIRST: u8 = 16;
 const LAST: u8 = 250;
 
+/// A network stays taken for this long after its deployment: listeners of the deployment live on for a moment
+/// where a runtime ends after it.
+const RELEASE_PAUSE: Duration = Duration::from_secs(2);
+
 static NEXT: AtomicU8 = AtomicU8::new(0);
 
 /// A network of loopback addresses that no other deployment on this machine uses.
 #[derive(Debug)]
 pub struct Network {
     number: u8,
-    _lock: TcpListener,
+    lock: Option<TcpListener>,
+}
+
+impl Drop for Network {
+    fn drop(&mut self) {
+        let lock = self.lock.take();
+        std::thread::spawn(move || {
+            std::thread::sleep(RELEASE_PAUSE);
+            drop(lock);
+        });
+    }
 }
 
 impl Network {
@@ -32,7 +47,7 @@
             let number = FIRST + (u16::from(start) + u16::from(offset)).rem_euclid(networks.into()) as u8;
             let lock = SocketAddr::new(Ipv4Addr::new(127, number, 255, 254).into(), LOCK_PORT);
             if let Ok(listener) = TcpListener::bind(lock) {
-                return Ok(Self { number, _lock: listener });
+                return Ok(Self { number, lock: Some(listener) });
             }
         }
         Err(std::io::Error::other("all loopback networks are taken; stop other deployments"))
