Instances: a supersession is a guess that can be refuted

Cause: whoever was heard for the first time superseded the registered instance for good. A daemon that has restarted does not know an instance that crashed before; its heartbeat, delayed by a cut, made the living instance a departed one, whose heartbeats were stale for its whole life.

Ruled out: to let each newer heartbeat take the slot (a single late one would bring a superseded instance back); to tell by time (delays of a cut are not bounded by the interval).

Change: only an instance's own word (goodbye, draining) or what is remembered elsewhere departs it. A superseded one is kept beside, at most four. It is back with one newer heartbeat where nothing else speaks for the other (first heard with a sequence beyond 1 and not since, or suspended), else with two with none of the other's between; or at once when the back end answers a call as another instance. A word of draining of an instance that is not registered closes nobody else.

Limits: where the late heartbeat is the crashed one's very first, and no request comes that the server could answer as another, the living one is back after two intervals, not one.

--- a/crates/seamhatch-core/src/instance.rs
+++ b/crates/seamhatch-core/src/instance.rs
@@ -2,7 +2,11 @@
 //!
 //! An instance is one life of a back end process. Heartbeats may arrive late and
 //! out of order, so the sequence decides within an instance, and an instance
-//! that has departed or was superseded never comes back.
+//! that has departed by its own word never comes back.
+//!
+//! An instance that is heard for the first time supersedes the registered one. That is a guess: a
+//! heartbeat of a crashed instance may come after its successor has registered. It is refuted by
+//! further heartbeats of the superseded instance, or by a back end that answers as another instance.
 
 use crate::clock::{Instant, Microseconds};
 use serde::{Deserialize, Serialize};
@@ -12,6 +16,17 @@
 /// Departed instances that are remembered, the latest ones.
 pub const REMEMBERED_DEPARTURES: usize = 32;
 
+/// Superseded instances that may still come back, the latest ones. Each crash leaves one, and its
+/// late heartbeats come within seconds.
+const REMEMBERED_SUPERSEDED: usize = 4;
+
+/// Sequence up to which a heartbeat can be the first of a new life.
+const FIRST_SEQUENCE: u64 = 1;
+
+/// Newer heartbeats of a superseded instance that refute a supersession for which something speaks,
+/// with none of the superseding instance in between. A single one may be late.
+const HEARTBEATS_TO_REFUTE: u32 = 2;
+
 /// Names one life of a back end; chosen by the back end.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Readable, Writable, Serialize, Deserialize)]
 pub struct InstanceId(pub String);
@@ -49,7 +64,8 @@
     Opened,
     /// The instance takes no new work from now on.
     Closed,
-    /// It is older than what is known, or of an instance that has departed.
+    /// It is older than what is known, of an instance that has departed, or not enough to bring back
+    /// one that was superseded.
     Stale,
 }
 
@@ -68,12 +84,35 @@
     pub heard: Instant,
     sequence: u64,
     suspended: bool,
+    /// More than one late heartbeat speaks for it: it began its life here, or was heard again.
+    confirmed: bool,
+}
+
+/// What became of an instance as which the back end did not answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refutation {
+    /// It took no work before.
+    Known,
+    /// No instance takes work from now on.
+    Closed,
+    /// The instance that it had superseded takes work again.
+    Replaced,
+}
+
+/// An instance that another one has superseded.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Superseded {
+    instance: Registered,
+    /// Its newer heartbeats since the superseding instance was heard last.
+    newer_heartbeats: u32,
 }
 
 /// Which instance is registered beside the daemon, and which ones never come back.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct InstanceRegistry {
     registered: Option<Registered>,
+    /// The latest last.
+    superseded: VecDeque<Superseded>,
     departed: VecDeque<InstanceId>,
 }
 
@@ -99,12 +138,26 @@
         !std::mem::replace(&mut known.suspended, true) && known.state == InstanceState::Ready
     }
 
+    /// The back end answered a call for `instance` as another one: that takes no work until its next
+    /// heartbeat, and the instance that it had superseded, if any, is taken to be there.
+    pub fn refute(&mut self, instance: &InstanceId) -> Refutation {
+        if !self.suspend(instance) {
+            return Refutation::Known;
+        }
+        let reachable = |earlier: &Superseded| !earlier.instance.suspended;
+        let Some(position) = self.superseded.iter().rposition(reachable) else {
+            return Refutation::Closed;
+        };
+        self.restore(position, true);
+        Refutation::Replaced
+    }
+
     /// Instances that never come back, the latest last.
     pub fn departed(&self) -> impl Iterator<Item = &InstanceId> {
         self.departed.iter()
     }
 
-    /// Whether an instance has departed or was superseded.
+    /// Whether an instance has departed.
     #[must_use]
     pub fn has_departed(&self, instance: &InstanceId) -> bool {
         self.departed.contains(instance)
@@ -118,11 +171,27 @@
         if let Some(known) = &mut self.registered
             && known.id == heartbeat.instance
         {
-            return known.take(&heartbeat, now);
+            let verdict = known.take(&heartbeat, now);
+            if verdict != HeartbeatVerdict::Stale {
+                self.superseded.iter_mut().for_each(|earlier| earlier.newer_heartbeats = 0);
+            }
+            return verdict;
         }
-        if let Some(earlier) = self.registered.take() {
-            self.remember_departure(earlier.id);
+        let is_same = |earlier: &Superseded| earlier.instance.id == heartbeat.instance;
+        let superseded = self.superseded.iter().position(is_same);
+        match (heartbeat.state, superseded) {
+            (InstanceState::Draining, _) if superseded.is_some() || self.registered.is_some() => {
+                // It leaves; that tells nothing of the registered one.
+                self.depart(&heartbeat.instance);
+                HeartbeatVerdict::Known
+            }
+            (InstanceState::Ready, Some(position)) => self.hear_superseded(position, &heartbeat, now),
+            _ => self.register(heartbeat, now),
         }
+    }
+
+    fn register(&mut self, heartbeat: Heartbeat, now: Instant) -> HeartbeatVerdict {
+        self.supersede_registered();
         let state = heartbeat.state;
         self.registered = Some(Registered {
             id: heartbeat.instance,
@@ -132,6 +201,7 @@
             heard: now,
             sequence: heartbeat.sequence,
             suspended: false,
+            confirmed: heartbeat.sequence <= FIRST_SEQUENCE,
         });
         match state {
             InstanceState::Ready => HeartbeatVerdict::Opened,
@@ -139,10 +209,48 @@
         }
     }
 
+    fn hear_superseded(&mut self, position: usize, heartbeat: &Heartbeat, now: Instant) -> HeartbeatVerdict {
+        let earlier = &mut self.superseded[position];
+        if earlier.instance.take(heartbeat, now) == HeartbeatVerdict::Stale {
+            return HeartbeatVerdict::Stale;
+        }
+        earlier.newer_heartbeats += 1;
+        let registered = self.registered.as_ref();
+        let doubtful = registered.is_some_and(|known| !known.confirmed);
+        let lost = registered.is_some_and(|known| known.suspended);
+        let refuted = doubtful || lost || earlier.newer_heartbeats >= HEARTBEATS_TO_REFUTE;
+        if !refuted {
+            return HeartbeatVerdict::Stale;
+        }
+        self.restore(position, doubtful);
+        HeartbeatVerdict::Opened
+    }
+
+    /// Registers a superseded instance again; `confirmed` where more than its own heartbeats speak for it.
+    fn restore(&mut self, position: usize, confirmed: bool) {
+        let Some(Superseded { instance, .. }) = self.superseded.remove(position) else { return };
+        self.supersede_registered();
+        self.registered = Some(Registered { confirmed, ..instance });
+    }
+
+    fn supersede_registered(&mut self) {
+        let Some(instance) = self.registered.take() else { return };
+        if instance.state == InstanceState::Draining {
+            return self.remember_departure(instance.id);
+        }
+        if self.superseded.len() == REMEMBERED_SUPERSEDED
+            && let Some(oldest) = self.superseded.pop_front()
+        {
+            self.remember_departure(oldest.instance.id);
+        }
+        self.superseded.push_back(Superseded { instance, newer_heartbeats: 0 });
+    }
+
     /// Takes in that an instance has departed, by its own word or by what others remember.
     /// True when that closes the registered one.
     pub fn depart(&mut self, instance: &InstanceId) -> bool {
         self.remember_departure(instance.clone());
+        self.superseded.retain(|earlier| earlier.instance.id != *instance);
         let registered = self.registered.as_ref().is_some_and(|known| known.id == *instance);
         if registered {
             self.registered = None;
@@ -167,6 +275,7 @@
             return HeartbeatVerdict::Stale;
         }
         self.sequence = heartbeat.sequence;
+        self.confirmed = true;
         self.heard = now;
         self.slots = heartbeat.slots;
         self.warm_at = now.plus(heartbeat.cold_for);
--- a/crates/seamhatchd/src/controllers/control_thread/instances.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/instances.rs
@@ -11,7 +11,7 @@
 use seamhatch_core::departure::{DepartureInquiry, DepartureSource, InquiryVerdict};
 use seamhatch_core::identity::Address;
 use seamhatch_core::instance::{
-    Heartbeat, HeartbeatVerdict, InstanceId, InstanceState, REMEMBERED_DEPARTURES,
+    Heartbeat, HeartbeatVerdict, InstanceId, InstanceState, REMEMBERED_DEPARTURES, Refutation,
 };
 use seamhatch_core::membership::MemberRecord;
 use seamhatch_core::rendezvous;
@@ -237,8 +237,21 @@
         self.departures.remembered.insert(instance);
     }
 
-    /// The back end could not be reached, or another instance answered there: it gets no new work until
-    /// it is heard again.
+    /// The back end answered as another instance than the registered one.
+    pub(super) fn refute_instance(&mut self, instance: &InstanceId) {
+        let refutation = self.shared.instances.refute(instance);
+        if refutation == Refutation::Known {
+            return;
+        }
+        warn!(instance = instance.0.as_str(), refutation:? = refutation; "another instance answered");
+        self.shared.backend.forget_connections();
+        match refutation {
+            Refutation::Replaced => self.open_instance(),
+            Refutation::Closed | Refutation::Known => self.work_changed(),
+        }
+    }
+
+    /// The back end could not be reached: it gets no new work until it is heard again.
     pub(super) fn lost_instance(&mut self, instance: &InstanceId, why: &str) {
         if self.shared.instances.suspend(instance) {
             warn!(instance = instance.0.as_str(), why = why; "instance lost");
--- a/crates/seamhatchd/src/controllers/control_thread/mod.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/mod.rs
@@ -21,6 +21,7 @@
 use seamhatch_core::generation::Generation;
 use seamhatch_core::identity::Address;
 use seamhatch_core::membership::{Lifecycle, MemberInfo, Membership, MembershipPolicy};
+use seamhatch_core::outcome::Reason;
 use seamhatch_policy::StoredConfiguration;
 use seamhatch_wire::LARGEST_DATAGRAM;
 use std::collections::{BTreeSet, HashSet};
@@ -208,6 +209,7 @@
             },
             ControlEvent::Heartbeat(heartbeat, reply) => self.heartbeat(heartbeat, reply),
             ControlEvent::InstanceDeparts(instance, reply) => self.instance_departs(instance, reply),
+            ControlEvent::InstanceLost(instance, Reason::OtherInstance) => self.refute_instance(&instance),
             ControlEvent::InstanceLost(instance, reason) => self.lost_instance(&instance, reason.name()),
             ControlEvent::DepartureRemembered(instance) => self.departure_remembered(instance),
             ControlEvent::DeparturesLearnt(source, instances) => {
--- a/crates/seamhatchd/src/controllers/events.rs
+++ b/crates/seamhatchd/src/controllers/events.rs
@@ -90,7 +90,7 @@
     Heartbeat(Heartbeat, oneshot::Sender<InstanceAnswer>),
     /// An instance of the back end says goodbye.
     InstanceDeparts(InstanceId, oneshot::Sender<InstanceAnswer>),
-    /// An instance could not be reached.
+    /// An instance could not be reached, or another one answered in its place.
     InstanceLost(InstanceId, Reason),
     /// The departure of an instance is remembered elsewhere.
     DepartureRemembered(InstanceId),
--- a/crates/seamhatchd/src/instances.rs
+++ b/crates/seamhatchd/src/instances.rs
@@ -1,7 +1,7 @@
 //! The back end's instance as the threads that carry traffic see it.
 
 use seamhatch_core::Instant;
-use seamhatch_core::instance::{Heartbeat, HeartbeatVerdict, InstanceId, InstanceRegistry};
+use seamhatch_core::instance::{Heartbeat, HeartbeatVerdict, InstanceId, InstanceRegistry, Refutation};
 use std::sync::{Mutex, MutexGuard};
 
 /// Whether the back end beside the daemon takes work, and under which name.
@@ -94,6 +94,14 @@
         }
     }
 
+    /// The back end answered a call for an instance as another one.
+    pub fn refute(&self, instance: &InstanceId) -> Refutation {
+        match self {
+            Self::Fixed => Refutation::Known,
+            Self::Registered(registry) => lock(registry).refute(instance),
+        }
+    }
+
     /// Whether an instance has departed.
     #[must_use]
     pub fn has_departed(&self, instance: &InstanceId) -> bool {
