Store: connections that fall silent are closed within 2 s

Cause: a watch waits 25 s and is given up after 28. When all open connections fall silent without a reset, no daemon hears of a new configuration meanwhile, and no peer can tell of it. Idle kept connections to the store stay in the pool and cost each call that takes one its 1.5 s.

Ruled out: shorter waits (priced calls; see docs/PLATFORM.md); going on with the watch without reading after a failure (a store that accepts and never answers would then be noticed by the 28 s only, where a read is given up after 1.5 s).

Change: probes of the kernel after 1 s, 1 s apart, two of them, and TCP_USER_TIMEOUT of 2 s on connections to the store. The kernel counts probes in whole seconds.

Each silence adds a read and a watch a daemon.

--- a/crates/seamhatchd/src/backend/client.rs
+++ b/crates/seamhatchd/src/backend/client.rs
@@ -1,5 +1,6 @@
 //! An HTTP client for what is not a call: the key-value service, the machine list, tools.
 
+use crate::keepalive::{KEEPALIVE_IDLE, KEEPALIVE_INTERVAL, KEEPALIVE_PROBES, SILENCE_TIMEOUT};
 use hyper::body::Body;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -24,6 +25,10 @@
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    connector.set_keepalive(Some(KEEPALIVE_IDLE));
+    connector.set_keepalive_interval(Some(KEEPALIVE_INTERVAL));
+    connector.set_keepalive_retries(Some(KEEPALIVE_PROBES));
+    connector.set_tcp_user_timeout(Some(SILENCE_TIMEOUT));
     Client::builder(TokioExecutor::new())
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(IDLE_TIMEOUT)
--- a/crates/seamhatchd/src/controllers/follow/configuration.rs
+++ b/crates/seamhatchd/src/controllers/follow/configuration.rs
@@ -10,9 +10,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// How long one watch waits.
+/// How long one watch waits. Each renewal is a call to the store; a connection that falls silent
+/// meanwhile is found by probes of the kernel, which cost none.
 const WATCH_WAIT: Duration = Duration::from_secs(25);
-/// A watch that is silent for this much longer is lost.
+/// A watch that is silent for this much longer is lost: the store acknowledges probes and does not answer.
 const WATCH_SLACK: Duration = Duration::from_secs(3);
 /// Pause after a change before the next watch: changes in quick succession come in one answer.
 const GATHER: Duration = Duration::from_millis(250);
--- a/crates/seamhatchd/src/lib.rs
+++ b/crates/seamhatchd/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod gate;
 pub mod headers;
 pub mod instances;
+mod keepalive;
 pub mod listeners;
 pub mod logging;
 pub mod metrics;
