Back end: kept connections that fall silent are closed within 2 s

Cause: a kept connection to the server that has fallen silent without a reset was used for as long as its Keep-Alive lasted; each request on it waited for its whole time.

Ruled out: TCP_USER_TIMEOUT on all connections (a trial): bytes that a slow server leaves unread count, too, and a body of 900,000 bytes for a server that reads after 4 s ended 502 after 2 s. Ending calls by the silence of another connection: only some may have fallen silent.

Change: idle connections are probed. Connections for requests without a body or with one of at most 16 KiB also have a TCP_USER_TIMEOUT of 2 s; longer bodies have connections of their own kind, opened in place of an idle one of the other, as a server takes only so many.

--- a/crates/seamhatchd/src/backend/connections.rs
+++ b/crates/seamhatchd/src/backend/connections.rs
@@ -6,6 +6,7 @@
 
 use super::body::HttpRequestBody;
 use crate::clock;
+use crate::keepalive::{SilenceCheck, close_when_silent};
 use http::HeaderMap;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
@@ -32,6 +33,7 @@
 pub struct Connection {
     pub(super) sender: SendRequest<HttpRequestBody>,
     task: JoinHandle<()>,
+    check: SilenceCheck,
 }
 
 impl Drop for Connection {
@@ -59,26 +61,30 @@
         Self { address, idle: Arc::default() }
     }
 
-    /// The connection that was used last, so that the others can age.
-    pub fn take_idle(&self) -> Option<Connection> {
+    /// The connection that was used last, so that the others can age, of those that are watched so.
+    pub fn take_idle(&self, check: SilenceCheck) -> Option<Connection> {
         let now = clock::now();
         let mut idle = self.lock();
         idle.retain(|kept| kept.until > now && !kept.connection.sender.is_closed());
-        idle.pop().map(|kept| kept.connection)
+        let position = idle.iter().rposition(|kept| kept.connection.check == check)?;
+        Some(idle.remove(position).connection)
     }
 
-    /// A new connection.
+    /// A new connection, in place of the one that has been idle for longest, if any: that is watched in
+    /// the other way, and the back end takes only so many.
     ///
     /// # Errors
     /// It was refused or did not come up in time; nothing was written.
-    pub async fn open(&self) -> std::io::Result<Connection> {
+    pub async fn open(&self, check: SilenceCheck) -> std::io::Result<Connection> {
+        self.drop_oldest();
         let connecting = TcpStream::connect(SocketAddr::from(self.address));
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await??;
         stream.set_nodelay(true)?;
+        close_when_silent(&stream, check)?;
         let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
         // How it ended shows at the call that was on it.
         let task = tokio::spawn(async move { drop(connection.await) });
-        Ok(Connection { sender, task })
+        Ok(Connection { sender, task, check })
     }
 
     /// Keeps a connection whose request was written and whose answer was read as a whole.
@@ -93,6 +99,13 @@
         });
     }
 
+    fn drop_oldest(&self) {
+        let mut idle = self.lock();
+        if !idle.is_empty() {
+            idle.remove(0);
+        }
+    }
+
     /// Closes all idle connections.
     pub fn forget(&self) {
         self.lock().clear();
--- a/crates/seamhatchd/src/backend/mod.rs
+++ b/crates/seamhatchd/src/backend/mod.rs
@@ -10,13 +10,14 @@
 use crate::clock;
 use crate::conventions::{AnswerVerdict, BackEndCall, HttpConventions};
 use crate::headers;
+use crate::keepalive::SilenceCheck;
 use body::HttpRequestBody;
 use bytes::Bytes;
 use connections::{Connection, Connections, idle_span};
-use http::header::HOST;
+use http::header::{CONTENT_LENGTH, HOST};
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use seamhatch_core::clock::Microseconds;
 use seamhatch_core::identity::Address;
 use seamhatch_core::instance::InstanceId;
@@ -26,6 +27,10 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use thiserror::Error;
 
+/// Longest request body in bytes that the buffers of a connection surely hold, whether or not the back
+/// end reads it.
+const SHORT_BODY: u64 = 16 * 1024;
+
 /// What is sent to the back end.
 #[derive(Debug)]
 pub struct BackendRequest<'a> {
@@ -202,7 +207,8 @@
         &self,
         mut message: Request<HttpRequestBody>,
     ) -> Result<(Connection, http::Response<Incoming>), BackendError> {
-        while let Some(mut connection) = self.connections.take_idle() {
+        let check = silence_check(&message);
+        while let Some(mut connection) = self.connections.take_idle(check) {
             match connection.sender.try_send_request(message).await {
                 Ok(response) => return Ok((connection, response)),
                 Err(mut error) => match error.take_message() {
@@ -211,8 +217,11 @@
                 },
             }
         }
-        let mut connection =
-            self.connections.open().await.map_err(|error| BackendError::unreachable(error.to_string()))?;
+        let mut connection = self
+            .connections
+            .open(check)
+            .await
+            .map_err(|error| BackendError::unreachable(error.to_string()))?;
         match connection.sender.try_send_request(message).await {
             Ok(response) => Ok((connection, response)),
             Err(mut error) => {
@@ -242,6 +251,18 @@
     }
 }
 
+/// How the connection of a request is watched: bytes of a long body may wait for a slow back end.
+fn silence_check(message: &Request<HttpRequestBody>) -> SilenceCheck {
+    if message.body().is_end_stream() {
+        return SilenceCheck::Always;
+    }
+    let length = message.headers().get(CONTENT_LENGTH).and_then(|value| value.to_str().ok()?.parse().ok());
+    match length {
+        Some(0..=SHORT_BODY) => SilenceCheck::Always,
+        _ => SilenceCheck::WhileIdle,
+    }
+}
+
 fn describe(error: &dyn std::error::Error) -> String {
     let mut text = error.to_string();
     let mut source = error.source();
--- a/crates/seamhatchd/src/keepalive.rs
+++ b/crates/seamhatchd/src/keepalive.rs
@@ -5,7 +5,10 @@
 //! reads and doesn't answer. An idle connection is probed; where bytes are on their way, no probe is
 //! sent, and the time without an acknowledgement counts.
 
+use rustix::net::sockopt;
+use std::io;
 use std::time::Duration;
+use tokio::net::TcpStream;
 
 /// An idle connection is probed after this time; the kernel counts whole seconds.
 pub const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
@@ -16,3 +19,30 @@
 /// A connection on which nothing was acknowledged for this long is closed. A second less than a daemon
 /// may take to get over a disturbance of its connections, so that a new connection has time to work.
 pub const SILENCE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// When a connection counts as silent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SilenceCheck {
+    /// When probes of the idle connection get no answer. The other side may leave bytes unread.
+    WhileIdle,
+    /// Also when bytes are not acknowledged for [`SILENCE_TIMEOUT`]. The kernel counts bytes that the
+    /// other side is slow to read, too, so a request must fit into its buffers.
+    Always,
+}
+
+/// Has the kernel close a connection that has fallen silent; whatever uses it meets an error.
+///
+/// # Errors
+/// The kernel refuses an option.
+pub fn close_when_silent(stream: &TcpStream, check: SilenceCheck) -> io::Result<()> {
+    sockopt::set_socket_keepalive(stream, true)?;
+    sockopt::set_tcp_keepidle(stream, KEEPALIVE_IDLE)?;
+    sockopt::set_tcp_keepintvl(stream, KEEPALIVE_INTERVAL)?;
+    sockopt::set_tcp_keepcnt(stream, KEEPALIVE_PROBES)?;
+    match check {
+        SilenceCheck::WhileIdle => Ok(()),
+        SilenceCheck::Always => {
+            Ok(sockopt::set_tcp_user_timeout(stream, SILENCE_TIMEOUT.as_millis() as u32)?)
+        }
+    }
+}
