Links: a silent connection to a daemon is renewed beside

Cause: a daemon that was not heard for 0.75 s gets no new calls while its connection is open, and that is given up after 20 s only. Where just the connection has fallen silent, the server behind it was left out by each such caller for up to 20 s, and a new connection, which works, was opened only when every server of the service was silent.

Ruled out: probes of the kernel (heartbeats tell sooner); closing the silent connection (after a cut it may be heard again, and the answers on it would be lost).

Change: a silent connection that was used lately has the pool open a new one, at once, then after 1, 2 and 4 s. Calls on the old one go on.

Left: an unsafe call that was on the link waits for its deadline (20 s at most); the daemon at the other end keeps its side for 20 s.

--- a/crates/seamhatchd/src/peer/connection.rs
+++ b/crates/seamhatchd/src/peer/connection.rs
@@ -35,6 +35,13 @@
 /// A peer that was silent for this long is given up, with the calls it has.
 const SILENCE_TO_CLOSE: Microseconds = 20 * SECOND;
 
+/// Pause after the first attempt to reach a silent peer on a new connection, doubled after each further
+/// one. The first comes within 1.2 s of silence and costs a handshake; a peer that is frozen or cut off
+/// costs one attempt in a few seconds.
+const FIRST_RENEWAL_PAUSE: Microseconds = SECOND;
+/// Longest pause between two such attempts.
+const LONGEST_RENEWAL_PAUSE: Microseconds = 4 * SECOND;
+
 #[derive(Debug)]
 struct Inner {
     view: Mutex<PeerView>,
@@ -160,7 +167,7 @@
             let result = tokio::select! {
                 result = connection.read(&shared, frames) => result,
                 _ = link::send_pulses(&shared, connection.outbox.clone(), || false) => Ok(()),
-                () = connection.until_silent_or_idle() => Ok(()),
+                () = connection.until_silent_or_idle(&shared) => Ok(()),
                 () = connection.inner.closing.notified() => Ok(()),
                 result = &mut writing => result.unwrap_or(Ok(())),
             };
@@ -176,17 +183,35 @@
         });
     }
 
-    async fn until_silent_or_idle(&self) {
+    async fn until_silent_or_idle(&self, shared: &Arc<Shared>) {
+        let mut next_renewal = Instant(0);
+        let mut pause = FIRST_RENEWAL_PAUSE;
         loop {
             tokio::time::sleep(link::PULSE_INTERVAL).await;
             let now = clock::now();
-            let silent = now.since(self.inner.view().last_heard) > SILENCE_TO_CLOSE;
+            let view = self.view();
+            let silent = now.since(view.last_heard) > SILENCE_TO_CLOSE;
             if silent || self.inner.is_idle(now) {
                 return;
             }
+            if !view.is_silent(now) {
+                pause = FIRST_RENEWAL_PAUSE;
+            } else if now >= next_renewal {
+                self.renew(shared);
+                next_renewal = now.plus(pause);
+                pause = (2 * pause).min(LONGEST_RENEWAL_PAUSE);
+            }
         }
     }
 
+    /// Has the pool open a new connection beside this silent one, which may be the only thing that is
+    /// wrong with the peer. Calls on this one go on: it may be heard again.
+    fn renew(&self, shared: &Arc<Shared>) {
+        let (shared, address) = (shared.clone(), self.address);
+        // Who can't be reached now is tried again.
+        tokio::spawn(async move { drop(shared.pool.get(&shared, address).await) });
+    }
+
     async fn read(
         &self,
         shared: &Arc<Shared>,
