Store: probing connections are the store's alone

The client with the project's time-outs is also that of the operators' command, of the lab's callers and of its back ends. TCP_USER_TIMEOUT counts bytes that the other side is slow to read, as a_long_body_waits_for_a_ server_that_reads_late showed for back ends, so it belongs to the store's short calls only; the others are as they were.

--- a/crates/seamhatchd/src/backend/client.rs
+++ b/crates/seamhatchd/src/backend/client.rs
@@ -22,13 +22,37 @@
     B: Body + Send + 'static,
     B::Data: Send,
 {
-    let mut connector = HttpConnector::new();
-    connector.set_nodelay(true);
-    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    client(connector())
+}
+
+/// A client whose connections are closed when they fall silent. What it sends must be short: bytes that
+/// the other side is slow to read count as silence.
+#[must_use]
+pub fn probing_http_client<B>() -> HttpClient<B>
+where
+    B: Body + Send + 'static,
+    B::Data: Send,
+{
+    let mut connector = connector();
     connector.set_keepalive(Some(KEEPALIVE_IDLE));
     connector.set_keepalive_interval(Some(KEEPALIVE_INTERVAL));
     connector.set_keepalive_retries(Some(KEEPALIVE_PROBES));
     connector.set_tcp_user_timeout(Some(SILENCE_TIMEOUT));
+    client(connector)
+}
+
+fn connector() -> HttpConnector {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    connector
+}
+
+fn client<B>(connector: HttpConnector) -> HttpClient<B>
+where
+    B: Body + Send + 'static,
+    B::Data: Send,
+{
     Client::builder(TokioExecutor::new())
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(IDLE_TIMEOUT)
--- a/crates/seamhatchd/src/backend/mod.rs
+++ b/crates/seamhatchd/src/backend/mod.rs
@@ -5,7 +5,7 @@
 mod connections;
 
 pub use body::{BodyPiece, BrokenOff, ChannelStream, RequestBody, no_body, request_body};
-pub use client::{HttpClient, http_client};
+pub use client::{HttpClient, http_client, probing_http_client};
 
 use crate::clock;
 use crate::conventions::{AnswerVerdict, BackEndCall, HttpConventions};
--- a/crates/seamhatchd/src/controllers/control_thread/instances.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/instances.rs
@@ -245,9 +245,10 @@
         }
         warn!(instance = instance.0.as_str(), refutation:? = refutation; "another instance answered");
         self.shared.backend.forget_connections();
-        match refutation {
-            Refutation::Replaced => self.open_instance(),
-            Refutation::Closed | Refutation::Known => self.work_changed(),
+        if refutation == Refutation::Replaced {
+            self.open_instance();
+        } else {
+            self.work_changed();
         }
     }
 
--- a/crates/seamhatchd/src/store/exchange.rs
+++ b/crates/seamhatchd/src/store/exchange.rs
@@ -1,7 +1,7 @@
 //! One HTTP exchange with a store: what every client of one has to get right, whatever it speaks.
 
 use super::StoreError;
-use crate::backend::{HttpClient, http_client};
+use crate::backend::{HttpClient, probing_http_client};
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
@@ -53,7 +53,7 @@
     /// Exchanges with the store at `address`.
     #[must_use]
     pub fn new(address: Address) -> Self {
-        Self { address, client: http_client() }
+        Self { address, client: probing_http_client() }
     }
 
     /// Sends a GET.
