--- a/crates/seamhatch-core/src/instance.rs
+++ b/crates/seamhatch-core/src/instance.rs
@@ -238,10 +238,9 @@
         if instance.state == InstanceState::Draining {
             return self.remember_departure(instance.id);
         }
-        if self.superseded.len() == REMEMBERED_SUPERSEDED
-            && let Some(oldest) = self.superseded.pop_front()
-        {
-            self.remember_departure(oldest.instance.id);
+        if self.superseded.len() == REMEMBERED_SUPERSEDED {
+            // It has not said that it leaves: should it live, its next heartbeat is that of a new one.
+            self.superseded.pop_front();
         }
         self.superseded.push_back(Superseded { instance, newer_heartbeats: 0 });
     }
--- a/crates/seamhatch-core/tests/instance.rs
+++ b/crates/seamhatch-core/tests/instance.rs
@@ -84,7 +84,7 @@
 }
 
 /// `a` crashes and `b` starts at its address, unless a case says otherwise.
-const SUPERSESSIONS: [SupersessionCase; 13] = [
+const SUPERSESSIONS: [SupersessionCase; 14] = [
     SupersessionCase {
         name: "a restarted daemon hears the new instance first, then the crashed one",
         steps: &[
@@ -207,6 +207,18 @@
             (Step::Ready("a", 10), None),
         ],
     },
+    SupersessionCase {
+        name: "more crashed ones are heard than are remembered",
+        steps: &[
+            (Step::Ready("b", 1), Some("b")),
+            (Step::Ready("a1", 1), Some("a1")),
+            (Step::Ready("a2", 1), Some("a2")),
+            (Step::Ready("a3", 1), Some("a3")),
+            (Step::Ready("a4", 1), Some("a4")),
+            (Step::Ready("a5", 1), Some("a5")),
+            (Step::Ready("b", 2), Some("b")),
+        ],
+    },
     SupersessionCase {
         name: "a late word of draining closes nobody else",
         steps: &[
