Instances: an answer as another instance brings back only one heard lately

Cause: after a usual crash the new instance answers calls before it has registered.

Change: only an instance that was heard within 6 s comes back so, the time after which a silent back end is taken to be gone (now in the core).

--- a/crates/seamhatch-core/src/instance.rs
+++ b/crates/seamhatch-core/src/instance.rs
@@ -8,7 +8,7 @@
 //! heartbeat of a crashed instance may come after its successor has registered. It is refuted by
 //! further heartbeats of the superseded instance, or by a back end that answers as another instance.
 
-use crate::clock::{Instant, Microseconds};
+use crate::clock::{Instant, Microseconds, SECOND};
 use serde::{Deserialize, Serialize};
 use speedy::{Readable, Writable};
 use std::collections::VecDeque;
@@ -16,6 +16,10 @@
 /// Departed instances that are remembered, the latest ones.
 pub const REMEMBERED_DEPARTURES: usize = 32;
 
+/// An instance that was silent for this long is taken to be gone until it is heard again: several
+/// heartbeats were lost or are late.
+pub const HEARTBEAT_SILENCE: Microseconds = 6 * SECOND;
+
 /// Superseded instances that may still come back, the latest ones. Each crash leaves one, and its
 /// late heartbeats come within seconds.
 const REMEMBERED_SUPERSEDED: usize = 4;
@@ -139,13 +143,15 @@
     }
 
     /// The back end answered a call for `instance` as another one: that takes no work until its next
-    /// heartbeat, and the instance that it had superseded, if any, is taken to be there.
-    pub fn refute(&mut self, instance: &InstanceId) -> Refutation {
+    /// heartbeat, and the instance that it had superseded, if that was heard lately, is taken to be there.
+    pub fn refute(&mut self, instance: &InstanceId, now: Instant) -> Refutation {
         if !self.suspend(instance) {
             return Refutation::Known;
         }
-        let reachable = |earlier: &Superseded| !earlier.instance.suspended;
-        let Some(position) = self.superseded.iter().rposition(reachable) else {
+        let may_live = |earlier: &Superseded| {
+            !earlier.instance.suspended && now.since(earlier.instance.heard) <= HEARTBEAT_SILENCE
+        };
+        let Some(position) = self.superseded.iter().rposition(may_live) else {
             return Refutation::Closed;
         };
         self.restore(position, true);
--- a/crates/seamhatch-core/tests/instance.rs
+++ b/crates/seamhatch-core/tests/instance.rs
@@ -1,6 +1,7 @@
 //! Which instance of the back end takes work, whatever order its messages arrive in.
 
 use seamhatch_core::Instant;
+use seamhatch_core::clock::SECOND;
 use seamhatch_core::instance::{
     Heartbeat, HeartbeatVerdict, InstanceId, InstanceRegistry, InstanceState, REMEMBERED_DEPARTURES,
 };
@@ -75,6 +76,8 @@
     /// The back end answered a call for the instance as another one.
     Misdirected(&'static str),
     Unreachable(&'static str),
+    /// Nothing is heard for this many seconds.
+    Silence(u64),
 }
 
 /// Steps, each with the instance that takes work afterwards.
@@ -84,7 +87,7 @@
 }
 
 /// `a` crashes and `b` starts at its address, unless a case says otherwise.
-const SUPERSESSIONS: [SupersessionCase; 14] = [
+const SUPERSESSIONS: [SupersessionCase; 15] = [
     SupersessionCase {
         name: "a restarted daemon hears the new instance first, then the crashed one",
         steps: &[
@@ -160,6 +163,16 @@
             (Step::Ready("b", 2), Some("b")),
         ],
     },
+    SupersessionCase {
+        name: "the back end answers as one that has not registered yet, long after a supersession",
+        steps: &[
+            (Step::Ready("a", 7), Some("a")),
+            (Step::Ready("b", 1), Some("b")),
+            (Step::Silence(7), Some("b")),
+            (Step::Misdirected("b"), None),
+            (Step::Ready("c", 1), Some("c")),
+        ],
+    },
     SupersessionCase {
         name: "the superseding one can't be reached",
         steps: &[
@@ -234,20 +247,22 @@
 fn a_supersession_is_a_guess_that_later_word_refutes() {
     for case in SUPERSESSIONS {
         let mut registry = InstanceRegistry::default();
+        let mut now = NOW;
         for (step, open) in case.steps {
             match *step {
                 Step::Ready(instance, sequence) => {
-                    registry.heartbeat(ready(instance, sequence), NOW);
+                    registry.heartbeat(ready(instance, sequence), now);
                 }
                 Step::Draining(instance, sequence) => {
-                    registry.heartbeat(draining(instance, sequence), NOW);
+                    registry.heartbeat(draining(instance, sequence), now);
                 }
                 Step::Goodbye(instance) => {
                     registry.depart(&InstanceId(instance.into()));
                 }
                 Step::Misdirected(instance) => {
-                    registry.refute(&InstanceId(instance.into()));
+                    registry.refute(&InstanceId(instance.into()), now);
                 }
+                Step::Silence(seconds) => now = now.plus(seconds * SECOND),
                 Step::Unreachable(instance) => {
                     registry.suspend(&InstanceId(instance.into()));
                 }
--- a/crates/seamhatchd/src/controllers/control_thread/instances.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/instances.rs
@@ -7,11 +7,12 @@
 use crate::instances::OpenInstance;
 use log::{info, warn};
 use seamhatch_core::Instant;
-use seamhatch_core::clock::{MILLISECOND, Microseconds, SECOND};
+use seamhatch_core::clock::{MILLISECOND, Microseconds};
 use seamhatch_core::departure::{DepartureInquiry, DepartureSource, InquiryVerdict};
 use seamhatch_core::identity::Address;
 use seamhatch_core::instance::{
-    Heartbeat, HeartbeatVerdict, InstanceId, InstanceState, REMEMBERED_DEPARTURES, Refutation,
+    HEARTBEAT_SILENCE, Heartbeat, HeartbeatVerdict, InstanceId, InstanceState, REMEMBERED_DEPARTURES,
+    Refutation,
 };
 use seamhatch_core::membership::MemberRecord;
 use seamhatch_core::rendezvous;
@@ -27,8 +28,6 @@
 const DEPARTURE_ASKED: usize = 5;
 /// Seed of the choice of these daemons.
 const DEPARTURE_SEED: u64 = 3;
-/// A back end that was silent for this long is taken to be gone until it is heard again.
-const HEARTBEAT_SILENCE: Microseconds = 6 * SECOND;
 /// Share of its slots that a cold back end is given.
 const COLD_SHARE: u32 = 2;
 
@@ -239,7 +238,7 @@
 
     /// The back end answered as another instance than the registered one.
     pub(super) fn refute_instance(&mut self, instance: &InstanceId) {
-        let refutation = self.shared.instances.refute(instance);
+        let refutation = self.shared.instances.refute(instance, clock::now());
         if refutation == Refutation::Known {
             return;
         }
--- a/crates/seamhatchd/src/instances.rs
+++ b/crates/seamhatchd/src/instances.rs
@@ -95,10 +95,10 @@
     }
 
     /// The back end answered a call for an instance as another one.
-    pub fn refute(&self, instance: &InstanceId) -> Refutation {
+    pub fn refute(&self, instance: &InstanceId, now: Instant) -> Refutation {
         match self {
             Self::Fixed => Refutation::Known,
-            Self::Registered(registry) => lock(registry).refute(instance),
+            Self::Registered(registry) => lock(registry).refute(instance, now),
         }
     }
 
