A request from outside waits while it can usually still be answered in time

Cause: a root waited for a slot at most a quarter of its route's objective, whatever its work takes; a share of the objective protects nothing by itself.

Change: it waits until the objective, counted from its arrival, less the running median of what calls of its kind lately needed from slot to answer. On arrival it is still refused at once when the queue's drain time says that its turn comes later. Weighed, not played: a mean of service times, which follows the few that take many times as long.

--- a/crates/seamhatch-core/src/admission/mod.rs
+++ b/crates/seamhatch-core/src/admission/mod.rs
@@ -4,6 +4,7 @@
 mod knee;
 mod limit;
 mod lost;
+mod service_times;
 mod shares;
 mod waiting;
 
@@ -17,6 +18,7 @@
 use crate::priority::{AdmissionFloor, Priority, PriorityClass};
 use floor::{FloorController, HIGH_FILL, Pressure};
 use lost::{LostCalls, OVERDUE_SERVICE_TIMES};
+use service_times::ServiceTimes;
 use std::collections::HashMap;
 use waiting::WaitingLines;
 
@@ -54,9 +56,8 @@
     pub root_admitted: Instant,
     /// When the call becomes useless, in the local clock.
     pub expiry: Instant,
-    /// When it is refused if it still waits, in the local clock: later, its answer is worth less
-    /// than an early refusal.
-    pub start_by: Instant,
+    /// Until when its answer is early, in the local clock: it waits only while that can come true.
+    pub early_until: Instant,
     /// Which calls' service times may be compared with its own.
     pub kind: CallKind,
 }
@@ -88,6 +89,7 @@
 #[derive(Debug, Clone, Copy)]
 struct RunningSlot {
     class: PriorityClass,
+    kind: CallKind,
     started: Instant,
     /// Set while it is part of a trial of the back end's concurrency.
     mark: Option<TrialMark>,
@@ -112,6 +114,7 @@
     waiting: WaitingLines,
     shares: ClassShares,
     floor: FloorController,
+    service_times: ServiceTimes,
 }
 
 impl AdmissionQueue {
@@ -128,6 +131,7 @@
             waiting: WaitingLines::default(),
             shares: ClassShares::default(),
             floor: FloorController::default(),
+            service_times: ServiceTimes::default(),
         }
     }
 
@@ -178,11 +182,14 @@
         self.estimated_wait(self.waiting.len() + 1).clamp(100 * MILLISECOND, 10 * SECOND)
     }
 
-    /// The latest instant at which a call may start: when the caller's patience ends, and at least
-    /// half of the typical service time before its expiry, since some calls are faster.
+    /// The latest instant at which a call may start: what its kind usually needs before its answer stops
+    /// being early, and at least half of the typical service time before its expiry, since some calls are
+    /// faster.
     #[must_use]
     pub fn latest_start(&self, request: &AdmissionRequest) -> Instant {
-        request.expiry.minus(self.limit.typical_service_time() / 2).min(request.start_by)
+        let typical = self.limit.typical_service_time();
+        let usual = self.service_times.usual(request.kind).unwrap_or(typical);
+        request.expiry.minus(typical / 2).min(request.early_until.minus(usual))
     }
 
     /// Takes over what an instance of the back end tells: its slots, and whether it is cold.
@@ -250,6 +257,7 @@
         if succeeded {
             let service_time = now.since(slot.started);
             self.limit.observe(service_time);
+            self.service_times.observe(slot.kind, service_time);
             slot.mark.into_iter().for_each(|mark| self.knee.observe(mark, service_time));
         }
     }
@@ -333,7 +341,10 @@
     fn start(&mut self, request: &AdmissionRequest, now: Instant) {
         let class = request.priority.class;
         let mark = self.knee.begin(self.running() as u32 + 1, request.kind, now);
-        self.running.insert(request.ticket, RunningSlot { class, started: now, mark, lost: false });
+        self.running.insert(
+            request.ticket,
+            RunningSlot { class, kind: request.kind, started: now, mark, lost: false },
+        );
         self.shares.start(class, now);
     }
 
--- a/crates/seamhatch-wire/src/message.rs
+++ b/crates/seamhatch-wire/src/message.rs
@@ -170,7 +170,7 @@
     pub repeatable: bool,
     /// Expiry in the receiver's boot clock.
     pub expiry: Instant,
-    /// How long it may wait for a slot before a refusal is worth more than its answer.
+    /// How long its answer is still early; it waits for a slot only while that can come true.
     pub patience: Microseconds,
     /// Services on the way from the entry to here, for the admission floors.
     pub depth: u32,
--- a/crates/seamhatchd/src/filters/classification.rs
+++ b/crates/seamhatchd/src/filters/classification.rs
@@ -51,9 +51,6 @@
 /// bounds it by what the caller tells.
 pub struct RouteDecision;
 
-/// Share of a route's objective that a request from outside may wait for a slot. A later refusal
-/// would leave its caller too little time to come back.
-const PATIENCE_SHARE: Microseconds = 4;
 /// Share of a route's objective within which a refused request is asked to come back, before jitter (up
 /// to half as much again). The other half is for its work: later, it would be late whatever happens.
 const RETURN_SHARE: Microseconds = 3;
@@ -81,8 +78,9 @@
             None => {
                 request.class = decision.class;
                 if let Some(objective) = route.view.attributes.objective_ms {
-                    request.patience = objective * MILLISECOND / PATIENCE_SHARE;
-                    request.return_within = objective * MILLISECOND / RETURN_SHARE;
+                    let objective = objective * MILLISECOND;
+                    request.patience = objective.saturating_sub(now.since(request.arrived));
+                    request.return_within = objective / RETURN_SHARE;
                 }
                 let priority = Priority::new(decision.class, request.root);
                 RunningCall::new(request.root, priority, now, now.plus(held), 0, ledger)
--- a/crates/seamhatchd/src/filters/request.rs
+++ b/crates/seamhatchd/src/filters/request.rs
@@ -57,7 +57,7 @@
     pub parent: Option<Arc<RunningCall>>,
     /// Whether it may run more than once.
     pub repeatable: bool,
-    /// How long it may wait for a slot before a refusal is worth more than its answer.
+    /// How long its answer would still be early, from its dispatch on.
     pub patience: Microseconds,
     /// When it should come back at the latest after a refusal, so that its answer can still be early.
     pub return_within: Microseconds,
--- a/crates/seamhatchd/src/gate.rs
+++ b/crates/seamhatchd/src/gate.rs
@@ -28,7 +28,7 @@
     pub root_admitted: Instant,
     /// When the call becomes useless.
     pub expiry: Instant,
-    /// When it is refused if it still waits.
+    /// Until when its answer is early.
     pub start_by: Instant,
     /// Which calls' service times may be compared with its own.
     pub kind: CallKind,
@@ -142,7 +142,7 @@
             priority: request.priority,
             root_admitted: request.root_admitted,
             expiry: request.expiry,
-            start_by: request.start_by,
+            early_until: request.start_by,
             kind: request.kind,
         };
         let Some(turn) = self.offer(offered, arrived)? else {
