Who would come to its turn too late leaves the queue at the next tick

Cause: a request that waits was held until its latest start even when the queue's drain rate told long before that its turn comes later: calls had become slower, or more important ones had come.

Change: each 100 ms those are refused whose turn comes too late both in the order of importance and on their class's own share. Only requests that have not begun.

--- a/crates/seamhatch-core/src/admission/mod.rs
+++ b/crates/seamhatch-core/src/admission/mod.rs
@@ -216,7 +216,8 @@
             self.start(&request, now);
             return Admission::Run;
         }
-        if now.plus(self.estimated_wait(self.ahead_of(&request))) >= self.latest_start(&request) {
+        let ahead = self.ahead_of(request.priority.class, self.waiting.ahead_in_class(&request));
+        if now.plus(self.estimated_wait(ahead)) >= self.latest_start(&request) {
             self.floor.count_refused(request.priority);
             return Admission::Refuse(Reason::DeadlineExceeded);
         }
@@ -238,6 +239,29 @@
         true
     }
 
+    /// Takes out the waiting calls whose turn comes too late at the pace at which the queue drains now: their
+    /// callers do better elsewhere than held until the last moment. Calls without an objective of their own stay:
+    /// they are part of requests that have begun, and all that was done for those would be lost by an estimate
+    /// that may err.
+    pub fn give_up_late(&mut self, now: Instant) -> Vec<Ticket> {
+        let mut late = Vec::new();
+        for class in PriorityClass::ALL {
+            let mut in_line = 0;
+            for request in self.waiting.line(class) {
+                let has_objective = request.early_until != Instant::NEVER;
+                if has_objective && self.comes_too_late(request, in_line, now) {
+                    late.push(request.ticket);
+                } else {
+                    in_line += 1;
+                }
+            }
+        }
+        for ticket in &late {
+            self.expire(*ticket);
+        }
+        late
+    }
+
     /// Takes out a waiting call that is not wanted any more; false when it doesn't wait.
     pub fn cancel(&mut self, ticket: Ticket) -> bool {
         self.waiting.remove(ticket).is_some()
@@ -359,11 +383,19 @@
         owed.or_else(|| PriorityClass::ALL.into_iter().find(waits))
     }
 
-    /// Calls that go before `request`, as it looks now.
-    fn ahead_of(&self, request: &AdmissionRequest) -> usize {
+    /// Whether the turn of a waiting call, behind `in_line` others of its class, comes after its latest start:
+    /// neither in the order of importance nor on its class's own share of the slots does it come sooner.
+    fn comes_too_late(&self, request: &AdmissionRequest, in_line: usize, now: Instant) -> bool {
         let class = request.priority.class;
+        let in_turn = self.estimated_wait(self.ahead_of(class, in_line));
+        let on_share = self.estimated_wait(in_line) as f64 / share_of(class);
+        now.plus(in_turn.min(on_share as Microseconds)) >= self.latest_start(request)
+    }
+
+    /// Calls that go before one of `class` behind `in_line` others of it, as it looks now.
+    fn ahead_of(&self, class: PriorityClass, in_line: usize) -> usize {
         let before = if self.is_owed(class) { 0 } else { self.waiting.more_important(class) };
-        before + self.waiting.ahead_in_class(request)
+        before + in_line
     }
 
     fn estimated_wait(&self, ahead: usize) -> Microseconds {
--- a/crates/seamhatch-core/src/admission/waiting.rs
+++ b/crates/seamhatch-core/src/admission/waiting.rs
@@ -31,6 +31,11 @@
         self.lines[class.rank()].len()
     }
 
+    /// The calls of `class`, in their order.
+    pub fn line(&self, class: PriorityClass) -> impl Iterator<Item = &AdmissionRequest> {
+        self.lines[class.rank()].values()
+    }
+
     /// The first call of `class`.
     pub fn first_of(&self, class: PriorityClass) -> Option<&AdmissionRequest> {
         self.lines[class.rank()].first_key_value().map(|(_, request)| request)
--- a/crates/seamhatch-core/tests/admission.rs
+++ b/crates/seamhatch-core/tests/admission.rs
@@ -205,6 +205,86 @@
     }
 }
 
+/// Calls that wait at a server of ten slots, which has begun to need 100 ms for each call.
+struct TurnCase {
+    name: &'static str,
+    /// Class and time left to start of each, in their order; no time is set for a call that is part of a
+    /// request that has begun.
+    waiting: &'static [(PriorityClass, Option<u64>)],
+    /// Places in the list of those whose turn comes too late.
+    late: &'static [u64],
+}
+
+/// At ten slots a turn comes every 10 ms; a class with a fifth of them has one every 50 ms.
+#[test]
+fn calls_whose_turn_comes_too_late_are_given_up_at_once() {
+    use PriorityClass::{Bulk, Critical};
+    const SERVICE_TIME: u64 = 100 * MILLISECOND;
+    let cases = [
+        TurnCase {
+            name: "in time",
+            waiting: &[(Critical, Some(60)), (Critical, Some(60)), (Critical, Some(60))],
+            late: &[],
+        },
+        TurnCase {
+            name: "the third is in a hurry",
+            waiting: &[
+                (Critical, Some(60)),
+                (Critical, Some(60)),
+                (Critical, Some(25)),
+                (Critical, Some(60)),
+            ],
+            late: &[2],
+        },
+        TurnCase {
+            name: "those given up hold nobody up",
+            waiting: &[(Critical, Some(5)), (Critical, Some(5)), (Critical, Some(15)), (Critical, Some(25))],
+            late: &[0, 1],
+        },
+        TurnCase {
+            name: "a request that has begun, with 5 ms left",
+            waiting: &[(Critical, Some(60)), (Critical, None), (Critical, Some(25))],
+            late: &[2],
+        },
+        TurnCase {
+            name: "behind a long line, but in time on their own share",
+            waiting: &[
+                (Critical, Some(200)),
+                (Critical, Some(200)),
+                (Critical, Some(200)),
+                (Critical, Some(200)),
+                (Critical, Some(200)),
+                (Critical, Some(200)),
+                (Bulk, Some(60)),
+                (Bulk, Some(60)),
+            ],
+            late: &[7],
+        },
+    ];
+    for case in cases {
+        let mut queue =
+            AdmissionQueue::new(AdmissionPolicy { slots: 10, queue_per_slot: 4, initial_slots: 10 });
+        // All slots have long been in use by bulk calls, so that the class is owed nothing.
+        for ticket in 100..110 {
+            queue.offer(request(ticket, Bulk, NOW), NOW);
+        }
+        let now = NOW.plus(10 * SECOND);
+        for (ticket, (class, left_ms)) in (0..).zip(case.waiting) {
+            let mut asked = request(ticket, *class, now);
+            asked.priority.bucket = ticket as u8;
+            match left_ms {
+                Some(left_ms) => asked.early_until = now.plus(SERVICE_TIME + left_ms * MILLISECOND),
+                None => asked.expiry = now.plus(SERVICE_TIME / 2 + 5 * MILLISECOND),
+            }
+            assert_eq!(queue.offer(asked, now), Admission::Wait { evicted: None }, "{}", case.name);
+        }
+        queue.finish(Ticket(100), NOW.plus(SERVICE_TIME), true);
+        let late: Vec<u64> = queue.give_up_late(now).into_iter().map(|ticket| ticket.0).collect();
+        assert_eq!(late, case.late, "{}", case.name);
+        assert_eq!(queue.waiting(), case.waiting.len() - late.len(), "{}", case.name);
+    }
+}
+
 #[test]
 fn a_new_instance_brings_its_own_slots_and_a_closed_queue_is_empty() {
     let mut queue = full_of(PriorityClass::Normal);
--- a/crates/seamhatchd/src/gate.rs
+++ b/crates/seamhatchd/src/gate.rs
@@ -43,6 +43,14 @@
 }
 
 impl State {
+    /// Tells a call that left the queue why.
+    fn refuse_waiting(&mut self, ticket: Ticket, reason: Reason) {
+        if let Some(waiter) = self.waiters.remove(&ticket) {
+            // The call may have gone away by itself.
+            let _ = waiter.send(Err(reason));
+        }
+    }
+
     /// Logs how many slots are worth using, where that has changed.
     fn log_slots(&mut self) {
         let slots = self.queue.worthwhile_slots();
@@ -182,10 +190,7 @@
     pub fn close(&self) {
         let mut state = self.lock();
         for ticket in state.queue.close() {
-            if let Some(waiter) = state.waiters.remove(&ticket) {
-                // The call may have gone away by itself.
-                let _ = waiter.send(Err(Reason::Draining));
-            }
+            state.refuse_waiting(ticket, Reason::Draining);
         }
     }
 
@@ -213,9 +218,13 @@
         state.queue.running() + state.queue.lost() + state.queue.waiting()
     }
 
-    /// Moves the admission floor; to be called every 100 ms.
+    /// Refuses the calls that wait for a turn that comes too late, and moves the admission floor; to be called
+    /// every 100 ms.
     pub fn tick(&self) {
         let mut state = self.lock();
+        for ticket in state.queue.give_up_late(clock::now()) {
+            state.refuse_waiting(ticket, Reason::DeadlineExceeded);
+        }
         state.queue.tick();
         state.log_slots();
         self.pump(&mut state);
@@ -240,9 +249,8 @@
             Admission::Run => Ok(None),
             Admission::Refuse(reason) => Err(reason),
             Admission::Wait { evicted } => {
-                if let Some(waiter) = evicted.and_then(|evicted| state.waiters.remove(&evicted)) {
-                    // The evicted call may have gone away by itself.
-                    let _ = waiter.send(Err(Reason::Evicted));
+                if let Some(evicted) = evicted {
+                    state.refuse_waiting(evicted, Reason::Evicted);
                 }
                 let (sender, receiver) = oneshot::channel();
                 state.waiters.insert(offered.ticket, sender);
--- a/crates/seamhatchd/tests/gate.rs
+++ b/crates/seamhatchd/tests/gate.rs
@@ -9,6 +9,7 @@
 use seamhatchd::gate::{AdmissionGate, GateRequest};
 use seamhatchd::metrics::Metrics;
 use std::sync::Arc;
+use std::time::Duration;
 
 fn gate() -> Arc<AdmissionGate> {
     let policy = AdmissionPolicy { slots: 1, queue_per_slot: 4, initial_slots: 1 };
@@ -53,3 +54,24 @@
     drop(permit);
     assert_eq!(gate.in_flight(), 0);
 }
+
+/// Held on, it would be refused all the same two seconds later.
+#[tokio::test]
+async fn a_call_whose_turn_has_become_too_late_is_refused_at_the_next_tick() {
+    let gate = gate();
+    let mut slow = gate.admit(request(60 * SECOND)).await.expect("free");
+    let admit = |lifetime| {
+        let gate = gate.clone();
+        tokio::spawn(async move { gate.admit(request(lifetime)).await })
+    };
+    let waiting = [60 * SECOND, 60 * SECOND, 60 * SECOND, 3 * SECOND].map(admit);
+    // Until now calls seemed to need next to nothing, and there was time for all four.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(gate.in_flight(), 5);
+    slow.mark_succeeded();
+    drop(slow);
+    gate.tick();
+    assert_eq!(gate.in_flight(), 3);
+    let [.., hasty] = waiting;
+    assert_eq!(hasty.await.expect("no panic").expect_err("given up"), Reason::DeadlineExceeded);
+}
