--- a/crates/seamhatch-core/src/admission/mod.rs
+++ b/crates/seamhatch-core/src/admission/mod.rs
@@ -4,6 +4,7 @@
 mod knee;
 mod limit;
 mod lost;
+mod service_times;
 mod shares;
 mod waiting;
 
@@ -17,6 +18,7 @@
 use crate::priority::{AdmissionFloor, Priority, PriorityClass};
 use floor::{FloorController, HIGH_FILL, Pressure};
 use lost::{LostCalls, OVERDUE_SERVICE_TIMES};
+use service_times::ServiceTimes;
 use std::collections::HashMap;
 use waiting::WaitingLines;
 
@@ -54,9 +56,8 @@
     pub root_admitted: Instant,
     /// When the call becomes useless, in the local clock.
     pub expiry: Instant,
-    /// When it is refused if it still waits, in the local clock: later, its answer is worth less
-    /// than an early refusal.
-    pub start_by: Instant,
+    /// Until when its answer is early, in the local clock: it waits only while that can come true.
+    pub early_until: Instant,
     /// Which calls' service times may be compared with its own.
     pub kind: CallKind,
 }
@@ -88,6 +89,7 @@
 #[derive(Debug, Clone, Copy)]
 struct RunningSlot {
     class: PriorityClass,
+    kind: CallKind,
     started: Instant,
     /// Set while it is part of a trial of the back end's concurrency.
     mark: Option<TrialMark>,
@@ -112,6 +114,7 @@
     waiting: WaitingLines,
     shares: ClassShares,
     floor: FloorController,
+    service_times: ServiceTimes,
 }
 
 impl AdmissionQueue {
@@ -128,6 +131,7 @@
             waiting: WaitingLines::default(),
             shares: ClassShares::default(),
             floor: FloorController::default(),
+            service_times: ServiceTimes::default(),
         }
     }
 
@@ -178,11 +182,14 @@
         self.estimated_wait(self.waiting.len() + 1).clamp(100 * MILLISECOND, 10 * SECOND)
     }
 
-    /// The latest instant at which a call may start: when the caller's patience ends, and at least
-    /// half of the typical service time before its expiry, since some calls are faster.
+    /// The latest instant at which a call may start: what its kind usually needs before its answer stops
+    /// being early, and at least half of the typical service time before its expiry, since some calls are
+    /// faster.
     #[must_use]
     pub fn latest_start(&self, request: &AdmissionRequest) -> Instant {
-        request.expiry.minus(self.limit.typical_service_time() / 2).min(request.start_by)
+        let typical = self.limit.typical_service_time();
+        let usual = self.service_times.usual(request.kind).unwrap_or(typical);
+        request.expiry.minus(typical / 2).min(request.early_until.minus(usual))
     }
 
     /// Takes over what an instance of the back end tells: its slots, and whether it is cold.
@@ -209,7 +216,8 @@
             self.start(&request, now);
             return Admission::Run;
         }
-        if now.plus(self.estimated_wait(self.ahead_of(&request))) >= self.latest_start(&request) {
+        let ahead = self.ahead_of(request.priority.class, self.waiting.ahead_in_class(&request));
+        if now.plus(self.estimated_wait(ahead)) >= self.latest_start(&request) {
             self.floor.count_refused(request.priority);
             return Admission::Refuse(Reason::DeadlineExceeded);
         }
@@ -231,6 +239,29 @@
         true
     }
 
+    /// Takes out the waiting calls whose turn comes too late at the pace at which the queue drains now: their
+    /// callers do better elsewhere than held until the last moment. Calls without an objective of their own stay:
+    /// they are part of requests that have begun, and all that was done for those would be lost by an estimate
+    /// that may err.
+    pub fn give_up_late(&mut self, now: Instant) -> Vec<Ticket> {
+        let mut late = Vec::new();
+        for class in PriorityClass::ALL {
+            let mut in_line = 0;
+            for request in self.waiting.line(class) {
+                let has_objective = request.early_until != Instant::NEVER;
+                if has_objective && self.comes_too_late(request, in_line, now) {
+                    late.push(request.ticket);
+                } else {
+                    in_line += 1;
+                }
+            }
+        }
+        for ticket in &late {
+            self.expire(*ticket);
+        }
+        late
+    }
+
     /// Takes out a waiting call that is not wanted any more; false when it doesn't wait.
     pub fn cancel(&mut self, ticket: Ticket) -> bool {
         self.waiting.remove(ticket).is_some()
@@ -250,6 +281,7 @@
         if succeeded {
             let service_time = now.since(slot.started);
             self.limit.observe(service_time);
+            self.service_times.observe(slot.kind, service_time);
             slot.mark.into_iter().for_each(|mark| self.knee.observe(mark, service_time));
         }
     }
@@ -333,7 +365,10 @@
     fn start(&mut self, request: &AdmissionRequest, now: Instant) {
         let class = request.priority.class;
         let mark = self.knee.begin(self.running() as u32 + 1, request.kind, now);
-        self.running.insert(request.ticket, RunningSlot { class, started: now, mark, lost: false });
+        self.running.insert(
+            request.ticket,
+            RunningSlot { class, kind: request.kind, started: now, mark, lost: false },
+        );
         self.shares.start(class, now);
     }
 
@@ -348,11 +383,19 @@
         owed.or_else(|| PriorityClass::ALL.into_iter().find(waits))
     }
 
-    /// Calls that go before `request`, as it looks now.
-    fn ahead_of(&self, request: &AdmissionRequest) -> usize {
+    /// Whether the turn of a waiting call, behind `in_line` others of its class, comes after its latest start:
+    /// neither in the order of importance nor on its class's own share of the slots does it come sooner.
+    fn comes_too_late(&self, request: &AdmissionRequest, in_line: usize, now: Instant) -> bool {
         let class = request.priority.class;
+        let in_turn = self.estimated_wait(self.ahead_of(class, in_line));
+        let on_share = self.estimated_wait(in_line) as f64 / share_of(class);
+        now.plus(in_turn.min(on_share as Microseconds)) >= self.latest_start(request)
+    }
+
+    /// Calls that go before one of `class` behind `in_line` others of it, as it looks now.
+    fn ahead_of(&self, class: PriorityClass, in_line: usize) -> usize {
         let before = if self.is_owed(class) { 0 } else { self.waiting.more_important(class) };
-        before + self.waiting.ahead_in_class(request)
+        before + in_line
     }
 
     fn estimated_wait(&self, ahead: usize) -> Microseconds {
--- a/crates/seamhatch-core/tests/simulation/mod.rs
+++ b/crates/seamhatch-core/tests/simulation/mod.rs
@@ -96,6 +96,7 @@
         run.take_calls(step, &admits);
         run.start_waiting();
         if step % TICK_STEPS == TICK_STEPS - 1 {
+            run.queue.give_up_late(run.now);
             run.queue.tick();
             run.floor = run.queue.floor();
         }
@@ -164,7 +165,7 @@
             priority,
             root_admitted: self.now,
             expiry: self.now.plus(stream.service_time * 2 + SPARE_TIME),
-            start_by: self.now.plus(stream.patience),
+            early_until: self.now.plus(stream.patience + stream.service_time),
             kind: CallKind(index as u32),
         };
         if self.queue.offer(offered, self.now) == Admission::Run {
--- a/crates/seamhatchd/src/dispatch/attempt.rs
+++ b/crates/seamhatchd/src/dispatch/attempt.rs
@@ -78,7 +78,7 @@
             repeat: self.repeat,
             repeatable: self.request.repeatable,
             expiry: connection.to_peer_clock(expiry),
-            patience: self.request.patience.saturating_sub(clock::now().since(self.started)),
+            early_for: self.request.early_for.saturating_sub(clock::now().since(self.started)),
             depth: self.parent.depth,
         };
         CallHead {
--- a/crates/seamhatchd/src/filters/mod.rs
+++ b/crates/seamhatchd/src/filters/mod.rs
@@ -13,7 +13,7 @@
 mod request;
 mod routing;
 
-pub use entry_floor::{EntryFloors, check_entry_floor};
+pub use entry_floor::{EntryFloors, RETURN_JITTER, check_entry_floor};
 pub use rejection::{Rejection, VerdictSource};
 pub use request::{Entry, RequestState};
 
@@ -92,7 +92,7 @@
         Box::new(context::ParentFromName),
         // After it is known whose call it is: what runs here must be able to finish.
         Box::new(readiness::BeforeTheEnd),
-        // Sets class, attempts, deadline and patience; a parent found before takes precedence.
+        // Sets class, attempts, deadline and objective; a parent found before takes precedence.
         Box::new(classification::RouteDecision),
         // Last, as it needs the class and the route: refuse what a service below would refuse.
         Box::new(entry_floor::EntryFloorCheck),
--- a/crates/seamhatchd/src/filters/request.rs
+++ b/crates/seamhatchd/src/filters/request.rs
@@ -59,10 +59,10 @@
     pub parent: Option<Arc<RunningCall>>,
     /// Whether it may run more than once.
     pub repeatable: bool,
-    /// How long it may wait for a slot before a refusal is worth more than its answer.
-    pub patience: Microseconds,
-    /// When it should come back at the latest after a refusal, so that its answer can still be early.
-    pub return_within: Microseconds,
+    /// How long its answer would still be early, from its dispatch on.
+    pub early_for: Microseconds,
+    /// Time from its arrival in which its answer is early.
+    pub objective: Microseconds,
     /// What its claim is about, for one that may not be repeated.
     pub claim_text: Option<String>,
 }
@@ -88,8 +88,8 @@
             root: RootId(rand::random()),
             parent: None,
             repeatable: false,
-            patience: Microseconds::MAX,
-            return_within: Microseconds::MAX,
+            early_for: Microseconds::MAX,
+            objective: Microseconds::MAX,
             claim_text: None,
         }
     }
--- a/crates/seamhatchd/src/peer/server_call.rs
+++ b/crates/seamhatchd/src/peer/server_call.rs
@@ -105,7 +105,7 @@
             priority: running.priority,
             root_admitted: running.root_admitted,
             expiry: running.expiry,
-            start_by: clock::now().plus(self.head.context.patience),
+            early_until: clock::now().plus(self.head.context.early_for),
             kind: call_kind(running),
         };
         let permit = tokio::select! {
