--- a/crates/seamhatchd/src/backend/client.rs
+++ b/crates/seamhatchd/src/backend/client.rs
@@ -22,11 +22,12 @@
     B: Body + Send + 'static,
     B::Data: Send,
 {
-    client(connector())
+    client(connector(), usize::MAX)
 }
 
 /// A client whose connections are closed when they fall silent. What it sends must be short: bytes that
-/// the other side is slow to read count as silence.
+/// the other side is slow to read count as silence. It keeps no idle connection, as a call on one that has
+/// fallen silent would wait for that to be found out; its calls are few.
 #[must_use]
 pub fn probing_http_client<B>() -> HttpClient<B>
 where
@@ -38,7 +39,7 @@
     connector.set_keepalive_interval(Some(KEEPALIVE_INTERVAL));
     connector.set_keepalive_retries(Some(KEEPALIVE_PROBES));
     connector.set_tcp_user_timeout(Some(SILENCE_TIMEOUT));
-    client(connector)
+    client(connector, 0)
 }
 
 fn connector() -> HttpConnector {
@@ -48,7 +49,7 @@
     connector
 }
 
-fn client<B>(connector: HttpConnector) -> HttpClient<B>
+fn client<B>(connector: HttpConnector, most_idle: usize) -> HttpClient<B>
 where
     B: Body + Send + 'static,
     B::Data: Send,
@@ -56,5 +57,6 @@
     Client::builder(TokioExecutor::new())
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(IDLE_TIMEOUT)
+        .pool_max_idle_per_host(most_idle)
         .build(connector)
 }
--- a/crates/seamhatchd/src/controllers/control_thread/configuration.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/configuration.rs
@@ -1,6 +1,7 @@
 //! Bringing configurations into force: submissions, registration, spreading, starting.
 
 use super::{ControlThread, FANOUT};
+use crate::clock;
 use crate::controllers::ask::{ask_daemon, ask_generation};
 use crate::controllers::events::{ControlEvent, SubmitRequest};
 use crate::controllers::submission::{Submission, SubmitError};
@@ -18,9 +19,12 @@
         if offer == Offer::Adopt {
             let generation = self.configuration.generation();
             self.membership.state.set_generation(generation);
-            self.control.set_generation(generation);
             self.apply_service_settings();
             self.publish();
+            // After the snapshot, and only what can be decided by: until then this daemon is behind.
+            self.control.note_told(generation, clock::now());
+            let in_force = self.configuration.in_force().map(|(generation, _)| generation);
+            self.control.set_generation(in_force.unwrap_or_default());
             if self.followed().is_none() {
                 // Daemons that follow a store hear of it there.
                 self.pass_on_configuration();
@@ -70,7 +74,8 @@
     }
 
     pub(super) fn note_versions(&mut self, message: &GossipMessage) {
-        if self.control.note_told(message.generation) {
+        self.control.note_told(message.generation, clock::now());
+        if message.generation > self.configuration.generation() {
             let peer = self.membership.state.member(message.from).map(|record| record.info.peer);
             match self.backing {
                 Backing::Witnessed(_) => self.pull_if_behind(peer, message.generation),
--- a/crates/seamhatchd/src/controllers/handle.rs
+++ b/crates/seamhatchd/src/controllers/handle.rs
@@ -1,8 +1,11 @@
 //! How other threads reach the control thread.
 
+use crate::clock;
 use crate::controllers::events::{ControlEvent, DrainTarget, InstanceAnswer, SubmitRequest};
 use crate::controllers::status::StatusReport;
 use crate::controllers::submission::SubmitError;
+use seamhatch_core::Instant;
+use seamhatch_core::clock::{Microseconds, SECOND};
 use seamhatch_core::generation::Generation;
 use seamhatch_core::identity::Address;
 use seamhatch_core::instance::{Heartbeat, InstanceId};
@@ -18,6 +21,9 @@
 /// Longest wait for the control thread when a drain begins or the process ends.
 const STOP_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// A generation that nobody has is not waited for longer. Whoever tells one has it, and gives it within a second.
+const LONGEST_BEHIND: Microseconds = 10 * SECOND;
+
 /// Sends events to the control thread; cheap to clone.
 #[derive(Debug, Clone)]
 pub struct ControlHandle {
@@ -25,6 +31,8 @@
     generation_in_force: Arc<AtomicU64>,
     /// The newest that any daemon has told.
     generation_told: Arc<AtomicU64>,
+    /// When it was first told, in microseconds of the boot clock.
+    told_at: Arc<AtomicU64>,
 }
 
 impl ControlHandle {
@@ -32,8 +40,8 @@
     #[must_use]
     pub fn new() -> (Self, mpsc::UnboundedReceiver<ControlEvent>) {
         let (events, receiver) = mpsc::unbounded_channel();
-        let (generation_in_force, generation_told) = Default::default();
-        (Self { events, generation_in_force, generation_told }, receiver)
+        let (generation_in_force, generation_told, told_at) = Default::default();
+        (Self { events, generation_in_force, generation_told, told_at }, receiver)
     }
 
     /// Puts an event in; lost when the control thread has ended, as at a stop.
@@ -130,24 +138,26 @@
     }
 
     fn note_generation(&self, peer: Option<Address>, generation: Generation) {
-        if self.note_told(generation) {
+        if self.note_told(generation, clock::now()) {
             self.send(ControlEvent::SawGeneration { peer, generation });
         }
     }
 
     /// Notes a generation that a daemon told. True when it is newer than the one in force.
-    pub fn note_told(&self, generation: Generation) -> bool {
+    pub fn note_told(&self, generation: Generation, now: Instant) -> bool {
         let newer = generation.0 > self.generation_in_force.load(Ordering::Relaxed);
-        if newer {
-            self.generation_told.fetch_max(generation.0, Ordering::Relaxed);
+        if newer && self.generation_told.fetch_max(generation.0, Ordering::Relaxed) < generation.0 {
+            self.told_at.store(now.0, Ordering::Relaxed);
         }
         newer
     }
 
-    /// Whether a daemon has told a newer generation than the one in force.
+    /// Whether a daemon has lately told a newer generation than the one in force.
     #[must_use]
-    pub fn is_behind(&self) -> bool {
-        self.generation_told.load(Ordering::Relaxed) > self.generation_in_force.load(Ordering::Relaxed)
+    pub fn is_behind(&self, now: Instant) -> bool {
+        let told = self.generation_told.load(Ordering::Relaxed);
+        let told_at = Instant(self.told_at.load(Ordering::Relaxed));
+        told > self.generation_in_force.load(Ordering::Relaxed) && now.since(told_at) < LONGEST_BEHIND
     }
 
     /// Sets the generation in force; only higher ones are passed on from here on.
--- a/crates/seamhatchd/src/filters/mod.rs
+++ b/crates/seamhatchd/src/filters/mod.rs
@@ -17,6 +17,7 @@
 pub use rejection::{Rejection, VerdictSource};
 pub use request::{Entry, RequestState};
 
+use crate::clock;
 use crate::shared::Shared;
 use seamhatch_core::outcome::Reason;
 use std::sync::atomic::Ordering;
@@ -105,8 +106,9 @@
 /// The first filter's [`Rejection`]. A daemon that does not know yet whether it has the newest configuration,
 /// or knows that it has not, turns down nothing for good by the one that it has.
 pub fn run_chain(chain: &FilterChain, shared: &Shared, request: &mut RequestState) -> Result<(), Rejection> {
+    // Before the chain takes hold of a configuration: a newer one may come into force meanwhile.
+    let newest = shared.ready.load(Ordering::Acquire) && !shared.control.is_behind(clock::now());
     let rejected = chain.iter().try_for_each(|filter| filter.apply(shared, request));
-    let newest = shared.ready.load(Ordering::Acquire) && !shared.control.is_behind();
     rejected.map_err(|rejection| {
         if newest || !rejection.rests_on_configuration() {
             return rejection;
--- a/crates/seamhatchd/src/filters/rejection.rs
+++ b/crates/seamhatchd/src/filters/rejection.rs
@@ -106,6 +106,8 @@
     fn failure_status(&self) -> StatusCode {
         match (self.reason, self.outcome) {
             (Reason::DeadlineExceeded, Outcome::Unknown) => StatusCode::GATEWAY_TIMEOUT,
+            // An earlier attempt may have run, whatever the last peer says of itself.
+            (_, Outcome::Unknown) if self.source == VerdictSource::Peer => StatusCode::BAD_GATEWAY,
             (Reason::Draining | Reason::NotReady | Reason::NoClaimMajority, _) => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
--- a/crates/seamhatchd/src/shared.rs
+++ b/crates/seamhatchd/src/shared.rs
@@ -62,6 +62,8 @@
     pub published: ArcSwap<Snapshot>,
     /// It is leaving.
     pub draining: AtomicBool,
+    /// It is about to end: its server gets nothing more.
+    pub closing: AtomicBool,
     /// Since when, in microseconds of the boot clock.
     pub draining_since: AtomicU64,
     /// Woken when the server begins or ceases to take work.
@@ -94,9 +96,19 @@
 
     /// Takes new work only where nobody else can from now on, and tells every connected daemon at once.
     pub fn start_draining(&self) {
-        if !self.draining.swap(true, Ordering::AcqRel) {
-            self.draining_since.store(clock::now().0, Ordering::Release);
-        }
+        self.note_stop(clock::now());
+        self.draining.store(true, Ordering::Release);
+        self.tell_peers();
+    }
+
+    /// Notes when the daemon was first asked to stop: the time that is left counts from then.
+    pub fn note_stop(&self, now: Instant) {
+        let _ = self.draining_since.compare_exchange(0, now.0, Ordering::AcqRel, Ordering::Acquire);
+    }
+
+    /// Gives the server nothing more, so that what is in progress when the process ends is known before.
+    pub fn start_closing(&self) {
+        self.closing.store(true, Ordering::Release);
         self.tell_peers();
     }
 
@@ -120,7 +132,8 @@
     /// daemon.
     #[must_use]
     pub fn intake(&self) -> CallIntake {
-        if !self.ready.load(Ordering::Acquire) || !self.instances.is_open() {
+        let closed = !self.ready.load(Ordering::Acquire) || self.closing.load(Ordering::Acquire);
+        if closed || !self.instances.is_open() {
             return CallIntake::Closed;
         }
         if !self.is_draining() {
@@ -132,9 +145,12 @@
         }
     }
 
-    /// Whether a call that is taken now, while the daemon stops, can end before the process does.
+    /// Whether a call that starts now can end before the process does.
     #[must_use]
     pub fn can_finish(&self, expiry: Instant) -> bool {
+        if !self.is_draining() {
+            return true;
+        }
         let ends = self.time_left().map(|left| clock::now().plus(left));
         ends.is_some_and(|ends| expiry <= ends) || !self.is_too_late_for_callers()
     }
--- a/crates/seamhatchd/src/startup.rs
+++ b/crates/seamhatchd/src/startup.rs
@@ -162,6 +162,7 @@
         control,
         published: ArcSwap::from_pointee(Snapshot::default()),
         draining: AtomicBool::new(false),
+        closing: AtomicBool::new(false),
         draining_since: AtomicU64::new(0),
         work_changed: tokio::sync::Notify::new(),
         ready: AtomicBool::new(false),
@@ -206,6 +207,7 @@
     }
     info!("stop requested");
     let started = clock::now();
+    shared.note_stop(started);
     if !shared.control.drain(DrainTarget::Own).await {
         warn!("the control thread is held up: the drain begins without it");
         shared.start_draining();
@@ -221,12 +223,13 @@
 }
 
 /// Waits until the work in progress is done, or the stop that `started` then has taken too long: first with callers still told to
-/// go elsewhere, then with their new connections refused, so that none is
-/// accepted at the very end and cut off.
+/// go elsewhere, then with their new connections and other daemons' calls refused, so that none
+/// is accepted at the very end and cut off.
 async fn drained(shared: &Shared, listeners: &mut Listeners, started: Instant) {
     let longest = shared.settings.grace.map_or(LONGEST_DRAIN, |grace| grace.saturating_sub(END_MARGIN));
     until_quiet(shared, started, SHORTEST_DRAIN, longest).await;
     listeners.refuse_callers();
+    shared.start_closing();
     until_quiet(shared, started, Duration::ZERO, longest).await;
     if shared.in_flight() > 0 {
         warn!(in_flight = shared.in_flight(); "work is still in progress after the longest drain");
--- a/crates/seamhatchd/tests/rejections.rs
+++ b/crates/seamhatchd/tests/rejections.rs
@@ -21,6 +21,11 @@
     StatusCase { reason, entry: (not_run, unknown), peer: (not_run, unknown) }
 }
 
+/// The entry says 503 of itself; what an earlier attempt did is not known where a peer says so.
+const fn promises_of_the_entry(reason: Reason) -> StatusCase {
+    StatusCase { reason, entry: (503, 503), peer: (503, 502) }
+}
+
 const CASES: [StatusCase; 25] = [
     blames_caller(Reason::BadRequest, 400),
     blames_caller(Reason::BadContext, 403),
@@ -29,9 +34,9 @@
     blames_caller(Reason::KeyMismatch, 409),
     blames_caller(Reason::BodyTooLarge, 413),
     blames_caller(Reason::HeadTooLarge, 431),
-    blames_nobody(Reason::NotReady, 503, 503),
-    blames_nobody(Reason::Draining, 503, 503),
-    blames_nobody(Reason::NoClaimMajority, 503, 503),
+    promises_of_the_entry(Reason::NotReady),
+    promises_of_the_entry(Reason::Draining),
+    promises_of_the_entry(Reason::NoClaimMajority),
     blames_nobody(Reason::DeadlineExceeded, 503, 504),
     blames_nobody(Reason::AdmissionFloor, 503, 502),
     blames_nobody(Reason::QueueFull, 503, 502),
