Soak: clients that keep their connections until the process is gone

Cause: all of a soak's requests went over one pooled client to a drawn daemon each, so that no connection was bound to a daemon that stops, as those of real callers are. Change: a plan has `clients`, each with one connection of its own (`CallerConnection`), used until it is closed or an answer says `Connection: close`; only then does the client connect to another daemon. Three a daemon in drawn plans, 3 requests a second each, besides the 60 a second to any daemon. Ruled out: a pool limited to one connection a daemon, which would still reconnect to the same daemon. Test: kept_connection.rs (four endings of a connection, a port where nobody listens).

--- a/crates/seamhatch-lab/src/client.rs
+++ b/crates/seamhatch-lab/src/client.rs
@@ -3,15 +3,16 @@
 use crate::backends::REQUEST_HEADER;
 use crate::bodies;
 use bytes::Bytes;
-use http::{HeaderMap, Request};
+use http::{HeaderMap, Request, Response};
 use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use seamhatch_core::identity::Address;
 use seamhatchd::backend::{HttpClient, http_client};
 use seamhatchd::headers;
 use std::time::Duration;
 
 /// Longest wait for an answer.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(15);
+pub(crate) const ANSWER_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// What a caller sends.
 #[derive(Debug, Clone)]
@@ -48,7 +49,7 @@
         self.status == 200 && self.whole
     }
 
-    fn failed(reason: &str) -> Self {
+    pub(crate) fn failed(reason: &str) -> Self {
         Self { status: 0, outcome: String::new(), reason: reason.to_owned(), retry_after: None, whole: false }
     }
 }
@@ -74,37 +75,44 @@
     }
 
     async fn exchange(&self, ingress: Address, request: &CallerRequest) -> CallerAnswer {
-        let mut message = Request::builder()
-            .method(request.method)
-            .uri(format!("http://{ingress}{}", request.path))
-            .header(REQUEST_HEADER, &request.request);
-        if let Some(key) = &request.key {
-            message = message.header(headers::IDEMPOTENCY_KEY, key);
-        }
-        let Ok(message) = message.body(Full::new(Bytes::new())) else {
+        let Some(message) = request_message(&format!("http://{ingress}{}", request.path), request) else {
             return CallerAnswer::failed("bad-request");
         };
-        let response = match self.client.request(message).await {
-            Ok(response) => response,
-            Err(error) if error.is_connect() => return CallerAnswer::failed("connection-refused"),
-            Err(_) => return CallerAnswer::failed("connection-lost"),
-        };
-        let (parts, body) = response.into_parts();
-        let text = |name: &str| field(&parts.headers, name);
-        let whole = match body.collect().await {
-            Ok(body) => bodies::is_whole(&body.to_bytes(), &request.request),
-            Err(_) => return CallerAnswer::failed("answer-broken-off"),
-        };
-        CallerAnswer {
-            status: parts.status.as_u16(),
-            outcome: text(headers::OUTCOME),
-            reason: text(headers::REASON),
-            retry_after: text("retry-after").parse().ok(),
-            whole,
+        match self.client.request(message).await {
+            Ok(response) => read_answer(response, request).await,
+            Err(error) if error.is_connect() => CallerAnswer::failed("connection-refused"),
+            Err(_) => CallerAnswer::failed("connection-lost"),
         }
     }
 }
 
+/// The request as HTTP, to this target; none when it can't be written so.
+pub(crate) fn request_message(target: &str, request: &CallerRequest) -> Option<Request<Full<Bytes>>> {
+    let mut message =
+        Request::builder().method(request.method).uri(target).header(REQUEST_HEADER, &request.request);
+    if let Some(key) = &request.key {
+        message = message.header(headers::IDEMPOTENCY_KEY, key);
+    }
+    message.body(Full::new(Bytes::new())).ok()
+}
+
+/// Reads an answer to its end and judges it.
+pub(crate) async fn read_answer(response: Response<Incoming>, request: &CallerRequest) -> CallerAnswer {
+    let (parts, body) = response.into_parts();
+    let text = |name: &str| field(&parts.headers, name);
+    let whole = match body.collect().await {
+        Ok(body) => bodies::is_whole(&body.to_bytes(), &request.request),
+        Err(_) => return CallerAnswer::failed("answer-broken-off"),
+    };
+    CallerAnswer {
+        status: parts.status.as_u16(),
+        outcome: text(headers::OUTCOME),
+        reason: text(headers::REASON),
+        retry_after: text("retry-after").parse().ok(),
+        whole,
+    }
+}
+
 fn field(headers: &HeaderMap, name: &str) -> String {
     headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default().to_owned()
 }
--- a/crates/seamhatch-lab/src/lib.rs
+++ b/crates/seamhatch-lab/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod bodies;
 pub mod bound;
 pub mod client;
+pub mod connection;
 pub mod demo;
 pub mod deployment;
 pub mod experiment;
--- a/crates/seamhatch-lab/src/process.rs
+++ b/crates/seamhatch-lab/src/process.rs
@@ -117,10 +117,8 @@
     /// # Errors
     /// The program or its files can't be used.
     pub fn start(machine: Machine, options: &DaemonOptions) -> std::io::Result<Self> {
-        let name = machine.ip.to_string();
-        let settings = options.directory.join(format!("{name}.toml"));
-        std::fs::write(&settings, settings_text(&machine, options))?;
-        let log = log_file(&options.directory, &name)?;
+        let settings = write_settings(&machine, options)?;
+        let log = log_file(&options.directory, &machine.ip.to_string())?;
         let child = Command::new(&options.program)
             .arg("daemon")
             .arg("--config")
@@ -161,6 +159,12 @@
         Ok(rustix::process::kill_process(id, signal)?)
     }
 
+    /// Whether it has ended.
+    pub fn has_ended(&mut self) -> bool {
+        // Without an answer nothing is known of the process, so that it can't be signalled either.
+        !matches!(self.child.try_wait(), Ok(None))
+    }
+
     /// Kills it at once.
     pub fn kill(&mut self) {
         // It may have ended by itself.
@@ -187,6 +191,18 @@
     }
 }
 
+/// Writes a daemon's settings in one step, as a daemon may read them at any time, and tells the file.
+///
+/// # Errors
+/// The directory can't be written to.
+pub fn write_settings(machine: &Machine, options: &DaemonOptions) -> std::io::Result<PathBuf> {
+    let file = options.directory.join(format!("{}.toml", machine.ip));
+    let draft = options.directory.join(format!("{}.draft", machine.ip));
+    std::fs::write(&draft, settings_text(machine, options))?;
+    std::fs::rename(&draft, &file)?;
+    Ok(file)
+}
+
 fn log_file(directory: &Path, name: &str) -> std::io::Result<File> {
     File::options().create(true).append(true).open(directory.join(format!("{name}.log")))
 }
--- a/crates/seamhatch-lab/src/soak/history.rs
+++ b/crates/seamhatch-lab/src/soak/history.rs
@@ -22,6 +22,9 @@
         request: RequestName,
         /// The daemon that it is sent to.
         daemon: DaemonIndex,
+        /// The service that it goes to; empty where that isn't known.
+        #[serde(default)]
+        service: String,
         /// It carries an idempotency key: it may run once at most.
         keyed: bool,
     },
--- /dev/null
+++ b/crates/seamhatch-lab/src/soak/load.rs
@@ -0,0 +1,179 @@
+//! The load of a soak: requests at drawn times to drawn daemons, and clients that keep one connection each.
+
+use super::history::{HistoryEvent, SeenAnswer};
+use super::plan::{DaemonIndex, SoakPlan};
+use super::recorder::Recorder;
+use crate::client::{Caller, CallerAnswer, CallerRequest};
+use crate::connection::CallerConnection;
+use crate::topology::{RequestKind, Topology};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use seamhatch_core::identity::Address;
+use std::time::{Duration, Instant};
+use tokio::task::JoinSet;
+
+/// Load that could not be sent in time, as this machine was too busy, is left out beyond this.
+const MOST_BACKLOG: Duration = Duration::from_secs(1);
+/// Requests a second of a client that keeps its connection, while it is answered at once.
+const CLIENT_RATE: f64 = 3.0;
+/// Pause of a client whose new connection was refused.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Sends the load of a plan and waits for all answers.
+pub async fn send_load(plan: SoakPlan, topology: Topology, ingresses: Vec<Address>, recorder: Recorder) {
+    let end = recorder.start() + Duration::from_secs(plan.seconds);
+    let mut clients = JoinSet::new();
+    for number in 0..plan.clients {
+        let client = KeepingClient {
+            number,
+            rng: SmallRng::seed_from_u64(plan.seed.wrapping_add(number as u64 + 1)),
+            topology: topology.clone(),
+            ingresses: ingresses.clone(),
+            recorder: recorder.clone(),
+        };
+        clients.spawn(client.run(end));
+    }
+    send_anywhere(&plan, &topology, &ingresses, &recorder).await;
+    clients.join_all().await;
+}
+
+/// Requests at drawn times, each to a drawn daemon, over any connection.
+async fn send_anywhere(plan: &SoakPlan, topology: &Topology, ingresses: &[Address], recorder: &Recorder) {
+    let mut rng = SmallRng::seed_from_u64(plan.seed);
+    let caller = Caller::default();
+    let mut tasks = JoinSet::new();
+    let end = recorder.start() + Duration::from_secs(plan.seconds);
+    let mut at = recorder.start();
+    let mut number = 0_u64;
+    while at < end {
+        tokio::time::sleep_until(at.into()).await;
+        at = at.max(Instant::now().checked_sub(MOST_BACKLOG).unwrap_or(at));
+        let daemon = rng.random_range(0..ingresses.len());
+        let request =
+            SoakRequest::new(topology, draw_kind(&topology.kinds, &mut rng), format!("soak-{number}"));
+        tasks.spawn(send(caller.clone(), ingresses[daemon], daemon, request, recorder.clone()));
+        number += 1;
+        at += exponential(&mut rng, plan.rate);
+        while tasks.try_join_next().is_some() {}
+    }
+    tasks.join_all().await;
+}
+
+/// A request and the service that it goes to.
+pub struct SoakRequest {
+    request: CallerRequest,
+    service: String,
+}
+
+impl SoakRequest {
+    /// A request of this kind and name.
+    #[must_use]
+    pub fn new(topology: &Topology, kind: &RequestKind, name: String) -> Self {
+        let request = CallerRequest {
+            method: kind.method,
+            path: format!("{}/{name}", kind.path),
+            key: kind.keyed.then(|| name.clone()),
+            request: name,
+        };
+        Self { request, service: topology.entry_service(kind).unwrap_or_default().to_owned() }
+    }
+
+    fn note_sent(&self, daemon: DaemonIndex, recorder: &Recorder) {
+        recorder.note(HistoryEvent::Sent {
+            at_ms: recorder.at_ms(),
+            request: self.request.request.clone(),
+            daemon,
+            service: self.service.clone(),
+            keyed: self.request.key.is_some(),
+        });
+    }
+
+    fn note_answered(self, answer: &CallerAnswer, recorder: &Recorder) {
+        let answer = SeenAnswer::from(answer);
+        recorder.note(HistoryEvent::Answered {
+            at_ms: recorder.at_ms(),
+            request: self.request.request,
+            answer,
+        });
+    }
+}
+
+/// Sends a request over any connection and records what becomes of it.
+pub async fn send(
+    caller: Caller,
+    ingress: Address,
+    daemon: DaemonIndex,
+    request: SoakRequest,
+    recorder: Recorder,
+) {
+    request.note_sent(daemon, &recorder);
+    let answer = caller.send(ingress, &request.request).await;
+    request.note_answered(&answer, &recorder);
+}
+
+/// A client that goes on using its connection until the daemon closes it.
+struct KeepingClient {
+    number: usize,
+    rng: SmallRng,
+    topology: Topology,
+    ingresses: Vec<Address>,
+    recorder: Recorder,
+}
+
+impl KeepingClient {
+    async fn run(mut self, end: Instant) {
+        let mut kept = None;
+        let mut sent = 0_u64;
+        while Instant::now() < end {
+            tokio::time::sleep(exponential(&mut self.rng, CLIENT_RATE)).await;
+            let Some((daemon, mut connection)) = self.usable(kept.take(), end).await else { return };
+            let kind = draw_kind(&self.topology.kinds, &mut self.rng);
+            let request = SoakRequest::new(&self.topology, kind, format!("kept-{}-{sent}", self.number));
+            sent += 1;
+            request.note_sent(daemon, &self.recorder);
+            let answer = connection.send(&request.request).await;
+            request.note_answered(&answer, &self.recorder);
+            kept = Some((daemon, connection));
+        }
+    }
+
+    /// The connection kept so far, or a new one where that is closed; none when the load ends before.
+    async fn usable(
+        &mut self,
+        kept: Option<(DaemonIndex, CallerConnection)>,
+        end: Instant,
+    ) -> Option<(DaemonIndex, CallerConnection)> {
+        if let Some((daemon, mut connection)) = kept
+            && connection.is_usable().await
+        {
+            return Some((daemon, connection));
+        }
+        while Instant::now() < end {
+            let daemon = self.rng.random_range(0..self.ingresses.len());
+            if let Some(mut connection) = CallerConnection::open(self.ingresses[daemon]).await
+                && connection.is_usable().await
+            {
+                return Some((daemon, connection));
+            }
+            tokio::time::sleep(RECONNECT_PAUSE).await;
+        }
+        None
+    }
+}
+
+fn exponential(rng: &mut SmallRng, per_second: f64) -> Duration {
+    let uniform: f64 = rng.random::<f64>().max(f64::MIN_POSITIVE);
+    Duration::from_secs_f64(-uniform.ln() / per_second)
+}
+
+fn draw_kind<'a>(kinds: &'a [RequestKind], rng: &mut SmallRng) -> &'a RequestKind {
+    let total: f64 = kinds.iter().map(|kind| kind.share).sum();
+    let mut drawn = rng.random::<f64>() * total;
+    for kind in kinds {
+        drawn -= kind.share;
+        if drawn < 0.0 {
+            return kind;
+        }
+    }
+    &kinds[kinds.len() - 1]
+}
--- a/crates/seamhatch-lab/src/soak/mod.rs
+++ b/crates/seamhatch-lab/src/soak/mod.rs
@@ -4,7 +4,9 @@
 pub mod checks;
 pub mod faults;
 pub mod history;
+pub mod load;
 pub mod plan;
+pub mod recorder;
 pub mod run;
 
 use checks::{Violation, check};
--- a/crates/seamhatch-lab/src/soak/plan.rs
+++ b/crates/seamhatch-lab/src/soak/plan.rs
@@ -11,6 +11,8 @@
 
 /// Requests a second that a drawn plan sends.
 const RATE: f64 = 60.0;
+/// Clients that keep their connections in a drawn plan, for each daemon.
+const CLIENTS_PER_DAEMON: usize = 3;
 /// Time without faults at both ends of a plan.
 const QUIET: Duration = Duration::from_secs(4);
 /// Time between the beginnings of two drawn faults.
@@ -30,8 +32,11 @@
     pub seed: u64,
     /// How long load is sent.
     pub seconds: u64,
-    /// Requests a second.
+    /// Requests a second that are sent to any daemon, over any connection.
     pub rate: f64,
+    /// Clients besides that keep one connection each, until it is closed or the daemon says that it closes it.
+    #[serde(default)]
+    pub clients: usize,
     /// In the order of their beginnings.
     #[serde(default)]
     pub faults: Vec<PlannedFault>,
@@ -206,7 +211,7 @@
             };
             let length = Duration::from_millis(rng.random_range(LENGTH_MS));
             if at + length > end {
-                return Self { seed, seconds, rate: RATE, faults };
+                return Self { seed, seconds, rate: RATE, clients: CLIENTS_PER_DAEMON * daemons, faults };
             }
             faults.push(PlannedFault { at_ms: millis(at), for_ms: millis(length), fault });
             at += if planned { length + APART } else { Duration::from_millis(rng.random_range(GAP_MS)) };
--- a/crates/seamhatch-lab/src/soak/run.rs
+++ b/crates/seamhatch-lab/src/soak/run.rs
@@ -2,19 +2,18 @@
 
 use super::checks::PROBE_PREFIX;
 use super::faults::{self, DaemonLives};
-use super::history::{HistoryEvent, SeenAnswer, SoakMillis};
+use super::history::{HistoryEvent, SoakMillis};
+use super::load::{self, SoakRequest};
 use super::plan::{DaemonIndex, PlannedFault, SoakFault, SoakPlan};
+use super::recorder::Recorder;
 use crate::backends::CallMode;
-use crate::client::{Caller, CallerRequest};
+use crate::client::Caller;
 use crate::deployment::{Deployment, DeploymentOptions, status_of};
-use crate::topology::{RequestKind, Topology};
-use rand::rngs::SmallRng;
-use rand::{RngExt, SeedableRng};
+use crate::topology::Topology;
 use seamhatch_core::identity::Address;
 use std::path::PathBuf;
-use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
-use tokio::task::{JoinHandle, JoinSet};
+use std::time::Duration;
+use tokio::task::JoinHandle;
 
 /// Servers of each service in a soak.
 const SERVERS: u8 = 2;
@@ -29,8 +28,6 @@
 const SETTLING: Duration = Duration::from_millis(500);
 /// A step of a plan that comes later than this tells of a machine that is too busy, in milliseconds.
 const MOST_LATE_MS: SoakMillis = 1_000;
-/// Load that could not be sent in time, as this machine was too busy, is left out beyond this.
-const MOST_BACKLOG: Duration = Duration::from_secs(1);
 /// Pause between two looks at what is waited for.
 const POLL: Duration = Duration::from_millis(20);
 
@@ -54,31 +51,6 @@
     pub logs: Vec<String>,
 }
 
-/// What the tasks of a run share.
-#[derive(Clone)]
-struct Recorder {
-    start: Instant,
-    events: Arc<Mutex<Vec<HistoryEvent>>>,
-}
-
-impl Recorder {
-    fn new() -> Self {
-        Self { start: Instant::now(), events: Arc::default() }
-    }
-
-    fn at_ms(&self) -> SoakMillis {
-        self.start.elapsed().as_millis() as SoakMillis
-    }
-
-    fn note(&self, event: HistoryEvent) {
-        self.events.lock().expect("history lock").push(event);
-    }
-
-    fn take(&self) -> Vec<HistoryEvent> {
-        std::mem::take(&mut self.events.lock().expect("history lock"))
-    }
-}
-
 /// Runs a plan with this program as the daemon's.
 ///
 /// # Errors
@@ -88,8 +60,10 @@
         DeploymentOptions { program, log_level: "info".into(), proxied: true, mode: CallMode::ThroughDaemon };
     let mut deployment = Deployment::start_ready(topology(), &options).await?;
     let lives = DaemonLives::new(deployment.daemons.len());
-    let recorder = Recorder::new();
-    let load = tokio::spawn(send_load(plan.clone(), deployment.ingresses(), recorder.clone()));
+    let recorder = Recorder::begin();
+    let load =
+        load::send_load(plan.clone(), deployment.topology.clone(), deployment.ingresses(), recorder.clone());
+    let load = tokio::spawn(load);
     let watch = tokio::spawn(watch_daemons(admins(&deployment), lives.clone(), recorder.clone()));
     bring_about(&mut deployment, &lives, &plan.faults, &recorder).await.map_err(|error| error.to_string())?;
     load.await.map_err(|error| error.to_string())?;
@@ -133,7 +107,7 @@
     steps.sort_by_key(|(at_ms, _)| *at_ms);
     let mut submissions = Vec::new();
     for (at_ms, step) in steps {
-        tokio::time::sleep_until((recorder.start + Duration::from_millis(at_ms)).into()).await;
+        tokio::time::sleep_until((recorder.start() + Duration::from_millis(at_ms)).into()).await;
         let late_ms = recorder.at_ms().saturating_sub(at_ms);
         if late_ms > MOST_LATE_MS {
             println!("this machine is too busy for the plan: the step of {at_ms} ms came {late_ms} ms late");
@@ -177,64 +151,6 @@
     answer.get("generation")?.as_u64()
 }
 
-async fn send_load(plan: SoakPlan, ingresses: Vec<Address>, recorder: Recorder) {
-    let kinds = topology().kinds;
-    let mut rng = SmallRng::seed_from_u64(plan.seed);
-    let caller = Caller::default();
-    let mut tasks = JoinSet::new();
-    let end = recorder.start + Duration::from_secs(plan.seconds);
-    let mut at = recorder.start;
-    let mut number = 0_u64;
-    while at < end {
-        tokio::time::sleep_until(at.into()).await;
-        at = at.max(Instant::now().checked_sub(MOST_BACKLOG).unwrap_or(at));
-        let daemon = rng.random_range(0..ingresses.len());
-        let kind = draw_kind(&kinds, &mut rng);
-        let request = caller_request(kind, format!("soak-{number}"));
-        tasks.spawn(send(caller.clone(), ingresses[daemon], daemon, request, recorder.clone()));
-        number += 1;
-        let uniform: f64 = rng.random::<f64>().max(f64::MIN_POSITIVE);
-        at += Duration::from_secs_f64(-uniform.ln() / plan.rate);
-        while tasks.try_join_next().is_some() {}
-    }
-    tasks.join_all().await;
-}
-
-fn draw_kind<'a>(kinds: &'a [RequestKind], rng: &mut SmallRng) -> &'a RequestKind {
-    let total: f64 = kinds.iter().map(|kind| kind.share).sum();
-    let mut drawn = rng.random::<f64>() * total;
-    for kind in kinds {
-        drawn -= kind.share;
-        if drawn < 0.0 {
-            return kind;
-        }
-    }
-    &kinds[kinds.len() - 1]
-}
-
-fn caller_request(kind: &RequestKind, name: String) -> CallerRequest {
-    CallerRequest {
-        method: kind.method,
-        path: format!("{}/{name}", kind.path),
-        key: kind.keyed.then(|| name.clone()),
-        request: name,
-    }
-}
-
-async fn send(
-    caller: Caller,
-    ingress: Address,
-    daemon: DaemonIndex,
-    request: CallerRequest,
-    recorder: Recorder,
-) {
-    let name = request.request.clone();
-    let keyed = request.key.is_some();
-    recorder.note(HistoryEvent::Sent { at_ms: recorder.at_ms(), request: name.clone(), daemon, keyed });
-    let answer = SeenAnswer::from(&caller.send(ingress, &request).await);
-    recorder.note(HistoryEvent::Answered { at_ms: recorder.at_ms(), request: name, answer });
-}
-
 async fn watch_daemons(admins: Vec<Address>, lives: DaemonLives, recorder: Recorder) {
     loop {
         look_at_all(&admins, &lives, &recorder).await;
@@ -258,10 +174,12 @@
 async fn probe(deployment: &Deployment, recorder: &Recorder) {
     let caller = Caller::default();
     let ingresses = deployment.ingresses();
-    let kinds = &deployment.topology.kinds;
+    let topology = &deployment.topology;
+    let kinds = &topology.kinds;
     for number in 0..PROBES {
         let daemon = number % ingresses.len();
-        let request = caller_request(&kinds[number % kinds.len()], format!("{PROBE_PREFIX}{number}"));
-        send(caller.clone(), ingresses[daemon], daemon, request, recorder.clone()).await;
+        let kind = &kinds[number % kinds.len()];
+        let request = SoakRequest::new(topology, kind, format!("{PROBE_PREFIX}{number}"));
+        load::send(caller.clone(), ingresses[daemon], daemon, request, recorder.clone()).await;
     }
 }
--- a/crates/seamhatch-lab/src/topology.rs
+++ b/crates/seamhatch-lab/src/topology.rs
@@ -246,6 +246,23 @@
         self
     }
 
+    /// The same with `servers` servers a service, no more and no fewer.
+    #[must_use]
+    pub fn with_servers(mut self, servers: u8) -> Self {
+        for service in &mut self.services {
+            service.servers = servers;
+        }
+        self
+    }
+
+    /// The service that a kind of request from outside goes to.
+    #[must_use]
+    pub fn entry_service(&self, kind: &RequestKind) -> Option<&str> {
+        let endpoint = kind.path.rsplit('/').next()?;
+        let serves = |service: &&ServiceTopology| service.endpoints.iter().any(|own| own.name == endpoint);
+        self.services.iter().find(serves).map(|service| service.name.as_str())
+    }
+
     /// The same with each back end's own work taking `factor` times as long, so
     /// that slots and not this machine's processors are the limit.
     #[must_use]
--- /dev/null
+++ b/crates/seamhatch-lab/tests/kept_connection.rs
@@ -0,0 +1,72 @@
+//! A caller's kept connection, against a listener that the test itself answers on.
+
+use seamhatch_core::identity::Address;
+use seamhatch_lab::client::CallerRequest;
+use seamhatch_lab::connection::CallerConnection;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+/// What the listener does with a connection's first request, and what the caller makes of it.
+struct ConnectionCase {
+    name: &'static str,
+    answer: &'static str,
+    then_closes: bool,
+    status: u16,
+    usable_after: bool,
+}
+
+const CASES: [ConnectionCase; 4] = [
+    ConnectionCase {
+        name: "an answer",
+        answer: "HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nx",
+        then_closes: false,
+        status: 200,
+        usable_after: true,
+    },
+    ConnectionCase {
+        name: "a refusal that lets the connection open",
+        answer: "HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n",
+        then_closes: false,
+        status: 503,
+        usable_after: true,
+    },
+    ConnectionCase {
+        name: "an answer that says close",
+        answer: "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 1\r\n\r\nx",
+        then_closes: false,
+        status: 200,
+        usable_after: false,
+    },
+    ConnectionCase { name: "an end", answer: "", then_closes: true, status: 0, usable_after: false },
+];
+
+#[tokio::test]
+async fn a_connection_is_used_until_it_is_closed() {
+    for case in CASES {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let ingress = Address::from(listener.local_addr().expect("is bound"));
+        let serving = tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("a caller");
+            let mut head = [0; 1024];
+            let read = stream.read(&mut head).await.expect("a request");
+            assert!(String::from_utf8_lossy(&head[..read]).starts_with("GET /status/lookup/a HTTP/1.1\r\n"));
+            stream.write_all(case.answer.as_bytes()).await.expect("is answered");
+            (!case.then_closes).then_some(stream)
+        });
+        let request =
+            CallerRequest { method: "GET", path: "/status/lookup/a".into(), request: "a".into(), key: None };
+        let mut connection = CallerConnection::open(ingress).await.expect("is accepted");
+        assert!(connection.is_usable().await, "{}", case.name);
+        assert_eq!(connection.send(&request).await.status, case.status, "{}", case.name);
+        let _open = serving.await.expect("has served");
+        assert_eq!(connection.is_usable().await, case.usable_after, "{}", case.name);
+    }
+}
+
+#[tokio::test]
+async fn nobody_listens() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let ingress = Address::from(listener.local_addr().expect("is bound"));
+    drop(listener);
+    assert!(CallerConnection::open(ingress).await.is_none());
+}
--- a/crates/seamhatch-lab/tests/soak.rs
+++ b/crates/seamhatch-lab/tests/soak.rs
@@ -25,7 +25,7 @@
 }
 
 fn sent(at_ms: u64, request: &str, daemon: usize, keyed: bool) -> HistoryEvent {
-    HistoryEvent::Sent { at_ms, request: request.into(), daemon, keyed }
+    HistoryEvent::Sent { at_ms, request: request.into(), daemon, service: "settlement".into(), keyed }
 }
 
 fn answered(at_ms: u64, request: &str, answer: SeenAnswer) -> HistoryEvent {
@@ -193,6 +193,7 @@
         seed: 1,
         seconds: 10,
         rate: 10.0,
+        clients: 0,
         faults: vec![PlannedFault { at_ms, for_ms: 1_000, fault }],
     };
     let cases = [
@@ -225,6 +226,7 @@
         seed: 1,
         seconds: 12,
         rate: 40.0,
+        clients: 16,
         faults: vec![
             PlannedFault { at_ms: 1_500, for_ms: 800, fault: SoakFault::StoreOut },
             PlannedFault { at_ms: 2_500, for_ms: 700, fault: SoakFault::Reset { daemon: 3 } },
