Soak: stops, signals and changes in series that overlap

Cause: a planned stop held up all later steps of a plan until the process had ended, drawn stops had the deployment for themselves, and nothing sent SIGHUP or a second SIGTERM; faults beside each other were rare. Change: steps go on while a daemon stops (steps.rs); a daemon is started anew by the first of the faults that struck it, told by its life. New faults: hasty-stop (SIGTERM twice), reload (changed settings, SIGHUP). A third of what is drawn (draw.rs) is a series: daemons of one service, some at random, or one after the other, with submissions, reloads, kill, store or machine list out among them. A process that has ended gets no signals: its number may be another's. Check added: a stop beside what is gentle (other stops, reloads, submissions, store trouble) breaks off no request; before, only stops alone were judged.

--- a/crates/seamhatch-lab/src/soak/checks.rs
+++ b/crates/seamhatch-lab/src/soak/checks.rs
@@ -1,16 +1,15 @@
 //! The promises of docs/GUARANTEES.md, checked over a recorded history. Each check is a pure function of
 //! what callers, back ends and operators saw.
 
-use super::history::{HistoryEvent, RequestName, SeenAnswer, SoakMillis};
-use super::plan::{DaemonIndex, SoakFault};
+use super::history::{HistoryEvent, RequestName, SeenAnswer};
+use super::plan::DaemonIndex;
+use super::stops::stops_cut_nothing;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 /// Retry tokens of a request, as the soak's configuration gives them.
 pub const RETRY_TOKENS: usize = 3;
 /// Outcome of a request that was not run.
-const NOT_RUN: &str = "not-run";
-/// Reason of a daemon that stops.
-const DRAINING: &str = "draining";
+pub(super) const NOT_RUN: &str = "not-run";
 /// Name prefix of the requests that are sent when everything is over.
 pub const PROBE_PREFIX: &str = "probe-";
 
@@ -69,11 +68,11 @@
     CHECKS.iter().flat_map(|check| check(history)).collect()
 }
 
-fn violation(promise: Promise, subject: impl ToString, detail: String) -> Violation {
+pub(super) fn violation(promise: Promise, subject: impl ToString, detail: String) -> Violation {
     Violation { promise, subject: subject.to_string(), detail }
 }
 
-fn answers(history: &[HistoryEvent]) -> impl Iterator<Item = (&RequestName, &SeenAnswer)> {
+pub(super) fn answers(history: &[HistoryEvent]) -> impl Iterator<Item = (&RequestName, &SeenAnswer)> {
     history.iter().filter_map(|event| match event {
         HistoryEvent::Answered { request, answer, .. } => Some((request, answer)),
         _ => None,
@@ -81,7 +80,7 @@
 }
 
 /// Requests of which a back end has run something.
-fn executed(history: &[HistoryEvent]) -> HashSet<&RequestName> {
+pub(super) fn executed(history: &[HistoryEvent]) -> HashSet<&RequestName> {
     let runs = history.iter().filter_map(|event| match event {
         HistoryEvent::Executed { request, .. } => Some(request),
         _ => None,
@@ -164,82 +163,6 @@
         .collect()
 }
 
-/// A planned stop with nothing else around it.
-#[derive(Debug, Clone, Copy)]
-struct StopWindow {
-    daemon: DaemonIndex,
-    from_ms: SoakMillis,
-    to_ms: SoakMillis,
-}
-
-/// No other fault may be going on this long before a stop, in milliseconds.
-const CALM_BEFORE_MS: SoakMillis = 4_000;
-
-fn stop_windows(history: &[HistoryEvent]) -> Vec<StopWindow> {
-    let spans = fault_spans(history);
-    let stops = spans.iter().filter_map(|(fault, from_ms, to_ms)| match fault {
-        SoakFault::PlannedStop { daemon } => {
-            Some(StopWindow { daemon: *daemon, from_ms: *from_ms, to_ms: *to_ms })
-        }
-        _ => None,
-    });
-    let alone = |stop: &StopWindow| {
-        let beside = |(_, from, to): &&(SoakFault, SoakMillis, SoakMillis)| {
-            *from <= stop.to_ms && to + CALM_BEFORE_MS >= stop.from_ms
-        };
-        spans.iter().filter(beside).count() == 1
-    };
-    stops.filter(alone).collect()
-}
-
-fn fault_spans(history: &[HistoryEvent]) -> Vec<(SoakFault, SoakMillis, SoakMillis)> {
-    let mut open: Vec<(SoakFault, SoakMillis)> = Vec::new();
-    let mut spans = Vec::new();
-    for event in history {
-        match event {
-            HistoryEvent::FaultBegins { at_ms, fault } => open.push((fault.clone(), *at_ms)),
-            HistoryEvent::FaultEnds { at_ms, fault } => {
-                if let Some(index) = open.iter().position(|(begun, _)| begun == fault) {
-                    let (fault, from) = open.remove(index);
-                    spans.push((fault, from, *at_ms));
-                }
-            }
-            _ => {}
-        }
-    }
-    spans.extend(open.into_iter().map(|(fault, from)| (fault, from, SoakMillis::MAX - CALM_BEFORE_MS)));
-    spans
-}
-
-fn stops_cut_nothing(history: &[HistoryEvent]) -> Vec<Violation> {
-    let windows = stop_windows(history);
-    let stopping = |daemon: DaemonIndex, at_ms: SoakMillis| {
-        windows.iter().any(|stop| stop.daemon == daemon && (stop.from_ms..=stop.to_ms).contains(&at_ms))
-    };
-    let sent_into_stop: HashSet<&RequestName> = history
-        .iter()
-        .filter_map(|event| match event {
-            HistoryEvent::Sent { at_ms, request, daemon, .. } if stopping(*daemon, *at_ms) => Some(request),
-            _ => None,
-        })
-        .collect();
-    let ran = executed(history);
-    let is_cut = |request: &RequestName, answer: &SeenAnswer| {
-        let good = answer.status == 200 && answer.whole;
-        let turned_away = answer.outcome == NOT_RUN || answer.reason == "connection-refused";
-        // Of a request with a key, a daemon that holds no claim says `unknown`: an earlier attempt may have run.
-        let unclaimed = answer.reason == DRAINING && answer.comes_back && !ran.contains(request);
-        !(good || turned_away || unclaimed)
-    };
-    answers(history)
-        .filter(|(request, answer)| sent_into_stop.contains(request) && is_cut(request, answer))
-        .map(|(request, answer)| {
-            let detail = format!("cut off by a planned stop: {} {}", answer.status, answer.reason);
-            violation(Promise::StopsCutNothing, request, detail)
-        })
-        .collect()
-}
-
 fn configuration_forward(history: &[HistoryEvent]) -> Vec<Violation> {
     let mut newest: HashMap<(DaemonIndex, u32), u64> = HashMap::new();
     let mut violations = Vec::new();
--- /dev/null
+++ b/crates/seamhatch-lab/src/soak/draw.rs
@@ -0,0 +1,207 @@
+//! Drawing a plan from a seed: single faults, planned stops with nothing beside them, and series that overlap.
+
+use super::plan::{CutWay, DaemonIndex, PlannedFault, ReloadLevel, SoakFault, SoakFleet, SoakPlan};
+use rand::rngs::SmallRng;
+use rand::seq::SliceRandom;
+use rand::{RngExt, SeedableRng};
+use std::ops::Range;
+use std::time::Duration;
+
+/// Requests a second that a drawn plan sends to any daemon.
+const RATE: f64 = 60.0;
+/// Clients that keep their connections in a drawn plan, for each daemon.
+const CLIENTS_PER_DAEMON: usize = 3;
+/// Time without faults at both ends of a plan.
+const QUIET: Duration = Duration::from_secs(2);
+/// Time between the beginnings of two drawn faults, in milliseconds.
+const GAP_MS: Range<u64> = 300..4_000;
+/// How long a drawn fault lasts, in milliseconds.
+const LENGTH_MS: Range<u64> = 500..4_000;
+/// A planned stop is kept apart from other faults by this much on both sides.
+const APART: Duration = Duration::from_secs(6);
+/// Time between two stops of a series, in milliseconds: they overlap, as a stop takes seconds.
+const STOP_GAP_MS: Range<u64> = 0..400;
+/// The same where daemons are replaced one after the other.
+const ROLLING_GAP_MS: Range<u64> = 200..1_500;
+/// Time between a stop request and the next one to the same daemon, in milliseconds.
+const AGAIN_MS: Range<u64> = 20..1_500;
+/// Time between two submissions of a series, in milliseconds.
+const SUBMISSION_GAP_MS: Range<u64> = 5..200;
+/// Most daemons that are stopped at random in one series.
+const MOST_STOPPED: usize = 4;
+
+/// What comes next in a plan.
+enum Drawn {
+    /// One fault.
+    Single(SoakFault),
+    /// A planned stop that has the deployment for itself.
+    StopAlone(DaemonIndex),
+    /// Stops in quick succession, and more beside them.
+    Series(Vec<PlannedFault>),
+}
+
+impl SoakPlan {
+    /// The plan of a seed, for this fleet; the same each time.
+    #[must_use]
+    pub fn draw(seed: u64, seconds: u64, fleet: SoakFleet) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let end_ms = millis(Duration::from_secs(seconds).saturating_sub(QUIET));
+        let mut faults = Vec::new();
+        let mut at_ms = millis(QUIET);
+        loop {
+            let drawn = draw_next(&mut rng, fleet);
+            if matches!(drawn, Drawn::StopAlone(_)) && !faults.is_empty() {
+                at_ms += millis(APART);
+            }
+            let (added, pause_ms) = placed(drawn, at_ms, &mut rng);
+            let last_ms = added.iter().map(PlannedFault::end_ms).max().unwrap_or(at_ms);
+            if last_ms > end_ms {
+                break;
+            }
+            faults.extend(added);
+            at_ms += pause_ms;
+        }
+        faults.sort_by_key(|fault| fault.at_ms);
+        let clients = CLIENTS_PER_DAEMON * fleet.daemons();
+        Self { seed, seconds, rate: RATE, clients, servers: fleet.servers, faults }
+    }
+}
+
+/// The faults in their places, and the time until the next ones may begin.
+fn placed(drawn: Drawn, at_ms: u64, rng: &mut SmallRng) -> (Vec<PlannedFault>, u64) {
+    match drawn {
+        Drawn::Single(fault) => {
+            let for_ms = rng.random_range(LENGTH_MS);
+            (vec![PlannedFault { at_ms, for_ms, fault }], rng.random_range(GAP_MS))
+        }
+        Drawn::StopAlone(daemon) => {
+            let for_ms = rng.random_range(LENGTH_MS);
+            let stop = PlannedFault { at_ms, for_ms, fault: SoakFault::PlannedStop { daemon } };
+            (vec![stop], for_ms + millis(APART))
+        }
+        Drawn::Series(mut faults) => {
+            faults.iter_mut().for_each(|fault| fault.at_ms += at_ms);
+            (faults, rng.random_range(GAP_MS))
+        }
+    }
+}
+
+fn draw_next(rng: &mut SmallRng, fleet: SoakFleet) -> Drawn {
+    match rng.random_range(0..6) {
+        0 => Drawn::StopAlone(rng.random_range(0..fleet.daemons())),
+        1 | 2 => Drawn::Series(draw_series(rng, fleet)),
+        _ => Drawn::Single(draw_fault(rng, fleet.daemons())),
+    }
+}
+
+/// Times count from the series' beginning.
+fn draw_series(rng: &mut SmallRng, fleet: SoakFleet) -> Vec<PlannedFault> {
+    let (stopped, gap_ms) = draw_stopped(rng, fleet);
+    let mut series = Vec::new();
+    let mut at_ms = 0;
+    for daemon in stopped {
+        let fault = if rng.random_bool(0.2) {
+            SoakFault::HastyStop { daemon, again_ms: rng.random_range(AGAIN_MS) }
+        } else {
+            SoakFault::PlannedStop { daemon }
+        };
+        series.push(PlannedFault { at_ms, for_ms: rng.random_range(LENGTH_MS), fault });
+        at_ms += rng.random_range(gap_ms.clone());
+    }
+    let span_ms = at_ms + LENGTH_MS.start;
+    if rng.random_bool(0.4) {
+        series.extend(draw_submissions(rng, fleet, span_ms));
+    }
+    if rng.random_bool(0.4) {
+        series.extend(draw_reloads(rng, fleet, span_ms));
+    }
+    for fault in [SoakFault::StoreOut, SoakFault::MachinesOut, draw_kill(rng, fleet)] {
+        if rng.random_bool(0.25) {
+            let at_ms = rng.random_range(0..span_ms);
+            series.push(PlannedFault { at_ms, for_ms: rng.random_range(LENGTH_MS), fault });
+        }
+    }
+    series
+}
+
+/// The daemons that a series stops, and the time between two stops.
+fn draw_stopped(rng: &mut SmallRng, fleet: SoakFleet) -> (Vec<DaemonIndex>, Range<u64>) {
+    let mut all: Vec<DaemonIndex> = (0..fleet.daemons()).collect();
+    match rng.random_range(0..3) {
+        0 => (fleet.of_service(rng.random_range(0..fleet.services)).collect(), STOP_GAP_MS),
+        1 => {
+            all.shuffle(rng);
+            all.truncate(rng.random_range(2..=MOST_STOPPED));
+            (all, STOP_GAP_MS)
+        }
+        _ => {
+            let first = rng.random_range(0..all.len());
+            all.rotate_left(first);
+            all.truncate(MOST_STOPPED);
+            (all, ROLLING_GAP_MS)
+        }
+    }
+}
+
+fn draw_submissions(rng: &mut SmallRng, fleet: SoakFleet, span_ms: u64) -> Vec<PlannedFault> {
+    let mut at_ms = rng.random_range(0..span_ms);
+    let mut submissions = Vec::new();
+    for _ in 0..rng.random_range(2..6) {
+        let fault = SoakFault::Configuration { daemon: rng.random_range(0..fleet.daemons()) };
+        submissions.push(PlannedFault { at_ms, for_ms: LENGTH_MS.start, fault });
+        at_ms += rng.random_range(SUBMISSION_GAP_MS);
+    }
+    submissions
+}
+
+fn draw_reloads(rng: &mut SmallRng, fleet: SoakFleet, span_ms: u64) -> Vec<PlannedFault> {
+    let mut reloads = Vec::new();
+    for _ in 0..rng.random_range(1..4) {
+        let fault = draw_reload(rng, fleet.daemons());
+        let at_ms = rng.random_range(0..span_ms);
+        reloads.push(PlannedFault { at_ms, for_ms: rng.random_range(LENGTH_MS), fault });
+    }
+    reloads
+}
+
+fn draw_reload(rng: &mut SmallRng, daemons: usize) -> SoakFault {
+    let log_level = [ReloadLevel::Warn, ReloadLevel::Debug, ReloadLevel::Trace][rng.random_range(0..3)];
+    SoakFault::Reload { daemon: rng.random_range(0..daemons), log_level, more_slots: rng.random_range(0..3) }
+}
+
+fn draw_kill(rng: &mut SmallRng, fleet: SoakFleet) -> SoakFault {
+    SoakFault::Kill { daemons: vec![rng.random_range(0..fleet.daemons())] }
+}
+
+fn draw_fault(rng: &mut SmallRng, daemons: usize) -> SoakFault {
+    let daemon = rng.random_range(0..daemons);
+    match rng.random_range(0..15) {
+        0 => SoakFault::Kill { daemons: vec![daemon] },
+        1 => SoakFault::Kill { daemons: (0..daemons).filter(|_| rng.random_bool(0.5)).collect() },
+        2 => SoakFault::Pause { daemon },
+        3 => SoakFault::Cut { daemon, way: draw_way(rng) },
+        4 => SoakFault::Reset { daemon },
+        5 => SoakFault::Delay { daemon, delay_ms: rng.random_range(5..200) },
+        6 => SoakFault::StoreOut,
+        7 => SoakFault::StoreSlow { delay_ms: rng.random_range(50..1_500) },
+        8 => SoakFault::StoreThrottled { per_second: rng.random_range(1..20) },
+        9 => SoakFault::StoreLosesAnswers { writes: rng.random_range(1..5) },
+        10 => SoakFault::ServerSlow { daemon, percent: rng.random_range(200..2_000) },
+        11 => SoakFault::ServerFails { daemon },
+        12 => SoakFault::ServerCuts { daemon },
+        13 => draw_reload(rng, daemons),
+        _ => SoakFault::Configuration { daemon },
+    }
+}
+
+fn draw_way(rng: &mut SmallRng) -> CutWay {
+    match rng.random_range(0..3) {
+        0 => CutWay::Both,
+        1 => CutWay::From,
+        _ => CutWay::To,
+    }
+}
+
+fn millis(span: Duration) -> u64 {
+    span.as_millis() as u64
+}
--- a/crates/seamhatch-lab/src/soak/faults.rs
+++ b/crates/seamhatch-lab/src/soak/faults.rs
@@ -1,17 +1,16 @@
 //! Bringing the faults of a plan about, and ending them.
 
-use super::plan::{CutWay, DaemonIndex, SoakFault};
+use super::plan::{CutWay, DaemonIndex, ReloadLevel, SoakFault};
 use crate::backends::Behaviour;
 use crate::deployment::Deployment;
 use crate::faults::Rule;
+use crate::process::write_settings;
 use rustix::process::Signal;
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
-/// Longest wait for a daemon that was asked to stop.
-const STOP_TIMEOUT: Duration = Duration::from_secs(60);
 /// Service time of a back end that is as it should be, in percent.
 const USUAL_PERCENT: u32 = 100;
 
@@ -32,23 +31,58 @@
         self.0[daemon].load(Ordering::Acquire)
     }
 
-    fn ended(&self, daemon: DaemonIndex) {
+    fn next(&self, daemon: DaemonIndex) {
         self.0[daemon].fetch_add(1, Ordering::AcqRel);
     }
 }
 
+/// A fault that was brought about.
+pub struct BegunFault {
+    /// Which.
+    pub fault: SoakFault,
+    /// The lives that it struck, in the order of the fault's daemons.
+    struck: Vec<u32>,
+}
+
+/// What has come of ending a fault.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FaultEnd {
+    /// It is over.
+    Ended,
+    /// A daemon that was asked to stop hasn't ended yet.
+    StillStopping,
+}
+
 /// Makes a fault begin. A fault that strikes a process that has ended already does nothing.
-pub fn begin(deployment: &mut Deployment, lives: &DaemonLives, fault: &SoakFault) {
+///
+/// # Errors
+/// Changed settings can't be written.
+pub fn begin(
+    deployment: &mut Deployment,
+    lives: &DaemonLives,
+    fault: SoakFault,
+) -> std::io::Result<BegunFault> {
+    let struck = fault.daemons().into_iter().map(|daemon| lives.of(daemon)).collect();
+    strike(deployment, &fault)?;
+    Ok(BegunFault { fault, struck })
+}
+
+/// Asks a daemon to stop, once or once more.
+pub fn ask_to_stop(deployment: &mut Deployment, daemon: DaemonIndex) {
+    signal(deployment, daemon, Signal::TERM);
+}
+
+fn strike(deployment: &mut Deployment, fault: &SoakFault) -> std::io::Result<()> {
     match fault {
-        SoakFault::Kill { daemons } => daemons.iter().for_each(|&daemon| {
-            deployment.daemons[daemon].kill();
-            lives.ended(daemon);
-        }),
+        SoakFault::Kill { daemons } => {
+            daemons.iter().for_each(|&daemon| deployment.daemons[daemon].kill());
+        }
         SoakFault::Pause { daemon } => signal(deployment, *daemon, Signal::STOP),
-        SoakFault::PlannedStop { daemon } => {
-            signal(deployment, *daemon, Signal::TERM);
-            tokio::task::block_in_place(|| deployment.daemons[*daemon].wait(STOP_TIMEOUT));
-            lives.ended(*daemon);
+        SoakFault::PlannedStop { daemon } | SoakFault::HastyStop { daemon, .. } => {
+            ask_to_stop(deployment, *daemon);
+        }
+        SoakFault::Reload { daemon, log_level, more_slots } => {
+            reload(deployment, *daemon, Some(*log_level), *more_slots)?;
         }
         SoakFault::Cut { daemon, way } => cut(deployment, *daemon, *way),
         SoakFault::Reset { daemon } => between(deployment, *daemon, Rule::Reset),
@@ -81,16 +115,28 @@
         // Submitted by the run itself, which records what became of it.
         SoakFault::Configuration { .. } => {}
     }
+    Ok(())
 }
 
-/// Ends a fault.
+/// Ends a fault, unless a daemon that was asked to stop is still at it.
 ///
 /// # Errors
-/// A daemon can't be started again.
-pub fn end(deployment: &mut Deployment, fault: &SoakFault) -> std::io::Result<()> {
-    match fault {
-        SoakFault::Kill { daemons } => daemons.iter().try_for_each(|daemon| deployment.restart(*daemon))?,
-        SoakFault::PlannedStop { daemon } => deployment.restart(*daemon)?,
+/// A daemon can't be started again, or told its settings.
+pub fn end(
+    deployment: &mut Deployment,
+    lives: &DaemonLives,
+    begun: &BegunFault,
+) -> std::io::Result<FaultEnd> {
+    match &begun.fault {
+        SoakFault::PlannedStop { daemon } | SoakFault::HastyStop { daemon, .. }
+            if begun.still_lives(*daemon, lives) && !deployment.daemons[*daemon].has_ended() =>
+        {
+            return Ok(FaultEnd::StillStopping);
+        }
+        SoakFault::Kill { .. } | SoakFault::PlannedStop { .. } | SoakFault::HastyStop { .. } => {
+            end_by_force(deployment, lives, begun)?;
+        }
+        SoakFault::Reload { daemon, .. } => reload(deployment, *daemon, None, 0)?,
         SoakFault::Pause { daemon } => signal(deployment, *daemon, Signal::CONT),
         SoakFault::Cut { daemon, .. } | SoakFault::Reset { daemon } | SoakFault::Delay { daemon, .. } => {
             between(deployment, *daemon, Rule::Pass);
@@ -108,13 +154,60 @@
         | SoakFault::ServerForges { daemon } => restore(&behaviour(deployment, *daemon)),
         SoakFault::Configuration { .. } => {}
     }
+    Ok(FaultEnd::Ended)
+}
+
+/// Starts the daemons of a fault anew, also those that haven't ended, but not those that another fault has
+/// started anew meanwhile.
+///
+/// # Errors
+/// A daemon can't be started again.
+pub fn end_by_force(
+    deployment: &mut Deployment,
+    lives: &DaemonLives,
+    begun: &BegunFault,
+) -> std::io::Result<()> {
+    for daemon in begun.fault.daemons() {
+        if begun.still_lives(daemon, lives) {
+            lives.next(daemon);
+            deployment.restart(daemon)?;
+        }
+    }
     Ok(())
 }
 
-/// Sends a signal to a daemon, unless another fault has ended it.
-fn signal(deployment: &Deployment, daemon: DaemonIndex, signal: Signal) {
-    // The only error is that there is no such process.
-    let _ = deployment.daemons[daemon].signal(signal);
+impl BegunFault {
+    /// Whether nobody has started the daemon anew since it was struck.
+    fn still_lives(&self, daemon: DaemonIndex, lives: &DaemonLives) -> bool {
+        let place = self.fault.daemons().iter().position(|own| *own == daemon);
+        place.is_some_and(|place| self.struck[place] == lives.of(daemon))
+    }
+}
+
+/// Sends a signal to a daemon, unless it has ended: its number may be another process's by now.
+fn signal(deployment: &mut Deployment, daemon: DaemonIndex, signal: Signal) {
+    if !deployment.daemons[daemon].has_ended() {
+        // The only error is that there is no such process.
+        let _ = deployment.daemons[daemon].signal(signal);
+    }
+}
+
+/// Changes a daemon's settings file and has it read again.
+fn reload(
+    deployment: &mut Deployment,
+    daemon: DaemonIndex,
+    log_level: Option<ReloadLevel>,
+    more_slots: u32,
+) -> std::io::Result<()> {
+    let mut options = deployment.options.clone();
+    let mut machine = deployment.machines[daemon].clone();
+    machine.slots += more_slots;
+    if let Some(level) = log_level {
+        options.log_level = level.name().to_owned();
+    }
+    write_settings(&machine, &options)?;
+    signal(deployment, daemon, Signal::HUP);
+    Ok(())
 }
 
 fn behaviour(deployment: &Deployment, daemon: DaemonIndex) -> Arc<Behaviour> {
--- a/crates/seamhatch-lab/src/soak/mod.rs
+++ b/crates/seamhatch-lab/src/soak/mod.rs
@@ -2,18 +2,22 @@
 //! promises of docs/GUARANTEES.md checked from what callers, back ends and operators saw.
 
 pub mod checks;
+pub mod draw;
 pub mod faults;
 pub mod history;
 pub mod load;
 pub mod plan;
 pub mod recorder;
 pub mod run;
+pub mod spans;
+pub mod steps;
+mod stops;
 
 use checks::{Violation, check};
 use history::{HistoryEvent, to_lines};
 use pico_args::Arguments;
-use plan::SoakPlan;
-use run::{SoakRecord, daemon_count, topology};
+use plan::{SERVERS, SoakPlan};
+use run::{SoakRecord, fleet};
 use std::collections::BTreeMap;
 use std::ffi::OsString;
 use std::path::{Path, PathBuf};
@@ -87,11 +91,11 @@
     if let Some(unknown) = arguments.finish().first() {
         return Err(format!("unknown argument {unknown:?}"));
     }
-    let daemons = daemon_count(&topology());
+    let fleet = fleet(SERVERS);
     let plan = match replay {
-        Some(path) => SoakPlan::read(&path, daemons).map_err(|error| error.to_string())?,
+        Some(path) => SoakPlan::read(&path, fleet.services).map_err(|error| error.to_string())?,
         // A seed that fits into a plan file, whose numbers have a sign.
-        None => SoakPlan::draw(seed.unwrap_or_else(|| rand::random::<u64>() >> 1), seconds, daemons),
+        None => SoakPlan::draw(seed.unwrap_or_else(|| rand::random::<u64>() >> 1), seconds, fleet),
     };
     let keep = keep.unwrap_or_else(|| PathBuf::from(format!("soak-{}", plan.seed)));
     Ok(SoakOptions { plan, keep, print_only })
--- a/crates/seamhatch-lab/src/soak/plan.rs
+++ b/crates/seamhatch-lab/src/soak/plan.rs
@@ -1,28 +1,38 @@
 //! What a soak does to a deployment, and when: drawn from a seed, or read from a file.
 
-use rand::rngs::SmallRng;
-use rand::{RngExt, SeedableRng};
 use serde::{Deserialize, Serialize};
+use std::ops::Range;
 use std::path::Path;
-use std::time::Duration;
 
 /// Position of a daemon, in the order of the topology.
 pub type DaemonIndex = usize;
 
-/// Requests a second that a drawn plan sends.
-const RATE: f64 = 60.0;
-/// Clients that keep their connections in a drawn plan, for each daemon.
-const CLIENTS_PER_DAEMON: usize = 3;
-/// Time without faults at both ends of a plan.
-const QUIET: Duration = Duration::from_secs(4);
-/// Time between the beginnings of two drawn faults.
-const GAP_MS: std::ops::Range<u64> = 1_500..5_000;
-/// How long a drawn fault lasts.
-const LENGTH_MS: std::ops::Range<u64> = 500..4_000;
-/// One drawn fault in so many is a planned stop, and has the deployment for itself.
-const PLANNED_STOP_EVERY: u32 = 6;
-/// A planned stop is kept apart from other faults by this much on both sides.
-const APART: Duration = Duration::from_secs(6);
+/// Servers of each service, where a plan doesn't tell.
+pub const SERVERS: u8 = 2;
+
+/// The daemons of a soak: as many for each service, in the order of the services.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SoakFleet {
+    /// Services.
+    pub services: usize,
+    /// Servers of each, with a daemon beside each.
+    pub servers: u8,
+}
+
+impl SoakFleet {
+    /// All daemons.
+    #[must_use]
+    pub fn daemons(self) -> usize {
+        self.services * usize::from(self.servers)
+    }
+
+    /// The daemons of a service.
+    #[must_use]
+    pub fn of_service(self, service: usize) -> Range<DaemonIndex> {
+        let servers = usize::from(self.servers);
+        service * servers..(service + 1) * servers
+    }
+}
 
 /// A soak from its beginning to its end.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -37,6 +47,9 @@
     /// Clients besides that keep one connection each, until it is closed or the daemon says that it closes it.
     #[serde(default)]
     pub clients: usize,
+    /// Servers of each service.
+    #[serde(default = "usual_servers")]
+    pub servers: u8,
     /// In the order of their beginnings.
     #[serde(default)]
     pub faults: Vec<PlannedFault>,
@@ -73,6 +86,23 @@
         /// Which.
         daemon: DaemonIndex,
     },
+    /// A daemon is asked to stop, and asked again while it does, which cuts off what it has in progress;
+    /// started again when it has ended.
+    HastyStop {
+        /// Which.
+        daemon: DaemonIndex,
+        /// Time between the two, in milliseconds.
+        again_ms: u64,
+    },
+    /// A daemon reads changed settings, and the usual ones at the end.
+    Reload {
+        /// Which.
+        daemon: DaemonIndex,
+        /// Log level, which changes at once.
+        log_level: ReloadLevel,
+        /// Slots that the file has more, which count from the next start on.
+        more_slots: u32,
+    },
     /// A daemon and all others don't hear each other, or one side doesn't hear.
     Cut {
         /// Which.
@@ -140,6 +170,30 @@
     },
 }
 
+/// Log level that a daemon is told to change to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ReloadLevel {
+    /// Less than usual.
+    Warn,
+    /// More.
+    Debug,
+    /// All.
+    Trace,
+}
+
+impl ReloadLevel {
+    /// As the settings name it.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Warn => "warn",
+            Self::Debug => "debug",
+            Self::Trace => "trace",
+        }
+    }
+}
+
 /// Which direction of a daemon's links is cut.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -194,41 +248,17 @@
 }
 
 impl SoakPlan {
-    /// The plan of a seed, for a deployment of this many daemons; the same each time.
-    #[must_use]
-    pub fn draw(seed: u64, seconds: u64, daemons: usize) -> Self {
-        let mut rng = SmallRng::seed_from_u64(seed);
-        let end = Duration::from_secs(seconds).saturating_sub(QUIET);
-        let mut faults = Vec::new();
-        let mut at = QUIET;
-        loop {
-            let planned = rng.random_range(0..PLANNED_STOP_EVERY) == 0;
-            let fault = if planned {
-                at += APART;
-                SoakFault::PlannedStop { daemon: rng.random_range(0..daemons) }
-            } else {
-                draw_fault(&mut rng, daemons)
-            };
-            let length = Duration::from_millis(rng.random_range(LENGTH_MS));
-            if at + length > end {
-                return Self { seed, seconds, rate: RATE, clients: CLIENTS_PER_DAEMON * daemons, faults };
-            }
-            faults.push(PlannedFault { at_ms: millis(at), for_ms: millis(length), fault });
-            at += if planned { length + APART } else { Duration::from_millis(rng.random_range(GAP_MS)) };
-        }
-    }
-
-    /// Reads a plan and checks it for a deployment of this many daemons.
+    /// Reads a plan and checks it for a deployment of this many services.
     ///
     /// # Errors
     /// It can't be read or used.
-    pub fn read(path: &Path, daemons: usize) -> Result<Self, PlanError> {
+    pub fn read(path: &Path, services: usize) -> Result<Self, PlanError> {
         let name = path.display().to_string();
         let text =
             std::fs::read_to_string(path).map_err(|source| PlanError::Read { path: name.clone(), source })?;
         let plan: Self = toml::from_str(&text)
             .map_err(|source| PlanError::Form { path: name, source: Box::new(source) })?;
-        plan.check(daemons)?;
+        plan.check(SoakFleet { services, servers: plan.servers })?;
         Ok(plan)
     }
 
@@ -238,15 +268,15 @@
         toml::to_string(self).unwrap_or_default()
     }
 
-    fn check(&self, daemons: usize) -> Result<(), PlanError> {
+    fn check(&self, fleet: SoakFleet) -> Result<(), PlanError> {
         let load_ms = self.seconds * 1_000;
         for (index, planned) in self.faults.iter().enumerate() {
             let number = index + 1;
-            let last = daemons.saturating_sub(1);
+            let last = fleet.daemons().saturating_sub(1);
             if let Some(daemon) = planned.fault.daemons().into_iter().find(|daemon| *daemon > last) {
                 return Err(PlanError::Daemon { number, daemon, last });
             }
-            let end_ms = planned.at_ms + planned.for_ms;
+            let end_ms = planned.end_ms();
             if end_ms > load_ms {
                 return Err(PlanError::Late { number, end_ms, load_ms });
             }
@@ -255,6 +285,14 @@
     }
 }
 
+impl PlannedFault {
+    /// When it ends, in milliseconds from the beginning of the load.
+    #[must_use]
+    pub fn end_ms(&self) -> u64 {
+        self.at_ms + self.for_ms
+    }
+}
+
 impl SoakFault {
     /// The daemons that it strikes, or whose back ends it strikes.
     #[must_use]
@@ -263,6 +301,8 @@
             Self::Kill { daemons } => daemons.clone(),
             Self::Pause { daemon }
             | Self::PlannedStop { daemon }
+            | Self::HastyStop { daemon, .. }
+            | Self::Reload { daemon, .. }
             | Self::Cut { daemon, .. }
             | Self::Reset { daemon }
             | Self::Delay { daemon, .. }
@@ -280,34 +320,6 @@
     }
 }
 
-fn millis(span: Duration) -> u64 {
-    span.as_millis() as u64
-}
-
-fn draw_fault(rng: &mut SmallRng, daemons: usize) -> SoakFault {
-    let daemon = rng.random_range(0..daemons);
-    match rng.random_range(0..14) {
-        0 => SoakFault::Kill { daemons: vec![daemon] },
-        1 => SoakFault::Kill { daemons: (0..daemons).filter(|_| rng.random_bool(0.5)).collect() },
-        2 => SoakFault::Pause { daemon },
-        3 => SoakFault::Cut { daemon, way: draw_way(rng) },
-        4 => SoakFault::Reset { daemon },
-        5 => SoakFault::Delay { daemon, delay_ms: rng.random_range(5..200) },
-        6 => SoakFault::StoreOut,
-        7 => SoakFault::StoreSlow { delay_ms: rng.random_range(50..1_500) },
-        8 => SoakFault::StoreThrottled { per_second: rng.random_range(1..20) },
-        9 => SoakFault::StoreLosesAnswers { writes: rng.random_range(1..5) },
-        10 => SoakFault::ServerSlow { daemon, percent: rng.random_range(200..2_000) },
-        11 => SoakFault::ServerFails { daemon },
-        12 => SoakFault::ServerCuts { daemon },
-        _ => SoakFault::Configuration { daemon },
-    }
-}
-
-fn draw_way(rng: &mut SmallRng) -> CutWay {
-    match rng.random_range(0..3) {
-        0 => CutWay::Both,
-        1 => CutWay::From,
-        _ => CutWay::To,
-    }
+fn usual_servers() -> u8 {
+    SERVERS
 }
--- a/crates/seamhatch-lab/src/soak/run.rs
+++ b/crates/seamhatch-lab/src/soak/run.rs
@@ -1,11 +1,12 @@
 //! One soak: load, faults at their times, and everything that is seen, recorded.
 
 use super::checks::PROBE_PREFIX;
-use super::faults::{self, DaemonLives};
-use super::history::{HistoryEvent, SoakMillis};
+use super::faults::DaemonLives;
+use super::history::HistoryEvent;
 use super::load::{self, SoakRequest};
-use super::plan::{DaemonIndex, PlannedFault, SoakFault, SoakPlan};
+use super::plan::{SoakFleet, SoakPlan};
 use super::recorder::Recorder;
+use super::steps;
 use crate::backends::CallMode;
 use crate::client::Caller;
 use crate::deployment::{Deployment, DeploymentOptions, status_of};
@@ -13,10 +14,7 @@
 use seamhatch_core::identity::Address;
 use std::path::PathBuf;
 use std::time::Duration;
-use tokio::task::JoinHandle;
 
-/// Servers of each service in a soak.
-const SERVERS: u8 = 2;
 /// Longest wait for all daemons to be ready when the faults are over. A shard of witnesses that has lost a
 /// majority waits 120 s by design.
 const RECOVERY: Duration = Duration::from_secs(180);
@@ -26,21 +24,19 @@
 const PROBES: usize = 40;
 /// Calls that were held up somewhere run within this time, or never.
 const SETTLING: Duration = Duration::from_millis(500);
-/// A step of a plan that comes later than this tells of a machine that is too busy, in milliseconds.
-const MOST_LATE_MS: SoakMillis = 1_000;
 /// Pause between two looks at what is waited for.
 const POLL: Duration = Duration::from_millis(20);
 
-/// The deployment that is soaked: the claims platform in small.
+/// The deployment that is soaked: the claims platform, with so many servers of each service.
 #[must_use]
-pub fn topology() -> Topology {
-    Topology::harvest().in_small(SERVERS)
+pub fn topology(servers: u8) -> Topology {
+    Topology::harvest().with_servers(servers)
 }
 
 /// Its daemons.
 #[must_use]
-pub fn daemon_count(topology: &Topology) -> usize {
-    topology.services.iter().map(|service| usize::from(service.servers)).sum()
+pub fn fleet(servers: u8) -> SoakFleet {
+    SoakFleet { services: topology(servers).services.len(), servers }
 }
 
 /// What a soak has seen, and the daemons' logs.
@@ -58,16 +54,17 @@
 pub async fn run(plan: &SoakPlan, program: PathBuf) -> Result<SoakRecord, String> {
     let options =
         DeploymentOptions { program, log_level: "info".into(), proxied: true, mode: CallMode::ThroughDaemon };
-    let mut deployment = Deployment::start_ready(topology(), &options).await?;
+    let mut deployment = Deployment::start_ready(topology(plan.servers), &options).await?;
     let lives = DaemonLives::new(deployment.daemons.len());
     let recorder = Recorder::begin();
     let load =
         load::send_load(plan.clone(), deployment.topology.clone(), deployment.ingresses(), recorder.clone());
     let load = tokio::spawn(load);
     let watch = tokio::spawn(watch_daemons(admins(&deployment), lives.clone(), recorder.clone()));
-    bring_about(&mut deployment, &lives, &plan.faults, &recorder).await.map_err(|error| error.to_string())?;
+    let faults = steps::bring_about(&mut deployment, &lives, &plan.faults, &recorder).await;
+    faults.map_err(|error| error.to_string())?;
     load.await.map_err(|error| error.to_string())?;
-    submit(&deployment, 0, &recorder).await.map_err(|error| error.to_string())?;
+    steps::submit(&deployment, 0, &recorder).await.map_err(|error| error.to_string())?;
     let ready = deployment.wait_ready(RECOVERY).await;
     watch.abort();
     recorder.note(HistoryEvent::Healed { at_ms: recorder.at_ms(), ready });
@@ -87,70 +84,6 @@
     deployment.daemons.iter().map(|daemon| daemon.machine.admin()).collect()
 }
 
-/// The beginning or the end of a fault.
-enum Step<'a> {
-    Begin(&'a SoakFault),
-    End(&'a SoakFault),
-}
-
-async fn bring_about(
-    deployment: &mut Deployment,
-    lives: &DaemonLives,
-    planned: &[PlannedFault],
-    recorder: &Recorder,
-) -> std::io::Result<()> {
-    let mut steps: Vec<(SoakMillis, Step)> = Vec::new();
-    for entry in planned {
-        steps.push((entry.at_ms, Step::Begin(&entry.fault)));
-        steps.push((entry.at_ms + entry.for_ms, Step::End(&entry.fault)));
-    }
-    steps.sort_by_key(|(at_ms, _)| *at_ms);
-    let mut submissions = Vec::new();
-    for (at_ms, step) in steps {
-        tokio::time::sleep_until((recorder.start() + Duration::from_millis(at_ms)).into()).await;
-        let late_ms = recorder.at_ms().saturating_sub(at_ms);
-        if late_ms > MOST_LATE_MS {
-            println!("this machine is too busy for the plan: the step of {at_ms} ms came {late_ms} ms late");
-        }
-        match step {
-            Step::Begin(fault) => {
-                recorder.note(HistoryEvent::FaultBegins { at_ms: recorder.at_ms(), fault: fault.clone() });
-                faults::begin(deployment, lives, fault);
-                if let SoakFault::Configuration { daemon } = fault {
-                    submissions.push(submit(deployment, *daemon, recorder));
-                }
-            }
-            Step::End(fault) => {
-                faults::end(deployment, fault)?;
-                recorder.note(HistoryEvent::FaultEnds { at_ms: recorder.at_ms(), fault: fault.clone() });
-            }
-        }
-    }
-    for submission in submissions {
-        submission.await.map_err(std::io::Error::other)?;
-    }
-    Ok(())
-}
-
-/// Submits the configuration once more, under another number, beside whatever else happens. What the client
-/// can't tell isn't noted.
-fn submit(deployment: &Deployment, daemon: DaemonIndex, recorder: &Recorder) -> JoinHandle<()> {
-    let mut submission = deployment.submission(daemon, &["--json"]);
-    let recorder = recorder.clone();
-    tokio::task::spawn_blocking(move || {
-        let output = submission.output().ok().filter(|output| output.status.success());
-        let text = output.map(|output| String::from_utf8_lossy(&output.stdout).into_owned());
-        if let Some(generation) = text.and_then(|text| generation_of(&text)) {
-            recorder.note(HistoryEvent::Accepted { at_ms: recorder.at_ms(), generation });
-        }
-    })
-}
-
-fn generation_of(output: &str) -> Option<u64> {
-    let answer: serde_json::Value = serde_json::from_str(output.trim()).ok()?;
-    answer.get("generation")?.as_u64()
-}
-
 async fn watch_daemons(admins: Vec<Address>, lives: DaemonLives, recorder: Recorder) {
     loop {
         look_at_all(&admins, &lives, &recorder).await;
--- /dev/null
+++ b/crates/seamhatch-lab/src/soak/steps.rs
@@ -0,0 +1,138 @@
+//! The steps of a plan, each at its time, whatever the earlier ones are still waiting for.
+
+use super::faults::{self, BegunFault, DaemonLives, FaultEnd};
+use super::history::{HistoryEvent, SoakMillis};
+use super::plan::{DaemonIndex, PlannedFault, SoakFault};
+use super::recorder::Recorder;
+use crate::deployment::Deployment;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use tokio::task::JoinHandle;
+
+/// A step of a plan that comes later than this tells of a machine that is too busy, in milliseconds.
+const MOST_LATE_MS: SoakMillis = 1_000;
+/// Pause between two looks at a daemon that hasn't ended yet, in milliseconds.
+const STOP_POLL_MS: SoakMillis = 20;
+/// Longest wait for a daemon that was asked to stop, in milliseconds from the planned end of the stop on.
+const STOP_TIMEOUT_MS: SoakMillis = 60_000;
+
+/// One step.
+enum Step {
+    Begin(PlannedFault),
+    Again(DaemonIndex),
+    End { begun: BegunFault, planned_ms: SoakMillis },
+}
+
+/// The steps to come, in the order of their times.
+#[derive(Default)]
+struct StepQueue {
+    steps: BTreeMap<(SoakMillis, usize), Step>,
+    added: usize,
+}
+
+impl StepQueue {
+    fn add(&mut self, at_ms: SoakMillis, step: Step) {
+        self.steps.insert((at_ms, self.added), step);
+        self.added += 1;
+    }
+
+    fn next(&mut self) -> Option<(SoakMillis, Step)> {
+        self.steps.pop_first().map(|((at_ms, _), step)| (at_ms, step))
+    }
+}
+
+/// Brings the faults of a plan about and ends them.
+///
+/// # Errors
+/// A daemon can't be started again, or told to read its settings.
+pub async fn bring_about(
+    deployment: &mut Deployment,
+    lives: &DaemonLives,
+    planned: &[PlannedFault],
+    recorder: &Recorder,
+) -> std::io::Result<()> {
+    let mut queue = StepQueue::default();
+    planned.iter().for_each(|fault| queue.add(fault.at_ms, Step::Begin(fault.clone())));
+    let mut submissions = Vec::new();
+    while let Some((at_ms, step)) = queue.next() {
+        tokio::time::sleep_until((recorder.start() + Duration::from_millis(at_ms)).into()).await;
+        tell_if_late(at_ms, recorder);
+        match step {
+            Step::Begin(fault) => {
+                submissions.extend(begin(deployment, lives, fault, &mut queue, recorder)?);
+            }
+            Step::Again(daemon) => faults::ask_to_stop(deployment, daemon),
+            Step::End { begun, planned_ms } => {
+                let overdue = recorder.at_ms() > planned_ms + STOP_TIMEOUT_MS;
+                match faults::end(deployment, lives, &begun)? {
+                    FaultEnd::StillStopping if !overdue => {
+                        queue.add(recorder.at_ms() + STOP_POLL_MS, Step::End { begun, planned_ms });
+                    }
+                    FaultEnd::StillStopping => {
+                        println!("killed after {STOP_TIMEOUT_MS} ms, not stopped yet: {:?}", begun.fault);
+                        faults::end_by_force(deployment, lives, &begun)?;
+                        note_end(begun.fault, recorder);
+                    }
+                    FaultEnd::Ended => note_end(begun.fault, recorder),
+                }
+            }
+        }
+    }
+    for submission in submissions {
+        submission.await.map_err(std::io::Error::other)?;
+    }
+    Ok(())
+}
+
+/// Makes a fault begin and plans its further steps. Gives the submission to wait for, if it is one.
+fn begin(
+    deployment: &mut Deployment,
+    lives: &DaemonLives,
+    planned: PlannedFault,
+    queue: &mut StepQueue,
+    recorder: &Recorder,
+) -> std::io::Result<Option<JoinHandle<()>>> {
+    let planned_ms = planned.end_ms();
+    let PlannedFault { at_ms, fault, .. } = planned;
+    recorder.note(HistoryEvent::FaultBegins { at_ms: recorder.at_ms(), fault: fault.clone() });
+    if let SoakFault::HastyStop { daemon, again_ms } = fault {
+        queue.add(at_ms + again_ms, Step::Again(daemon));
+    }
+    let submission = match fault {
+        SoakFault::Configuration { daemon } => Some(submit(deployment, daemon, recorder)),
+        _ => None,
+    };
+    let begun = faults::begin(deployment, lives, fault)?;
+    queue.add(planned_ms, Step::End { begun, planned_ms });
+    Ok(submission)
+}
+
+fn note_end(fault: SoakFault, recorder: &Recorder) {
+    recorder.note(HistoryEvent::FaultEnds { at_ms: recorder.at_ms(), fault });
+}
+
+fn tell_if_late(at_ms: SoakMillis, recorder: &Recorder) {
+    let late_ms = recorder.at_ms().saturating_sub(at_ms);
+    if late_ms > MOST_LATE_MS {
+        println!("this machine is too busy for the plan: the step of {at_ms} ms came {late_ms} ms late");
+    }
+}
+
+/// Submits the configuration once more, under another number, beside whatever else happens. What the client
+/// can't tell isn't noted.
+pub fn submit(deployment: &Deployment, daemon: DaemonIndex, recorder: &Recorder) -> JoinHandle<()> {
+    let mut submission = deployment.submission(daemon, &["--json"]);
+    let recorder = recorder.clone();
+    tokio::task::spawn_blocking(move || {
+        let output = submission.output().ok().filter(|output| output.status.success());
+        let text = output.map(|output| String::from_utf8_lossy(&output.stdout).into_owned());
+        if let Some(generation) = text.and_then(|text| generation_of(&text)) {
+            recorder.note(HistoryEvent::Accepted { at_ms: recorder.at_ms(), generation });
+        }
+    })
+}
+
+fn generation_of(output: &str) -> Option<u64> {
+    let answer: serde_json::Value = serde_json::from_str(output.trim()).ok()?;
+    answer.get("generation")?.as_u64()
+}
--- a/crates/seamhatch-lab/tests/soak.rs
+++ b/crates/seamhatch-lab/tests/soak.rs
@@ -2,11 +2,14 @@
 
 use seamhatch_lab::soak::checks::{PROBE_PREFIX, Promise, RETRY_TOKENS, check};
 use seamhatch_lab::soak::history::{HistoryEvent, SeenAnswer, from_lines, to_lines};
-use seamhatch_lab::soak::plan::{PlanError, PlannedFault, SoakFault, SoakPlan};
+use seamhatch_lab::soak::plan::{
+    PlanError, PlannedFault, ReloadLevel, SERVERS, SoakFault, SoakFleet, SoakPlan,
+};
 use std::io::Write;
 use std::process::{Command, Stdio};
 
 const DAEMONS: usize = 8;
+const FLEET: SoakFleet = SoakFleet { services: 4, servers: SERVERS };
 const STOP: SoakFault = SoakFault::PlannedStop { daemon: 2 };
 
 fn answer(status: u16, outcome: &str, reason: &str) -> SeenAnswer {
@@ -108,6 +111,30 @@
     ]
 }
 
+/// A request that is sent into a stop while this goes on beside.
+fn stop_beside(fault: SoakFault, answer: SeenAnswer) -> Vec<HistoryEvent> {
+    at_stop(11_000, answer, vec![begins(10_500, fault.clone()), ends(10_900, fault)])
+}
+
+fn stop_cases() -> Vec<HistoryCase> {
+    let other = || SoakFault::PlannedStop { daemon: 3 };
+    let lost = || answer(0, "", "connection-lost");
+    let peer_lost = || answer(502, "unknown", "peer-lost");
+    let promise = Promise::StopsCutNothing;
+    let reload = SoakFault::Reload { daemon: 2, log_level: ReloadLevel::Debug, more_slots: 1 };
+    vec![
+        broken("cut off while others stop", promise, stop_beside(other(), lost())),
+        broken("a peer that stops too cuts off", promise, stop_beside(other(), peer_lost())),
+        broken("cut off while settings are read", promise, stop_beside(reload, lost())),
+        broken("cut off while the store is out", promise, stop_beside(SoakFault::StoreOut, lost())),
+        kept("no server while others stop", stop_beside(other(), answer(502, "answered", ""))),
+        kept(
+            "asked twice to stop beside it",
+            stop_beside(SoakFault::HastyStop { daemon: 3, again_ms: 100 }, lost()),
+        ),
+    ]
+}
+
 fn unclaimed() -> SeenAnswer {
     SeenAnswer { comes_back: true, ..answer(503, "unknown", "draining") }
 }
@@ -153,7 +180,7 @@
 
 #[test]
 fn each_promise_is_found_broken_where_it_is_and_nowhere_else() {
-    for case in request_cases().into_iter().chain(deployment_cases()) {
+    for case in request_cases().into_iter().chain(deployment_cases()).chain(stop_cases()) {
         let found: Vec<Promise> =
             check(&case.history).into_iter().map(|violation| violation.promise).collect();
         assert_eq!(found, case.broken, "{}", case.name);
@@ -172,13 +199,13 @@
 fn a_plan_comes_from_its_seed_alone_and_survives_its_file() {
     let directory = tempfile::tempdir().expect("a directory");
     for seed in 0..200 {
-        let plan = SoakPlan::draw(seed, 60, DAEMONS);
-        assert_eq!(plan, SoakPlan::draw(seed, 60, DAEMONS));
+        let plan = SoakPlan::draw(seed, 60, FLEET);
+        assert_eq!(plan, SoakPlan::draw(seed, 60, FLEET));
         let path = directory.path().join("plan.toml");
         std::fs::write(&path, plan.to_text()).expect("is written");
-        assert_eq!(SoakPlan::read(&path, DAEMONS).expect("is a plan"), plan, "seed {seed}");
+        assert_eq!(SoakPlan::read(&path, FLEET.services).expect("is a plan"), plan, "seed {seed}");
     }
-    assert_ne!(SoakPlan::draw(1, 60, DAEMONS), SoakPlan::draw(2, 60, DAEMONS));
+    assert_ne!(SoakPlan::draw(1, 60, FLEET), SoakPlan::draw(2, 60, FLEET));
 }
 
 /// A plan that can't be used, and what its error says.
@@ -194,6 +221,7 @@
         seconds: 10,
         rate: 10.0,
         clients: 0,
+        servers: SERVERS,
         faults: vec![PlannedFault { at_ms, for_ms: 1_000, fault }],
     };
     let cases = [
@@ -209,13 +237,13 @@
     for case in cases {
         let mut file = tempfile::NamedTempFile::new().expect("a file");
         file.write_all(case.plan.to_text().as_bytes()).expect("is written");
-        let error = SoakPlan::read(file.path(), DAEMONS).expect_err("can't be used");
+        let error = SoakPlan::read(file.path(), FLEET.services).expect_err("can't be used");
         assert!((case.is)(&error), "{error}");
     }
     let mut file = tempfile::NamedTempFile::new().expect("a file");
     file.write_all(b"seed = 1\nfault = 3\n").expect("is written");
-    assert!(matches!(SoakPlan::read(file.path(), DAEMONS), Err(PlanError::Form { .. })));
-    assert!(matches!(SoakPlan::read("no/such/file".as_ref(), DAEMONS), Err(PlanError::Read { .. })));
+    assert!(matches!(SoakPlan::read(file.path(), FLEET.services), Err(PlanError::Form { .. })));
+    assert!(matches!(SoakPlan::read("no/such/file".as_ref(), FLEET.services), Err(PlanError::Read { .. })));
 }
 
 /// The whole path, short: processes, faults of each group, checks. Its verdict depends on promises alone, not
@@ -227,6 +255,7 @@
         seconds: 12,
         rate: 40.0,
         clients: 16,
+        servers: SERVERS,
         faults: vec![
             PlannedFault { at_ms: 1_500, for_ms: 800, fault: SoakFault::StoreOut },
             PlannedFault { at_ms: 2_500, for_ms: 700, fault: SoakFault::Reset { daemon: 3 } },
@@ -237,13 +266,47 @@
     });
 }
 
+/// Stops, signals and submissions that overlap, also of all daemons of one service. No two daemons are lost
+/// at once without a stop or a store: shards that have lost two witnesses wait for two minutes by design.
+#[test]
+fn stops_and_changes_that_overlap_keep_all_promises() {
+    let stop = |daemon| SoakFault::PlannedStop { daemon };
+    let submission = |daemon| SoakFault::Configuration { daemon };
+    let reload = |daemon, log_level| SoakFault::Reload { daemon, log_level, more_slots: 1 };
+    soak_keeps_all_promises(&SoakPlan {
+        seed: 2,
+        seconds: 16,
+        rate: 40.0,
+        clients: 24,
+        servers: SERVERS,
+        faults: vec![
+            PlannedFault { at_ms: 1_500, for_ms: 1_500, fault: stop(2) },
+            PlannedFault { at_ms: 1_600, for_ms: 1_500, fault: reload(2, ReloadLevel::Debug) },
+            PlannedFault { at_ms: 1_700, for_ms: 1_000, fault: stop(3) },
+            PlannedFault { at_ms: 1_900, for_ms: 500, fault: submission(0) },
+            PlannedFault { at_ms: 1_920, for_ms: 500, fault: submission(5) },
+            PlannedFault {
+                at_ms: 7_000,
+                for_ms: 500,
+                fault: SoakFault::HastyStop { daemon: 0, again_ms: 300 },
+            },
+            PlannedFault { at_ms: 7_100, for_ms: 500, fault: stop(4) },
+            PlannedFault { at_ms: 7_200, for_ms: 900, fault: reload(6, ReloadLevel::Trace) },
+            PlannedFault { at_ms: 7_310, for_ms: 500, fault: submission(6) },
+            PlannedFault { at_ms: 11_000, for_ms: 1_500, fault: SoakFault::StoreOut },
+            PlannedFault { at_ms: 11_200, for_ms: 600, fault: submission(1) },
+            PlannedFault { at_ms: 11_300, for_ms: 900, fault: reload(4, ReloadLevel::Warn) },
+        ],
+    });
+}
+
 /// Plans of soaks that once failed; why stands in each file.
 #[test]
 fn plans_that_once_failed_are_kept() {
     let directory = concat!(env!("CARGO_MANIFEST_DIR"), "/../../scenarios/soak");
     for entry in std::fs::read_dir(directory).expect("a directory") {
         let path = entry.expect("an entry").path();
-        soak_keeps_all_promises(&SoakPlan::read(&path, DAEMONS).expect("is a plan"));
+        soak_keeps_all_promises(&SoakPlan::read(&path, FLEET.services).expect("is a plan"));
     }
 }
 
