Soak: a service that has a living server is found

Cause: nothing in a soak judged for how long callers are told that a service has no server; a deployment that refused a whole service between restarts kept all promises. Change: the promise ServersFound (no_server.rs): at each daemon, and at all of them together, a service is answered no-server for 4 s at most while a daemon of it lives and the asked one is undisturbed. 4 s: what a start waits for store and daemons (1.3 s) and for silence (0.75 s), twice. A started daemon counts from the end of store trouble on, and 10 s later where two witnesses may be lost, as docs/GUARANTEES.md has it. Test: 12 cases in soak.rs.

--- a/crates/seamhatch-lab/src/soak/checks.rs
+++ b/crates/seamhatch-lab/src/soak/checks.rs
@@ -2,6 +2,7 @@
 //! what callers, back ends and operators saw.
 
 use super::history::{HistoryEvent, RequestName, SeenAnswer};
+use super::no_server::servers_are_found;
 use super::plan::DaemonIndex;
 use super::stops::stops_cut_nothing;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
@@ -32,6 +33,8 @@
     ConfigurationForward,
     /// An accepted configuration is in force everywhere.
     ConfigurationEverywhere,
+    /// A service that has a living server is found.
+    ServersFound,
     /// After the faults everything is served again.
     Recovers,
 }
@@ -50,7 +53,7 @@
 type Check = fn(&[HistoryEvent]) -> Vec<Violation>;
 
 /// All checks.
-const CHECKS: [Check; 9] = [
+const CHECKS: [Check; 10] = [
     retries_bounded,
     answers_whole,
     refusals_true,
@@ -59,6 +62,7 @@
     stops_cut_nothing,
     configuration_forward,
     configuration_everywhere,
+    servers_are_found,
     recovers,
 ];
 
--- a/crates/seamhatch-lab/src/soak/history.rs
+++ b/crates/seamhatch-lab/src/soak/history.rs
@@ -14,6 +14,13 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "event", rename_all = "kebab-case")]
 pub enum HistoryEvent {
+    /// A daemon of the deployment.
+    Daemon {
+        /// Which.
+        daemon: DaemonIndex,
+        /// Service of the server beside it.
+        service: String,
+    },
     /// A caller sends a request.
     Sent {
         /// When.
--- a/crates/seamhatch-lab/src/soak/mod.rs
+++ b/crates/seamhatch-lab/src/soak/mod.rs
@@ -6,6 +6,7 @@
 pub mod faults;
 pub mod history;
 pub mod load;
+pub mod no_server;
 pub mod plan;
 pub mod recorder;
 pub mod run;
--- a/crates/seamhatch-lab/src/soak/run.rs
+++ b/crates/seamhatch-lab/src/soak/run.rs
@@ -57,6 +57,9 @@
     let mut deployment = Deployment::start_ready(topology(plan.servers), &options).await?;
     let lives = DaemonLives::new(deployment.daemons.len());
     let recorder = Recorder::begin();
+    for (daemon, machine) in deployment.machines.iter().enumerate() {
+        recorder.note(HistoryEvent::Daemon { daemon, service: machine.service.clone() });
+    }
     let load =
         load::send_load(plan.clone(), deployment.topology.clone(), deployment.ingresses(), recorder.clone());
     let load = tokio::spawn(load);
--- a/crates/seamhatch-lab/tests/soak.rs
+++ b/crates/seamhatch-lab/tests/soak.rs
@@ -2,8 +2,9 @@
 
 use seamhatch_lab::soak::checks::{PROBE_PREFIX, Promise, RETRY_TOKENS, check};
 use seamhatch_lab::soak::history::{HistoryEvent, SeenAnswer, from_lines, to_lines};
+use seamhatch_lab::soak::no_server::NO_SERVER_BOUND_MS;
 use seamhatch_lab::soak::plan::{
-    PlanError, PlannedFault, ReloadLevel, SERVERS, SoakFault, SoakFleet, SoakPlan,
+    CutWay, PlanError, PlannedFault, ReloadLevel, SERVERS, SoakFault, SoakFleet, SoakPlan,
 };
 use std::io::Write;
 use std::process::{Command, Stdio};
@@ -135,6 +136,68 @@
     ]
 }
 
+/// Requests that find no server of a service with daemons 2 and 3, sent one after the other at these times.
+fn not_found(at_ms: &[u64], beside: Vec<HistoryEvent>) -> Vec<HistoryEvent> {
+    let service = || "settlement".to_owned();
+    let mut history = vec![
+        HistoryEvent::Daemon { daemon: 2, service: service() },
+        HistoryEvent::Daemon { daemon: 3, service: service() },
+    ];
+    history.extend(beside);
+    for (number, at_ms) in at_ms.iter().enumerate() {
+        let request = format!("n-{number}");
+        history.push(sent(*at_ms, &request, 0, false));
+        history.push(answered(at_ms + 5, &request, answer(503, "not-run", "no-server")));
+    }
+    history
+}
+
+fn span(from_ms: u64, to_ms: u64, fault: SoakFault) -> Vec<HistoryEvent> {
+    vec![begins(from_ms, fault.clone()), ends(to_ms, fault)]
+}
+
+fn no_server_cases() -> Vec<HistoryCase> {
+    const LONG: u64 = NO_SERVER_BOUND_MS + 1_000;
+    let stop = |daemon| SoakFault::PlannedStop { daemon };
+    let both = |apart_ms| [span(1_000, 20_000, stop(2)), span(1_000, 20_000 + apart_ms, stop(3))].concat();
+    let after = |from_ms: u64| not_found(&[from_ms, from_ms + LONG], both(0));
+    let served = vec![sent(23_000, "a", 0, false), answered(23_010, "a", good())];
+    let every_daemon = |mut history: Vec<HistoryEvent>| {
+        if let Some(HistoryEvent::Sent { daemon, .. }) = history.get_mut(2) {
+            *daemon = 1;
+        }
+        history
+    };
+    let twice = |name, history| HistoryCase { name, history, broken: vec![Promise::ServersFound; 2] };
+    let once = |name, history| broken(name, Promise::ServersFound, history);
+    let store = || span(19_000, 20_000 + LONG, SoakFault::StoreOut);
+    let killed = || span(1_000, 20_000, SoakFault::Kill { daemons: vec![2, 3] });
+    let entry_cut = SoakFault::Cut { daemon: 0, way: CutWay::Both };
+    vec![
+        kept("for a moment", not_found(&[1_000, 2_000], Vec::new())),
+        twice("without any cause", not_found(&[1_000, 1_000 + LONG], Vec::new())),
+        once("at two daemons", every_daemon(not_found(&[1_000, 1_000 + LONG], Vec::new()))),
+        twice(
+            "with one of two daemons stopped",
+            not_found(&[2_000, 2_000 + LONG], span(1_000, 20_000, stop(2))),
+        ),
+        kept("with both stopped", not_found(&[2_000, 2_000 + LONG], both(0))),
+        twice("after both were stopped", after(21_000)),
+        kept("while one was just started", not_found(&[2_000, 20_000 + LONG - 1_500], both(LONG))),
+        kept(
+            "started while the store was out",
+            not_found(&[21_000, 21_000 + LONG], [both(0), store()].concat()),
+        ),
+        kept("both killed, as witnesses too", not_found(&[21_000, 21_000 + LONG], killed())),
+        twice("long after both were killed", not_found(&[31_000, 31_000 + LONG], killed())),
+        kept("served meanwhile", not_found(&[20_500, 20_500 + LONG], [both(0), served].concat())),
+        kept(
+            "told by a daemon that is cut off",
+            not_found(&[2_000, 2_000 + LONG], span(1_000, 20_000, entry_cut)),
+        ),
+    ]
+}
+
 fn unclaimed() -> SeenAnswer {
     SeenAnswer { comes_back: true, ..answer(503, "unknown", "draining") }
 }
@@ -180,7 +243,9 @@
 
 #[test]
 fn each_promise_is_found_broken_where_it_is_and_nowhere_else() {
-    for case in request_cases().into_iter().chain(deployment_cases()).chain(stop_cases()) {
+    for case in
+        request_cases().into_iter().chain(deployment_cases()).chain(stop_cases()).chain(no_server_cases())
+    {
         let found: Vec<Promise> =
             check(&case.history).into_iter().map(|violation| violation.promise).collect();
         assert_eq!(found, case.broken, "{}", case.name);
