Lab: daemons log JSON with the callers' names, which trace reads

Cause: the lab's daemons logged text, and named requests by root ids that no caller knows, so that a kept soak could not be followed with the operators' trace. Change: the emulator's daemon runs with the product's conventions plus names (conventions.rs): a request is named as its caller names it, a call after it with a dot and its service, as trace expects. Logs are JSON. Ruled out: translating kept logs afterwards, as no line held both names. Test: soak_logs.rs traces a request over three daemons to its cause.

--- a/crates/seamhatch-lab/src/backends.rs
+++ b/crates/seamhatch-lab/src/backends.rs
@@ -25,6 +25,8 @@
 
 /// Header in which a caller names its request; back ends pass it on.
 pub const REQUEST_HEADER: &str = "x-request";
+/// Header that names a request or a call of one in logs: the request, then a dot and a service for each call down to it.
+pub const CALL_HEADER: &str = "x-call";
 /// Header in which back ends tell the calls that led to one, so that the same
 /// call by two parents can be told from a repeat.
 const TRAIL_HEADER: &str = "x-trail";
@@ -205,6 +207,7 @@
     method: Method,
     path: String,
     request: String,
+    call: String,
     trail: String,
     context: Option<String>,
 }
@@ -217,6 +220,7 @@
         |name: &str| parts.headers.get(name).and_then(|value| value.to_str().ok()).map(str::to_owned);
     let incoming = Incoming {
         request: header(REQUEST_HEADER).unwrap_or_default(),
+        call: header(CALL_HEADER).unwrap_or_default(),
         trail: header(TRAIL_HEADER).unwrap_or_default(),
         context: header(seamhatchd::headers::CONTEXT),
         path: parts.uri.path().to_owned(),
@@ -298,6 +302,7 @@
             .method(call.method.as_str())
             .uri(uri)
             .header(TRAIL_HEADER, trail)
+            .header(CALL_HEADER, format!("{}.{}", incoming.call, call.service))
             .header(REQUEST_HEADER, &incoming.request);
         if let Some(context) = &incoming.context {
             request = request.header(seamhatchd::headers::CONTEXT, context);
--- a/crates/seamhatch-lab/src/client.rs
+++ b/crates/seamhatch-lab/src/client.rs
@@ -1,6 +1,6 @@
 //! A caller: sends a request and judges the answer.
 
-use crate::backends::REQUEST_HEADER;
+use crate::backends::{CALL_HEADER, REQUEST_HEADER};
 use crate::bodies;
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response};
@@ -88,8 +88,11 @@
 
 /// The request as HTTP, to this target; none when it can't be written so.
 pub(crate) fn request_message(target: &str, request: &CallerRequest) -> Option<Request<Full<Bytes>>> {
-    let mut message =
-        Request::builder().method(request.method).uri(target).header(REQUEST_HEADER, &request.request);
+    let mut message = Request::builder()
+        .method(request.method)
+        .uri(target)
+        .header(REQUEST_HEADER, &request.request)
+        .header(CALL_HEADER, &request.request);
     if let Some(key) = &request.key {
         message = message.header(headers::IDEMPOTENCY_KEY, key);
     }
--- /dev/null
+++ b/crates/seamhatch-lab/src/conventions.rs
@@ -0,0 +1,63 @@
+//! The product's conventions with the caller's names of requests, so that logs tell these.
+
+use crate::backends::CALL_HEADER;
+use bytes::Bytes;
+use http::{HeaderMap, Response, StatusCode};
+use seamhatch_core::admission::BackEndLoad;
+use seamhatch_wire::HeaderField;
+use seamhatchd::conventions::{
+    AnswerMark, AnswerVerdict, BackEndCall, CallerTerms, HttpConventions, OwnAnswer, OwnConventions,
+    field_text, text,
+};
+use seamhatchd::ports::Ports;
+use seamhatchd::settings::Settings;
+use std::sync::Arc;
+
+/// The product's own ports, but for these conventions.
+#[must_use]
+pub fn lab_ports(settings: &Settings) -> Ports {
+    Ports { conventions: Arc::new(NamedConventions), ..Ports::own(settings) }
+}
+
+/// [`OwnConventions`] that read names of requests and calls.
+#[derive(Debug, Clone, Copy)]
+struct NamedConventions;
+
+impl HttpConventions for NamedConventions {
+    fn caller_terms(&self, headers: &HeaderMap) -> CallerTerms {
+        let name = text(headers, CALL_HEADER).map(str::to_owned);
+        CallerTerms { name, ..OwnConventions.caller_terms(headers) }
+    }
+
+    fn passes_through(&self, name: &str) -> bool {
+        OwnConventions.passes_through(name)
+    }
+
+    fn entry_fields(&self, own_service: &str) -> Vec<HeaderField> {
+        OwnConventions.entry_fields(own_service)
+    }
+
+    fn request_name<'a>(&self, fields: &'a [HeaderField]) -> Option<&'a str> {
+        field_text(fields, CALL_HEADER)
+    }
+
+    fn back_end_fields(&self, call: &BackEndCall<'_>) -> Vec<HeaderField> {
+        OwnConventions.back_end_fields(call)
+    }
+
+    fn judge(&self, call: &BackEndCall<'_>, status: StatusCode, headers: &HeaderMap) -> AnswerVerdict {
+        OwnConventions.judge(call, status, headers)
+    }
+
+    fn back_end_load(&self, headers: &HeaderMap) -> Option<BackEndLoad> {
+        OwnConventions.back_end_load(headers)
+    }
+
+    fn own_answer(&self, answer: &OwnAnswer<'_>) -> Response<Bytes> {
+        OwnConventions.own_answer(answer)
+    }
+
+    fn mark(&self, headers: &mut HeaderMap, mark: &AnswerMark) {
+        OwnConventions.mark(headers, mark);
+    }
+}
--- a/crates/seamhatch-lab/src/lib.rs
+++ b/crates/seamhatch-lab/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod bound;
 pub mod client;
 pub mod connection;
+pub mod conventions;
 pub mod demo;
 pub mod deployment;
 pub mod experiment;
--- a/crates/seamhatch-lab/src/main.rs
+++ b/crates/seamhatch-lab/src/main.rs
@@ -30,7 +30,7 @@
         "run" => seamhatch_lab::experiment::run(arguments),
         "daemon" => {
             seamhatch_lab::process::end_with_standard_input();
-            seamhatchd::run(arguments)
+            seamhatchd::run_with(arguments, |settings| Ok(seamhatch_lab::conventions::lab_ports(settings)))
         }
         "client" => seamhatch::run(arguments),
         "--help" | "-h" => {
--- a/crates/seamhatch-lab/src/process.rs
+++ b/crates/seamhatch-lab/src/process.rs
@@ -219,7 +219,7 @@
          gossip = \"{gossip}\"\nadmin = \"{admin}\"\n{advertise}\
          [backend]\naddress = \"{backend}\"\nslots = {slots}\n\
          [platform]\nstore = \"{store}\"\nmachines = \"{machines}\"\n\
-         [membership]\nseeds = [{seeds}]\n[log]\nlevel = \"{level}\"\n[threads]\ntraffic = 1\n",
+         [membership]\nseeds = [{seeds}]\n[log]\nlevel = \"{level}\"\nformat = \"json\"\n[threads]\ntraffic = 1\n",
         cluster = options.cluster,
         region = options.region,
         zone = machine.zone,
--- /dev/null
+++ b/crates/seamhatch-lab/tests/soak_logs.rs
@@ -0,0 +1,38 @@
+//! What a deployment's logs tell the operators' `trace`.
+
+mod common;
+
+use common::{eventually, request, start};
+use seamhatch_lab::client::Caller;
+use seamhatch_lab::topology::Topology;
+use std::process::Command;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_is_traced_by_its_callers_name() {
+    let (deployment, _turn) = start(Topology::harvest().in_small(2), false).await;
+    let answer = Caller::default()
+        .send(deployment.ingresses()[0], &request("GET", "/status/lookup", "soak-7", false))
+        .await;
+    assert!(answer.is_good(), "{answer:?}");
+    let directory = tempfile::tempdir().expect("a directory");
+    let written = |daemon: usize| {
+        let path = directory.path().join(format!("daemon-{daemon}.log"));
+        std::fs::write(&path, deployment.log(daemon)).expect("is written");
+        path
+    };
+    let trace = || {
+        let logs = (0..deployment.daemons.len()).map(written);
+        let mut command = Command::new(&deployment.options.program);
+        let output =
+            command.args(["client", "trace", "soak-7"]).args(logs).output().expect("the client starts");
+        String::from_utf8_lossy(&output.stdout).into_owned()
+    };
+    // Daemons write their logs a little later than they answer.
+    eventually("the request is traced", async || trace().contains("cause: answered with status 200")).await;
+    let told = trace();
+    let told_of =
+        ["soak-7 request answered", "soak-7.evidence call ran", "soak-7.evidence.fieldbook call ran"];
+    for part in told_of {
+        assert!(told.contains(part), "{part} is not in\n{told}");
+    }
+}
