Soak: many seeds in one call, and up to 80 daemons

Cause: each seed was a call of its own, and all soaks had eight daemons. The proxy goes on accepting after an error, as when the process is out of sockets; before, that listener ended for good. Ruled out: 100 daemons behind the proxy. So 80 is the most.

--- a/crates/seamhatch-lab/src/faults.rs
+++ b/crates/seamhatch-lab/src/faults.rs
@@ -112,7 +112,12 @@
 }
 
 async fn accept(listener: TcpListener, machine: Machine, rules: Arc<Rules>) {
-    while let Ok((incoming, from)) = listener.accept().await {
+    loop {
+        let Ok((incoming, from)) = listener.accept().await else {
+            // This process may be out of sockets for a moment; the daemon must be reachable after it.
+            tokio::time::sleep(POLL).await;
+            continue;
+        };
         let from = v4(from);
         let (machine, rules) = (machine.clone(), rules.clone());
         tokio::spawn(async move {
--- a/crates/seamhatch-lab/src/soak/mod.rs
+++ b/crates/seamhatch-lab/src/soak/mod.rs
@@ -17,15 +17,18 @@
 use checks::{Violation, check};
 use history::{HistoryEvent, to_lines};
 use pico_args::Arguments;
-use plan::{SERVERS, SoakPlan};
+use plan::{SERVERS, SoakFleet, SoakPlan};
 use run::{SoakRecord, fleet};
 use std::collections::BTreeMap;
 use std::ffi::OsString;
+use std::fmt::Display;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::str::FromStr;
 
 const HELP: &str = "\
-seamhatch-lab soak [--seconds N] [--seed S] [--replay FILE] [--keep DIRECTORY] [--plan]
+seamhatch-lab soak [--seconds N] [--seed S] [--daemons N] [--seeds N] [--keep DIRECTORY] [--plan]
+seamhatch-lab soak --replay FILE [--keep DIRECTORY] [--plan]
 seamhatch-lab soak --check HISTORY
 
 Starts the claims platform in small, sends load, brings faults about that are drawn from the
@@ -33,8 +36,11 @@
 
   --seconds N        length of the load (60)
   --seed S           what the plan is drawn from (drawn)
+  --daemons N        daemons, as many for each of the four services (8)
+  --seeds N          N plans one after the other, of the seeds from S on, or each of a drawn one
   --replay FILE      a plan that was printed before
-  --keep DIRECTORY   where plan, history and logs of a soak that fails are kept (soak-SEED)
+  --keep DIRECTORY   where plan, history and logs of a soak that fails are kept (soak-SEED);
+                     with --seeds, a directory for each seed in it
   --plan             print the plan and end
   --check HISTORY    check a history that was kept
 
@@ -44,14 +50,22 @@
 
 /// Length of a soak's load, in seconds.
 const SECONDS: u64 = 60;
+/// Daemons of a soak.
+const DAEMONS: usize = 8;
 /// Violations of a promise that are printed.
 const MOST_SHOWN: usize = 5;
+/// Most servers of a service. Each two daemons take up to four sockets of the proxy between them: 80 daemons 12,640
+/// of the 20,000 files that a process may usually have open.
+const MOST_SERVERS: u8 = 20;
+/// File of a plan that is kept.
+const PLAN_FILE: &str = "plan.toml";
 const EXIT_ARGUMENTS: u8 = 2;
 
 /// What to do.
 struct SoakOptions {
-    plan: SoakPlan,
-    keep: PathBuf,
+    plans: Vec<SoakPlan>,
+    /// Where failures are kept; each in a directory named after its seed, unless it is the only one.
+    keep: Option<PathBuf>,
     print_only: bool,
 }
 
@@ -69,10 +83,10 @@
     }
     match options(arguments) {
         Ok(options) if options.print_only => {
-            print!("{}", options.plan.to_text());
+            options.plans.iter().for_each(|plan| print!("{}", plan.to_text()));
             ExitCode::SUCCESS
         }
-        Ok(options) => soak(&options),
+        Ok(options) => soak_all(&options),
         Err(problem) => unusable(&problem),
     }
 }
@@ -83,47 +97,100 @@
 }
 
 fn options(mut arguments: Arguments) -> Result<SoakOptions, String> {
-    let text = |error: pico_args::Error| error.to_string();
-    let seconds = arguments.opt_value_from_str("--seconds").map_err(text)?.unwrap_or(SECONDS);
-    let seed = arguments.opt_value_from_str("--seed").map_err(text)?;
-    let replay: Option<PathBuf> = arguments.opt_value_from_str("--replay").map_err(text)?;
-    let keep: Option<PathBuf> = arguments.opt_value_from_str("--keep").map_err(text)?;
+    let replay: Option<PathBuf> = option(&mut arguments, "--replay")?;
+    let plans = match replay {
+        Some(path) => {
+            let plan = SoakPlan::read(&path, fleet(SERVERS).services);
+            vec![plan.map_err(|error| error.to_string())?]
+        }
+        None => drawn_plans(&mut arguments)?,
+    };
+    let keep = option(&mut arguments, "--keep")?;
     let print_only = arguments.contains("--plan");
     if let Some(unknown) = arguments.finish().first() {
         return Err(format!("unknown argument {unknown:?}"));
     }
-    let fleet = fleet(SERVERS);
-    let plan = match replay {
-        Some(path) => SoakPlan::read(&path, fleet.services).map_err(|error| error.to_string())?,
-        // A seed that fits into a plan file, whose numbers have a sign.
-        None => SoakPlan::draw(seed.unwrap_or_else(|| rand::random::<u64>() >> 1), seconds, fleet),
-    };
-    let keep = keep.unwrap_or_else(|| PathBuf::from(format!("soak-{}", plan.seed)));
-    Ok(SoakOptions { plan, keep, print_only })
+    Ok(SoakOptions { plans, keep, print_only })
+}
+
+fn drawn_plans(arguments: &mut Arguments) -> Result<Vec<SoakPlan>, String> {
+    let seconds = option(arguments, "--seconds")?.unwrap_or(SECONDS);
+    let first: Option<u64> = option(arguments, "--seed")?;
+    let count: u64 = option(arguments, "--seeds")?.unwrap_or(1);
+    let daemons: usize = option(arguments, "--daemons")?.unwrap_or(DAEMONS);
+    let fleet = fleet_of(daemons)?;
+    // A seed that fits into a plan file, whose numbers have a sign.
+    let seed = |number: u64| first.map_or_else(|| rand::random::<u64>() >> 1, |first| first + number);
+    Ok((0..count).map(|number| SoakPlan::draw(seed(number), seconds, fleet)).collect())
+}
+
+fn fleet_of(daemons: usize) -> Result<SoakFleet, String> {
+    let services = fleet(SERVERS).services;
+    let servers =
+        u8::try_from(daemons / services).ok().filter(|servers| (1..=MOST_SERVERS).contains(servers));
+    let servers = servers.filter(|servers| usize::from(*servers) * services == daemons);
+    let most = services * usize::from(MOST_SERVERS);
+    servers.map(fleet).ok_or(format!("--daemons is {daemons}, not a multiple of {services} up to {most}"))
+}
+
+fn option<T: FromStr<Err: Display>>(
+    arguments: &mut Arguments,
+    name: &'static str,
+) -> Result<Option<T>, String> {
+    arguments.opt_value_from_str(name).map_err(|error| error.to_string())
+}
+
+fn soak_all(options: &SoakOptions) -> ExitCode {
+    let single = options.plans.len() == 1;
+    let mut failed = Vec::new();
+    for plan in &options.plans {
+        let name = format!("soak-{}", plan.seed);
+        let directory = match &options.keep {
+            Some(directory) if single => directory.clone(),
+            Some(directory) => directory.join(name),
+            None => PathBuf::from(name),
+        };
+        if !soak(plan, &directory) {
+            failed.push((plan.seed, directory));
+        }
+    }
+    if !single {
+        println!("{} soaks, {} failed", options.plans.len(), failed.len());
+        for (seed, directory) in &failed {
+            println!("  seed {seed}: its plan is {}", directory.join(PLAN_FILE).display());
+        }
+    }
+    if failed.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
-fn soak(options: &SoakOptions) -> ExitCode {
-    let plan = &options.plan;
+/// Whether a soak kept all promises. What is to be kept of one that didn't goes into the directory.
+fn soak(plan: &SoakPlan, directory: &Path) -> bool {
     println!("seed {}, {} s, {} faults:\n{}", plan.seed, plan.seconds, plan.faults.len(), plan.to_text());
     let record = match played(plan) {
         Ok(record) => record,
         Err(problem) => {
             eprintln!("seamhatch-lab: the soak of seed {} did not run to its end: {problem}", plan.seed);
-            return ExitCode::FAILURE;
+            tell_kept(directory, keep_plan(directory, plan));
+            return false;
         }
     };
     print_answers(&record.history);
     let violations = check(&record.history);
     if violations.is_empty() {
         println!("seed {}: all promises kept", plan.seed);
-        return ExitCode::SUCCESS;
+        return true;
     }
+    println!("seed {}: {} violations", plan.seed, violations.len());
     print_violations(&violations);
-    match keep(&options.keep, plan, &record) {
-        Ok(()) => println!("plan, history and logs are kept in {}", options.keep.display()),
-        Err(error) => eprintln!("seamhatch-lab: {} can't be written: {error}", options.keep.display()),
+    tell_kept(directory, keep_plan(directory, plan).and_then(|()| keep_record(directory, &record)));
+    false
+}
+
+fn tell_kept(directory: &Path, kept: std::io::Result<()>) {
+    match kept {
+        Ok(()) => println!("what there is of it is kept in {}", directory.display()),
+        Err(error) => eprintln!("seamhatch-lab: {} can't be written: {error}", directory.display()),
     }
-    ExitCode::FAILURE
 }
 
 /// Plays a plan; the deployment's processes end with this, also when it is interrupted.
@@ -167,9 +234,12 @@
     }
 }
 
-fn keep(directory: &Path, plan: &SoakPlan, record: &SoakRecord) -> std::io::Result<()> {
+fn keep_plan(directory: &Path, plan: &SoakPlan) -> std::io::Result<()> {
     std::fs::create_dir_all(directory)?;
-    std::fs::write(directory.join("plan.toml"), plan.to_text())?;
+    std::fs::write(directory.join(PLAN_FILE), plan.to_text())
+}
+
+fn keep_record(directory: &Path, record: &SoakRecord) -> std::io::Result<()> {
     std::fs::write(directory.join("history.jsonl"), to_lines(&record.history))?;
     for (daemon, log) in record.logs.iter().enumerate() {
         std::fs::write(directory.join(format!("daemon-{daemon}.log")), log)?;
--- a/crates/seamhatch-lab/tests/soak.rs
+++ b/crates/seamhatch-lab/tests/soak.rs
@@ -311,6 +311,34 @@
     assert!(matches!(SoakPlan::read("no/such/file".as_ref(), FLEET.services), Err(PlanError::Read { .. })));
 }
 
+/// Arguments, the exit code, and how many plans are printed.
+struct ArgumentCase {
+    arguments: &'static [&'static str],
+    code: i32,
+    plans: usize,
+}
+
+#[test]
+fn arguments_decide_which_plans_are_played() {
+    let cases = [
+        ArgumentCase { arguments: &["--seed", "1"], code: 0, plans: 1 },
+        ArgumentCase { arguments: &["--seeds", "3"], code: 0, plans: 3 },
+        ArgumentCase { arguments: &["--daemons", "80", "--seeds", "2"], code: 0, plans: 2 },
+        ArgumentCase { arguments: &["--daemons", "10"], code: 2, plans: 0 },
+        ArgumentCase { arguments: &["--daemons", "84"], code: 2, plans: 0 },
+        ArgumentCase { arguments: &["--daemons", "0"], code: 2, plans: 0 },
+        ArgumentCase { arguments: &["--seeds", "many"], code: 2, plans: 0 },
+    ];
+    for case in cases {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_seamhatch-lab"));
+        let output = command.args(["soak", "--plan"]).args(case.arguments).output().expect("starts");
+        let text = String::from_utf8_lossy(&output.stdout);
+        assert_eq!(output.status.code(), Some(case.code), "{:?}", case.arguments);
+        let seeds = text.lines().filter(|line| line.starts_with("seed = "));
+        assert_eq!(seeds.count(), case.plans, "{:?}", case.arguments);
+    }
+}
+
 /// The whole path, short: processes, faults of each group, checks. Its verdict depends on promises alone, not
 /// on how much was served.
 #[test]
