--- a/crates/seamhatch-lab/src/soak/mod.rs
+++ b/crates/seamhatch-lab/src/soak/mod.rs
@@ -10,16 +10,17 @@
 pub mod plan;
 pub mod recorder;
 pub mod run;
+pub mod shrink;
 pub mod spans;
 pub mod steps;
 mod stops;
 
-use checks::{Violation, check};
+use checks::{Promise, Violation, check};
 use history::{HistoryEvent, to_lines};
 use pico_args::Arguments;
 use plan::{SERVERS, SoakFleet, SoakPlan};
 use run::{SoakRecord, fleet};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::ffi::OsString;
 use std::fmt::Display;
 use std::path::{Path, PathBuf};
@@ -27,8 +28,8 @@
 use std::str::FromStr;
 
 const HELP: &str = "\
-seamhatch-lab soak [--seconds N] [--seed S] [--daemons N] [--seeds N] [--keep DIRECTORY] [--plan]
-seamhatch-lab soak --replay FILE [--keep DIRECTORY] [--plan]
+seamhatch-lab soak [--seconds N] [--seed S] [--daemons N] [--seeds N] [--shrink] [--keep DIRECTORY] [--plan]
+seamhatch-lab soak --replay FILE [--shrink] [--keep DIRECTORY] [--plan]
 seamhatch-lab soak --check HISTORY
 
 Starts the claims platform in small, sends load, brings faults about that are drawn from the
@@ -39,6 +40,7 @@
   --daemons N        daemons, as many for each of the four services (8)
   --seeds N          N plans one after the other, of the seeds from S on, or each of a drawn one
   --replay FILE      a plan that was printed before
+  --shrink           drop faults of a plan that fails while it goes on failing; the smallest is kept
   --keep DIRECTORY   where plan, history and logs of a soak that fails are kept (soak-SEED);
                      with --seeds, a directory for each seed in it
   --plan             print the plan and end
@@ -59,6 +61,10 @@
 const MOST_SERVERS: u8 = 20;
 /// File of a plan that is kept.
 const PLAN_FILE: &str = "plan.toml";
+/// File of the smallest part of it that fails.
+const SMALLEST_FILE: &str = "smallest.toml";
+/// Plans that are tried to find that; each takes as long as the whole one.
+const MOST_TRIES: usize = 40;
 const EXIT_ARGUMENTS: u8 = 2;
 
 /// What to do.
@@ -66,6 +72,7 @@
     plans: Vec<SoakPlan>,
     /// Where failures are kept; each in a directory named after its seed, unless it is the only one.
     keep: Option<PathBuf>,
+    shrink: bool,
     print_only: bool,
 }
 
@@ -106,11 +113,12 @@
         None => drawn_plans(&mut arguments)?,
     };
     let keep = option(&mut arguments, "--keep")?;
+    let shrink = arguments.contains("--shrink");
     let print_only = arguments.contains("--plan");
     if let Some(unknown) = arguments.finish().first() {
         return Err(format!("unknown argument {unknown:?}"));
     }
-    Ok(SoakOptions { plans, keep, print_only })
+    Ok(SoakOptions { plans, keep, shrink, print_only })
 }
 
 fn drawn_plans(arguments: &mut Arguments) -> Result<Vec<SoakPlan>, String> {
@@ -150,7 +158,13 @@
             Some(directory) => directory.join(name),
             None => PathBuf::from(name),
         };
-        if !soak(plan, &directory) {
+        let end = soak(plan, &directory);
+        if let SoakEnd::Broken(promises) = &end
+            && options.shrink
+        {
+            tell_kept(&directory, shrink_into(&directory, plan, promises));
+        }
+        if end != SoakEnd::Kept {
             failed.push((plan.seed, directory));
         }
     }
@@ -163,27 +177,60 @@
     if failed.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
-/// Whether a soak kept all promises. What is to be kept of one that didn't goes into the directory.
-fn soak(plan: &SoakPlan, directory: &Path) -> bool {
+/// How a soak ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum SoakEnd {
+    /// All promises were kept.
+    Kept,
+    /// These were broken.
+    Broken(BTreeSet<Promise>),
+    /// It did not run to its end.
+    Unfinished,
+}
+
+/// Plays a plan and judges what was seen. What is to be kept of a failure goes into the directory.
+fn soak(plan: &SoakPlan, directory: &Path) -> SoakEnd {
     println!("seed {}, {} s, {} faults:\n{}", plan.seed, plan.seconds, plan.faults.len(), plan.to_text());
     let record = match played(plan) {
         Ok(record) => record,
         Err(problem) => {
             eprintln!("seamhatch-lab: the soak of seed {} did not run to its end: {problem}", plan.seed);
             tell_kept(directory, keep_plan(directory, plan));
-            return false;
+            return SoakEnd::Unfinished;
         }
     };
     print_answers(&record.history);
     let violations = check(&record.history);
     if violations.is_empty() {
         println!("seed {}: all promises kept", plan.seed);
-        return true;
+        return SoakEnd::Kept;
     }
     println!("seed {}: {} violations", plan.seed, violations.len());
     print_violations(&violations);
     tell_kept(directory, keep_plan(directory, plan).and_then(|()| keep_record(directory, &record)));
-    false
+    SoakEnd::Broken(promises_of(&violations))
+}
+
+fn promises_of(violations: &[Violation]) -> BTreeSet<Promise> {
+    violations.iter().map(|violation| violation.promise).collect()
+}
+
+/// Keeps the smallest part of the plan that breaks one of these promises.
+fn shrink_into(directory: &Path, plan: &SoakPlan, promises: &BTreeSet<Promise>) -> std::io::Result<()> {
+    let shrunk = shrink::shrink(plan, MOST_TRIES, |smaller| {
+        let broken = played(smaller).map(|record| promises_of(&check(&record.history))).unwrap_or_default();
+        let fails = !broken.is_disjoint(promises);
+        println!("with {} faults: {}", smaller.faults.len(), if fails { "fails" } else { "does not fail" });
+        fails
+    });
+    let known = if shrunk.complete { "no fault of it can be dropped" } else { "given up" };
+    println!(
+        "{} of {} faults left after {} tries, {known}",
+        shrunk.plan.faults.len(),
+        plan.faults.len(),
+        shrunk.tries
+    );
+    std::fs::write(directory.join(SMALLEST_FILE), shrunk.plan.to_text())
 }
 
 fn tell_kept(directory: &Path, kept: std::io::Result<()>) {
