Soak: a stop is judged by all that was under way during it

Cause: only requests sent after SIGTERM, and to the stopping daemon, were judged. Change: every request that overlaps a judged stop may not be broken off (connection lost, answer broken off, peer lost), whichever daemon it was sent to; nothing gentle beside the stop does that. The stricter rule for a stop alone holds for the stopping daemon, now also for what was under way when the stop began. Requests with their answers are joined in one place (exchanges.rs), which the no-server check uses too.

--- a/crates/seamhatch-lab/src/soak/mod.rs
+++ b/crates/seamhatch-lab/src/soak/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod checks;
 pub mod draw;
+pub mod exchanges;
 pub mod faults;
 pub mod history;
 pub mod load;
--- a/crates/seamhatch-lab/src/soak/no_server.rs
+++ b/crates/seamhatch-lab/src/soak/no_server.rs
@@ -1,10 +1,11 @@
 //! No service is answered `no-server` for long while it has a living server with a living daemon beside it.
 
 use super::checks::{Promise, Violation, violation};
-use super::history::{HistoryEvent, RequestName, SeenAnswer, SoakMillis};
+use super::exchanges::{Exchange, exchanges};
+use super::history::{HistoryEvent, SoakMillis};
 use super::plan::{DaemonIndex, SoakFault};
 use super::spans::{FaultSpan, fault_spans};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Longest time for which a service that has a living server may be answered [`NO_SERVER`], in milliseconds: what a
 /// started daemon waits for the store and other daemons (1.3 s) and for the silence of one that is gone (0.75 s),
@@ -21,21 +22,13 @@
 /// From and to, in milliseconds.
 type Interval = (SoakMillis, SoakMillis);
 
-/// A request that was answered, at the time at which it was sent.
-struct AnsweredRequest<'a> {
-    sent_ms: SoakMillis,
-    service: &'a str,
-    daemon: DaemonIndex,
-    answer: &'a SeenAnswer,
-}
-
 /// Who is answered: a service's callers at one daemon, or at any.
 type Callers<'a> = (&'a str, Option<DaemonIndex>);
 
 /// Services that were not found for too long.
 pub(super) fn servers_are_found(history: &[HistoryEvent]) -> Vec<Violation> {
     let outages = Outages::of(history);
-    let mut answered = answered_requests(history);
+    let mut answered = exchanges(history);
     answered.sort_by_key(|request| request.sent_ms);
     let mut since: BTreeMap<Callers, SoakMillis> = BTreeMap::new();
     let mut told: BTreeSet<Callers> = BTreeSet::new();
@@ -65,21 +58,6 @@
     violations
 }
 
-fn answered_requests(history: &[HistoryEvent]) -> Vec<AnsweredRequest<'_>> {
-    let mut sent: HashMap<&RequestName, (SoakMillis, &str, DaemonIndex)> = HashMap::new();
-    for event in history {
-        if let HistoryEvent::Sent { at_ms, request, daemon, service, .. } = event {
-            sent.insert(request, (*at_ms, service, *daemon));
-        }
-    }
-    let answered = history.iter().filter_map(|event| {
-        let HistoryEvent::Answered { request, answer, .. } = event else { return None };
-        let (sent_ms, service, daemon) = *sent.get(request)?;
-        Some(AnsweredRequest { sent_ms, service, daemon, answer })
-    });
-    answered.collect()
-}
-
 /// When daemons and services were not to be counted upon.
 struct Outages<'a> {
     by_daemon: BTreeMap<DaemonIndex, Vec<Interval>>,
@@ -114,7 +92,7 @@
 
     /// Since when both the daemon that a request was sent to and one of its service could be counted upon; none
     /// when they couldn't at that time, or nothing is known of the service.
-    fn calm_since(&self, request: &AnsweredRequest) -> Option<SoakMillis> {
+    fn calm_since(&self, request: &Exchange) -> Option<SoakMillis> {
         let entry = self.by_daemon.get(&request.daemon).map_or(&[][..], Vec::as_slice);
         let service = self.by_service.get(request.service)?;
         let mut calm_ms = 0;
--- a/crates/seamhatch-lab/src/soak/stops.rs
+++ b/crates/seamhatch-lab/src/soak/stops.rs
@@ -1,10 +1,11 @@
 //! A planned stop cuts off nothing.
 
-use super::checks::{NOT_RUN, Promise, Violation, answers, executed, violation};
+use super::checks::{NOT_RUN, Promise, Violation, executed, violation};
+use super::exchanges::{Exchange, exchanges};
 use super::history::{HistoryEvent, RequestName, SeenAnswer, SoakMillis};
 use super::plan::{DaemonIndex, SoakFault};
 use super::spans::{FaultSpan, fault_spans};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 
 /// Reason of a daemon that stops.
 const DRAINING: &str = "draining";
@@ -34,33 +35,34 @@
 /// Requests that a planned stop has cut off.
 pub(super) fn stops_cut_nothing(history: &[HistoryEvent]) -> Vec<Violation> {
     let windows = stop_windows(history);
-    let stopping = |daemon: DaemonIndex, at_ms: SoakMillis| {
-        windows.iter().find(|stop| stop.daemon == daemon && (stop.from_ms..=stop.to_ms).contains(&at_ms))
-    };
-    let sent_into_stop: HashMap<&RequestName, StopCompany> = history
-        .iter()
-        .filter_map(|event| match event {
-            HistoryEvent::Sent { at_ms, request, daemon, .. } => {
-                stopping(*daemon, *at_ms).map(|stop| (request, stop.company))
-            }
-            _ => None,
-        })
-        .collect();
     let ran = executed(history);
-    let is_cut = |request: &RequestName, answer: &SeenAnswer| match sent_into_stop.get(request) {
-        Some(StopCompany::Alone) => is_cut_alone(request, answer, &ran),
-        Some(StopCompany::Gentle) => BROKEN_OFF.contains(&answer.reason.as_str()),
-        None => false,
+    let is_cut = |exchange: &Exchange| {
+        let mut during = windows.iter().filter(|stop| stop.meets(exchange));
+        during.any(|stop| {
+            let alone_there = stop.company == StopCompany::Alone && stop.daemon == exchange.daemon;
+            // Nothing beside the stop breaks off requests, whichever daemon they were sent to.
+            BROKEN_OFF.contains(&exchange.answer.reason.as_str())
+                || alone_there && is_cut_alone(exchange.request, exchange.answer, &ran)
+        })
     };
-    answers(history)
-        .filter(|(request, answer)| is_cut(request, answer))
-        .map(|(request, answer)| {
-            let detail = format!("cut off by a planned stop: {} {}", answer.status, answer.reason);
-            violation(Promise::StopsCutNothing, request, detail)
+    exchanges(history)
+        .into_iter()
+        .filter(is_cut)
+        .map(|exchange| {
+            let SeenAnswer { status, reason, .. } = exchange.answer;
+            let detail = format!("cut off by a planned stop: {status} {reason}");
+            violation(Promise::StopsCutNothing, exchange.request, detail)
         })
         .collect()
 }
 
+impl StopWindow {
+    /// Whether the request was under way during the stop: sent before its end, and not answered before it began.
+    fn meets(&self, exchange: &Exchange) -> bool {
+        exchange.sent_ms <= self.to_ms && exchange.answered_ms >= self.from_ms
+    }
+}
+
 fn is_cut_alone(request: &RequestName, answer: &SeenAnswer, ran: &HashSet<&RequestName>) -> bool {
     let good = answer.status == 200 && answer.whole;
     let turned_away = answer.outcome == NOT_RUN || answer.reason == "connection-refused";
--- a/crates/seamhatch-lab/tests/soak.rs
+++ b/crates/seamhatch-lab/tests/soak.rs
@@ -117,6 +117,18 @@
     at_stop(11_000, answer, vec![begins(10_500, fault.clone()), ends(10_900, fault)])
 }
 
+/// A request to the daemon that stops, lost at this time.
+fn under_way(sent_ms: u64, lost_ms: u64) -> Vec<HistoryEvent> {
+    let lost = answered(lost_ms, "a", answer(0, "", "connection-lost"));
+    vec![sent(sent_ms, "a", 2, true), begins(10_000, STOP), lost, ends(13_000, STOP)]
+}
+
+/// A request to another daemon during the stop.
+fn sent_elsewhere(answer: SeenAnswer) -> Vec<HistoryEvent> {
+    let exchange = [sent(11_000, "a", 5, true), answered(11_050, "a", answer)];
+    [vec![begins(10_000, STOP)], exchange.into(), vec![ends(13_000, STOP)]].concat()
+}
+
 fn stop_cases() -> Vec<HistoryCase> {
     let other = || SoakFault::PlannedStop { daemon: 3 };
     let lost = || answer(0, "", "connection-lost");
@@ -128,6 +140,10 @@
         broken("a peer that stops too cuts off", promise, stop_beside(other(), peer_lost())),
         broken("cut off while settings are read", promise, stop_beside(reload, lost())),
         broken("cut off while the store is out", promise, stop_beside(SoakFault::StoreOut, lost())),
+        broken("under way when the stop begins", promise, under_way(9_950, 10_020)),
+        kept("over before the stop begins", under_way(9_900, 9_990)),
+        broken("sent elsewhere, and run where the stop is", promise, sent_elsewhere(peer_lost())),
+        kept("sent elsewhere, and not answered there", sent_elsewhere(answer(502, "answered", ""))),
         kept("no server while others stop", stop_beside(other(), answer(502, "answered", ""))),
         kept(
             "asked twice to stop beside it",
