--- a/crates/seamhatch-lab/src/soak/no_server.rs
+++ b/crates/seamhatch-lab/src/soak/no_server.rs
@@ -7,7 +7,7 @@
 use super::spans::{FaultSpan, fault_spans};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Longest time for which a service that has a living server may be answered [`NO_SERVER`], in milliseconds: what a
+/// Longest time for which a service that has a living server may be answered `no-server`, in milliseconds: what a
 /// started daemon waits for the store and other daemons (1.3 s) and for the silence of one that is gone (0.75 s),
 /// and as much again as a busy machine needs.
 pub const NO_SERVER_BOUND_MS: SoakMillis = 4_000;
