--- a/crates/seamhatch-lab/src/soak/history.rs
+++ b/crates/seamhatch-lab/src/soak/history.rs
@@ -14,6 +14,13 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "event", rename_all = "kebab-case")]
 pub enum HistoryEvent {
+    /// A daemon of the deployment.
+    Daemon {
+        /// Which.
+        daemon: DaemonIndex,
+        /// Service of the server beside it.
+        service: String,
+    },
     /// A caller sends a request.
     Sent {
         /// When.
@@ -22,6 +29,9 @@
         request: RequestName,
         /// The daemon that it is sent to.
         daemon: DaemonIndex,
+        /// The service that it goes to; empty where that isn't known.
+        #[serde(default)]
+        service: String,
         /// It carries an idempotency key: it may run once at most.
         keyed: bool,
     },
--- a/crates/seamhatch-lab/tests/soak.rs
+++ b/crates/seamhatch-lab/tests/soak.rs
@@ -2,11 +2,15 @@
 
 use seamhatch_lab::soak::checks::{PROBE_PREFIX, Promise, RETRY_TOKENS, check};
 use seamhatch_lab::soak::history::{HistoryEvent, SeenAnswer, from_lines, to_lines};
-use seamhatch_lab::soak::plan::{PlanError, PlannedFault, SoakFault, SoakPlan};
+use seamhatch_lab::soak::no_server::NO_SERVER_BOUND_MS;
+use seamhatch_lab::soak::plan::{
+    CutWay, PlanError, PlannedFault, ReloadLevel, SERVERS, SoakFault, SoakFleet, SoakPlan,
+};
 use std::io::Write;
 use std::process::{Command, Stdio};
 
 const DAEMONS: usize = 8;
+const FLEET: SoakFleet = SoakFleet { services: 4, servers: SERVERS };
 const STOP: SoakFault = SoakFault::PlannedStop { daemon: 2 };
 
 fn answer(status: u16, outcome: &str, reason: &str) -> SeenAnswer {
@@ -25,7 +29,7 @@
 }
 
 fn sent(at_ms: u64, request: &str, daemon: usize, keyed: bool) -> HistoryEvent {
-    HistoryEvent::Sent { at_ms, request: request.into(), daemon, keyed }
+    HistoryEvent::Sent { at_ms, request: request.into(), daemon, service: "settlement".into(), keyed }
 }
 
 fn answered(at_ms: u64, request: &str, answer: SeenAnswer) -> HistoryEvent {
@@ -108,6 +112,108 @@
     ]
 }
 
+/// A request that is sent into a stop while this goes on beside.
+fn stop_beside(fault: SoakFault, answer: SeenAnswer) -> Vec<HistoryEvent> {
+    at_stop(11_000, answer, vec![begins(10_500, fault.clone()), ends(10_900, fault)])
+}
+
+/// A request to the daemon that stops, lost at this time.
+fn under_way(sent_ms: u64, lost_ms: u64) -> Vec<HistoryEvent> {
+    let lost = answered(lost_ms, "a", answer(0, "", "connection-lost"));
+    vec![sent(sent_ms, "a", 2, true), begins(10_000, STOP), lost, ends(13_000, STOP)]
+}
+
+/// A request to another daemon during the stop.
+fn sent_elsewhere(answer: SeenAnswer) -> Vec<HistoryEvent> {
+    let exchange = [sent(11_000, "a", 5, true), answered(11_050, "a", answer)];
+    [vec![begins(10_000, STOP)], exchange.into(), vec![ends(13_000, STOP)]].concat()
+}
+
+fn stop_cases() -> Vec<HistoryCase> {
+    let other = || SoakFault::PlannedStop { daemon: 3 };
+    let lost = || answer(0, "", "connection-lost");
+    let peer_lost = || answer(502, "unknown", "peer-lost");
+    let promise = Promise::StopsCutNothing;
+    let reload = SoakFault::Reload { daemon: 2, log_level: ReloadLevel::Debug, more_slots: 1 };
+    vec![
+        broken("cut off while others stop", promise, stop_beside(other(), lost())),
+        broken("a peer that stops too cuts off", promise, stop_beside(other(), peer_lost())),
+        broken("cut off while settings are read", promise, stop_beside(reload, lost())),
+        broken("cut off while the store is out", promise, stop_beside(SoakFault::StoreOut, lost())),
+        broken("under way when the stop begins", promise, under_way(9_950, 10_020)),
+        kept("over before the stop begins", under_way(9_900, 9_990)),
+        broken("sent elsewhere, and run where the stop is", promise, sent_elsewhere(peer_lost())),
+        kept("sent elsewhere, and not answered there", sent_elsewhere(answer(502, "answered", ""))),
+        kept("no server while others stop", stop_beside(other(), answer(502, "answered", ""))),
+        kept(
+            "asked twice to stop beside it",
+            stop_beside(SoakFault::HastyStop { daemon: 3, again_ms: 100 }, lost()),
+        ),
+    ]
+}
+
+/// Requests that find no server of a service with daemons 2 and 3, sent one after the other at these times.
+fn not_found(at_ms: &[u64], beside: Vec<HistoryEvent>) -> Vec<HistoryEvent> {
+    let service = || "settlement".to_owned();
+    let mut history = vec![
+        HistoryEvent::Daemon { daemon: 2, service: service() },
+        HistoryEvent::Daemon { daemon: 3, service: service() },
+    ];
+    history.extend(beside);
+    for (number, at_ms) in at_ms.iter().enumerate() {
+        let request = format!("n-{number}");
+        history.push(sent(*at_ms, &request, 0, false));
+        history.push(answered(at_ms + 5, &request, answer(503, "not-run", "no-server")));
+    }
+    history
+}
+
+fn span(from_ms: u64, to_ms: u64, fault: SoakFault) -> Vec<HistoryEvent> {
+    vec![begins(from_ms, fault.clone()), ends(to_ms, fault)]
+}
+
+fn no_server_cases() -> Vec<HistoryCase> {
+    const LONG: u64 = NO_SERVER_BOUND_MS + 1_000;
+    let stop = |daemon| SoakFault::PlannedStop { daemon };
+    let both = |apart_ms| [span(1_000, 20_000, stop(2)), span(1_000, 20_000 + apart_ms, stop(3))].concat();
+    let after = |from_ms: u64| not_found(&[from_ms, from_ms + LONG], both(0));
+    let served = vec![sent(23_000, "a", 0, false), answered(23_010, "a", good())];
+    let every_daemon = |mut history: Vec<HistoryEvent>| {
+        if let Some(HistoryEvent::Sent { daemon, .. }) = history.get_mut(2) {
+            *daemon = 1;
+        }
+        history
+    };
+    let twice = |name, history| HistoryCase { name, history, broken: vec![Promise::ServersFound; 2] };
+    let once = |name, history| broken(name, Promise::ServersFound, history);
+    let store = || span(19_000, 20_000 + LONG, SoakFault::StoreOut);
+    let killed = || span(1_000, 20_000, SoakFault::Kill { daemons: vec![2, 3] });
+    let entry_cut = SoakFault::Cut { daemon: 0, way: CutWay::Both };
+    vec![
+        kept("for a moment", not_found(&[1_000, 2_000], Vec::new())),
+        twice("without any cause", not_found(&[1_000, 1_000 + LONG], Vec::new())),
+        once("at two daemons", every_daemon(not_found(&[1_000, 1_000 + LONG], Vec::new()))),
+        twice(
+            "with one of two daemons stopped",
+            not_found(&[2_000, 2_000 + LONG], span(1_000, 20_000, stop(2))),
+        ),
+        kept("with both stopped", not_found(&[2_000, 2_000 + LONG], both(0))),
+        twice("after both were stopped", after(21_000)),
+        kept("while one was just started", not_found(&[2_000, 20_000 + LONG - 1_500], both(LONG))),
+        kept(
+            "started while the store was out",
+            not_found(&[21_000, 21_000 + LONG], [both(0), store()].concat()),
+        ),
+        kept("both killed, as witnesses too", not_found(&[21_000, 21_000 + LONG], killed())),
+        twice("long after both were killed", not_found(&[31_000, 31_000 + LONG], killed())),
+        kept("served meanwhile", not_found(&[20_500, 20_500 + LONG], [both(0), served].concat())),
+        kept(
+            "told by a daemon that is cut off",
+            not_found(&[2_000, 2_000 + LONG], span(1_000, 20_000, entry_cut)),
+        ),
+    ]
+}
+
 fn unclaimed() -> SeenAnswer {
     SeenAnswer { comes_back: true, ..answer(503, "unknown", "draining") }
 }
@@ -153,7 +259,9 @@
 
 #[test]
 fn each_promise_is_found_broken_where_it_is_and_nowhere_else() {
-    for case in request_cases().into_iter().chain(deployment_cases()) {
+    for case in
+        request_cases().into_iter().chain(deployment_cases()).chain(stop_cases()).chain(no_server_cases())
+    {
         let found: Vec<Promise> =
             check(&case.history).into_iter().map(|violation| violation.promise).collect();
         assert_eq!(found, case.broken, "{}", case.name);
@@ -172,13 +280,13 @@
 fn a_plan_comes_from_its_seed_alone_and_survives_its_file() {
     let directory = tempfile::tempdir().expect("a directory");
     for seed in 0..200 {
-        let plan = SoakPlan::draw(seed, 60, DAEMONS);
-        assert_eq!(plan, SoakPlan::draw(seed, 60, DAEMONS));
+        let plan = SoakPlan::draw(seed, 60, FLEET);
+        assert_eq!(plan, SoakPlan::draw(seed, 60, FLEET));
         let path = directory.path().join("plan.toml");
         std::fs::write(&path, plan.to_text()).expect("is written");
-        assert_eq!(SoakPlan::read(&path, DAEMONS).expect("is a plan"), plan, "seed {seed}");
+        assert_eq!(SoakPlan::read(&path, FLEET.services).expect("is a plan"), plan, "seed {seed}");
     }
-    assert_ne!(SoakPlan::draw(1, 60, DAEMONS), SoakPlan::draw(2, 60, DAEMONS));
+    assert_ne!(SoakPlan::draw(1, 60, FLEET), SoakPlan::draw(2, 60, FLEET));
 }
 
 /// A plan that can't be used, and what its error says.
@@ -193,6 +301,8 @@
         seed: 1,
         seconds: 10,
         rate: 10.0,
+        clients: 0,
+        servers: SERVERS,
         faults: vec![PlannedFault { at_ms, for_ms: 1_000, fault }],
     };
     let cases = [
@@ -208,13 +318,41 @@
     for case in cases {
         let mut file = tempfile::NamedTempFile::new().expect("a file");
         file.write_all(case.plan.to_text().as_bytes()).expect("is written");
-        let error = SoakPlan::read(file.path(), DAEMONS).expect_err("can't be used");
+        let error = SoakPlan::read(file.path(), FLEET.services).expect_err("can't be used");
         assert!((case.is)(&error), "{error}");
     }
     let mut file = tempfile::NamedTempFile::new().expect("a file");
     file.write_all(b"seed = 1\nfault = 3\n").expect("is written");
-    assert!(matches!(SoakPlan::read(file.path(), DAEMONS), Err(PlanError::Form { .. })));
-    assert!(matches!(SoakPlan::read("no/such/file".as_ref(), DAEMONS), Err(PlanError::Read { .. })));
+    assert!(matches!(SoakPlan::read(file.path(), FLEET.services), Err(PlanError::Form { .. })));
+    assert!(matches!(SoakPlan::read("no/such/file".as_ref(), FLEET.services), Err(PlanError::Read { .. })));
+}
+
+/// Arguments, the exit code, and how many plans are printed.
+struct ArgumentCase {
+    arguments: &'static [&'static str],
+    code: i32,
+    plans: usize,
+}
+
+#[test]
+fn arguments_decide_which_plans_are_played() {
+    let cases = [
+        ArgumentCase { arguments: &["--seed", "1"], code: 0, plans: 1 },
+        ArgumentCase { arguments: &["--seeds", "3"], code: 0, plans: 3 },
+        ArgumentCase { arguments: &["--daemons", "80", "--seeds", "2"], code: 0, plans: 2 },
+        ArgumentCase { arguments: &["--daemons", "10"], code: 2, plans: 0 },
+        ArgumentCase { arguments: &["--daemons", "84"], code: 2, plans: 0 },
+        ArgumentCase { arguments: &["--daemons", "0"], code: 2, plans: 0 },
+        ArgumentCase { arguments: &["--seeds", "many"], code: 2, plans: 0 },
+    ];
+    for case in cases {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_seamhatch-lab"));
+        let output = command.args(["soak", "--plan"]).args(case.arguments).output().expect("starts");
+        let text = String::from_utf8_lossy(&output.stdout);
+        assert_eq!(output.status.code(), Some(case.code), "{:?}", case.arguments);
+        let seeds = text.lines().filter(|line| line.starts_with("seed = "));
+        assert_eq!(seeds.count(), case.plans, "{:?}", case.arguments);
+    }
 }
 
 /// The whole path, short: processes, faults of each group, checks. Its verdict depends on promises alone, not
@@ -225,6 +363,8 @@
         seed: 1,
         seconds: 12,
         rate: 40.0,
+        clients: 16,
+        servers: SERVERS,
         faults: vec![
             PlannedFault { at_ms: 1_500, for_ms: 800, fault: SoakFault::StoreOut },
             PlannedFault { at_ms: 2_500, for_ms: 700, fault: SoakFault::Reset { daemon: 3 } },
@@ -235,13 +375,47 @@
     });
 }
 
+/// Stops, signals and submissions that overlap, also of all daemons of one service. No two daemons are lost
+/// at once without a stop or a store: shards that have lost two witnesses wait for two minutes by design.
+#[test]
+fn stops_and_changes_that_overlap_keep_all_promises() {
+    let stop = |daemon| SoakFault::PlannedStop { daemon };
+    let submission = |daemon| SoakFault::Configuration { daemon };
+    let reload = |daemon, log_level| SoakFault::Reload { daemon, log_level, more_slots: 1 };
+    soak_keeps_all_promises(&SoakPlan {
+        seed: 2,
+        seconds: 16,
+        rate: 40.0,
+        clients: 24,
+        servers: SERVERS,
+        faults: vec![
+            PlannedFault { at_ms: 1_500, for_ms: 1_500, fault: stop(2) },
+            PlannedFault { at_ms: 1_600, for_ms: 1_500, fault: reload(2, ReloadLevel::Debug) },
+            PlannedFault { at_ms: 1_700, for_ms: 1_000, fault: stop(3) },
+            PlannedFault { at_ms: 1_900, for_ms: 500, fault: submission(0) },
+            PlannedFault { at_ms: 1_920, for_ms: 500, fault: submission(5) },
+            PlannedFault {
+                at_ms: 7_000,
+                for_ms: 500,
+                fault: SoakFault::HastyStop { daemon: 0, again_ms: 300 },
+            },
+            PlannedFault { at_ms: 7_100, for_ms: 500, fault: stop(4) },
+            PlannedFault { at_ms: 7_200, for_ms: 900, fault: reload(6, ReloadLevel::Trace) },
+            PlannedFault { at_ms: 7_310, for_ms: 500, fault: submission(6) },
+            PlannedFault { at_ms: 11_000, for_ms: 1_500, fault: SoakFault::StoreOut },
+            PlannedFault { at_ms: 11_200, for_ms: 600, fault: submission(1) },
+            PlannedFault { at_ms: 11_300, for_ms: 900, fault: reload(4, ReloadLevel::Warn) },
+        ],
+    });
+}
+
 /// Plans of soaks that once failed; why stands in each file.
 #[test]
 fn plans_that_once_failed_are_kept() {
     let directory = concat!(env!("CARGO_MANIFEST_DIR"), "/../../scenarios/soak");
     for entry in std::fs::read_dir(directory).expect("a directory") {
         let path = entry.expect("an entry").path();
-        soak_keeps_all_promises(&SoakPlan::read(&path, DAEMONS).expect("is a plan"));
+        soak_keeps_all_promises(&SoakPlan::read(&path, FLEET.services).expect("is a plan"));
     }
 }
 
