--- a/crates/seamhatch-lab/src/conventions.rs
+++ b/crates/seamhatch-lab/src/conventions.rs
@@ -29,6 +29,10 @@
         CallerTerms { name, ..OwnConventions.caller_terms(headers) }
     }
 
+    fn requires_name(&self) -> bool {
+        OwnConventions.requires_name()
+    }
+
     fn passes_through(&self, name: &str) -> bool {
         OwnConventions.passes_through(name)
     }
