Soak: a stop that is asked for twice is judged as any planned stop

The daemon promises now that a repeated request to stop changes nothing, so the check no longer excuses what is cut off beside one, and it counts as one for lost witnesses. The case that kept it is now one that must be found; the other cases are as they were.

--- a/crates/seamhatch-lab/src/soak/no_server.rs
+++ b/crates/seamhatch-lab/src/soak/no_server.rs
@@ -173,8 +173,8 @@
 fn loses_witness(span: &FaultSpan, spans: &[FaultSpan]) -> bool {
     let is_beside = |other: &FaultSpan| other.from_ms <= span.to_ms && other.to_ms >= span.from_ms;
     match span.fault {
-        SoakFault::Kill { .. } | SoakFault::HastyStop { .. } => true,
-        SoakFault::PlannedStop { .. } => {
+        SoakFault::Kill { .. } => true,
+        SoakFault::PlannedStop { .. } | SoakFault::HastyStop { .. } => {
             spans.iter().any(|other| is_store_trouble(&other.fault) && is_beside(other))
         }
         _ => false,
--- a/crates/seamhatch-lab/src/soak/plan.rs
+++ b/crates/seamhatch-lab/src/soak/plan.rs
@@ -86,8 +86,8 @@
         /// Which.
         daemon: DaemonIndex,
     },
-    /// A daemon is asked to stop, and asked again while it does, which cuts off what it has in progress;
-    /// started again when it has ended.
+    /// A daemon is asked to stop, and asked again while it does, which changes nothing; started again when
+    /// it has ended.
     HastyStop {
         /// Which.
         daemon: DaemonIndex,
--- a/crates/seamhatch-lab/src/soak/stops.rs
+++ b/crates/seamhatch-lab/src/soak/stops.rs
@@ -74,7 +74,10 @@
 fn stop_windows(history: &[HistoryEvent]) -> Vec<StopWindow> {
     let spans = fault_spans(history);
     let window = |stop: &FaultSpan| {
-        let SoakFault::PlannedStop { daemon } = stop.fault else { return None };
+        // A request to stop that is repeated is the same stop.
+        let (SoakFault::PlannedStop { daemon } | SoakFault::HastyStop { daemon, .. }) = stop.fault else {
+            return None;
+        };
         let company = company_of(stop, &spans)?;
         Some(StopWindow { daemon, from_ms: stop.from_ms, to_ms: stop.to_ms, company })
     };
@@ -96,6 +99,7 @@
 fn is_gentle(fault: &SoakFault) -> bool {
     match fault {
         SoakFault::PlannedStop { .. }
+        | SoakFault::HastyStop { .. }
         | SoakFault::Reload { .. }
         | SoakFault::Configuration { .. }
         | SoakFault::StoreOut
@@ -105,7 +109,6 @@
         | SoakFault::MachinesOut => true,
         SoakFault::Kill { .. }
         | SoakFault::Pause { .. }
-        | SoakFault::HastyStop { .. }
         | SoakFault::Cut { .. }
         | SoakFault::Reset { .. }
         | SoakFault::Delay { .. }
--- a/crates/seamhatch-lab/tests/soak.rs
+++ b/crates/seamhatch-lab/tests/soak.rs
@@ -145,8 +145,9 @@
         broken("sent elsewhere, and run where the stop is", promise, sent_elsewhere(peer_lost())),
         kept("sent elsewhere, and not answered there", sent_elsewhere(answer(502, "answered", ""))),
         kept("no server while others stop", stop_beside(other(), answer(502, "answered", ""))),
-        kept(
-            "asked twice to stop beside it",
+        broken(
+            "cut off while another is asked twice to stop",
+            promise,
             stop_beside(SoakFault::HastyStop { daemon: 3, again_ms: 100 }, lost()),
         ),
     ]
