A call that waited for its slot while the daemon drains runs as before, where it can end

Cause: the check when a call gets its slot refused all calls that waited at a drain's start, where the back end doesn't register: they have time and are finished. Change: only the time left and the closing decide.

--- a/crates/seamhatchd/src/peer/server_call.rs
+++ b/crates/seamhatchd/src/peer/server_call.rs
@@ -123,10 +123,8 @@
         if running.expiry <= clock::now() {
             return self.refuse(running, Outcome::NotRun, Reason::DeadlineExceeded, "");
         }
-        // The call may have waited for its slot while the daemon began to stop, or came nearer to its end.
-        if self.shared.intake() == CallIntake::Closed && self.shared.is_draining()
-            || !self.shared.can_finish(running.expiry)
-        {
+        // The call may have waited for its slot while the daemon came nearer to its end.
+        if !self.shared.can_finish(running.expiry) {
             return self.refuse(running, Outcome::NotRun, Reason::Draining, "");
         }
         let Some(instance) = self.shared.instances.open() else {
--- a/crates/seamhatchd/src/shared.rs
+++ b/crates/seamhatchd/src/shared.rs
@@ -112,6 +112,10 @@
         self.tell_peers();
     }
 
+    fn is_closing(&self) -> bool {
+        self.closing.load(Ordering::Acquire)
+    }
+
     /// Whether callers that come now would be cut off by the end of the process. Until then they are served,
     /// as they may not have learnt yet that it leaves.
     #[must_use]
@@ -132,7 +136,7 @@
     /// daemon.
     #[must_use]
     pub fn intake(&self) -> CallIntake {
-        let closed = !self.ready.load(Ordering::Acquire) || self.closing.load(Ordering::Acquire);
+        let closed = !self.ready.load(Ordering::Acquire) || self.is_closing();
         if closed || !self.instances.is_open() {
             return CallIntake::Closed;
         }
@@ -148,6 +152,9 @@
     /// Whether a call that starts now can end before the process does.
     #[must_use]
     pub fn can_finish(&self, expiry: Instant) -> bool {
+        if self.is_closing() {
+            return false;
+        }
         if !self.is_draining() {
             return true;
         }
--- a/crates/seamhatchd/src/startup.rs
+++ b/crates/seamhatchd/src/startup.rs
@@ -222,9 +222,9 @@
     Ok(())
 }
 
-/// Waits until the work in progress is done, or the stop that `started` then has taken too long: first with callers still told to
-/// go elsewhere, then with their new connections and other daemons' calls refused, so that none
-/// is accepted at the very end and cut off.
+/// Waits until the work in progress is done, or the stop that `started` then has taken too long: first with
+/// callers still told to go elsewhere, then with their new connections and other daemons' calls refused, so
+/// that none is accepted at the very end and cut off.
 async fn drained(shared: &Shared, listeners: &mut Listeners, started: Instant) {
     let longest = shared.settings.grace.map_or(LONGEST_DRAIN, |grace| grace.saturating_sub(END_MARGIN));
     until_quiet(shared, started, SHORTEST_DRAIN, longest).await;
