Sight: crashes of the back end, and what was at work then

Change, no decision differs: each call carries a digest of what is asked (caller, target, body), the daemon beside the server looks after a broken connection whether anything listens there any more, and one line a crash names what was at work; 'backend-crashed' is a reason of its own; counter 'crashes'. Ruled out: telling it from the next heartbeat alone, which comes seconds later.

--- a/crates/seamhatch-core/src/identity.rs
+++ b/crates/seamhatch-core/src/identity.rs
@@ -5,7 +5,7 @@
 use std::fmt;
 use std::net::{AddrParseError, IpAddr, SocketAddr};
 use std::str::FromStr;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// Identifies one request from outside, over its whole chain of calls.
 #[derive(
@@ -68,6 +68,29 @@
     }
 }
 
+/// Names what is asked, whoever carries it: the same for two requests with the same caller, target and body.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Readable, Writable, Serialize, Deserialize,
+)]
+pub struct RequestDigest(pub u64);
+
+impl RequestDigest {
+    /// Digests the parts in order, each with its length. Allocates nothing.
+    #[must_use]
+    pub fn of(parts: &[&[u8]]) -> Self {
+        let digest = parts.iter().fold(0, |digest: u64, part| {
+            xxh3_64_with_seed(part, digest.rotate_left(1).wrapping_add(part.len() as u64))
+        });
+        Self(digest)
+    }
+}
+
+impl fmt::Display for RequestDigest {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:016x}", self.0)
+    }
+}
+
 /// An IP address and port, as sent between daemons; written `ip:port` in text.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Readable, Writable, Serialize, Deserialize,
--- a/crates/seamhatch-core/src/instance.rs
+++ b/crates/seamhatch-core/src/instance.rs
@@ -169,6 +169,13 @@
         self.departed.contains(instance)
     }
 
+    /// Whether an instance has told that it leaves.
+    #[must_use]
+    pub fn is_leaving(&self, instance: &InstanceId) -> bool {
+        let drains = |known: &Registered| known.id == *instance && known.state == InstanceState::Draining;
+        self.has_departed(instance) || self.registered.as_ref().is_some_and(drains)
+    }
+
     /// Takes in a heartbeat that arrived at `now`.
     pub fn heartbeat(&mut self, heartbeat: Heartbeat, now: Instant) -> HeartbeatVerdict {
         if self.has_departed(&heartbeat.instance) {
--- a/crates/seamhatch-core/src/lib.rs
+++ b/crates/seamhatch-core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod balance;
 pub mod claims;
 pub mod clock;
+pub mod crashes;
 pub mod departure;
 pub mod generation;
 pub mod identity;
--- a/crates/seamhatch-core/src/outcome.rs
+++ b/crates/seamhatch-core/src/outcome.rs
@@ -75,6 +75,8 @@
     BackendUnreachable,
     /// The back end closed the connection before a complete answer.
     BackendFailed,
+    /// The back end has crashed with the call at work on it.
+    BackendCrashed,
     /// The back end itself said that it did not run the call.
     BackendRefused,
     /// No instance of the back end is registered and ready beside the daemon.
@@ -113,6 +115,7 @@
             Self::PeerLost => "peer-lost",
             Self::BackendUnreachable => "backend-unreachable",
             Self::BackendFailed => "backend-failed",
+            Self::BackendCrashed => "backend-crashed",
             Self::BackendRefused => "backend-refused",
             Self::NoInstance => "no-instance",
             Self::OtherInstance => "other-instance",
@@ -143,7 +146,10 @@
     /// an attempt. A call that a daemon turned away by itself costs no attempt and no retry.
     #[must_use]
     pub fn reached_back_end(self) -> bool {
-        matches!(self, Self::BackendRefused | Self::BackendFailed | Self::OtherInstance)
+        matches!(
+            self,
+            Self::BackendRefused | Self::BackendFailed | Self::BackendCrashed | Self::OtherInstance
+        )
     }
 
     /// Whether the refusal tells of pressure at one server only, so that another may have room.
--- a/crates/seamhatch-wire/src/message.rs
+++ b/crates/seamhatch-wire/src/message.rs
@@ -7,7 +7,7 @@
 use seamhatch_core::claims::{Claim, ClaimHolder, ClaimKey, ClaimReply, Epoch};
 use seamhatch_core::clock::{Instant, Microseconds};
 use seamhatch_core::generation::Generation;
-use seamhatch_core::identity::{Address, CallId, Incarnation, RootId};
+use seamhatch_core::identity::{Address, CallId, Incarnation, RequestDigest, RootId};
 use seamhatch_core::instance::InstanceId;
 use seamhatch_core::outcome::{Outcome, Reason};
 use seamhatch_core::priority::{AdmissionFloor, Priority};
@@ -210,6 +210,8 @@
     pub service: String,
     /// What it inherits.
     pub context: CallContext,
+    /// Names what is asked, the same for each copy.
+    pub request: RequestDigest,
     /// HTTP method.
     pub method: String,
     /// Path and query.
--- a/crates/seamhatch/src/trace/cause.rs
+++ b/crates/seamhatch/src/trace/cause.rs
@@ -95,6 +95,7 @@
         "no-route" => "no route of the configuration in force has its host and path".into(),
         "peer-lost" => "the daemon beside the server fell silent or was lost: look into its log".into(),
         "backend-unreachable" => "the back end took no connection".into(),
+        "backend-crashed" => "the back end crashed with the call at work on it".into(),
         "backend-failed" => format!("the back end broke off or gave no answer ({})", shown(line, "detail")),
         "backend-refused" => "the back end turned it away by itself".into(),
         "cancelled" => "its caller had left".into(),
--- a/crates/seamhatchd/src/backend/mod.rs
+++ b/crates/seamhatchd/src/backend/mod.rs
@@ -25,12 +25,19 @@
 use seamhatch_wire::HeaderField;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 use thiserror::Error;
 
 /// Longest request body in bytes that the buffers of a connection surely hold, whether or not the back
 /// end reads it.
 const SHORT_BODY: u64 = 16 * 1024;
 
+/// Connections in a row that must be refused before the back end counts as gone.
+const PROBES: u32 = 2;
+/// Pause after one that was refused: a back end that has no room for connections refuses some, and takes
+/// others a moment later. Calls that broke off wait for both.
+const PROBE_PAUSE: Duration = Duration::from_millis(5);
+
 /// What is sent to the back end.
 #[derive(Debug)]
 pub struct BackendRequest<'a> {
@@ -174,6 +181,25 @@
         }
     }
 
+    /// Whether nothing listens at the back end's address any more: its process has ended. A connection that
+    /// opens is kept for the next call.
+    pub async fn is_gone(&self) -> bool {
+        for _probe in 0..PROBES {
+            match self.connections.open(SilenceCheck::Always).await {
+                Ok(connection) => {
+                    self.connections.keep(connection, idle_span(&HeaderMap::new()));
+                    return false;
+                }
+                Err(error) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
+                    tokio::time::sleep(PROBE_PAUSE).await;
+                }
+                // Silence is no proof: the process may be frozen.
+                Err(_) => return false,
+            }
+        }
+        true
+    }
+
     /// Closes all idle connections, as another instance may have the address.
     pub fn forget_connections(&self) {
         self.connections.forget();
--- /dev/null
+++ b/crates/seamhatchd/src/crashes/at_work.rs
@@ -0,0 +1,94 @@
+//! The calls that are at work on the back end beside this daemon.
+
+use seamhatch_core::crashes::ServerLife;
+use seamhatch_core::identity::{Incarnation, RequestDigest};
+use seamhatch_core::instance::InstanceId;
+use std::collections::{HashMap, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard};
+
+/// Lives of the back end whose crash is remembered, the latest ones: calls that were at work then find out within
+/// milliseconds, and a back end needs longer to start.
+const REMEMBERED_LIVES: usize = 8;
+
+/// What is at work on the back end, and which of its lives have ended in a crash.
+#[derive(Debug)]
+pub struct CrashWatch {
+    incarnation: Incarnation,
+    calls: Arc<Mutex<CallTable>>,
+    /// Held by the call that looks whether the back end is gone.
+    pub(super) probing: tokio::sync::Mutex<()>,
+}
+
+#[derive(Debug, Default)]
+struct CallTable {
+    at_work: HashMap<u64, (ServerLife, RequestDigest)>,
+    next: u64,
+    /// Crashes of a back end that has no name.
+    unnamed_crashes: u64,
+    /// The latest last.
+    ended: VecDeque<ServerLife>,
+}
+
+/// A call that is at work until this is dropped.
+#[derive(Debug)]
+pub struct CallAtWork {
+    /// The instance that works on it, where instances register.
+    pub instance: Option<InstanceId>,
+    /// The life of the back end.
+    pub life: ServerLife,
+    calls: Arc<Mutex<CallTable>>,
+    number: u64,
+}
+
+impl Drop for CallAtWork {
+    fn drop(&mut self) {
+        lock(&self.calls).at_work.remove(&self.number);
+    }
+}
+
+impl CrashWatch {
+    /// Nothing is at work yet.
+    #[must_use]
+    pub fn new(incarnation: Incarnation) -> Self {
+        Self { incarnation, calls: Arc::default(), probing: tokio::sync::Mutex::default() }
+    }
+
+    /// A call that is about to be sent to the back end.
+    #[must_use]
+    pub fn begin(&self, instance: Option<InstanceId>, request: RequestDigest) -> CallAtWork {
+        let mut table = lock(&self.calls);
+        let life = match &instance {
+            Some(instance) => ServerLife::of_instance(instance),
+            None => ServerLife::of_unnamed(self.incarnation, table.unnamed_crashes),
+        };
+        table.next += 1;
+        let number = table.next;
+        table.at_work.insert(number, (life, request));
+        CallAtWork { instance, life, calls: self.calls.clone(), number }
+    }
+
+    /// Whether the life that the call is at work on is known to have ended in a crash.
+    pub(super) fn has_ended(&self, work: &CallAtWork) -> bool {
+        lock(&self.calls).ended.contains(&work.life)
+    }
+
+    /// Notes that the life that the call is at work on has ended in a crash. Returns what was at work on it, each
+    /// request once.
+    pub(super) fn end_life(&self, work: &CallAtWork) -> Vec<RequestDigest> {
+        let mut table = lock(&self.calls);
+        if table.ended.len() == REMEMBERED_LIVES {
+            table.ended.pop_front();
+        }
+        table.ended.push_back(work.life);
+        table.unnamed_crashes += u64::from(work.instance.is_none());
+        let there = table.at_work.values().filter(|(life, _)| *life == work.life);
+        let mut requests: Vec<RequestDigest> = there.map(|(_, request)| *request).collect();
+        requests.sort_unstable();
+        requests.dedup();
+        requests
+    }
+}
+
+fn lock(calls: &Mutex<CallTable>) -> MutexGuard<'_, CallTable> {
+    calls.lock().expect("a thread panicked inside the table of calls at work")
+}
--- a/crates/seamhatchd/src/dispatch/attempt.rs
+++ b/crates/seamhatchd/src/dispatch/attempt.rs
@@ -86,6 +86,7 @@
             generation: self.shared.snapshot().generation(),
             service: self.request.service.clone(),
             context,
+            request: self.digest,
             method: self.request.method.clone(),
             path: self.request.path.clone(),
             headers: self.request.headers.clone(),
@@ -99,7 +100,10 @@
     match attempt {
         Attempt::Lost => CallEnd::Lost,
         Attempt::Refused(refusal)
-            if matches!(refusal.reason, Reason::BackendUnreachable | Reason::BackendFailed) =>
+            if matches!(
+                refusal.reason,
+                Reason::BackendUnreachable | Reason::BackendFailed | Reason::BackendCrashed
+            ) =>
         {
             CallEnd::Lost
         }
--- a/crates/seamhatchd/src/dispatch/mod.rs
+++ b/crates/seamhatchd/src/dispatch/mod.rs
@@ -23,7 +23,7 @@
 use log::info;
 use seamhatch_core::Instant;
 use seamhatch_core::balance::{Candidate, pick};
-use seamhatch_core::identity::{Address, Fingerprint};
+use seamhatch_core::identity::{Address, Fingerprint, RequestDigest};
 use seamhatch_core::outcome::{Outcome, Reason};
 use seamhatch_core::retry::{ChildEnd, Dispatch};
 use seamhatch_policy::ServiceSettings;
@@ -51,6 +51,8 @@
     settings: ServiceSettings,
     parent: Arc<RunningCall>,
     body: ReplayBody,
+    /// What is asked, the same for each copy of the request.
+    digest: RequestDigest,
     child: Child,
     claimed: Option<Claimed>,
     repeat: bool,
@@ -81,8 +83,8 @@
         .parent
         .clone()
         .ok_or_else(|| rejected(Reason::BadContext, "the request has no running call it belongs to"))?;
-    let digest = body.digest();
-    let call = call_fingerprint(request, digest);
+    let content = body.digest();
+    let call = call_fingerprint(request, content);
     let (child, first) = Child::begin(&parent, call)
         .map_err(|error| rejected(Reason::RetriesExhausted, &error.to_string()))?;
     let parent_repeats = parent.repeats;
@@ -93,6 +95,7 @@
         settings,
         parent,
         body,
+        digest: request_digest(shared, request, content),
         child,
         claimed: None,
         repeat: first.repeat || parent_repeats,
@@ -103,7 +106,7 @@
     };
     // Before anything that may refuse: `not-run` is true of a request with a key
     // only while its key is held here.
-    dispatcher.claimed = dispatcher.claim(digest).await?;
+    dispatcher.claimed = dispatcher.claim(content).await?;
     if let Err(rejection) = dispatcher.check_limits(first) {
         return Err(dispatcher.reject(rejection));
     }
@@ -126,6 +129,19 @@
     Fingerprint::of(&parts)
 }
 
+/// Names what is asked, wherever it comes in: its caller's service is left out, as a caller may ask at any
+/// machine. The deployment's name is the key, so that digests mean nothing elsewhere.
+fn request_digest(shared: &Shared, request: &RequestState, body: Fingerprint) -> RequestDigest {
+    RequestDigest::of(&[
+        shared.settings.cluster.as_bytes(),
+        request.header("authorization").unwrap_or_default().as_bytes(),
+        request.host.as_deref().unwrap_or(&request.service).as_bytes(),
+        request.method.as_bytes(),
+        request.path.as_bytes(),
+        &body.0.to_le_bytes(),
+    ])
+}
+
 impl Dispatcher<'_> {
     async fn run(mut self) -> CallResult {
         loop {
@@ -174,6 +190,7 @@
             info!(
                 request = self.request.log_name().as_str(),
                 service = self.request.service.as_str(),
+                digest = self.digest.to_string().as_str(),
                 left = connection.address.to_string().as_str(),
                 reason = self.last_refusal.map_or(Reason::PeerLost, |refusal| refusal.reason).name(),
                 may_have_run = self.may_have_run,
--- a/crates/seamhatchd/src/instances.rs
+++ b/crates/seamhatchd/src/instances.rs
@@ -117,6 +117,15 @@
         }
     }
 
+    /// Whether an instance has told that it leaves, so that its end is planned.
+    #[must_use]
+    pub fn is_leaving(&self, instance: &InstanceId) -> bool {
+        match self {
+            Self::Fixed => false,
+            Self::Registered(registry) => lock(registry).is_leaving(instance),
+        }
+    }
+
     /// Departed instances, the latest last.
     #[must_use]
     pub fn departed(&self) -> Vec<InstanceId> {
--- a/crates/seamhatchd/src/lib.rs
+++ b/crates/seamhatchd/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod clock;
 pub mod controllers;
 pub mod conventions;
+pub mod crashes;
 pub mod dispatch;
 pub mod filters;
 pub mod gate;
--- a/crates/seamhatchd/src/metrics.rs
+++ b/crates/seamhatchd/src/metrics.rs
@@ -98,6 +98,8 @@
     pub store_seconds: Histogram,
     /// Time that calls waited for a slot, in seconds.
     pub queue_seconds: Histogram,
+    /// Crashes of the back end.
+    pub crashes: Counter,
     /// Calls that the back end works on.
     pub running: Gauge,
     /// Calls that wait.
@@ -147,6 +149,7 @@
             backend_seconds: latency_histogram(),
             store_seconds: latency_histogram(),
             queue_seconds: latency_histogram(),
+            crashes: Counter::default(),
             running: Gauge::default(),
             waiting: Gauge::default(),
             limit: Gauge::default(),
@@ -180,6 +183,7 @@
         registry.register("backend_seconds", "Time the back end took", self.backend_seconds.clone());
         registry.register("store_seconds", "Time the key-value service took", self.store_seconds.clone());
         registry.register("queue_seconds", "Wait for a slot", self.queue_seconds.clone());
+        registry.register("crashes", "Crashes of the back end", self.crashes.clone());
         registry.register("running_calls", "Calls the back end works on", self.running.clone());
         registry.register("waiting_calls", "Calls that wait for a slot", self.waiting.clone());
         registry.register("lost_calls", "Calls whose answer seems to be lost", self.lost.clone());
--- a/crates/seamhatchd/src/peer/server_call.rs
+++ b/crates/seamhatchd/src/peer/server_call.rs
@@ -2,6 +2,7 @@
 
 use crate::backend::{self, BackendAnswer, BackendError, BackendRequest};
 use crate::clock;
+use crate::crashes;
 use crate::gate::{GateRequest, Permit};
 use crate::headers;
 use crate::metrics::seconds;
@@ -139,6 +140,7 @@
             instance: instance.id.as_ref(),
         };
         self.shared.metrics.execution(running.priority.class);
+        let work = self.shared.crashes.begin(instance.id.clone(), self.head.request);
         let started = clock::now();
         let exchange = async {
             let mut answer = self.shared.backend.send(&request, body).await?;
@@ -168,6 +170,9 @@
                 drop(permit);
                 self.log_run(status, complete, started);
                 self.end(running, complete);
+                if !complete && !self.outbox.is_closed() {
+                    crashes::has_crashed(&self.shared, &work).await;
+                }
             }
             Err(BackendError::NotRun { reason, detail }) => {
                 let lost = matches!(reason, Reason::BackendUnreachable | Reason::OtherInstance);
@@ -177,7 +182,9 @@
                 self.refuse(running, Outcome::NotRun, reason, &detail);
             }
             Err(BackendError::Failed { detail }) => {
-                self.refuse(running, Outcome::Unknown, Reason::BackendFailed, &detail);
+                let crashed = crashes::has_crashed(&self.shared, &work).await;
+                let reason = if crashed { Reason::BackendCrashed } else { Reason::BackendFailed };
+                self.refuse(running, Outcome::Unknown, reason, &detail);
             }
         }
     }
@@ -242,6 +249,7 @@
     fn log_run(&self, status: u16, complete: bool, started: Instant) {
         info!(
             request = self.log_name().as_str(),
+            digest = self.head.request.to_string().as_str(),
             from = self.from.to_string().as_str(),
             status = status,
             complete = complete,
@@ -270,6 +278,7 @@
         info!(
             request = self.log_name().as_str(),
             root = self.head.context.root.to_string().as_str(),
+            digest = self.head.request.to_string().as_str(),
             from = self.from.to_string().as_str(),
             outcome = outcome.name(),
             reason = reason.name(),
--- a/crates/seamhatchd/src/shared.rs
+++ b/crates/seamhatchd/src/shared.rs
@@ -5,6 +5,7 @@
 use crate::clock;
 use crate::controllers::ControlHandle;
 use crate::conventions::HttpConventions;
+use crate::crashes::CrashWatch;
 use crate::filters::EntryFloors;
 use crate::gate::AdmissionGate;
 use crate::instances::Instances;
@@ -42,6 +43,8 @@
     pub backend: Backend,
     /// Which life of it takes work.
     pub instances: Instances,
+    /// Crashes of the server, and the calls that were at work then.
+    pub crashes: CrashWatch,
     /// How HTTP carries names, deadlines and outcomes.
     pub conventions: Arc<dyn HttpConventions>,
     /// Connections to other daemons.
--- a/crates/seamhatchd/src/startup.rs
+++ b/crates/seamhatchd/src/startup.rs
@@ -4,6 +4,7 @@
 use crate::claims::{ClaimRecords, Witnesses};
 use crate::clock;
 use crate::controllers::{ControlHandle, ControlThread, DrainTarget};
+use crate::crashes::CrashWatch;
 use crate::filters::EntryFloors;
 use crate::gate::AdmissionGate;
 use crate::instances::Instances;
@@ -152,6 +153,7 @@
         running: RunningCalls::new(incarnation),
         backend: Backend::new(settings.backend, conventions.clone()),
         instances: if registers { Instances::registered() } else { Instances::Fixed },
+        crashes: CrashWatch::new(incarnation),
         conventions,
         pool: PeerPool::new(traffic.clone()),
         witnesses: Witnesses::default(),
--- a/crates/seamhatchd/tests/rejections.rs
+++ b/crates/seamhatchd/tests/rejections.rs
@@ -48,6 +48,7 @@
     blames_nobody(Reason::PeerLost, 503, 502),
     blames_nobody(Reason::BackendUnreachable, 503, 502),
     blames_nobody(Reason::BackendFailed, 503, 502),
+    blames_nobody(Reason::BackendCrashed, 503, 502),
     blames_nobody(Reason::BackendRefused, 503, 502),
     blames_nobody(Reason::NoInstance, 503, 502),
     blames_nobody(Reason::OtherInstance, 503, 502),
