Requests that crash servers are condemned after the third crash, everywhere

Class: a fault of the request treated as a fault of the server. Ruled out: a bound on attempts alone (each attempt still ends one server, without end); servers that fall over under the load of others (the same digest is at work in every crash of the test). Change: a crash makes suspects of all that was at work; a good end clears a request; three distinct crashes without one condemn it for 30 s, doubled by each further crash, then one copy is tried. Evidence is a set of crashes, merged in any order, told to all members in datagrams. A suspect goes to one server that all daemons choose alike, whose daemon runs one copy at a time, and one suspect of two or more crashes at a time; two crashes end its try. Condemned: 503, not run, with when to come back.

--- /dev/null
+++ b/crates/seamhatch-core/src/crashes/ledger.rs
@@ -0,0 +1,268 @@
+//! What a daemon knows of requests that were at work when servers crashed.
+
+use super::{ServerLife, SuspectRecord, SuspectReport};
+use crate::clock::{Instant, Microseconds, SECOND};
+use crate::identity::RequestDigest;
+use std::collections::HashMap;
+
+/// When a request is condemned, and for how long.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CrashPolicy {
+    /// Crashes without a good end between them after which a request isn't sent to servers any more.
+    pub condemned_after: u32,
+    /// Pause after the crash that condemned it, before one copy of it is tried. Doubled by each further crash.
+    pub first_pause: Microseconds,
+    /// Longest such pause.
+    pub longest_pause: Microseconds,
+    /// How long evidence counts after the last crash. What comes again so rarely harms as rarely.
+    pub memory: Microseconds,
+    /// Requests that are kept as suspects; the ones with the least and oldest evidence are dropped first.
+    pub most_suspects: usize,
+    /// Requests that are kept as condemned. Suspects never push one of them out.
+    pub most_condemned: usize,
+}
+
+impl Default for CrashPolicy {
+    fn default() -> Self {
+        Self {
+            // One crash has every call that was at work as a suspect; the same call in three is no accident.
+            condemned_after: 3,
+            // A server that is away for seconds, once in half a minute, is what one more look at the request costs.
+            first_pause: 30 * SECOND,
+            longest_pause: 3600 * SECOND,
+            memory: 600 * SECOND,
+            // At 80 bytes each, a third of a megabyte.
+            most_suspects: 4096,
+            most_condemned: 1024,
+        }
+    }
+}
+
+/// What may be done with a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SuspectStanding {
+    /// Nothing speaks against it.
+    Clear,
+    /// It may run, but no two copies of it at once: it was at work in this many crashes and has not come to a good end
+    /// since.
+    Suspect {
+        /// The crashes.
+        crashes: u32,
+    },
+    /// It is turned away.
+    Condemned {
+        /// The crashes it was at work in.
+        crashes: u32,
+        /// When one copy of it is tried again.
+        until: Instant,
+    },
+}
+
+impl SuspectStanding {
+    /// Crashes that speak against it.
+    #[must_use]
+    pub fn crashes(self) -> u32 {
+        match self {
+            Self::Clear => 0,
+            Self::Suspect { crashes } | Self::Condemned { crashes, .. } => crashes,
+        }
+    }
+}
+
+/// What became of a request by new evidence.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EvidenceEffect {
+    /// It tells nothing new.
+    Known,
+    /// There is more or less against it than before.
+    Changed,
+    /// It is condemned now.
+    Condemned,
+    /// It was condemned, and is not any more.
+    Released,
+}
+
+#[derive(Debug, Clone)]
+struct LedgerEntry {
+    record: SuspectRecord,
+    last_crash: Instant,
+}
+
+/// All suspects known at one daemon, bounded in number and age.
+#[derive(Debug, Clone, Default)]
+pub struct CrashLedger {
+    policy: CrashPolicy,
+    entries: HashMap<RequestDigest, LedgerEntry>,
+}
+
+impl CrashLedger {
+    /// Nothing known yet.
+    #[must_use]
+    pub fn new(policy: CrashPolicy) -> Self {
+        Self { policy, entries: HashMap::new() }
+    }
+
+    /// Records that are kept, cleared ones included.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether nothing is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// What may be done with a request at `now`.
+    #[must_use]
+    pub fn standing(&self, request: RequestDigest, now: Instant) -> SuspectStanding {
+        self.entries.get(&request).map_or(SuspectStanding::Clear, |entry| self.standing_of(entry, now))
+    }
+
+    /// Takes in that a request was at work when a life of a server ended in a crash.
+    pub fn report(&mut self, life: ServerLife, request: RequestDigest, now: Instant) -> EvidenceEffect {
+        self.change(request, now, now, |record| record.add(life))
+    }
+
+    /// Takes in that a request has come to a good end, or that an operator clears it.
+    pub fn clear(&mut self, request: RequestDigest, now: Instant) -> EvidenceEffect {
+        let Some(entry) = self.entries.get_mut(&request) else { return EvidenceEffect::Known };
+        let condemned = entry.record.open_crashes() >= self.policy.condemned_after;
+        // A crash that others know of may still be told: the record stays, so that it is known as cleared.
+        match (entry.record.clear(), condemned) {
+            (false, _) => EvidenceEffect::Known,
+            (true, true) => {
+                entry.last_crash = now;
+                EvidenceEffect::Released
+            }
+            (true, false) => EvidenceEffect::Changed,
+        }
+    }
+
+    /// Takes in what another daemon knows.
+    pub fn merge(&mut self, report: &SuspectReport, now: Instant) -> EvidenceEffect {
+        let at = now.minus(report.age);
+        if now.since(at) > self.policy.memory.max(self.policy.longest_pause) {
+            return EvidenceEffect::Known;
+        }
+        self.change(report.record.request, at, now, |record| record.merge(&report.record))
+    }
+
+    /// What is known of these requests, for other daemons.
+    #[must_use]
+    pub fn reports(&self, requests: &[RequestDigest], now: Instant) -> Vec<SuspectReport> {
+        let entries = requests.iter().filter_map(|request| self.entries.get(request));
+        entries.map(|entry| entry.report(now)).collect()
+    }
+
+    /// What is known of the `most` requests with the most crashes, cleared ones included.
+    #[must_use]
+    pub fn heaviest(&self, most: usize, now: Instant) -> Vec<SuspectReport> {
+        let mut entries: Vec<&LedgerEntry> = self.entries.values().collect();
+        entries.sort_by_key(|entry| std::cmp::Reverse((entry.record.open_crashes(), entry.last_crash)));
+        entries.into_iter().take(most).map(|entry| entry.report(now)).collect()
+    }
+
+    /// Requests with open crashes and what may be done with them, those with the most crashes first.
+    #[must_use]
+    pub fn suspects(&self, now: Instant) -> Vec<(RequestDigest, SuspectStanding)> {
+        let entries = self.entries.values();
+        let standings = entries.map(|entry| (entry.record.request, self.standing_of(entry, now)));
+        let mut suspects: Vec<_> = standings.filter(|(_, standing)| standing.crashes() > 0).collect();
+        suspects.sort_by_key(|(request, standing)| (std::cmp::Reverse(standing.crashes()), *request));
+        suspects
+    }
+
+    /// Forgets what is too old to count.
+    pub fn forget_old(&mut self, now: Instant) {
+        let policy = self.policy;
+        self.entries.retain(|_, entry| now.since(entry.last_crash) <= entry.kept_for(&policy));
+    }
+
+    fn standing_of(&self, entry: &LedgerEntry, now: Instant) -> SuspectStanding {
+        let crashes = entry.record.open_crashes();
+        if crashes == 0 || now.since(entry.last_crash) > entry.kept_for(&self.policy) {
+            return SuspectStanding::Clear;
+        }
+        let until = entry.last_crash.plus(self.policy.pause_after(crashes));
+        if crashes >= self.policy.condemned_after && now < until {
+            return SuspectStanding::Condemned { crashes, until };
+        }
+        SuspectStanding::Suspect { crashes }
+    }
+
+    /// Changes a record, which is made where there is none. `at` is the time of the evidence.
+    fn change(
+        &mut self,
+        request: RequestDigest,
+        at: Instant,
+        now: Instant,
+        change: impl FnOnce(&mut SuspectRecord) -> bool,
+    ) -> EvidenceEffect {
+        let new = || LedgerEntry { record: SuspectRecord::new(request), last_crash: at };
+        let entry = self.entries.entry(request).or_insert_with(new);
+        let limit = self.policy.condemned_after;
+        let before = entry.record.open_crashes() >= limit;
+        if !change(&mut entry.record) {
+            if entry.record.is_empty() {
+                self.entries.remove(&request);
+            }
+            return EvidenceEffect::Known;
+        }
+        entry.last_crash = entry.last_crash.max(at);
+        let after = entry.record.open_crashes() >= limit;
+        self.make_room(now);
+        match (before, after) {
+            (false, true) => EvidenceEffect::Condemned,
+            (true, false) => EvidenceEffect::Released,
+            _ => EvidenceEffect::Changed,
+        }
+    }
+
+    fn make_room(&mut self, now: Instant) {
+        if self.entries.len() <= self.policy.most_suspects {
+            return;
+        }
+        self.forget_old(now);
+        let limit = self.policy.condemned_after;
+        let (mut condemned, mut suspects) = (Vec::new(), Vec::new());
+        for (request, entry) in &self.entries {
+            let crashes = entry.record.open_crashes();
+            let list = if crashes >= limit { &mut condemned } else { &mut suspects };
+            list.push((crashes, entry.last_crash, *request));
+        }
+        for (mut list, most) in
+            [(condemned, self.policy.most_condemned), (suspects, self.policy.most_suspects)]
+        {
+            list.sort_unstable();
+            // An eighth at once, so that a flood doesn't sort the list each time.
+            let dropped = if list.len() > most { list.len() - most + most / 8 } else { 0 };
+            for (_, _, request) in list.into_iter().take(dropped) {
+                self.entries.remove(&request);
+            }
+        }
+    }
+}
+
+impl LedgerEntry {
+    fn report(&self, now: Instant) -> SuspectReport {
+        SuspectReport { record: self.record.clone(), age: now.since(self.last_crash) }
+    }
+
+    /// How long it counts after its last crash.
+    fn kept_for(&self, policy: &CrashPolicy) -> Microseconds {
+        let crashes = self.record.open_crashes();
+        let pause = if crashes >= policy.condemned_after { policy.pause_after(crashes) } else { 0 };
+        pause + policy.memory
+    }
+}
+
+impl CrashPolicy {
+    /// Pause after this many crashes.
+    #[must_use]
+    pub fn pause_after(&self, crashes: u32) -> Microseconds {
+        let doublings = crashes.saturating_sub(self.condemned_after).min(20);
+        (self.first_pause << doublings).min(self.longest_pause)
+    }
+}
--- a/crates/seamhatch-core/src/crashes.rs
+++ b/crates/seamhatch-core/src/crashes/mod.rs
@@ -1,4 +1,16 @@
-//! Which requests were at work when servers crashed.
+//! Requests that crash servers: evidence from crashes, and who is turned away on it.
+//!
+//! A crash is one life of a server that ended without a word while calls were at work on it. Each of these is a suspect, one
+//! among many. A run that comes to a good end clears its request, as one that crashes every server never has such a run. What has
+//! been at work in several crashes since is condemned: it isn't sent to servers any more until a pause is over, and then on trial.
+//!
+//! Evidence is a set of distinct crashes, not a sum of reports, so that it may be told twice, late and in any order.
+
+mod ledger;
+mod record;
+
+pub use ledger::{CrashLedger, CrashPolicy, EvidenceEffect, SuspectStanding};
+pub use record::{CrashMark, MOST_MARKS, SuspectRecord, SuspectReport};
 
 use crate::identity::{Incarnation, RequestDigest};
 use crate::instance::InstanceId;
--- a/crates/seamhatch-core/src/membership/message.rs
+++ b/crates/seamhatch-core/src/membership/message.rs
@@ -1,5 +1,6 @@
 //! Messages of the membership protocol.
 
+use crate::crashes::SuspectReport;
 use crate::generation::Generation;
 use crate::identity::Address;
 use crate::membership::MemberRecord;
@@ -49,7 +50,13 @@
     SyncPage,
     /// News only.
     News,
+    /// Evidence against requests that were at work when servers crashed, at most [`SUSPECTS_PER_MESSAGE`] records.
+    Suspects(Vec<SuspectReport>),
 }
 
 /// Records that travel in one message: keeps a datagram well below 1,400 bytes.
 pub const NEWS_PER_MESSAGE: usize = 8;
+
+/// Records of suspects that travel in one message. Most hold one to three crashes, 40 to 60 bytes; with the most crashes a
+/// record is 170 bytes.
+pub const SUSPECTS_PER_MESSAGE: usize = 7;
--- a/crates/seamhatch-core/src/membership/mod.rs
+++ b/crates/seamhatch-core/src/membership/mod.rs
@@ -8,10 +8,11 @@
 mod probing;
 mod record;
 
-pub use message::{GossipBody, GossipMessage, NEWS_PER_MESSAGE};
+pub use message::{GossipBody, GossipMessage, NEWS_PER_MESSAGE, SUSPECTS_PER_MESSAGE};
 pub use record::{Lifecycle, Liveness, MemberInfo, MemberRecord};
 
 use crate::clock::{Instant, MILLISECOND, Microseconds, SECOND};
+use crate::crashes::SuspectReport;
 use crate::generation::Generation;
 use crate::identity::{Address, Incarnation};
 use std::collections::BTreeMap;
@@ -229,6 +230,23 @@
             .collect()
     }
 
+    /// Messages that tell `targets` what is known of suspects.
+    #[must_use]
+    pub fn tell_suspects(&self, targets: &[Address], reports: &[SuspectReport]) -> Vec<Outgoing> {
+        let mut outgoing = Vec::new();
+        for page in reports.chunks(SUSPECTS_PER_MESSAGE) {
+            let message = self.message_with(GossipBody::Suspects(page.to_vec()), Vec::new());
+            outgoing.extend(targets.iter().map(|target| (*target, message.clone())));
+        }
+        outgoing
+    }
+
+    /// Messages that tell all live members what is known of suspects.
+    #[must_use]
+    pub fn tell_all_suspects(&self, reports: &[SuspectReport]) -> Vec<Outgoing> {
+        self.tell_suspects(&self.live_addresses(), reports)
+    }
+
     /// Moves time on; to be called several times in a probe timeout.
     pub fn tick(&mut self, now: Instant, mut random: impl FnMut(usize) -> usize) -> Vec<Outgoing> {
         let mut outgoing = Vec::new();
@@ -264,7 +282,7 @@
                 vec![(target, self.message(ping))]
             }
             GossipBody::SyncRequest { digest } => self.sync_pages(message.from, digest),
-            GossipBody::SyncPage | GossipBody::News => Vec::new(),
+            GossipBody::SyncPage | GossipBody::News | GossipBody::Suspects(_) => Vec::new(),
         }
     }
 
--- a/crates/seamhatch-core/src/outcome.rs
+++ b/crates/seamhatch-core/src/outcome.rs
@@ -87,6 +87,8 @@
     HeadTooLarge,
     /// The request's body is larger than the configuration allows.
     BodyTooLarge,
+    /// The request has crashed several servers, so it is not sent to any for now.
+    CrashesServers,
     /// The daemon is beside a server of another service: the sender's membership is out of date.
     OtherService,
 }
@@ -121,6 +123,7 @@
             Self::OtherInstance => "other-instance",
             Self::HeadTooLarge => "head-too-large",
             Self::BodyTooLarge => "body-too-large",
+            Self::CrashesServers => "crashes-servers",
             Self::OtherService => "other-service",
         }
     }
--- /dev/null
+++ b/crates/seamhatch-core/tests/crashes.rs
@@ -0,0 +1,227 @@
+//! Evidence against requests that were at work when servers crashed.
+
+use proptest::prelude::*;
+use seamhatch_core::clock::SECOND;
+use seamhatch_core::crashes::{
+    CrashLedger, CrashPolicy, EvidenceEffect, MOST_MARKS, ServerLife, SuspectRecord, SuspectReport,
+    SuspectStanding,
+};
+use seamhatch_core::identity::RequestDigest;
+use seamhatch_core::instance::InstanceId;
+use seamhatch_core::{Instant, Microseconds};
+
+const REQUEST: RequestDigest = RequestDigest(7);
+const START: Instant = Instant(10_000 * SECOND);
+
+/// One thing that happens to a request.
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    /// This life of a server ends under it.
+    Crash(u64),
+    /// It comes to a good end.
+    GoodEnd,
+    /// Time passes, in seconds.
+    Wait(u64),
+}
+
+/// What is left of a request's evidence at the end.
+#[derive(Debug, PartialEq, Eq)]
+enum Standing {
+    Clear,
+    Suspect(u32),
+    /// Crashes, and seconds until a trial.
+    Condemned(u32, u64),
+}
+
+struct StandingCase {
+    name: &'static str,
+    steps: &'static [Step],
+    standing: Standing,
+}
+
+use Step::{Crash, GoodEnd, Wait};
+
+const CASES: [StandingCase; 10] = [
+    StandingCase { name: "unknown", steps: &[], standing: Standing::Clear },
+    StandingCase { name: "one crash", steps: &[Crash(1)], standing: Standing::Suspect(1) },
+    StandingCase { name: "one crash told often", steps: &[Crash(1); 5], standing: Standing::Suspect(1) },
+    StandingCase {
+        name: "three crashes",
+        steps: &[Crash(1), Crash(2), Wait(5), Crash(3), Wait(10)],
+        standing: Standing::Condemned(3, 20),
+    },
+    StandingCase {
+        name: "cleared between",
+        steps: &[Crash(1), Crash(2), GoodEnd, Crash(3)],
+        standing: Standing::Suspect(1),
+    },
+    StandingCase {
+        name: "a crash before the good end, told once more",
+        steps: &[Crash(1), Crash(2), GoodEnd, Crash(2), Crash(1)],
+        standing: Standing::Clear,
+    },
+    StandingCase {
+        name: "the pause is over",
+        steps: &[Crash(1), Crash(2), Crash(3), Wait(30)],
+        standing: Standing::Suspect(3),
+    },
+    StandingCase {
+        name: "the trial crashes a server",
+        steps: &[Crash(1), Crash(2), Crash(3), Wait(30), Crash(4)],
+        standing: Standing::Condemned(4, 60),
+    },
+    StandingCase {
+        name: "the trial ends well",
+        steps: &[Crash(1), Crash(2), Crash(3), Wait(30), GoodEnd],
+        standing: Standing::Clear,
+    },
+    StandingCase { name: "long ago", steps: &[Crash(1), Crash(2), Wait(601)], standing: Standing::Clear },
+];
+
+fn play(ledger: &mut CrashLedger, steps: &[Step]) -> Instant {
+    let mut now = START;
+    for step in steps {
+        match step {
+            Crash(life) => drop(ledger.report(ServerLife(*life), REQUEST, now)),
+            GoodEnd => drop(ledger.clear(REQUEST, now)),
+            Wait(seconds) => now = now.plus(seconds * SECOND),
+        }
+    }
+    now
+}
+
+#[test]
+fn a_request_is_condemned_by_distinct_crashes_without_a_good_end_between() {
+    for case in CASES {
+        let mut ledger = CrashLedger::default();
+        let now = play(&mut ledger, case.steps);
+        let standing = match ledger.standing(REQUEST, now) {
+            SuspectStanding::Clear => Standing::Clear,
+            SuspectStanding::Suspect { crashes } => Standing::Suspect(crashes),
+            SuspectStanding::Condemned { crashes, until } => {
+                Standing::Condemned(crashes, until.since(now) / SECOND)
+            }
+        };
+        assert_eq!(standing, case.standing, "{}", case.name);
+    }
+}
+
+#[test]
+fn evidence_says_once_that_a_request_is_condemned_and_once_that_it_is_released() {
+    let mut ledger = CrashLedger::default();
+    let effects: Vec<EvidenceEffect> =
+        (1..=4).map(|life| ledger.report(ServerLife(life), REQUEST, START)).collect();
+    use EvidenceEffect::{Changed, Condemned, Known, Released};
+    assert_eq!(effects, [Changed, Changed, Condemned, Changed]);
+    assert_eq!(ledger.clear(REQUEST, START), Released);
+    assert_eq!(ledger.clear(REQUEST, START), Known);
+}
+
+#[test]
+fn a_flood_of_suspects_pushes_no_condemned_request_out() {
+    let policy = CrashPolicy { most_suspects: 64, most_condemned: 16, ..CrashPolicy::default() };
+    let mut ledger = CrashLedger::new(policy);
+    for life in 1..=3 {
+        ledger.report(ServerLife(life), REQUEST, START);
+    }
+    for number in 0..10_000 {
+        let now = START.plus(number);
+        ledger.report(ServerLife(100 + number), RequestDigest(1000 + number), now);
+        assert!(ledger.len() <= 64 + 16 + 1);
+    }
+    assert!(matches!(ledger.standing(REQUEST, START.plus(SECOND)), SuspectStanding::Condemned { .. }));
+    let latest = ledger.standing(RequestDigest(1000 + 9_999), START.plus(SECOND));
+    assert_eq!(latest, SuspectStanding::Suspect { crashes: 1 });
+}
+
+#[test]
+fn one_life_of_a_server_has_one_name_everywhere() {
+    let life = |name: &str| ServerLife::of_instance(&InstanceId(name.into()));
+    assert_eq!(life("i-1"), life("i-1"));
+    assert_ne!(life("i-1"), life("i-2"));
+}
+
+/// What one daemon has seen of a request, as reports: crashes and good ends in any order.
+fn record() -> impl Strategy<Value = SuspectRecord> {
+    proptest::collection::vec((0_u64..40, proptest::bool::weighted(0.1)), 0..30).prop_map(|seen| {
+        let mut record = SuspectRecord::new(REQUEST);
+        for (life, ends_well) in seen {
+            record.add(ServerLife(life));
+            if ends_well {
+                record.clear();
+            }
+        }
+        record
+    })
+}
+
+fn merged(records: &[&SuspectRecord]) -> SuspectRecord {
+    let mut all = SuspectRecord::new(REQUEST);
+    for record in records {
+        all.merge(record);
+    }
+    all
+}
+
+proptest! {
+    #[test]
+    fn merging_is_commutative_associative_and_idempotent(a in record(), b in record(), c in record()) {
+        prop_assert_eq!(merged(&[&a, &b]), merged(&[&b, &a]));
+        let left = merged(&[&merged(&[&a, &b]), &c]);
+        let right = merged(&[&a, &merged(&[&b, &c])]);
+        prop_assert_eq!(&left, &right);
+        prop_assert_eq!(&merged(&[&left, &a, &b, &left]), &left);
+        prop_assert!(left.open_crashes() as usize <= MOST_MARKS);
+    }
+
+    #[test]
+    fn a_crash_that_anybody_knows_as_cleared_never_counts_again(seen in record(), late in record()) {
+        let mut cleared = seen;
+        cleared.clear();
+        let before = merged(&[&cleared, &late]).open_crashes();
+        let mut again = merged(&[&late, &cleared]);
+        again.merge(&cleared);
+        prop_assert_eq!(again.open_crashes(), before);
+    }
+
+    #[test]
+    fn reports_bring_all_daemons_to_the_same_verdict(
+        crashes in proptest::collection::vec((0_usize..3, 1_u64..6), 0..8),
+        order in proptest::collection::vec((0_usize..3, 0_usize..3), 0..12),
+    ) {
+        let mut ledgers = vec![CrashLedger::default(); 3];
+        for (daemon, life) in &crashes {
+            ledgers[*daemon].report(ServerLife(*life), REQUEST, START);
+        }
+        // Each tells each other in the end, whatever was told before.
+        let complete = (0..3).flat_map(|from| (0..3).map(move |to| (from, to)));
+        for (from, to) in order.into_iter().chain(complete.clone()).chain(complete) {
+            let reports = ledgers[from].reports(&[REQUEST], START);
+            for report in reports {
+                ledgers[to].merge(&report, START);
+            }
+        }
+        let distinct: std::collections::BTreeSet<u64> = crashes.iter().map(|(_, life)| *life).collect();
+        for ledger in &ledgers {
+            prop_assert_eq!(ledger.standing(REQUEST, START).crashes() as usize, distinct.len());
+        }
+    }
+}
+
+#[test]
+fn a_report_counts_from_the_time_of_its_crash_and_not_at_all_when_that_is_long_ago() {
+    let told = |age: Microseconds| {
+        let mut teller = CrashLedger::default();
+        for life in 1..=3 {
+            teller.report(ServerLife(life), REQUEST, START);
+        }
+        let report: SuspectReport = teller.reports(&[REQUEST], START.plus(age)).remove(0);
+        let mut ledger = CrashLedger::default();
+        ledger.merge(&report, START);
+        ledger.standing(REQUEST, START)
+    };
+    let until = START.plus(20 * SECOND);
+    assert_eq!(told(10 * SECOND), SuspectStanding::Condemned { crashes: 3, until });
+    assert_eq!(told(40 * SECOND), SuspectStanding::Suspect { crashes: 3 });
+    assert_eq!(told(4000 * SECOND), SuspectStanding::Clear);
+}
--- a/crates/seamhatch-wire/src/message.rs
+++ b/crates/seamhatch-wire/src/message.rs
@@ -233,6 +233,8 @@
     pub retry_after: Microseconds,
     /// Tokens that come back.
     pub unspent_tokens: u32,
+    /// Crashes that speak against the request, as far as the refusing daemon knows.
+    pub crashes: u32,
     /// State of the server.
     pub server: ServerReport,
 }
--- a/crates/seamhatch/src/trace/cause.rs
+++ b/crates/seamhatch/src/trace/cause.rs
@@ -96,6 +96,9 @@
         "peer-lost" => "the daemon beside the server fell silent or was lost: look into its log".into(),
         "backend-unreachable" => "the back end took no connection".into(),
         "backend-crashed" => "the back end crashed with the call at work on it".into(),
+        "crashes-servers" => {
+            "the request was at work in crash after crash and is turned away: see `seamhatch crashes`".into()
+        }
         "backend-failed" => format!("the back end broke off or gave no answer ({})", shown(line, "detail")),
         "backend-refused" => "the back end turned it away by itself".into(),
         "cancelled" => "its caller had left".into(),
--- a/crates/seamhatchd/src/controllers/control_thread/mod.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/mod.rs
@@ -7,6 +7,7 @@
 mod requests;
 mod roster;
 mod store;
+mod suspects;
 
 use crate::clock;
 use crate::controllers::configuration::ConfigurationController;
@@ -71,6 +72,7 @@
     documents: Arc<dyn DocumentFormat>,
     following: followed::Following,
     departures: instances::Departures,
+    suspect_news: suspects::SuspectNews,
     socket: Arc<UdpSocket>,
     stopped: BTreeSet<Address>,
     schedule: Schedule,
@@ -118,6 +120,7 @@
             documents: ports.documents.clone(),
             following: followed::Following::default(),
             departures: instances::Departures::default(),
+            suspect_news: suspects::SuspectNews::default(),
             socket,
             stopped: BTreeSet::new(),
             schedule: Schedule::default(),
@@ -151,6 +154,7 @@
                     debug_assert!(LARGEST_DATAGRAM <= buffer.len());
                     if let Some(message) = self.membership.datagram(received, from) {
                         self.note_versions(&message);
+                        self.note_suspects(&message);
                         self.publish_soon_after_a_change();
                     }
                 }
@@ -164,6 +168,7 @@
         self.publish_if_changed();
         self.shared.gate.tick();
         self.become_ready_if_verified();
+        self.tell_suspects_again(now);
         match self.backing {
             Backing::Witnessed(_) => self.tick_witnessed(now),
             Backing::Followed(_) => self.tick_followed(now),
@@ -213,6 +218,7 @@
             ControlEvent::InstanceDeparts(instance, reply) => self.instance_departs(instance, reply),
             ControlEvent::InstanceLost(instance, Reason::OtherInstance) => self.refute_instance(&instance),
             ControlEvent::InstanceLost(instance, reason) => self.lost_instance(&instance, reason.name()),
+            ControlEvent::SuspectsChanged(requests) => self.suspects_changed(requests),
             ControlEvent::DepartureRemembered(instance) => self.departure_remembered(instance),
             ControlEvent::DeparturesLearnt(source, instances) => {
                 self.departures_learnt(source, &instances);
--- a/crates/seamhatchd/src/controllers/events.rs
+++ b/crates/seamhatchd/src/controllers/events.rs
@@ -7,7 +7,7 @@
 use crate::store::{StoreError, Stored};
 use seamhatch_core::departure::DepartureSource;
 use seamhatch_core::generation::{Generation, SubmissionId};
-use seamhatch_core::identity::Address;
+use seamhatch_core::identity::{Address, RequestDigest};
 use seamhatch_core::instance::{Heartbeat, InstanceId};
 use seamhatch_core::outcome::Reason;
 use seamhatch_core::roster::Roster;
@@ -92,6 +92,8 @@
     InstanceDeparts(InstanceId, oneshot::Sender<InstanceAnswer>),
     /// An instance could not be reached, or another one answered in its place.
     InstanceLost(InstanceId, Reason),
+    /// What is known of these suspects has changed here: the other daemons are to know it.
+    SuspectsChanged(Vec<RequestDigest>),
     /// The departure of an instance is remembered elsewhere.
     DepartureRemembered(InstanceId),
     /// Instances that departed in an earlier life of this daemon, and who tells.
--- a/crates/seamhatchd/src/controllers/handle.rs
+++ b/crates/seamhatchd/src/controllers/handle.rs
@@ -7,7 +7,7 @@
 use seamhatch_core::Instant;
 use seamhatch_core::clock::{Microseconds, SECOND};
 use seamhatch_core::generation::Generation;
-use seamhatch_core::identity::Address;
+use seamhatch_core::identity::{Address, RequestDigest};
 use seamhatch_core::instance::{Heartbeat, InstanceId};
 use seamhatch_core::outcome::Reason;
 use seamhatch_policy::StoredConfiguration;
@@ -90,6 +90,11 @@
         self.send(ControlEvent::InstanceLost(instance, reason));
     }
 
+    /// What is known of these suspects has changed here.
+    pub fn tell_suspects(&self, requests: Vec<RequestDigest>) {
+        self.send(ControlEvent::SuspectsChanged(requests));
+    }
+
     /// A daemon has connected.
     pub fn met(&self, gossip: Address) {
         self.send(ControlEvent::Met(gossip));
--- a/crates/seamhatchd/src/crashes/mod.rs
+++ b/crates/seamhatchd/src/crashes/mod.rs
@@ -1,15 +1,24 @@
-//! Crashes of the back end beside this daemon, and the calls that were at work then.
+//! Crashes of the back end beside this daemon, the calls that were at work then, and what follows for them.
 //!
 //! A crash is one life of the back end that ended without a word while calls were at work on it: their connections
 //! closed, nothing listens any more, and the instance had not told that it leaves. An answer that broke off is none.
 
 mod at_work;
+mod suspects;
+mod trials;
 
 pub use at_work::{CallAtWork, CrashWatch};
+pub use suspects::SuspectBook;
+pub use trials::{CRASHES_TO_ISOLATE, Trial, Trials};
 
+use crate::clock;
 use crate::shared::Shared;
 use log::warn;
+use seamhatch_core::clock::Microseconds;
+use seamhatch_core::crashes::SuspectStanding;
+use seamhatch_core::identity::RequestDigest;
 use seamhatch_core::instance::InstanceId;
+use seamhatch_core::outcome::Reason;
 use std::sync::Arc;
 
 /// Whether the back end has crashed under a call whose connection broke. The first call that finds out reports
@@ -27,19 +36,62 @@
         return false;
     }
     let requests = watch.end_life(work);
-    let digests: Vec<String> = requests.iter().map(ToString::to_string).collect();
-    warn!(
-        instance = work.instance.as_ref().map_or("", |instance| instance.0.as_str()),
-        at_work = requests.len(),
-        digests = digests.join(",").as_str();
-        "back end crashed"
-    );
+    shared.suspects.report_crash(work.life, &requests);
+    log_crash(shared, work, &requests);
     shared.metrics.crashes.inc();
+    shared.control.tell_suspects(requests);
+    if let Some(instance) = &work.instance {
+        shared.control.lost_instance(instance.clone(), Reason::BackendCrashed);
+    }
     true
 }
 
+/// Waits until a call may run at the server here: at once, unless its request is a suspect.
+///
+/// # Errors
+/// [`Reason::CrashesServers`]: it may not run at all.
+pub async fn until_admitted(shared: &Shared, request: RequestDigest) -> Result<Option<Trial>, Reason> {
+    let mut standing = shared.suspects.standing(request);
+    loop {
+        match standing {
+            SuspectStanding::Clear => return Ok(None),
+            SuspectStanding::Condemned { .. } => return Err(Reason::CrashesServers),
+            SuspectStanding::Suspect { crashes } => {
+                let trial = shared.suspects.trials.begin(request, crashes).await;
+                // The copy before may have told how it ends.
+                let now = shared.suspects.standing(request);
+                if now == standing {
+                    return Ok(Some(trial));
+                }
+                standing = now;
+            }
+        }
+    }
+}
+
 /// Whether the instance that the call is at work on has told that it leaves: its end is planned.
 fn is_leaving(shared: &Shared, work: &CallAtWork) -> bool {
     let leaving = |instance: &InstanceId| shared.instances.is_leaving(instance);
     work.instance.as_ref().is_some_and(leaving)
 }
+
+fn log_crash(shared: &Shared, work: &CallAtWork, requests: &[RequestDigest]) {
+    let suspects = requests.iter().map(|request| {
+        let crashes = shared.suspects.standing(*request).crashes();
+        format!("{request}:{crashes}")
+    });
+    warn!(
+        instance = work.instance.as_ref().map_or("", |instance| instance.0.as_str()),
+        at_work = requests.len(),
+        crashes_by_digest = suspects.collect::<Vec<_>>().join(",").as_str();
+        "back end crashed"
+    );
+}
+
+/// Time until one copy of a condemned request is tried again.
+pub fn time_until_trial(shared: &Shared, request: RequestDigest) -> Microseconds {
+    match shared.suspects.standing(request) {
+        SuspectStanding::Condemned { until, .. } => until.since(clock::now()),
+        SuspectStanding::Clear | SuspectStanding::Suspect { .. } => 0,
+    }
+}
--- /dev/null
+++ b/crates/seamhatchd/src/crashes/suspects.rs
@@ -0,0 +1,127 @@
+//! The requests that were at work when servers crashed, as all threads of the daemon see them.
+
+use crate::clock;
+use crate::crashes::trials::Trials;
+use log::{info, warn};
+use seamhatch_core::Instant;
+use seamhatch_core::crashes::{
+    CrashLedger, CrashPolicy, EvidenceEffect, ServerLife, SuspectReport, SuspectStanding,
+};
+use seamhatch_core::identity::RequestDigest;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Mutex, MutexGuard};
+
+/// The ledger of suspects, and the trials beside this daemon's server.
+#[derive(Debug)]
+pub struct SuspectBook {
+    ledger: Mutex<CrashLedger>,
+    /// Records in the ledger, so that a call pays one load while there are none.
+    known: AtomicUsize,
+    /// Suspects that run here.
+    pub trials: Trials,
+}
+
+impl Default for SuspectBook {
+    fn default() -> Self {
+        Self::new(CrashPolicy::default())
+    }
+}
+
+impl SuspectBook {
+    /// Nothing known yet.
+    #[must_use]
+    pub fn new(policy: CrashPolicy) -> Self {
+        let ledger = Mutex::new(CrashLedger::new(policy));
+        Self { ledger, known: AtomicUsize::new(0), trials: Trials::default() }
+    }
+
+    /// What may be done with a request now.
+    #[must_use]
+    pub fn standing(&self, request: RequestDigest) -> SuspectStanding {
+        if self.known.load(Ordering::Acquire) == 0 {
+            return SuspectStanding::Clear;
+        }
+        self.lock().standing(request, clock::now())
+    }
+
+    /// Takes in a crash and what was at work then.
+    pub fn report_crash(&self, life: ServerLife, requests: &[RequestDigest]) {
+        let now = clock::now();
+        let mut ledger = self.lock();
+        for request in requests {
+            let effect = ledger.report(life, *request, now);
+            log_effect(&ledger, *request, effect, now);
+        }
+        self.known.store(ledger.len(), Ordering::Release);
+    }
+
+    /// A run of this request has come to a good end. True when it was a suspect.
+    pub fn ended_well(&self, request: RequestDigest) -> bool {
+        self.known.load(Ordering::Acquire) > 0 && self.clear(request)
+    }
+
+    /// Clears a request. True when it was a suspect.
+    pub fn clear(&self, request: RequestDigest) -> bool {
+        let now = clock::now();
+        let mut ledger = self.lock();
+        let effect = ledger.clear(request, now);
+        log_effect(&ledger, request, effect, now);
+        effect != EvidenceEffect::Known
+    }
+
+    /// Takes in what another daemon knows.
+    pub fn merge(&self, reports: &[SuspectReport]) {
+        let now = clock::now();
+        let mut ledger = self.lock();
+        for report in reports {
+            let effect = ledger.merge(report, now);
+            log_effect(&ledger, report.record.request, effect, now);
+        }
+        self.known.store(ledger.len(), Ordering::Release);
+    }
+
+    /// What is known of these requests, for other daemons.
+    #[must_use]
+    pub fn reports(&self, requests: &[RequestDigest]) -> Vec<SuspectReport> {
+        self.lock().reports(requests, clock::now())
+    }
+
+    /// What is known of the `most` requests with the most crashes.
+    #[must_use]
+    pub fn heaviest(&self, most: usize) -> Vec<SuspectReport> {
+        if self.known.load(Ordering::Acquire) == 0 {
+            return Vec::new();
+        }
+        self.lock().heaviest(most, clock::now())
+    }
+
+    /// Requests with open crashes and what may be done with them.
+    #[must_use]
+    pub fn suspects(&self) -> Vec<(RequestDigest, SuspectStanding)> {
+        self.lock().suspects(clock::now())
+    }
+
+    /// Forgets what is too old to count.
+    pub fn forget_old(&self) {
+        let mut ledger = self.lock();
+        ledger.forget_old(clock::now());
+        self.known.store(ledger.len(), Ordering::Release);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, CrashLedger> {
+        self.ledger.lock().expect("a thread panicked inside the ledger of suspects")
+    }
+}
+
+fn log_effect(ledger: &CrashLedger, request: RequestDigest, effect: EvidenceEffect, now: Instant) {
+    let digest = request.to_string();
+    match effect {
+        EvidenceEffect::Condemned => warn!(
+            digest = digest.as_str(),
+            crashes = ledger.standing(request, now).crashes();
+            "request condemned: it was at work in crash after crash, and is turned away"
+        ),
+        EvidenceEffect::Released => info!(digest = digest.as_str(); "request released"),
+        EvidenceEffect::Known | EvidenceEffect::Changed => {}
+    }
+}
--- a/crates/seamhatchd/src/dispatch/attempt.rs
+++ b/crates/seamhatchd/src/dispatch/attempt.rs
@@ -117,6 +117,7 @@
         reason: Reason::PeerLost,
         retry_after: 0,
         unspent_tokens: tokens,
+        crashes: 0,
         server: ServerReport { load: 0, limit: 0, floor: AdmissionFloor::OPEN },
     }
 }
--- a/crates/seamhatchd/src/dispatch/mod.rs
+++ b/crates/seamhatchd/src/dispatch/mod.rs
@@ -6,6 +6,7 @@
 mod child;
 mod claiming;
 mod replay;
+mod suspects;
 
 pub use answer::Answer;
 pub use replay::ReplayBody;
@@ -166,7 +167,7 @@
                     self.may_have_run |= ran;
                     let reached = ran || refusal.reason.reached_back_end();
                     self.pressed += u32::from(refusal.reason.is_pressure());
-                    if !self.may_send_again(refusal.reason, reached) {
+                    if self.crashes_too_much(&refusal) || !self.may_send_again(refusal.reason, reached) {
                         return self.reject(Rejection::of_peer(&refusal));
                     }
                     self.last_refusal = Some(refusal);
@@ -253,6 +254,7 @@
 
     fn check_limits(&self, first: Dispatch) -> Result<(), Rejection> {
         let budget = &self.shared.retry_budget;
+        self.check_suspect()?;
         if self.claimed.is_some() {
             check_entry_floor(self.shared, self.request)?;
         }
@@ -303,7 +305,9 @@
             servers.iter().filter(|server| !self.tried.contains(&server.peer)).collect();
         let candidates: Vec<Candidate> =
             untried.iter().map(|server| candidate(self.shared, server)).collect();
-        let index = pick(&candidates, |below| rand::random_range(0..below))?;
+        let index = self
+            .home_of_suspect(&untried, &candidates)
+            .or_else(|| pick(&candidates, |below| rand::random_range(0..below)))?;
         Some(untried[index].peer)
     }
 
--- a/crates/seamhatchd/src/peer/server_call.rs
+++ b/crates/seamhatchd/src/peer/server_call.rs
@@ -2,7 +2,7 @@
 
 use crate::backend::{self, BackendAnswer, BackendError, BackendRequest};
 use crate::clock;
-use crate::crashes;
+use crate::crashes::{self, Trial};
 use crate::gate::{GateRequest, Permit};
 use crate::headers;
 use crate::metrics::seconds;
@@ -85,12 +85,12 @@
             RetryLedger::new(context.tokens, context.repeat),
         ));
         match self.admit(&running).await {
-            Ok(permit) => self.execute(&running, permit, body).await,
+            Ok((permit, _trial)) => self.execute(&running, permit, body).await,
             Err(reason) => self.refuse(&running, Outcome::NotRun, reason, ""),
         }
     }
 
-    async fn admit(&self, running: &RunningCall) -> Result<Permit, Reason> {
+    async fn admit(&self, running: &RunningCall) -> Result<(Permit, Option<Trial>), Reason> {
         if self.head.service != self.shared.settings.service {
             // The route exists; only the sender's idea of this server is old.
             return Err(Reason::OtherService);
@@ -101,6 +101,7 @@
             CallIntake::Closed if self.shared.serves_callers() => return Err(Reason::NoInstance),
             CallIntake::LastResort { .. } | CallIntake::Closed => return Err(Reason::Draining),
         }
+        let trial = self.admit_suspect(running).await?;
         let request = GateRequest {
             root: running.root,
             priority: running.priority,
@@ -113,7 +114,19 @@
             permit = self.shared.gate.admit(request) => permit?,
             () = self.cancelled.notify.notified() => return Err(Reason::Cancelled),
         };
-        Ok(permit)
+        Ok((permit, trial))
+    }
+
+    /// Waits for the turn of a call whose request is a suspect, as long as its answer is worth waiting for.
+    async fn admit_suspect(&self, running: &RunningCall) -> Result<Option<Trial>, Reason> {
+        let latest = clock::now().plus(self.head.context.early_for).min(running.expiry);
+        let admitted = crashes::until_admitted(&self.shared, self.head.request);
+        tokio::select! {
+            admitted = tokio::time::timeout(clock::time_until(latest), admitted) => {
+                admitted.unwrap_or(Err(Reason::DeadlineExceeded))
+            }
+            () = self.cancelled.notify.notified() => Err(Reason::Cancelled),
+        }
     }
 
     async fn execute(&self, running: &Arc<RunningCall>, mut permit: Permit, body: backend::RequestBody) {
@@ -164,6 +177,7 @@
                     permit.mark_calls_made();
                 }
                 if complete {
+                    self.note_good_end();
                     permit.mark_succeeded();
                     self.shared.metrics.backend_seconds.observe(seconds(clock::now().since(started)));
                 }
@@ -246,6 +260,13 @@
         }
     }
 
+    /// A request that crashes every server never comes to a good end.
+    fn note_good_end(&self) {
+        if self.shared.suspects.ended_well(self.head.request) {
+            self.shared.control.tell_suspects(vec![self.head.request]);
+        }
+    }
+
     fn log_run(&self, status: u16, complete: bool, started: Instant) {
         info!(
             request = self.log_name().as_str(),
@@ -296,6 +317,7 @@
             reason,
             retry_after: self.retry_after(reason),
             unspent_tokens: running.ledger().tokens(),
+            crashes: self.shared.suspects.standing(self.head.request).crashes(),
             server,
         };
         let _ = self.outbox.send(PeerMessage::Refused { call: self.head.call, refusal });
@@ -306,6 +328,7 @@
             Reason::QueueFull | Reason::Evicted | Reason::DeadlineExceeded | Reason::AdmissionFloor => {
                 self.shared.gate.retry_after()
             }
+            Reason::CrashesServers => crashes::time_until_trial(&self.shared, self.head.request),
             _ => SHORT_RETRY_AFTER,
         }
     }
--- a/crates/seamhatchd/src/shared.rs
+++ b/crates/seamhatchd/src/shared.rs
@@ -5,7 +5,7 @@
 use crate::clock;
 use crate::controllers::ControlHandle;
 use crate::conventions::HttpConventions;
-use crate::crashes::CrashWatch;
+use crate::crashes::{CrashWatch, SuspectBook};
 use crate::filters::EntryFloors;
 use crate::gate::AdmissionGate;
 use crate::instances::Instances;
@@ -45,6 +45,8 @@
     pub instances: Instances,
     /// Crashes of the server, and the calls that were at work then.
     pub crashes: CrashWatch,
+    /// Requests that were at work when servers crashed, here and elsewhere.
+    pub suspects: SuspectBook,
     /// How HTTP carries names, deadlines and outcomes.
     pub conventions: Arc<dyn HttpConventions>,
     /// Connections to other daemons.
--- a/crates/seamhatchd/src/startup.rs
+++ b/crates/seamhatchd/src/startup.rs
@@ -4,7 +4,7 @@
 use crate::claims::{ClaimRecords, Witnesses};
 use crate::clock;
 use crate::controllers::{ControlHandle, ControlThread, DrainTarget};
-use crate::crashes::CrashWatch;
+use crate::crashes::{CrashWatch, SuspectBook};
 use crate::filters::EntryFloors;
 use crate::gate::AdmissionGate;
 use crate::instances::Instances;
@@ -154,6 +154,7 @@
         backend: Backend::new(settings.backend, conventions.clone()),
         instances: if registers { Instances::registered() } else { Instances::Fixed },
         crashes: CrashWatch::new(incarnation),
+        suspects: SuspectBook::default(),
         conventions,
         pool: PeerPool::new(traffic.clone()),
         witnesses: Witnesses::default(),
--- a/crates/seamhatchd/tests/rejections.rs
+++ b/crates/seamhatchd/tests/rejections.rs
@@ -26,7 +26,7 @@
     StatusCase { reason, entry: (503, 503), peer: (503, 502) }
 }
 
-const CASES: [StatusCase; 25] = [
+const CASES: [StatusCase; 27] = [
     blames_caller(Reason::BadRequest, 400),
     blames_caller(Reason::BadContext, 403),
     blames_caller(Reason::NoRoute, 404),
@@ -52,6 +52,7 @@
     blames_nobody(Reason::BackendRefused, 503, 502),
     blames_nobody(Reason::NoInstance, 503, 502),
     blames_nobody(Reason::OtherInstance, 503, 502),
+    blames_nobody(Reason::CrashesServers, 503, 502),
     blames_nobody(Reason::OtherService, 503, 502),
 ];
 
@@ -61,6 +62,7 @@
         reason,
         retry_after: 200 * MILLISECOND,
         unspent_tokens: 0,
+        crashes: 0,
         server: ServerReport { load: 0, limit: 0, floor: AdmissionFloor::OPEN },
     }
 }
