Crashes: condemned only on a trial; what is condemned outlives all daemons

Ruled out: waiting for trials (the refusal came in the same millisecond as the crashes). Change: a crash carries whether the request ran there on trial, alone among the suspects of two or more crashes; only such a crash condemns. Copies in more crashes than that wait for the trial's end and go on. Beside it: the daemon whose server's crash condemned a request notes it in its own record in the store, which starting daemons read anyway; daemons that start learn the rest with their first exchange.

--- a/crates/seamhatch-core/src/crashes/ledger.rs
+++ b/crates/seamhatch-core/src/crashes/ledger.rs
@@ -8,7 +8,8 @@
 /// When a request is condemned, and for how long.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CrashPolicy {
-    /// Crashes without a good end between them after which a request isn't sent to servers any more.
+    /// Crashes without a good end between them after which a request isn't sent to servers any more, where the last one
+    /// happened on its trial.
     pub condemned_after: u32,
     /// Pause after the crash that condemned it, before one copy of it is tried. Doubled by each further crash.
     pub first_pause: Microseconds,
@@ -25,7 +26,7 @@
 impl Default for CrashPolicy {
     fn default() -> Self {
         Self {
-            // One crash has every call that was at work as a suspect; the same call in three is no accident.
+            // One crash has every call that was at work as a suspect; a third one, alone among its kind, is no accident.
             condemned_after: 3,
             // A server that is away for seconds, once in half a minute, is what one more look at the request costs.
             first_pause: 30 * SECOND,
@@ -120,15 +121,21 @@
         self.entries.get(&request).map_or(SuspectStanding::Clear, |entry| self.standing_of(entry, now))
     }
 
-    /// Takes in that a request was at work when a life of a server ended in a crash.
-    pub fn report(&mut self, life: ServerLife, request: RequestDigest, now: Instant) -> EvidenceEffect {
-        self.change(request, now, now, |record| record.add(life))
+    /// Takes in that a request was at work when a life of a server ended in a crash, on trial or not.
+    pub fn report(
+        &mut self,
+        life: ServerLife,
+        request: RequestDigest,
+        on_trial: bool,
+        now: Instant,
+    ) -> EvidenceEffect {
+        self.change(request, now, now, |record| record.add(life, on_trial))
     }
 
     /// Takes in that a request has come to a good end, or that an operator clears it.
     pub fn clear(&mut self, request: RequestDigest, now: Instant) -> EvidenceEffect {
         let Some(entry) = self.entries.get_mut(&request) else { return EvidenceEffect::Known };
-        let condemned = entry.record.open_crashes() >= self.policy.condemned_after;
+        let condemned = self.policy.condemns(&entry.record);
         // A crash that others know of may still be told: the record stays, so that it is known as cleared.
         match (entry.record.clear(), condemned) {
             (false, _) => EvidenceEffect::Known,
@@ -186,7 +193,7 @@
             return SuspectStanding::Clear;
         }
         let until = entry.last_crash.plus(self.policy.pause_after(crashes));
-        if crashes >= self.policy.condemned_after && now < until {
+        if self.policy.condemns(&entry.record) && now < until {
             return SuspectStanding::Condemned { crashes, until };
         }
         SuspectStanding::Suspect { crashes }
@@ -202,8 +209,7 @@
     ) -> EvidenceEffect {
         let new = || LedgerEntry { record: SuspectRecord::new(request), last_crash: at };
         let entry = self.entries.entry(request).or_insert_with(new);
-        let limit = self.policy.condemned_after;
-        let before = entry.record.open_crashes() >= limit;
+        let before = self.policy.condemns(&entry.record);
         if !change(&mut entry.record) {
             if entry.record.is_empty() {
                 self.entries.remove(&request);
@@ -211,7 +217,7 @@
             return EvidenceEffect::Known;
         }
         entry.last_crash = entry.last_crash.max(at);
-        let after = entry.record.open_crashes() >= limit;
+        let after = self.policy.condemns(&entry.record);
         self.make_room(now);
         match (before, after) {
             (false, true) => EvidenceEffect::Condemned,
@@ -225,11 +231,10 @@
             return;
         }
         self.forget_old(now);
-        let limit = self.policy.condemned_after;
         let (mut condemned, mut suspects) = (Vec::new(), Vec::new());
         for (request, entry) in &self.entries {
             let crashes = entry.record.open_crashes();
-            let list = if crashes >= limit { &mut condemned } else { &mut suspects };
+            let list = if self.policy.condemns(&entry.record) { &mut condemned } else { &mut suspects };
             list.push((crashes, entry.last_crash, *request));
         }
         for (mut list, most) in
@@ -259,6 +264,11 @@
 }
 
 impl CrashPolicy {
+    /// Whether the evidence is enough.
+    fn condemns(&self, record: &SuspectRecord) -> bool {
+        record.open_crashes() >= self.condemned_after && record.failed_trial()
+    }
+
     /// Pause after this many crashes.
     #[must_use]
     pub fn pause_after(&self, crashes: u32) -> Microseconds {
--- a/crates/seamhatch-core/src/crashes/mod.rs
+++ b/crates/seamhatch-core/src/crashes/mod.rs
@@ -10,7 +10,7 @@
 mod record;
 
 pub use ledger::{CrashLedger, CrashPolicy, EvidenceEffect, SuspectStanding};
-pub use record::{CrashMark, MOST_MARKS, SuspectRecord, SuspectReport};
+pub use record::{CondemnedRecord, CrashMark, MOST_MARKS, SuspectRecord, SuspectReport};
 
 use crate::identity::{Incarnation, RequestDigest};
 use crate::instance::InstanceId;
--- a/crates/seamhatch-core/src/crashes/record.rs
+++ b/crates/seamhatch-core/src/crashes/record.rs
@@ -1,7 +1,7 @@
 //! The evidence against one request, as daemons tell it to each other.
 
 use super::ServerLife;
-use crate::clock::Microseconds;
+use crate::clock::{MILLISECOND, Microseconds};
 use crate::identity::RequestDigest;
 use serde::{Deserialize, Serialize};
 use speedy::{Readable, Writable};
@@ -16,6 +16,9 @@
 pub struct CrashMark {
     /// Which life of which server ended.
     pub life: ServerLife,
+    /// It ran there as the only suspect of several crashes. Where it did not, many may have been at work, as when half of a
+    /// service is lost at once under a popular request.
+    pub on_trial: bool,
     /// The request has come to a good end since, or an operator has cleared it.
     pub cleared: bool,
 }
@@ -38,6 +41,32 @@
     pub age: Microseconds,
 }
 
+/// A record as it lies in a store, which outlives the boot clocks of all daemons.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct CondemnedRecord {
+    /// The evidence.
+    #[serde(flatten)]
+    pub record: SuspectRecord,
+    /// Time of day of the last crash, in milliseconds since the Unix epoch.
+    pub crashed_at_ms: u64,
+}
+
+impl CondemnedRecord {
+    /// What is told at this time of day, in milliseconds since the Unix epoch.
+    #[must_use]
+    pub fn new(report: &SuspectReport, now_ms: u64) -> Self {
+        let crashed_at_ms = now_ms.saturating_sub(report.age / MILLISECOND);
+        Self { record: report.record.clone(), crashed_at_ms }
+    }
+
+    /// The report that it is at this time of day. Where clocks disagree, the last crash is not in the future.
+    #[must_use]
+    pub fn to_report(&self, now_ms: u64) -> SuspectReport {
+        let age = now_ms.saturating_sub(self.crashed_at_ms).saturating_mul(MILLISECOND);
+        SuspectReport { record: self.record.clone(), age }
+    }
+}
+
 impl SuspectRecord {
     /// No evidence yet.
     #[must_use]
@@ -57,9 +86,15 @@
         self.marks.iter().filter(|mark| !mark.cleared).count() as u32
     }
 
-    /// Adds a crash. True when it was not known.
-    pub fn add(&mut self, life: ServerLife) -> bool {
-        self.add_mark(CrashMark { life, cleared: false })
+    /// Whether a crash that nothing has cleared happened on its trial.
+    #[must_use]
+    pub fn failed_trial(&self) -> bool {
+        self.marks.iter().any(|mark| mark.on_trial && !mark.cleared)
+    }
+
+    /// Adds a crash. True when that is news.
+    pub fn add(&mut self, life: ServerLife, on_trial: bool) -> bool {
+        self.add_mark(CrashMark { life, on_trial, cleared: false })
     }
 
     /// Clears all crashes that are known. True when one was open.
@@ -83,9 +118,10 @@
         match self.marks.binary_search_by_key(&mark.life, |known| known.life) {
             Ok(position) => {
                 let known = &mut self.marks[position];
-                let news = mark.cleared && !known.cleared;
+                let before = *known;
                 known.cleared |= mark.cleared;
-                news
+                known.on_trial |= mark.on_trial;
+                *known != before
             }
             Err(0) if self.marks.len() == MOST_MARKS => false,
             Err(position) => {
--- a/crates/seamhatchd/src/clock.rs
+++ b/crates/seamhatchd/src/clock.rs
@@ -17,6 +17,12 @@
     Duration::from_micros(expiry.since(now()))
 }
 
+/// Milliseconds since the Unix epoch, for what has to outlive the boot clock.
+#[must_use]
+pub fn unix_milliseconds() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |span| span.as_millis() as u64)
+}
+
 /// Seconds since the Unix epoch, for people to read.
 #[must_use]
 pub fn unix_seconds() -> u64 {
--- a/crates/seamhatchd/src/controllers/control_thread/followed.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/followed.rs
@@ -4,7 +4,7 @@
 use crate::clock;
 use crate::controllers::ask::ask_generation;
 use crate::controllers::events::ControlEvent;
-use crate::controllers::follow::{discover, follow_configuration};
+use crate::controllers::follow::{Discovery, discover, follow_configuration};
 use crate::ports::{Backing, FollowedStore};
 use log::info;
 use seamhatch_core::Instant;
@@ -74,7 +74,8 @@
         }
     }
 
-    pub(super) fn discovered(&mut self, members: Vec<Address>) {
+    pub(super) fn discovered(&mut self, Discovery { members, condemned }: Discovery) {
+        self.shared.suspects.merge(&condemned);
         info!(members = members.len(); "read the daemons' records");
         let mut greeted: Vec<Address> = Vec::new();
         let own = self.shared.settings.advertise.gossip;
--- a/crates/seamhatchd/src/controllers/control_thread/mod.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/mod.rs
@@ -225,7 +225,8 @@
             }
             ControlEvent::DeparturesNotLearnt => self.departures_not_learnt(),
             ControlEvent::StoreConfigurationRead => self.configuration_was_read(),
-            ControlEvent::Discovered(members) => self.discovered(members),
+            ControlEvent::Discovered(discovery) => self.discovered(discovery),
+            ControlEvent::Condemned(requests) => self.condemned(requests),
             ControlEvent::Met(gossip) => self.met(gossip),
             ControlEvent::Submit(request, reply) => self.submit(request, reply),
             ControlEvent::Status(reply) => self.report_status(reply),
--- a/crates/seamhatchd/src/controllers/control_thread/suspects.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/suspects.rs
@@ -4,6 +4,8 @@
 //! comes with the exchanges of member lists, and a daemon that starts asks for one before it serves.
 
 use super::ControlThread;
+use crate::clock;
+use crate::controllers::follow::remember_condemned;
 use seamhatch_core::Instant;
 use seamhatch_core::clock::{MILLISECOND, Microseconds, SECOND};
 use seamhatch_core::identity::RequestDigest;
@@ -26,7 +28,13 @@
 impl ControlThread {
     pub(super) fn suspects_changed(&mut self, requests: Vec<RequestDigest>) {
         self.tell_suspects(&requests);
-        self.suspect_news.again.push((crate::clock::now().plus(TELL_AGAIN), requests));
+        self.suspect_news.again.push((clock::now().plus(TELL_AGAIN), requests));
+    }
+
+    /// Has it remembered past the end of all daemons that requests are condemned.
+    pub(super) fn condemned(&self, requests: Vec<RequestDigest>) {
+        let Some(followed) = self.followed().cloned() else { return };
+        tokio::spawn(remember_condemned(self.shared.clone(), followed, requests));
     }
 
     pub(super) fn tell_suspects_again(&mut self, now: Instant) {
--- a/crates/seamhatchd/src/controllers/events.rs
+++ b/crates/seamhatchd/src/controllers/events.rs
@@ -1,5 +1,6 @@
 //! What the control thread is told and asked.
 
+use crate::controllers::follow::Discovery;
 use crate::controllers::machines::Machine;
 use crate::controllers::roster_change::TransitionResult;
 use crate::controllers::status::StatusReport;
@@ -102,8 +103,10 @@
     DeparturesNotLearnt,
     /// The followed store has told the configuration as it is, or that there is none.
     StoreConfigurationRead,
-    /// Gossip addresses of all daemons that the store knows.
-    Discovered(Vec<Address>),
+    /// What the store knows of all daemons.
+    Discovered(Discovery),
+    /// Requests that a crash of this daemon's back end has condemned.
+    Condemned(Vec<RequestDigest>),
     /// A daemon with this gossip address has connected.
     Met(Address),
     /// The machine list was read.
--- a/crates/seamhatchd/src/controllers/follow/departures.rs
+++ b/crates/seamhatchd/src/controllers/follow/departures.rs
@@ -1,19 +1,14 @@
 //! Having it remembered that an instance takes no work any more, before it is told so.
 //!
 //! This daemon may restart and then get a late heartbeat of that instance. So the departure lies in the
-//! store or at other daemons before it is acknowledged, and a starting daemon asks both. A write to the
-//! store adds to what lies there and is bound to its revision: an earlier life's write may land late, and
-//! a daemon that has just started may not know yet what its earlier lives have written.
+//! store or at other daemons before it is acknowledged, and a starting daemon asks both.
 
-use super::Backoff;
-use super::discovery::member_key;
+use super::own_record::change_own_record;
 use crate::controllers::ask::ask_daemon;
 use crate::ports::FollowedStore;
 use crate::shared::Shared;
-use crate::store::{Revision, StoreError, Write, WriteOutcome};
 use futures_util::future::join_all;
 use log::warn;
-use seamhatch_core::departure::DepartureRecord;
 use seamhatch_core::identity::Address;
 use seamhatch_core::instance::InstanceId;
 use seamhatch_wire::{ControlReply, ControlRequest};
@@ -24,23 +19,9 @@
 /// Longest time for the store and other daemons to note a departure; an acknowledgement that comes
 /// later than a second is none.
 const REMEMBER_TIMEOUT: Duration = Duration::from_millis(800);
-/// Longest wait for one answer of the store. What comes later may still be done.
-const WRITE_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Attempts to have the store note a departure that others have noted already.
-const WRITE_ATTEMPTS: u32 = 20;
 /// A starting daemon waits this long for each daemon that may hold its departures.
 const HOLDER_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// A record as it lies in the store.
-pub(super) fn to_bytes(record: &DepartureRecord) -> Vec<u8> {
-    serde_json::to_vec(record).unwrap_or_default()
-}
-
-/// What the store holds; nothing where that can't be read.
-pub(super) fn from_bytes(bytes: &[u8]) -> DepartureRecord {
-    serde_json::from_slice(bytes).unwrap_or_default()
-}
-
 /// Has the store and `peers` note that an instance of this daemon's back end has departed. True when the
 /// store or at least one of them has noted it in time; the store is asked until it has, all the same.
 pub async fn remember_departure(
@@ -67,41 +48,12 @@
     instance: InstanceId,
     done: oneshot::Sender<()>,
 ) {
-    let mut backoff = Backoff::default();
-    for _attempt in 0..WRITE_ATTEMPTS {
-        match tokio::time::timeout(WRITE_TIMEOUT, write(&shared, &followed, &instance)).await {
-            Ok(Ok(WriteOutcome::Done(_))) => {
-                // Nobody waits where other daemons have noted it before.
-                let _ = done.send(());
-                return;
-            }
-            // Somebody else has written in between: what lies there is read again at once.
-            Ok(Ok(WriteOutcome::Refused(_))) => {}
-            Ok(Err(_)) | Err(_) => {
-                shared.metrics.store_failures.inc();
-                backoff.pause().await;
-            }
-        }
+    if change_own_record(&shared, &followed, |record| record.departures.add(&instance)).await {
+        // Nobody waits where other daemons have noted it before.
+        let _ = done.send(());
+    } else {
+        warn!(instance = instance.0.as_str(); "the store could not be told of a departure; other daemons hold it");
     }
-    warn!(instance = instance.0.as_str(); "the store could not be told of a departure; other daemons hold it");
-}
-
-async fn write(
-    shared: &Shared,
-    followed: &FollowedStore,
-    instance: &InstanceId,
-) -> Result<WriteOutcome, StoreError> {
-    let key = member_key(followed, shared.settings.advertise.gossip);
-    let item = shared.metrics.time_store_call(followed.store.get(&key)).await?.found;
-    let revision = item.as_ref().map_or(Revision(0), |item| item.revision);
-    let mut record = item.map(|item| from_bytes(&item.value)).unwrap_or_default();
-    record.add(instance);
-    let write = Write {
-        expect: vec![(key.clone(), revision)],
-        put: vec![(key, to_bytes(&record))],
-        remove: Vec::new(),
-    };
-    shared.metrics.time_store_call(followed.store.write(&write)).await
 }
 
 async fn tell(shared: &Arc<Shared>, instance: &InstanceId, peers: Vec<Address>) -> bool {
--- a/crates/seamhatchd/src/controllers/follow/discovery.rs
+++ b/crates/seamhatchd/src/controllers/follow/discovery.rs
@@ -3,18 +3,29 @@
 //! Each daemon has one key, whose value is what it must not forget. It writes its key before it reads
 //! all others, so that of two daemons that start together at least one sees the other.
 
-use super::departures::{from_bytes, to_bytes};
+use super::own_record::OwnRecord;
 use super::{ANSWER_TIMEOUT, Backoff};
+use crate::clock::unix_milliseconds;
 use crate::controllers::ControlHandle;
 use crate::controllers::events::ControlEvent;
 use crate::metrics::Metrics;
 use crate::ports::FollowedStore;
 use crate::store::{Item, Page, Revision, StoreError, Write, WriteOutcome};
 use log::warn;
+use seamhatch_core::crashes::SuspectReport;
 use seamhatch_core::departure::{DepartureRecord, DepartureSource};
 use seamhatch_core::identity::Address;
 use std::sync::Arc;
 
+/// What the records of all daemons tell.
+#[derive(Debug, Default)]
+pub struct Discovery {
+    /// Gossip addresses of the daemons.
+    pub members: Vec<Address>,
+    /// Requests that were condemned, as any of them has noted.
+    pub condemned: Vec<SuspectReport>,
+}
+
 /// Key of a daemon's record.
 pub fn member_key(followed: &FollowedStore, gossip: Address) -> String {
     format!("{}{gossip}", followed.member_prefix)
@@ -42,7 +53,7 @@
     backoff.succeeded();
     loop {
         match read_members(&followed, &metrics).await {
-            Ok(members) => return control.send(ControlEvent::Discovered(members)),
+            Ok(discovery) => return control.send(ControlEvent::Discovered(discovery)),
             Err(error) => {
                 metrics.store_failures.inc();
                 warn!(error = error.to_string().as_str(); "the daemons' records can't be read yet");
@@ -57,7 +68,7 @@
     let key = member_key(followed, gossip);
     let write = Write {
         expect: vec![(key.clone(), Revision(0))],
-        put: vec![(key, to_bytes(&DepartureRecord::default()))],
+        put: vec![(key, OwnRecord::default().to_bytes())],
         remove: Vec::new(),
     };
     let written = tokio::time::timeout(ANSWER_TIMEOUT, followed.store.write(&write));
@@ -65,24 +76,29 @@
     match written.await.map_err(timed_out)?? {
         WriteOutcome::Done(_) => Ok(DepartureRecord::default()),
         WriteOutcome::Refused(items) => {
-            let own = items.first().map(|item| from_bytes(&item.value));
+            let own = items.first().map(|item| OwnRecord::from_bytes(&item.value).departures);
             Ok(own.unwrap_or_default())
         }
     }
 }
 
-async fn read_members(followed: &FollowedStore, metrics: &Metrics) -> Result<Vec<Address>, StoreError> {
-    let mut members = Vec::new();
+async fn read_members(followed: &FollowedStore, metrics: &Metrics) -> Result<Discovery, StoreError> {
+    let mut discovery = Discovery::default();
+    let now = unix_milliseconds();
     let mut after: Option<String> = None;
     loop {
         let reading = followed.store.range(&followed.member_prefix, after.as_deref());
         let timed_out = |_| StoreError::AnswerLost { detail: "no answer in time".into() };
         let reading = metrics.time_store_call(tokio::time::timeout(ANSWER_TIMEOUT, reading)).await;
         let Page { items, more } = reading.map_err(timed_out)??.found;
-        members.extend(items.iter().filter_map(|item| address_of(followed, item)));
+        for item in &items {
+            discovery.members.extend(address_of(followed, item));
+            let condemned = OwnRecord::from_bytes(&item.value).condemned;
+            discovery.condemned.extend(condemned.iter().map(|known| known.to_report(now)));
+        }
         after = items.last().map(|item| item.key.clone());
         if !more || after.is_none() {
-            return Ok(members);
+            return Ok(discovery);
         }
     }
 }
--- a/crates/seamhatchd/src/controllers/follow/mod.rs
+++ b/crates/seamhatchd/src/controllers/follow/mod.rs
@@ -3,13 +3,16 @@
 //!
 //! The tasks here talk to the store and to other daemons; the control thread decides on what they find.
 
+mod condemned;
 mod configuration;
 mod departures;
 mod discovery;
+mod own_record;
 
+pub use condemned::remember_condemned;
 pub use configuration::follow_configuration;
 pub use departures::{ask_departures, remember_departure};
-pub use discovery::discover;
+pub use discovery::{Discovery, discover};
 
 use std::time::Duration;
 
--- a/crates/seamhatchd/src/crashes/at_work.rs
+++ b/crates/seamhatchd/src/crashes/at_work.rs
@@ -21,7 +21,7 @@
 
 #[derive(Debug, Default)]
 struct CallTable {
-    at_work: HashMap<u64, (ServerLife, RequestDigest)>,
+    at_work: HashMap<u64, WorkEntry>,
     next: u64,
     /// Crashes of a back end that has no name.
     unnamed_crashes: u64,
@@ -29,6 +29,22 @@
     ended: VecDeque<ServerLife>,
 }
 
+#[derive(Debug, Clone, Copy)]
+struct WorkEntry {
+    life: ServerLife,
+    request: RequestDigest,
+    on_trial: bool,
+}
+
+/// A request that was at work when the back end crashed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Suspect {
+    /// What is asked.
+    pub request: RequestDigest,
+    /// It was there as the only suspect of several crashes.
+    pub on_trial: bool,
+}
+
 /// A call that is at work until this is dropped.
 #[derive(Debug)]
 pub struct CallAtWork {
@@ -55,7 +71,7 @@
 
     /// A call that is about to be sent to the back end.
     #[must_use]
-    pub fn begin(&self, instance: Option<InstanceId>, request: RequestDigest) -> CallAtWork {
+    pub fn begin(&self, instance: Option<InstanceId>, request: RequestDigest, on_trial: bool) -> CallAtWork {
         let mut table = lock(&self.calls);
         let life = match &instance {
             Some(instance) => ServerLife::of_instance(instance),
@@ -63,7 +79,7 @@
         };
         table.next += 1;
         let number = table.next;
-        table.at_work.insert(number, (life, request));
+        table.at_work.insert(number, WorkEntry { life, request, on_trial });
         CallAtWork { instance, life, calls: self.calls.clone(), number }
     }
 
@@ -74,18 +90,20 @@
 
     /// Notes that the life that the call is at work on has ended in a crash. Returns what was at work on it, each
     /// request once.
-    pub(super) fn end_life(&self, work: &CallAtWork) -> Vec<RequestDigest> {
+    pub(super) fn end_life(&self, work: &CallAtWork) -> Vec<Suspect> {
         let mut table = lock(&self.calls);
         if table.ended.len() == REMEMBERED_LIVES {
             table.ended.pop_front();
         }
         table.ended.push_back(work.life);
         table.unnamed_crashes += u64::from(work.instance.is_none());
-        let there = table.at_work.values().filter(|(life, _)| *life == work.life);
-        let mut requests: Vec<RequestDigest> = there.map(|(_, request)| *request).collect();
-        requests.sort_unstable();
-        requests.dedup();
-        requests
+        let there = table.at_work.values().filter(|entry| entry.life == work.life);
+        let suspect = |entry: &WorkEntry| Suspect { request: entry.request, on_trial: entry.on_trial };
+        let mut suspects: Vec<Suspect> = there.map(suspect).collect();
+        // A copy on trial comes before one that is not.
+        suspects.sort_unstable_by_key(|suspect| (suspect.request, !suspect.on_trial));
+        suspects.dedup_by_key(|suspect| suspect.request);
+        suspects
     }
 }
 
--- a/crates/seamhatchd/src/crashes/mod.rs
+++ b/crates/seamhatchd/src/crashes/mod.rs
@@ -7,11 +7,12 @@
 mod suspects;
 mod trials;
 
-pub use at_work::{CallAtWork, CrashWatch};
+pub use at_work::{CallAtWork, CrashWatch, Suspect};
 pub use suspects::SuspectBook;
 pub use trials::{CRASHES_TO_ISOLATE, Trial, Trials};
 
 use crate::clock;
+use crate::controllers::ControlEvent;
 use crate::shared::Shared;
 use log::warn;
 use seamhatch_core::clock::Microseconds;
@@ -35,11 +36,14 @@
     if is_leaving(shared, work) || !shared.backend.is_gone().await || is_leaving(shared, work) {
         return false;
     }
-    let requests = watch.end_life(work);
-    shared.suspects.report_crash(work.life, &requests);
-    log_crash(shared, work, &requests);
+    let suspects = watch.end_life(work);
+    let condemned = shared.suspects.report_crash(work.life, &suspects);
+    log_crash(shared, work, &suspects);
     shared.metrics.crashes.inc();
-    shared.control.tell_suspects(requests);
+    shared.control.tell_suspects(suspects.iter().map(|suspect| suspect.request).collect());
+    if !condemned.is_empty() {
+        shared.control.send(ControlEvent::Condemned(condemned));
+    }
     if let Some(instance) = &work.instance {
         shared.control.lost_instance(instance.clone(), Reason::BackendCrashed);
     }
@@ -75,15 +79,15 @@
     work.instance.as_ref().is_some_and(leaving)
 }
 
-fn log_crash(shared: &Shared, work: &CallAtWork, requests: &[RequestDigest]) {
-    let suspects = requests.iter().map(|request| {
+fn log_crash(shared: &Shared, work: &CallAtWork, suspects: &[Suspect]) {
+    let evidence = suspects.iter().map(|Suspect { request, .. }| {
         let crashes = shared.suspects.standing(*request).crashes();
         format!("{request}:{crashes}")
     });
     warn!(
         instance = work.instance.as_ref().map_or("", |instance| instance.0.as_str()),
-        at_work = requests.len(),
-        crashes_by_digest = suspects.collect::<Vec<_>>().join(",").as_str();
+        at_work = suspects.len(),
+        crashes_by_digest = evidence.collect::<Vec<_>>().join(",").as_str();
         "back end crashed"
     );
 }
--- a/crates/seamhatchd/src/crashes/suspects.rs
+++ b/crates/seamhatchd/src/crashes/suspects.rs
@@ -1,6 +1,7 @@
 //! The requests that were at work when servers crashed, as all threads of the daemon see them.
 
 use crate::clock;
+use crate::crashes::at_work::Suspect;
 use crate::crashes::trials::Trials;
 use log::{info, warn};
 use seamhatch_core::Instant;
@@ -44,15 +45,20 @@
         self.lock().standing(request, clock::now())
     }
 
-    /// Takes in a crash and what was at work then.
-    pub fn report_crash(&self, life: ServerLife, requests: &[RequestDigest]) {
+    /// Takes in a crash and what was at work then. Returns what it has condemned.
+    pub fn report_crash(&self, life: ServerLife, suspects: &[Suspect]) -> Vec<RequestDigest> {
         let now = clock::now();
         let mut ledger = self.lock();
-        for request in requests {
-            let effect = ledger.report(life, *request, now);
-            log_effect(&ledger, *request, effect, now);
+        let mut condemned = Vec::new();
+        for Suspect { request, on_trial } in suspects.iter().copied() {
+            let effect = ledger.report(life, request, on_trial, now);
+            log_effect(&ledger, request, effect, now);
+            if matches!(ledger.standing(request, now), SuspectStanding::Condemned { .. }) {
+                condemned.push(request);
+            }
         }
         self.known.store(ledger.len(), Ordering::Release);
+        condemned
     }
 
     /// A run of this request has come to a good end. True when it was a suspect.
--- a/crates/seamhatchd/src/crashes/trials.rs
+++ b/crates/seamhatchd/src/crashes/trials.rs
@@ -19,17 +19,25 @@
 /// The right to run a suspect, until it is dropped.
 #[derive(Debug)]
 pub struct Trial {
-    _isolation: Option<OwnedMutexGuard<()>>,
+    isolation: Option<OwnedMutexGuard<()>>,
     _copies: OwnedMutexGuard<()>,
 }
 
+impl Trial {
+    /// Whether it runs alone among the suspects of several crashes.
+    #[must_use]
+    pub fn is_isolated(&self) -> bool {
+        self.isolation.is_some()
+    }
+}
+
 impl Trials {
     /// Waits until no other copy of the request runs here and, with enough crashes, no other such suspect. Cancel-safe.
     pub async fn begin(&self, request: RequestDigest, crashes: u32) -> Trial {
         let copies = self.copies_of(request).lock_owned().await;
         let isolated = crashes >= CRASHES_TO_ISOLATE;
         let isolation = if isolated { Some(self.isolation.clone().lock_owned().await) } else { None };
-        Trial { _isolation: isolation, _copies: copies }
+        Trial { isolation, _copies: copies }
     }
 
     fn copies_of(&self, request: RequestDigest) -> Arc<Mutex<()>> {
--- a/crates/seamhatchd/src/peer/server_call.rs
+++ b/crates/seamhatchd/src/peer/server_call.rs
@@ -85,7 +85,7 @@
             RetryLedger::new(context.tokens, context.repeat),
         ));
         match self.admit(&running).await {
-            Ok((permit, _trial)) => self.execute(&running, permit, body).await,
+            Ok((permit, trial)) => self.execute(&running, permit, trial.as_ref(), body).await,
             Err(reason) => self.refuse(&running, Outcome::NotRun, reason, ""),
         }
     }
@@ -129,7 +129,13 @@
         }
     }
 
-    async fn execute(&self, running: &Arc<RunningCall>, mut permit: Permit, body: backend::RequestBody) {
+    async fn execute(
+        &self,
+        running: &Arc<RunningCall>,
+        mut permit: Permit,
+        trial: Option<&Trial>,
+        body: backend::RequestBody,
+    ) {
         let name = self.shared.conventions.request_name(&self.head.headers);
         let registration = self.shared.running.register(running.clone(), name);
         // Last of all: this process may have been frozen since the slot was given, and the instance
@@ -153,7 +159,8 @@
             instance: instance.id.as_ref(),
         };
         self.shared.metrics.execution(running.priority.class);
-        let work = self.shared.crashes.begin(instance.id.clone(), self.head.request);
+        let on_trial = trial.is_some_and(Trial::is_isolated);
+        let work = self.shared.crashes.begin(instance.id.clone(), self.head.request, on_trial);
         let started = clock::now();
         let exchange = async {
             let mut answer = self.shared.backend.send(&request, body).await?;
