--- a/crates/seamhatch-core/src/crashes/ledger.rs
+++ b/crates/seamhatch-core/src/crashes/ledger.rs
@@ -103,6 +103,11 @@
         Self { policy, entries: HashMap::new() }
     }
 
+    /// Other rules from now on, for what is known already too.
+    pub fn set_policy(&mut self, policy: CrashPolicy) {
+        self.policy = policy;
+    }
+
     /// Records that are kept, cleared ones included.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/seamhatch-core/src/identity.rs
+++ b/crates/seamhatch-core/src/identity.rs
@@ -91,6 +91,14 @@
     }
 }
 
+impl FromStr for RequestDigest {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
 /// An IP address and port, as sent between daemons; written `ip:port` in text.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Readable, Writable, Serialize, Deserialize,
--- a/crates/seamhatch-policy/src/configuration.rs
+++ b/crates/seamhatch-policy/src/configuration.rs
@@ -1,6 +1,8 @@
 //! A checked configuration in the form that a daemon decides with.
 
-use crate::document::{Document, LimitSettings, RouteSettings, Sample, ServiceSettings, WeightedService};
+use crate::document::{
+    CrashSettings, Document, LimitSettings, RouteSettings, Sample, ServiceSettings, WeightedService,
+};
 use crate::error::ConfigurationError;
 use crate::host::host_name;
 use crate::program::{Decision, PolicyProgram, PolicyRequest, RouteView};
@@ -79,6 +81,7 @@
     routes: RoutesByHost,
     policy: PolicyProgram,
     limits: LimitSettings,
+    crashes: CrashSettings,
 }
 
 impl Configuration {
@@ -109,7 +112,8 @@
         for of_host in routes.values_mut() {
             of_host.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
-        Ok(Self { services: document.services.clone(), routes, policy, limits: document.limits })
+        let Document { services, limits, crashes, .. } = document;
+        Ok(Self { services: services.clone(), routes, policy, limits: *limits, crashes: *crashes })
     }
 
     /// The policy program.
@@ -124,6 +128,12 @@
         &self.limits
     }
 
+    /// What is done with requests that crash servers.
+    #[must_use]
+    pub fn crashes(&self) -> &CrashSettings {
+        &self.crashes
+    }
+
     /// The route of a request to a host, as [`host_name`] spells it: the longest prefix among those of its
     /// host, else among those of any host.
     #[must_use]
--- a/crates/seamhatch-policy/src/document.rs
+++ b/crates/seamhatch-policy/src/document.rs
@@ -25,6 +25,28 @@
     /// Bounds on what a caller may send.
     #[serde(default)]
     pub limits: LimitSettings,
+    /// What is done with requests that crash servers.
+    #[serde(default)]
+    pub crashes: CrashSettings,
+}
+
+/// What is done with requests that crash servers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct CrashSettings {
+    /// Whether such requests are turned away. Crashes are noted all the same.
+    pub turn_away: bool,
+    /// Crashes after which a request is turned away, 3 to 16: the third is the first that can happen on a trial.
+    pub limit: u32,
+    /// Time before a request that was turned away is tried again, in milliseconds; doubled by each further crash.
+    pub pause_ms: u64,
+}
+
+impl Default for CrashSettings {
+    fn default() -> Self {
+        // As `CrashPolicy` of the core: a server away for seconds, once in half a minute, is what a trial costs.
+        Self { turn_away: true, limit: 3, pause_ms: 30_000 }
+    }
 }
 
 /// Bounds on what a caller may send and how long it may take.
@@ -189,9 +211,16 @@
     /// The first [`ConfigurationError`] found.
     pub fn check(&self) -> Result<(), ConfigurationError> {
         self.check_services()?;
+        self.check_crashes()?;
         self.check_routes()
     }
 
+    fn check_crashes(&self) -> Result<(), ConfigurationError> {
+        let CrashSettings { limit, pause_ms, .. } = self.crashes;
+        check_range("crashes.limit".into(), f64::from(limit), 3.0, 16.0, "3 to 16")?;
+        check_range("crashes.pause_ms".into(), pause_ms as f64, 1000.0, 3_600_000.0, "1000 to 3600000")
+    }
+
     fn check_services(&self) -> Result<(), ConfigurationError> {
         for (name, service) in &self.services {
             let key = |field: &str| format!("services.{name}.{field}");
--- a/crates/seamhatch-policy/src/lib.rs
+++ b/crates/seamhatch-policy/src/lib.rs
@@ -14,7 +14,8 @@
 
 pub use configuration::{Configuration, Route};
 pub use document::{
-    Document, LimitSettings, RouteAttributes, RouteSettings, Sample, ServiceSettings, WeightedService,
+    CrashSettings, Document, LimitSettings, RouteAttributes, RouteSettings, Sample, ServiceSettings,
+    WeightedService,
 };
 pub use error::ConfigurationError;
 pub use host::host_name;
--- a/crates/seamhatch-policy/tests/document.rs
+++ b/crates/seamhatch-policy/tests/document.rs
@@ -22,6 +22,8 @@
         ("route to nowhere", document("", route)),
         ("relative prefix", document("", "[[routes]]\nprefix = \"a\"\nservice = \"a\"")),
         ("range", "policy = ''\n[services.a]\nretry_ratio = 7.5\n".into()),
+        ("crash limit", "policy = ''\n[services]\n[crashes]\nlimit = 2\n".into()),
+        ("crash pause", "policy = ''\n[services]\n[crashes]\npause_ms = 10\n".into()),
         ("does not compile", document("fn classify(request) { if }", "")),
         ("two parameters", document("fn classify(a, b) { \"normal\" }", "")),
         ("nonsense class", document("fn classify(request) { \"urgent\" }", "")),
--- a/crates/seamhatch/src/arguments.rs
+++ b/crates/seamhatch/src/arguments.rs
@@ -2,7 +2,7 @@
 
 use crate::error::CliError;
 use pico_args::Arguments;
-use seamhatch_core::identity::Address;
+use seamhatch_core::identity::{Address, RequestDigest};
 use std::ffi::OsString;
 use std::path::PathBuf;
 use std::str::FromStr;
@@ -20,6 +20,7 @@
   history         show the latest accepted submissions
   explain         show what the policy decides for a request
   drain           let a member finish its work and take no more
+  crashes         show requests that crash servers, or clear one
   trace ID        show a request's path in the logs of daemons
 
   --daemon IP:PORT  admin address of a daemon; may be repeated, the next is
@@ -81,6 +82,16 @@
   --wait  wait until the daemon that is asked has nothing in progress
 ";
 
+const CRASHES_HELP: &str = "\
+seamhatch crashes [clear DIGEST]
+
+Shows the requests that were at work when servers crashed and have not come to a good
+end since, those with the most crashes first, as the daemon that is asked knows them;
+and which of them are turned away, and for how long.
+
+  clear DIGEST  forget what speaks against a request, at all daemons
+";
+
 const TRACE_HELP: &str = "\
 seamhatch trace ID [FILE]...
 
@@ -139,6 +150,13 @@
         /// Wait until it has nothing in progress.
         wait: bool,
     },
+    /// Show requests that crash servers.
+    Crashes,
+    /// Forget what speaks against one.
+    ClearSuspect {
+        /// Its digest.
+        digest: RequestDigest,
+    },
     /// Show a request's path in logs.
     Trace(TraceOptions),
 }
@@ -213,6 +231,7 @@
         "history" => Ok(HISTORY_HELP),
         "explain" => Ok(EXPLAIN_HELP),
         "drain" => Ok(DRAIN_HELP),
+        "crashes" => Ok(CRASHES_HELP),
         "trace" => Ok(TRACE_HELP),
         _ => Err(usage(format!("unknown command {command:?}"))),
     }
@@ -228,6 +247,7 @@
         "drain" => {
             Ok(Action::Drain { member: value(arguments, "--member")?, wait: arguments.contains("--wait") })
         }
+        "crashes" => crashes(arguments),
         "trace" => trace(arguments).map(Action::Trace),
         _ => Err(usage(format!("unknown command {name:?}"))),
     }
@@ -242,6 +262,19 @@
     Ok(TraceOptions { request, files })
 }
 
+fn crashes(arguments: &mut Arguments) -> Result<Action, CliError> {
+    let words: Vec<String> =
+        std::iter::from_fn(|| arguments.opt_free_from_str().ok().flatten()).take(2).collect();
+    match words.iter().map(String::as_str).collect::<Vec<_>>()[..] {
+        [] => Ok(Action::Crashes),
+        ["clear", digest] => {
+            let wrong = |_| usage(format!("{digest:?} is not a digest as `seamhatch crashes` shows it"));
+            digest.parse().map(|digest| Action::ClearSuspect { digest }).map_err(wrong)
+        }
+        _ => Err(usage("crashes takes nothing, or `clear DIGEST`")),
+    }
+}
+
 fn submit(arguments: &mut Arguments) -> Result<SubmitOptions, CliError> {
     let id: Option<String> = value(arguments, "--id")?;
     let parse_id = |text: String| {
--- a/crates/seamhatch/src/commands.rs
+++ b/crates/seamhatch/src/commands.rs
@@ -9,6 +9,7 @@
 use seamhatch_core::membership::{Lifecycle, Liveness};
 use seamhatch_policy::{Configuration, StoredConfiguration};
 use seamhatchd::controllers::StatusReport;
+use seamhatchd::crashes::CrashReport;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::io::{IsTerminal, Read};
@@ -72,6 +73,15 @@
             let stored: StoredConfiguration = AdminClient::new(daemons)?.get("/v1/configuration").await?;
             Ok(output::show(json, &stored.recent, |recent| output::history(recent)))
         }
+        Action::Crashes => {
+            let report: CrashReport = AdminClient::new(daemons)?.get("/v1/crashes").await?;
+            Ok(output::show(json, &report, output::crashes))
+        }
+        Action::ClearSuspect { digest } => {
+            let body = serde_json::json!({ "digest": digest.to_string() });
+            let _: serde_json::Value = AdminClient::new(daemons)?.post("/v1/crashes/clear", &body).await?;
+            Ok(format!("{digest} is cleared; all daemons learn it within a second\n"))
+        }
         Action::Explain(options) => explain(daemons, json, options).await,
         Action::Trace(options) => {
             let found = trace::trace(&options)?;
--- a/crates/seamhatch/src/output.rs
+++ b/crates/seamhatch/src/output.rs
@@ -3,6 +3,7 @@
 use crate::commands::Explanation;
 use seamhatch_policy::SubmissionRecord;
 use seamhatchd::controllers::{MemberStatus, StatusReport};
+use seamhatchd::crashes::CrashReport;
 use serde::Serialize;
 use std::time::{Duration, UNIX_EPOCH};
 
@@ -50,6 +51,24 @@
     )
 }
 
+/// Requests that were at work when servers crashed.
+pub fn crashes(report: &CrashReport) -> String {
+    let mut text = format!("back end crashes seen by the asked daemon: {}\n", report.crashes_here);
+    if report.suspects.is_empty() {
+        text.push_str("no request is a suspect\n");
+        return text;
+    }
+    text.push_str(&format!("\n{:<18} {:>7}  STATE\n", "DIGEST", "CRASHES"));
+    for suspect in &report.suspects {
+        let state = match suspect.turned_away_for_ms {
+            Some(left) => format!("turned away, tried again in {} s", left.div_ceil(1000)),
+            None => "runs, one copy at a time".to_owned(),
+        };
+        text.push_str(&format!("{:<18} {:>7}  {state}\n", suspect.digest, suspect.crashes));
+    }
+    text
+}
+
 /// The latest submissions.
 pub fn history(recent: &[SubmissionRecord]) -> String {
     let mut text = format!("{:>10}  {:<24} {:<16}  AUTHOR\n", "GENERATION", "ACCEPTED", "SUBMISSION");
--- a/crates/seamhatch/tests/cli.rs
+++ b/crates/seamhatch/tests/cli.rs
@@ -17,7 +17,7 @@
 
 #[test]
 fn help() {
-    let commands = ["check", "submit", "status", "history", "explain", "drain", "trace"];
+    let commands = ["check", "submit", "status", "history", "explain", "drain", "crashes", "trace"];
     let mut report = text(&run(&["--help"]));
     commands.iter().for_each(|command| report.push_str(&text(&run(&[command, "--help"]))));
     insta::assert_snapshot!(report);
@@ -25,7 +25,7 @@
 
 #[test]
 fn a_wrong_command_line_exits_with_2_and_tells_why() {
-    let cases: [&[&str]; 7] = [
+    let cases: [&[&str]; 9] = [
         &[],
         &["fly"],
         &["check"],
@@ -33,6 +33,8 @@
         &["--daemon", "here", "status"],
         &["--daemon", "127.0.0.1:1", "explain"],
         &["check", "/nonexistent/file"],
+        &["crashes", "clear", "me"],
+        &["crashes", "forget"],
     ];
     let report: String = cases.iter().map(|case| format!("{case:?}: {}", text(&run(case)))).collect();
     insta::assert_snapshot!(report);
--- a/crates/seamhatchd/src/controllers/control_thread/configuration.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/configuration.rs
@@ -33,9 +33,10 @@
         offer
     }
 
-    /// Applies the settings of the service beside this daemon.
+    /// Applies what the configuration says of crashes, and of the service beside this daemon.
     pub(super) fn apply_service_settings(&self) {
         let Some((_, configuration)) = self.configuration.in_force() else { return };
+        self.shared.suspects.set_settings(configuration.crashes());
         if let Some(service) = configuration.service(&self.shared.settings.service) {
             self.shared.gate.set_queue_per_slot(service.queue_per_slot);
         }
--- a/crates/seamhatchd/src/crashes/at_work.rs
+++ b/crates/seamhatchd/src/crashes/at_work.rs
@@ -48,10 +48,10 @@
 /// A call that is at work until this is dropped.
 #[derive(Debug)]
 pub struct CallAtWork {
-    /// The instance that works on it, where instances register.
-    pub instance: Option<InstanceId>,
     /// The life of the back end.
     pub life: ServerLife,
+    /// The back end's instances have no names.
+    is_unnamed: bool,
     calls: Arc<Mutex<CallTable>>,
     number: u64,
 }
@@ -71,16 +71,16 @@
 
     /// A call that is about to be sent to the back end.
     #[must_use]
-    pub fn begin(&self, instance: Option<InstanceId>, request: RequestDigest, on_trial: bool) -> CallAtWork {
+    pub fn begin(&self, instance: Option<&InstanceId>, request: RequestDigest, on_trial: bool) -> CallAtWork {
         let mut table = lock(&self.calls);
-        let life = match &instance {
+        let life = match instance {
             Some(instance) => ServerLife::of_instance(instance),
             None => ServerLife::of_unnamed(self.incarnation, table.unnamed_crashes),
         };
         table.next += 1;
         let number = table.next;
         table.at_work.insert(number, WorkEntry { life, request, on_trial });
-        CallAtWork { instance, life, calls: self.calls.clone(), number }
+        CallAtWork { life, is_unnamed: instance.is_none(), calls: self.calls.clone(), number }
     }
 
     /// Whether the life that the call is at work on is known to have ended in a crash.
@@ -96,7 +96,7 @@
             table.ended.pop_front();
         }
         table.ended.push_back(work.life);
-        table.unnamed_crashes += u64::from(work.instance.is_none());
+        table.unnamed_crashes += u64::from(work.is_unnamed);
         let there = table.at_work.values().filter(|entry| entry.life == work.life);
         let suspect = |entry: &WorkEntry| Suspect { request: entry.request, on_trial: entry.on_trial };
         let mut suspects: Vec<Suspect> = there.map(suspect).collect();
--- a/crates/seamhatchd/src/crashes/mod.rs
+++ b/crates/seamhatchd/src/crashes/mod.rs
@@ -4,10 +4,12 @@
 //! closed, nothing listens any more, and the instance had not told that it leaves. An answer that broke off is none.
 
 mod at_work;
+mod report;
 mod suspects;
 mod trials;
 
 pub use at_work::{CallAtWork, CrashWatch, Suspect};
+pub use report::{CrashReport, SuspectStatus, crash_report};
 pub use suspects::SuspectBook;
 pub use trials::{CRASHES_TO_ISOLATE, Trial, Trials};
 
@@ -22,9 +24,9 @@
 use seamhatch_core::outcome::Reason;
 use std::sync::Arc;
 
-/// Whether the back end has crashed under a call whose connection broke. The first call that finds out reports
+/// Whether the back end has crashed under a call to `instance` whose connection broke. The first call that finds out reports
 /// it for all that were at work.
-pub async fn has_crashed(shared: &Arc<Shared>, work: &CallAtWork) -> bool {
+pub async fn has_crashed(shared: &Arc<Shared>, work: &CallAtWork, instance: Option<&InstanceId>) -> bool {
     let watch = &shared.crashes;
     if watch.has_ended(work) {
         return true;
@@ -33,18 +35,20 @@
     if watch.has_ended(work) {
         return true;
     }
-    if is_leaving(shared, work) || !shared.backend.is_gone().await || is_leaving(shared, work) {
+    let is_leaving = || instance.is_some_and(|instance| shared.instances.is_leaving(instance));
+    // The goodbye may come while the back end is being looked for.
+    if is_leaving() || !shared.backend.is_gone().await || is_leaving() {
         return false;
     }
     let suspects = watch.end_life(work);
     let condemned = shared.suspects.report_crash(work.life, &suspects);
-    log_crash(shared, work, &suspects);
+    log_crash(shared, instance, &suspects);
     shared.metrics.crashes.inc();
     shared.control.tell_suspects(suspects.iter().map(|suspect| suspect.request).collect());
     if !condemned.is_empty() {
         shared.control.send(ControlEvent::Condemned(condemned));
     }
-    if let Some(instance) = &work.instance {
+    if let Some(instance) = instance {
         shared.control.lost_instance(instance.clone(), Reason::BackendCrashed);
     }
     true
@@ -73,19 +77,13 @@
     }
 }
 
-/// Whether the instance that the call is at work on has told that it leaves: its end is planned.
-fn is_leaving(shared: &Shared, work: &CallAtWork) -> bool {
-    let leaving = |instance: &InstanceId| shared.instances.is_leaving(instance);
-    work.instance.as_ref().is_some_and(leaving)
-}
-
-fn log_crash(shared: &Shared, work: &CallAtWork, suspects: &[Suspect]) {
+fn log_crash(shared: &Shared, instance: Option<&InstanceId>, suspects: &[Suspect]) {
     let evidence = suspects.iter().map(|Suspect { request, .. }| {
         let crashes = shared.suspects.standing(*request).crashes();
         format!("{request}:{crashes}")
     });
     warn!(
-        instance = work.instance.as_ref().map_or("", |instance| instance.0.as_str()),
+        instance = instance.map_or("", |instance| instance.0.as_str()),
         at_work = suspects.len(),
         crashes_by_digest = evidence.collect::<Vec<_>>().join(",").as_str();
         "back end crashed"
--- a/crates/seamhatchd/src/crashes/suspects.rs
+++ b/crates/seamhatchd/src/crashes/suspects.rs
@@ -5,11 +5,13 @@
 use crate::crashes::trials::Trials;
 use log::{info, warn};
 use seamhatch_core::Instant;
+use seamhatch_core::clock::MILLISECOND;
 use seamhatch_core::crashes::{
     CrashLedger, CrashPolicy, EvidenceEffect, ServerLife, SuspectReport, SuspectStanding,
 };
 use seamhatch_core::identity::RequestDigest;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use seamhatch_policy::CrashSettings;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard};
 
 /// The ledger of suspects, and the trials beside this daemon's server.
@@ -18,6 +20,8 @@
     ledger: Mutex<CrashLedger>,
     /// Records in the ledger, so that a call pays one load while there are none.
     known: AtomicUsize,
+    /// Whether suspects are treated otherwise than other requests.
+    acts: AtomicBool,
     /// Suspects that run here.
     pub trials: Trials,
 }
@@ -33,13 +37,24 @@
     #[must_use]
     pub fn new(policy: CrashPolicy) -> Self {
         let ledger = Mutex::new(CrashLedger::new(policy));
-        Self { ledger, known: AtomicUsize::new(0), trials: Trials::default() }
+        Self { ledger, known: AtomicUsize::new(0), acts: AtomicBool::new(true), trials: Trials::default() }
+    }
+
+    /// Takes over what the configuration says.
+    pub fn set_settings(&self, settings: &CrashSettings) {
+        let policy = CrashPolicy {
+            condemned_after: settings.limit,
+            first_pause: settings.pause_ms * MILLISECOND,
+            ..CrashPolicy::default()
+        };
+        self.lock().set_policy(policy);
+        self.acts.store(settings.turn_away, Ordering::Relaxed);
     }
 
     /// What may be done with a request now.
     #[must_use]
     pub fn standing(&self, request: RequestDigest) -> SuspectStanding {
-        if self.known.load(Ordering::Acquire) == 0 {
+        if self.known.load(Ordering::Acquire) == 0 || !self.acts.load(Ordering::Relaxed) {
             return SuspectStanding::Clear;
         }
         self.lock().standing(request, clock::now())
--- a/crates/seamhatchd/src/listeners/admin.rs
+++ b/crates/seamhatchd/src/listeners/admin.rs
@@ -1,6 +1,7 @@
 //! The operators' listener.
 
 use crate::controllers::{DrainTarget, SubmitError, SubmitRequest};
+use crate::crashes::crash_report;
 use crate::listeners::answers::{self, json, typed};
 use crate::shared::Shared;
 use http::{Method, StatusCode};
@@ -35,6 +36,13 @@
     member: Option<Address>,
 }
 
+/// A request that is to be cleared, by its digest in hexadecimal digits.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ClearBody {
+    digest: String,
+}
+
 #[derive(Debug, Serialize)]
 struct Accepted {
     generation: u64,
@@ -75,6 +83,8 @@
         (&Method::POST, "/v1/submissions") => submit(&shared, body).await,
         (&Method::POST, "/v1/explain") => explain(&shared, body).await,
         (&Method::POST, "/v1/drain") => drain(&shared, body).await,
+        (&Method::GET, "/v1/crashes") => json(StatusCode::OK, &crash_report(&shared)),
+        (&Method::POST, "/v1/crashes/clear") => clear_suspect(&shared, body).await,
         _ => problem(StatusCode::NOT_FOUND, "not-found", "no such page; see docs/OPERATIONS.md"),
     };
     Ok(response)
@@ -168,6 +178,23 @@
     }
 }
 
+async fn clear_suspect(shared: &Shared, body: RequestBody) -> WebResponse {
+    let request: ClearBody = match read_json(body).await {
+        Ok(request) => request,
+        Err(response) => return response,
+    };
+    let Ok(digest) = request.digest.parse() else {
+        let detail = "a digest is 16 hexadecimal digits, as `seamhatch crashes` shows it";
+        return problem(StatusCode::BAD_REQUEST, "bad-digest", detail);
+    };
+    if !shared.suspects.clear(digest) {
+        let detail = "nothing speaks against a request with this digest; see `seamhatch crashes`";
+        return problem(StatusCode::NOT_FOUND, "no-suspect", detail);
+    }
+    shared.control.tell_suspects(vec![digest]);
+    json(StatusCode::OK, &serde_json::json!({ "cleared": request.digest }))
+}
+
 async fn read_json<T: serde::de::DeserializeOwned>(body: RequestBody) -> Result<T, WebResponse> {
     answers::read_json(body, LARGEST_BODY).await.map_err(|unusable| {
         let too_large = unusable.status == StatusCode::PAYLOAD_TOO_LARGE;
--- a/crates/seamhatchd/src/peer/server_call.rs
+++ b/crates/seamhatchd/src/peer/server_call.rs
@@ -160,7 +160,7 @@
         };
         self.shared.metrics.execution(running.priority.class);
         let on_trial = trial.is_some_and(Trial::is_isolated);
-        let work = self.shared.crashes.begin(instance.id.clone(), self.head.request, on_trial);
+        let work = self.shared.crashes.begin(instance.id.as_ref(), self.head.request, on_trial);
         let started = clock::now();
         let exchange = async {
             let mut answer = self.shared.backend.send(&request, body).await?;
@@ -192,7 +192,7 @@
                 self.log_run(status, complete, started);
                 self.end(running, complete);
                 if !complete && !self.outbox.is_closed() {
-                    crashes::has_crashed(&self.shared, &work).await;
+                    crashes::has_crashed(&self.shared, &work, instance.id.as_ref()).await;
                 }
             }
             Err(BackendError::NotRun { reason, detail }) => {
@@ -203,7 +203,7 @@
                 self.refuse(running, Outcome::NotRun, reason, &detail);
             }
             Err(BackendError::Failed { detail }) => {
-                let crashed = crashes::has_crashed(&self.shared, &work).await;
+                let crashed = crashes::has_crashed(&self.shared, &work, instance.id.as_ref()).await;
                 let reason = if crashed { Reason::BackendCrashed } else { Reason::BackendFailed };
                 self.refuse(running, Outcome::Unknown, reason, &detail);
             }
