Clock: what must end at an instant sees that the machine has slept

Found by listing the timers that a promise rests on: deadlines of attempts, answers and claims, waits for a slot or a trial. Mended with clock::sleep_until and timeout_at, woken by the control thread's tick when the boot clock has run ahead of the steady one. Ruled out, as they are looked at against the boot clock at each tick or before each act: departures, claims' memory, retry budget, silence of links, drain, membership, expiry before a call is written to the back end.

--- a/crates/seamhatchd/src/clock.rs
+++ b/crates/seamhatchd/src/clock.rs
@@ -1,14 +1,31 @@
 //! The machine's boot clock, which goes on while a process is frozen or the machine sleeps.
+//!
+//! The runtime's timers count in the steady clock, which stands still while the machine sleeps. What must end at an instant
+//! of the boot clock waits with [`sleep_until`] or [`timeout_at`]: these look again when [`note_resume`] finds out that the
+//! machine has slept.
 
-use rustix::time::{ClockId, clock_gettime};
+use rustix::time::{ClockId, Timespec, clock_gettime};
 use seamhatch_core::Instant;
+use seamhatch_core::clock::{MILLISECOND, Microseconds};
+use std::future::Future;
+use std::sync::LazyLock;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::watch;
+
+/// The boot clock may go on by this much beside the steady clock until that counts as sleep. The two are read one after the
+/// other, and the process may be held up between.
+const LEAST_SLEEP: Microseconds = 50 * MILLISECOND;
+
+/// By how much tests have stepped the boot clock, in microseconds.
+static STEPPED: AtomicU64 = AtomicU64::new(0);
+/// Counts the times that the machine has slept.
+static RESUMES: LazyLock<watch::Sender<u64>> = LazyLock::new(|| watch::Sender::new(0));
 
 /// The current boot time.
 #[must_use]
 pub fn now() -> Instant {
-    let time = clock_gettime(ClockId::Boottime);
-    Instant(time.tv_sec as u64 * 1_000_000 + time.tv_nsec as u64 / 1_000)
+    Instant(microseconds(clock_gettime(ClockId::Boottime)) + STEPPED.load(Ordering::Relaxed))
 }
 
 /// Time left until `expiry`, zero when it has passed.
@@ -17,6 +34,66 @@
     Duration::from_micros(expiry.since(now()))
 }
 
+/// Waits until an instant, also where the machine sleeps meanwhile. Cancel-safe.
+pub async fn sleep_until(instant: Instant) {
+    let mut resumes = RESUMES.subscribe();
+    while now() < instant {
+        tokio::select! {
+            () = tokio::time::sleep(time_until(instant)) => {}
+            // The sender lives as long as the process.
+            _ = resumes.changed() => {}
+        }
+    }
+}
+
+/// Waits for `future` until an instant; none when that has come before.
+pub async fn timeout_at<T>(instant: Instant, future: impl Future<Output = T>) -> Option<T> {
+    tokio::select! {
+        biased;
+        output = future => Some(output),
+        () = sleep_until(instant) => None,
+    }
+}
+
+/// What the boot clock is ahead of the steady clock: the time that the machine has slept.
+#[derive(Debug)]
+pub struct SleepWatch {
+    ahead: Microseconds,
+}
+
+impl SleepWatch {
+    /// From now on.
+    #[must_use]
+    pub fn start() -> Self {
+        Self { ahead: boot_ahead() }
+    }
+
+    /// Wakes all that waits for an instant where the machine has slept since the last call. How long it has.
+    pub fn note_resume(&mut self) -> Option<Microseconds> {
+        let ahead = boot_ahead();
+        let slept = ahead.saturating_sub(self.ahead);
+        if slept < LEAST_SLEEP {
+            return None;
+        }
+        self.ahead = ahead;
+        RESUMES.send_modify(|resumes| *resumes += 1);
+        Some(slept)
+    }
+}
+
+/// Steps the boot clock beside the timers, as a sleep of the machine does. For tests of one process.
+pub fn step_boot_clock(span: Duration) {
+    STEPPED.fetch_add(span.as_micros() as Microseconds, Ordering::Relaxed);
+}
+
+fn boot_ahead() -> Microseconds {
+    now().0.saturating_sub(microseconds(clock_gettime(ClockId::Monotonic)))
+}
+
+fn microseconds(time: Timespec) -> Microseconds {
+    time.tv_sec as u64 * 1_000_000 + time.tv_nsec as u64 / 1_000
+}
+
 /// Milliseconds since the Unix epoch, for what has to outlive the boot clock.
 #[must_use]
 pub fn unix_milliseconds() -> u64 {
--- a/crates/seamhatchd/src/controllers/control_thread/mod.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/mod.rs
@@ -17,6 +17,7 @@
 use crate::controllers::roster::RosterController;
 use crate::ports::{Backing, DocumentFormat, Ports};
 use crate::shared::Shared;
+use log::warn;
 use seamhatch_core::Instant;
 use seamhatch_core::clock::{MILLISECOND, Microseconds, SECOND};
 use seamhatch_core::generation::Generation;
@@ -77,6 +78,7 @@
     stopped: BTreeSet<Address>,
     schedule: Schedule,
     started: Instant,
+    sleep_watch: clock::SleepWatch,
     verified: bool,
     reading_store: bool,
     verifying: bool,
@@ -125,6 +127,7 @@
             stopped: BTreeSet::new(),
             schedule: Schedule::default(),
             started: clock::now(),
+            sleep_watch: clock::SleepWatch::start(),
             verified: false,
             reading_store: false,
             verifying: false,
@@ -163,6 +166,9 @@
     }
 
     fn tick(&mut self) {
+        if let Some(slept) = self.sleep_watch.note_resume() {
+            warn!(slept_ms = slept / MILLISECOND; "the machine has slept: what ends at an instant is looked at again");
+        }
         let now = clock::now();
         self.membership.tick();
         self.publish_if_changed();
--- a/crates/seamhatchd/src/dispatch/answer.rs
+++ b/crates/seamhatchd/src/dispatch/answer.rs
@@ -36,8 +36,7 @@
     /// # Errors
     /// [`Rejection`] when the body will never be complete.
     pub async fn next(&mut self) -> Result<Option<Bytes>, Rejection> {
-        let limit = clock::time_until(self.expiry);
-        let piece = tokio::time::timeout(limit, self.body.next()).await;
+        let piece = clock::timeout_at(self.expiry, self.body.next()).await;
         match piece.unwrap_or(AnswerPiece::Broken) {
             AnswerPiece::Data(piece) => {
                 self.record(&piece);
--- a/crates/seamhatchd/src/dispatch/attempt.rs
+++ b/crates/seamhatchd/src/dispatch/attempt.rs
@@ -43,7 +43,7 @@
         if self.body.rest.is_none() && !self.body.is_empty() {
             stream.finish_body();
         }
-        let deadline = tokio::time::sleep(clock::time_until(self.parent.expiry));
+        let deadline = clock::sleep_until(self.parent.expiry);
         tokio::pin!(deadline);
         let window = stream.window.clone();
         loop {
--- a/crates/seamhatchd/src/dispatch/claiming.rs
+++ b/crates/seamhatchd/src/dispatch/claiming.rs
@@ -25,7 +25,7 @@
         let key = ClaimKey::of(&self.request.service, &text);
         let content = call_fingerprint(self.request, body);
         let claiming = claims::claim(self.shared, key, content);
-        let claimed = tokio::time::timeout(clock::time_until(self.parent.expiry), claiming).await;
+        let claimed = clock::timeout_at(self.parent.expiry, claiming).await;
         let result = claimed.unwrap_or(Err(ClaimRefused::Undecided(Reason::DeadlineExceeded)));
         match result {
             Ok(claimed) => Ok(Some(claimed)),
--- a/crates/seamhatchd/src/gate.rs
+++ b/crates/seamhatchd/src/gate.rs
@@ -158,16 +158,16 @@
         };
         let mut guard = WaitGuard { gate: self, ticket, armed: true, expired: false };
         let latest_start = self.lock().queue.latest_start(&offered);
-        let decided = tokio::time::timeout(clock::time_until(latest_start), turn).await;
+        let decided = clock::timeout_at(latest_start, turn).await;
         let waited = clock::now().since(arrived);
         self.metrics.queue_seconds.observe(seconds(waited));
         match decided {
-            Ok(Ok(Ok(()))) => {
+            Some(Ok(Ok(()))) => {
                 guard.armed = false;
                 Ok(self.permit(ticket))
             }
-            Ok(Ok(Err(reason))) => Err(reason),
-            Ok(Err(_)) | Err(_) => {
+            Some(Ok(Err(reason))) => Err(reason),
+            Some(Err(_)) | None => {
                 guard.expired = true;
                 Err(Reason::DeadlineExceeded)
             }
--- a/crates/seamhatchd/src/peer/server_call.rs
+++ b/crates/seamhatchd/src/peer/server_call.rs
@@ -122,7 +122,7 @@
         let latest = clock::now().plus(self.head.context.early_for).min(running.expiry);
         let admitted = crashes::until_admitted(&self.shared, self.head.request);
         tokio::select! {
-            admitted = tokio::time::timeout(clock::time_until(latest), admitted) => {
+            admitted = clock::timeout_at(latest, admitted) => {
                 admitted.unwrap_or(Err(Reason::DeadlineExceeded))
             }
             () = self.cancelled.notify.notified() => Err(Reason::Cancelled),
