Model: requests that crash servers

A copy that ends each server, a harmless request, lost servers, late news and daemons that restart, over the daemon's own SuspectRecord and CrashLedger.

--- a/crates/seamhatch-model/src/lib.rs
+++ b/crates/seamhatch-model/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod claims;
 pub mod configuration;
+pub mod crashes;
 pub mod departures;
 pub mod retries;
 mod search;
