Crashes: a daemon that was frozen meanwhile reports one when it hears the next instance

When it wakes something listens again, so a broken connection looks like an answer that broke off. Such calls, and those that still wait, count for three seconds until another instance registers in place of one that had not told that it leaves; without the word of an instance nothing changes. Beside it: a gauge of condemned requests; 'request not answered' has the detail, which names the digest.

--- a/crates/seamhatchd/src/controllers/control_thread/instances.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/instances.rs
@@ -4,6 +4,7 @@
 use crate::clock;
 use crate::controllers::events::{ControlEvent, InstanceAnswer};
 use crate::controllers::follow::{ask_departures, remember_departure};
+use crate::crashes;
 use crate::instances::OpenInstance;
 use log::{info, warn};
 use seamhatch_core::Instant;
@@ -162,11 +163,13 @@
 
     fn take_heartbeat(&mut self, heartbeat: Heartbeat) {
         let (instance, sequence, now) = (heartbeat.instance.0.clone(), heartbeat.sequence, clock::now());
+        let before = self.shared.instances.current();
         match self.shared.instances.heartbeat(heartbeat, now) {
             HeartbeatVerdict::Opened => {
                 info!(instance = instance.as_str(), sequence = sequence; "instance opened");
                 self.shared.backend.forget_connections();
                 self.open_instance();
+                self.note_replaced(before);
             }
             HeartbeatVerdict::Closed => {
                 info!(instance = instance.as_str(), sequence = sequence; "instance closed: it drains");
@@ -179,6 +182,16 @@
         }
     }
 
+    /// Another instance than `before` may have been opened. One that leaves has ended as planned.
+    fn note_replaced(&self, before: Option<InstanceId>) {
+        let open = self.shared.instances.open().and_then(|open| open.id);
+        let replaced = before.filter(|before| Some(before) != open.as_ref());
+        let crashed = replaced.filter(|before| !self.shared.instances.is_leaving(before));
+        if let Some(instance) = crashed {
+            crashes::instance_replaced(&self.shared, &instance);
+        }
+    }
+
     fn open_instance(&mut self) {
         if let Some((slots, warm_at)) = self.shared.instances.capacity() {
             let cold = warm_at > clock::now();
--- a/crates/seamhatchd/src/controllers/control_thread/publishing.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/publishing.rs
@@ -54,6 +54,7 @@
         let metrics = &self.shared.metrics;
         metrics.generation.set(self.configuration.generation().0 as i64);
         metrics.members.set(self.membership.state.live_count() as i64);
+        metrics.condemned.set(self.shared.suspects.condemned() as i64);
         metrics.claims.set(self.shared.witnesses.forget_old() as i64);
         self.shared.records.forget_old();
         let cpu = clock_gettime(ClockId::ThreadCPUTime);
--- a/crates/seamhatchd/src/crashes/at_work.rs
+++ b/crates/seamhatchd/src/crashes/at_work.rs
@@ -1,5 +1,7 @@
 //! The calls that are at work on the back end beside this daemon.
 
+use seamhatch_core::Instant;
+use seamhatch_core::clock::{Microseconds, SECOND};
 use seamhatch_core::crashes::ServerLife;
 use seamhatch_core::identity::{Incarnation, RequestDigest};
 use seamhatch_core::instance::InstanceId;
@@ -10,6 +12,12 @@
 /// milliseconds, and a back end needs longer to start.
 const REMEMBERED_LIVES: usize = 8;
 
+/// How long a broken call may wait for the word that its life had ended: a daemon that was frozen while the back end crashed
+/// hears the next instance with its first heartbeats.
+const BROKEN_COUNTS: Microseconds = 3 * SECOND;
+/// Broken calls that wait so, the latest ones.
+const REMEMBERED_BROKEN: usize = 256;
+
 /// What is at work on the back end, and which of its lives have ended in a crash.
 #[derive(Debug)]
 pub struct CrashWatch {
@@ -27,6 +35,8 @@
     unnamed_crashes: u64,
     /// The latest last.
     ended: VecDeque<ServerLife>,
+    /// Calls whose connection broke while something listened there, the latest last.
+    broken: VecDeque<(Instant, WorkEntry)>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -92,17 +102,46 @@
     /// request once.
     pub(super) fn end_life(&self, work: &CallAtWork) -> Vec<Suspect> {
         let mut table = lock(&self.calls);
-        if table.ended.len() == REMEMBERED_LIVES {
-            table.ended.pop_front();
-        }
-        table.ended.push_back(work.life);
         table.unnamed_crashes += u64::from(work.is_unnamed);
-        let there = table.at_work.values().filter(|entry| entry.life == work.life);
+        table.end_life(work.life, Instant::NEVER)
+    }
+
+    /// Notes that a call's connection broke although something listens at the back end's address.
+    pub(super) fn note_broken(&self, work: &CallAtWork, now: Instant) {
+        let mut table = lock(&self.calls);
+        let Some(entry) = table.at_work.get(&work.number).copied() else { return };
+        if table.broken.len() == REMEMBERED_BROKEN {
+            table.broken.pop_front();
+        }
+        table.broken.push_back((now, entry));
+    }
+
+    /// Another instance has taken the place of this one, which had not told that it leaves. Returns what was at work on it
+    /// when it ended, where that was not known before: calls that broke lately, and those that still wait for its answer.
+    pub(super) fn replace_life(&self, instance: &InstanceId, now: Instant) -> Vec<Suspect> {
+        let life = ServerLife::of_instance(instance);
+        let mut table = lock(&self.calls);
+        if table.ended.contains(&life) { Vec::new() } else { table.end_life(life, now) }
+    }
+}
+
+impl CallTable {
+    /// Ends a life at `now`, where broken calls count, or by the proof of a call at work. What was at work on it, each request
+    /// once.
+    fn end_life(&mut self, life: ServerLife, now: Instant) -> Vec<Suspect> {
+        if self.ended.len() == REMEMBERED_LIVES {
+            self.ended.pop_front();
+        }
+        self.ended.push_back(life);
+        let broken =
+            self.broken.iter().filter(|(at, _)| now.since(*at) <= BROKEN_COUNTS).map(|(_, entry)| entry);
+        let there = self.at_work.values().chain(broken).filter(|entry| entry.life == life);
         let suspect = |entry: &WorkEntry| Suspect { request: entry.request, on_trial: entry.on_trial };
         let mut suspects: Vec<Suspect> = there.map(suspect).collect();
         // A copy on trial comes before one that is not.
         suspects.sort_unstable_by_key(|suspect| (suspect.request, !suspect.on_trial));
         suspects.dedup_by_key(|suspect| suspect.request);
+        self.broken.retain(|(_, entry)| entry.life != life);
         suspects
     }
 }
--- a/crates/seamhatchd/src/crashes/mod.rs
+++ b/crates/seamhatchd/src/crashes/mod.rs
@@ -18,7 +18,7 @@
 use crate::shared::Shared;
 use log::warn;
 use seamhatch_core::clock::Microseconds;
-use seamhatch_core::crashes::SuspectStanding;
+use seamhatch_core::crashes::{ServerLife, SuspectStanding};
 use seamhatch_core::identity::RequestDigest;
 use seamhatch_core::instance::InstanceId;
 use seamhatch_core::outcome::Reason;
@@ -38,20 +38,35 @@
     let is_leaving = || instance.is_some_and(|instance| shared.instances.is_leaving(instance));
     // The goodbye may come while the back end is being looked for.
     if is_leaving() || !shared.backend.is_gone().await || is_leaving() {
+        watch.note_broken(work, clock::now());
         return false;
     }
     let suspects = watch.end_life(work);
-    let condemned = shared.suspects.report_crash(work.life, &suspects);
-    log_crash(shared, instance, &suspects);
+    report(shared, work.life, instance, &suspects);
+    if let Some(instance) = instance {
+        shared.control.lost_instance(instance.clone(), Reason::BackendCrashed);
+    }
+    true
+}
+
+/// Takes in that another instance of the back end is there in place of `instance`, which had not told that it leaves. Where
+/// this daemon was frozen while that one crashed, nothing else tells.
+pub fn instance_replaced(shared: &Shared, instance: &InstanceId) {
+    let suspects = shared.crashes.replace_life(instance, clock::now());
+    if !suspects.is_empty() {
+        report(shared, ServerLife::of_instance(instance), Some(instance), &suspects);
+    }
+}
+
+/// Notes a crash here and has it told everywhere.
+fn report(shared: &Shared, life: ServerLife, instance: Option<&InstanceId>, suspects: &[Suspect]) {
+    let condemned = shared.suspects.report_crash(life, suspects);
+    log_crash(shared, instance, suspects);
     shared.metrics.crashes.inc();
     shared.control.tell_suspects(suspects.iter().map(|suspect| suspect.request).collect());
     if !condemned.is_empty() {
         shared.control.send(ControlEvent::Condemned(condemned));
     }
-    if let Some(instance) = instance {
-        shared.control.lost_instance(instance.clone(), Reason::BackendCrashed);
-    }
-    true
 }
 
 /// Waits until a call may run at the server here: at once, unless its request is a suspect.
--- a/crates/seamhatchd/src/crashes/suspects.rs
+++ b/crates/seamhatchd/src/crashes/suspects.rs
@@ -122,6 +122,16 @@
         self.lock().suspects(clock::now())
     }
 
+    /// Requests that are turned away.
+    #[must_use]
+    pub fn condemned(&self) -> usize {
+        if self.known.load(Ordering::Acquire) == 0 {
+            return 0;
+        }
+        let condemned = |standing: &SuspectStanding| matches!(standing, SuspectStanding::Condemned { .. });
+        self.suspects().iter().filter(|(_, standing)| condemned(standing)).count()
+    }
+
     /// Forgets what is too old to count.
     pub fn forget_old(&self) {
         let mut ledger = self.lock();
--- a/crates/seamhatchd/src/instances.rs
+++ b/crates/seamhatchd/src/instances.rs
@@ -117,6 +117,15 @@
         }
     }
 
+    /// The registered instance, whether or not it takes work.
+    #[must_use]
+    pub fn current(&self) -> Option<InstanceId> {
+        match self {
+            Self::Fixed => None,
+            Self::Registered(registry) => lock(registry).registered().map(|known| known.id.clone()),
+        }
+    }
+
     /// Whether an instance has told that it leaves, so that its end is planned.
     #[must_use]
     pub fn is_leaving(&self, instance: &InstanceId) -> bool {
--- a/crates/seamhatchd/src/listeners/proxy.rs
+++ b/crates/seamhatchd/src/listeners/proxy.rs
@@ -203,6 +203,7 @@
             class = request.class.name(),
             outcome = rejection.outcome.name(),
             reason = rejection.reason.name(),
+            detail = rejection.detail.as_str(),
             generation = self.shared.snapshot().generation().0,
             took_ms = took / MILLISECOND,
             retry_after_ms = retry_after.unwrap_or_default() / 1000;
--- a/crates/seamhatchd/src/metrics.rs
+++ b/crates/seamhatchd/src/metrics.rs
@@ -100,6 +100,8 @@
     pub queue_seconds: Histogram,
     /// Crashes of the back end.
     pub crashes: Counter,
+    /// Requests that are turned away as they crash servers.
+    pub condemned: Gauge,
     /// Calls that the back end works on.
     pub running: Gauge,
     /// Calls that wait.
@@ -150,6 +152,7 @@
             store_seconds: latency_histogram(),
             queue_seconds: latency_histogram(),
             crashes: Counter::default(),
+            condemned: Gauge::default(),
             running: Gauge::default(),
             waiting: Gauge::default(),
             limit: Gauge::default(),
@@ -184,6 +187,11 @@
         registry.register("store_seconds", "Time the key-value service took", self.store_seconds.clone());
         registry.register("queue_seconds", "Wait for a slot", self.queue_seconds.clone());
         registry.register("crashes", "Crashes of the back end", self.crashes.clone());
+        registry.register(
+            "condemned_requests",
+            "Requests turned away as they crash servers",
+            self.condemned.clone(),
+        );
         registry.register("running_calls", "Calls the back end works on", self.running.clone());
         registry.register("waiting_calls", "Calls that wait for a slot", self.waiting.clone());
         registry.register("lost_calls", "Calls whose answer seems to be lost", self.lost.clone());
