--- a/crates/seamhatchd/src/clock.rs
+++ b/crates/seamhatchd/src/clock.rs
@@ -1,7 +1,7 @@
 //! The machine's boot clock, which goes on while a process is frozen or the machine sleeps.
 //!
 //! The runtime's timers count in the steady clock, which stands still while the machine sleeps. What must end at an instant
-//! of the boot clock waits with [`sleep_until`] or [`timeout_at`]: these look again when [`note_resume`] finds out that the
+//! of the boot clock waits with [`sleep_until`] or [`timeout_at`]: these look again when [`SleepWatch::note_resume`] finds out that the
 //! machine has slept.
 
 use rustix::time::{ClockId, Timespec, clock_gettime};
