--- a/crates/seamhatch-core/src/crashes/record.rs
+++ b/crates/seamhatch-core/src/crashes/record.rs
@@ -80,6 +80,12 @@
         self.marks.is_empty()
     }
 
+    /// Crashes that are known, cleared ones included.
+    #[must_use]
+    pub fn crashes(&self) -> usize {
+        self.marks.len()
+    }
+
     /// Crashes that nothing has cleared.
     #[must_use]
     pub fn open_crashes(&self) -> u32 {
--- a/crates/seamhatch-core/src/membership/mod.rs
+++ b/crates/seamhatch-core/src/membership/mod.rs
@@ -22,6 +22,10 @@
 /// Time between two exchanges while settling.
 const EARLY_SYNC_INTERVAL: Microseconds = SECOND;
 
+/// In deployments of fewer members all are told of everything: some 50 suspects are eight datagrams to each, of which more at
+/// once would not fit into the buffer of a socket.
+const MEMBERS_TOLD_ALL: usize = 32;
+
 /// Time and size settings of the protocol.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct MembershipPolicy {
@@ -241,10 +245,25 @@
         outgoing
     }
 
-    /// Messages that tell all live members what is known of suspects.
+    /// Messages that tell what is known of suspects where it matters.
+    ///
+    /// A crash leaves dozens of suspects, nearly all by accident. Of these the daemons beside the servers of the service have to
+    /// know, where the next crash may happen; all others are told too where they are few. Who was there in two crashes is rare,
+    /// and known to all.
     #[must_use]
-    pub fn tell_all_suspects(&self, reports: &[SuspectReport]) -> Vec<Outgoing> {
-        self.tell_suspects(&self.live_addresses(), reports)
+    pub fn spread_suspects(&self, reports: &[SuspectReport]) -> Vec<Outgoing> {
+        let all = self.live_addresses();
+        let (repeated, single): (Vec<_>, Vec<_>) =
+            reports.iter().cloned().partition(|report| report.record.crashes() > 1);
+        let mut outgoing = self.tell_suspects(&all, &repeated);
+        let targets = if all.len() < MEMBERS_TOLD_ALL { all } else { self.live_of_own_service() };
+        outgoing.extend(self.tell_suspects(&targets, &single));
+        outgoing
+    }
+
+    fn live_of_own_service(&self) -> Vec<Address> {
+        let own = |record: &&MemberRecord| record.is_live() && record.info.service == self.me.info.service;
+        self.others().filter(own).map(|record| record.info.gossip).collect()
     }
 
     /// Moves time on; to be called several times in a probe timeout.
--- a/crates/seamhatch-core/tests/membership.rs
+++ b/crates/seamhatch-core/tests/membership.rs
@@ -2,7 +2,8 @@
 
 use seamhatch_core::Instant;
 use seamhatch_core::clock::{MILLISECOND, SECOND};
-use seamhatch_core::identity::{Address, Incarnation};
+use seamhatch_core::crashes::{ServerLife, SuspectRecord, SuspectReport};
+use seamhatch_core::identity::{Address, Incarnation, RequestDigest};
 use seamhatch_core::membership::{Lifecycle, Liveness, MemberInfo, Membership, MembershipPolicy, Outgoing};
 use std::collections::BTreeSet;
 
@@ -17,17 +18,25 @@
 }
 
 fn member_with(policy: MembershipPolicy, number: usize, incarnation: u64, seeds: &[usize]) -> Membership {
-    let info = MemberInfo {
+    let seeds = seeds.iter().map(|seed| address(*seed)).collect();
+    Membership::new(policy, info(number, "s"), Incarnation(incarnation), seeds)
+}
+
+/// A member of a service, with the first one as its seed.
+fn member_of(number: usize, service: &str) -> Membership {
+    Membership::new(MembershipPolicy::default(), info(number, service), Incarnation(1), vec![address(0)])
+}
+
+fn info(number: usize, service: &str) -> MemberInfo {
+    MemberInfo {
         gossip: address(number),
         peer: address(number),
         admin: address(number),
         region: "r".into(),
         zone: "z".into(),
-        service: "s".into(),
+        service: service.into(),
         slots: 1,
-    };
-    let seeds = seeds.iter().map(|seed| address(*seed)).collect();
-    Membership::new(policy, info, Incarnation(incarnation), seeds)
+    }
 }
 
 /// A network without delay whose members can be cut off.
@@ -199,3 +208,34 @@
     assert_eq!((digest(0), digest(0)), (digest(1), digest(2)));
     assert_ne!(digest(0), digest(3));
 }
+
+/// Who is told of a suspect.
+struct SuspectCase {
+    name: &'static str,
+    members: usize,
+    crashes: u64,
+    told: usize,
+}
+
+#[test]
+fn suspects_of_one_crash_are_told_to_the_service_alone_where_members_are_many() {
+    let cases = [
+        SuspectCase { name: "one crash, few members", members: 16, crashes: 1, told: 15 },
+        SuspectCase { name: "one crash, many members", members: 60, crashes: 1, told: 9 },
+        SuspectCase { name: "two crashes, many members", members: 60, crashes: 2, told: 59 },
+    ];
+    for case in cases {
+        // Every sixth member is of the same service as the first one.
+        let service = |number: usize| if number.is_multiple_of(6) { "s" } else { "other" };
+        let mut network =
+            Network::new((0..case.members).map(|number| member_of(number, service(number))).collect());
+        network.run(30);
+        let mut record = SuspectRecord::new(RequestDigest(1));
+        (0..case.crashes).for_each(|life| {
+            record.add(ServerLife(life), false);
+        });
+        let outgoing = network.members[0].spread_suspects(&[SuspectReport { record, age: 0 }]);
+        let told: BTreeSet<Address> = outgoing.iter().map(|(target, _)| *target).collect();
+        assert_eq!((told.len(), outgoing.len()), (case.told, case.told), "{}", case.name);
+    }
+}
--- a/crates/seamhatch-lab/src/backends.rs
+++ b/crates/seamhatch-lab/src/backends.rs
@@ -3,6 +3,7 @@
 
 use crate::bodies;
 use crate::process::Machine;
+use crate::relays::BackendRelays;
 use crate::topology::{ChildCall, Endpoint, Topology};
 use bytes::Bytes;
 use futures_util::stream;
@@ -30,6 +31,12 @@
 /// Header in which back ends tell the calls that led to one, so that the same
 /// call by two parents can be told from a repeat.
 const TRAIL_HEADER: &str = "x-trail";
+/// Part of the paths whose requests end each back end that runs them, where it has a relay.
+pub const DEADLY: &str = "/deadly-";
+/// How long such a request runs.
+const TIME_TO_DIE: Duration = Duration::from_millis(10);
+/// How long the back end is away then.
+const AWAY: Duration = Duration::from_millis(600);
 /// Threads that all back ends of a deployment share.
 const THREADS: usize = 2;
 /// Pieces in which a large answer is written.
@@ -110,15 +117,23 @@
     running: AtomicU64,
     client: HttpClient<Full<Bytes>>,
     mode: CallMode,
+    relays: Option<BackendRelays>,
     by_service: HashMap<String, Vec<Address>>,
 }
 
 impl Backends {
     /// Starts a back end on each machine.
     ///
+    /// With `relays`, these have the back ends' addresses.
+    ///
     /// # Errors
     /// An address can't be bound.
-    pub fn start(topology: &Topology, machines: &[Machine], mode: CallMode) -> std::io::Result<Self> {
+    pub fn start(
+        topology: &Topology,
+        machines: &[Machine],
+        mode: CallMode,
+        relays: Option<BackendRelays>,
+    ) -> std::io::Result<Self> {
         let by_host = machines.iter().map(|machine| {
             let endpoints = topology.service(&machine.service).map(|service| service.endpoints.clone());
             let backend = Backend {
@@ -133,8 +148,15 @@
         for machine in machines {
             by_service.entry(machine.service.clone()).or_default().push(machine.backend());
         }
+        let listens = |machine: &Machine| match relays {
+            Some(_) => machine.behind_relay(),
+            None => machine.backend(),
+        };
+        let sockets: std::io::Result<Vec<TcpListener>> =
+            machines.iter().map(|machine| listeners::bind(listens(machine))).collect();
         let state = Arc::new(State {
             mode,
+            relays,
             by_service,
             by_host: by_host.collect(),
             log: Mutex::default(),
@@ -145,8 +167,6 @@
             .with_state(state.clone())
             .at("/", fn_service(handle))
             .at("/{*rest}", fn_service(handle));
-        let sockets: std::io::Result<Vec<TcpListener>> =
-            machines.iter().map(|machine| listeners::bind(machine.backend())).collect();
         let listener = listeners::serve(application.finish(), sockets?, THREADS, "backends")?;
         Ok(Self { state, listener: Some(listener) })
     }
@@ -260,6 +280,12 @@
         state.running.fetch_add(1, Ordering::AcqRel);
         let guard = RunningGuard(state.clone());
         let Ok(_slot) = self.slots.acquire().await else { return status(StatusCode::SERVICE_UNAVAILABLE) };
+        if incoming.path.contains(DEADLY)
+            && let Some(relays) = &state.relays
+        {
+            tokio::time::sleep(TIME_TO_DIE).await;
+            relays.crash_for(self.machine.ip, AWAY);
+        }
         if self.behaviour.failing.load(Ordering::Relaxed) {
             return status(StatusCode::INTERNAL_SERVER_ERROR);
         }
--- a/crates/seamhatch-lab/src/deployment.rs
+++ b/crates/seamhatch-lab/src/deployment.rs
@@ -5,6 +5,7 @@
 use crate::network::Network;
 use crate::platform::Platform;
 use crate::process::{DaemonOptions, DaemonProcess, Machine};
+use crate::relays::BackendRelays;
 use crate::topology::Topology;
 use http::Request;
 use http_body_util::{BodyExt, Empty};
@@ -36,7 +37,7 @@
     pub program: PathBuf,
     /// Log level of the daemons.
     pub log_level: String,
-    /// Put a fault-injecting proxy in front of each daemon.
+    /// Put a fault-injecting proxy in front of each daemon, and a relay in front of each back end.
     pub proxied: bool,
     /// With [`CallMode::Direct`] no daemons are started.
     pub mode: CallMode,
@@ -56,6 +57,7 @@
     pub machines: Vec<Machine>,
     /// What restarted daemons are started with.
     pub options: DaemonOptions,
+    relays: Option<BackendRelays>,
     proxy: Option<FaultProxy>,
     directory: TempDir,
     _network: Network,
@@ -90,7 +92,9 @@
         let machines = machines(&topology, &network);
         let platform = Platform::start(network.machine(PLATFORM_GROUP, 1))?;
         machines.iter().for_each(|machine| platform.list_machine(machine.ip));
-        let backends = Backends::start(&topology, &machines, options.mode)?;
+        let relays = options.proxied.then(|| BackendRelays::start(&machines, Machine::behind_relay));
+        let relays = relays.transpose()?;
+        let backends = Backends::start(&topology, &machines, options.mode, relays.clone())?;
         let proxy = if options.proxied { Some(FaultProxy::start(&machines).await?) } else { None };
         let seed_of = |machine: &Machine| match &proxy {
             Some(_) => faults::advertised(machine).gossip,
@@ -119,6 +123,7 @@
             daemons,
             options: daemon_options,
             machines,
+            relays,
             proxy,
             directory,
             _network: network,
@@ -134,6 +139,15 @@
         self.proxy.as_ref().expect("started with `proxied`")
     }
 
+    /// The relays in front of the back ends.
+    ///
+    /// # Panics
+    /// The deployment was started without them.
+    #[must_use]
+    pub fn relays(&self) -> &BackendRelays {
+        self.relays.as_ref().expect("started with `proxied`")
+    }
+
     /// The name of a member, as `status` shows it and `drain --member` takes it.
     #[must_use]
     pub fn member(&self, daemon: usize) -> String {
--- a/crates/seamhatch-lab/src/lib.rs
+++ b/crates/seamhatch-lab/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod network;
 pub mod platform;
 pub mod process;
+pub mod relays;
 pub mod report;
 pub mod soak;
 pub mod topology;
--- a/crates/seamhatch-lab/src/process.rs
+++ b/crates/seamhatch-lab/src/process.rs
@@ -15,6 +15,7 @@
 const GOSSIP: u16 = 7003;
 const ADMIN: u16 = 7004;
 const BACKEND: u16 = 8080;
+const BEHIND_RELAY: u16 = 8081;
 
 /// One machine: a daemon and the back end beside it.
 #[derive(Debug, Clone)]
@@ -69,6 +70,12 @@
     pub fn backend(&self) -> Address {
         self.at(BACKEND)
     }
+
+    /// Where the back end listens, where a relay has its address.
+    #[must_use]
+    pub fn behind_relay(&self) -> Address {
+        self.at(BEHIND_RELAY)
+    }
 }
 
 /// What daemons of one deployment have in common.
--- a/crates/seamhatch-lab/src/soak/checks.rs
+++ b/crates/seamhatch-lab/src/soak/checks.rs
@@ -2,13 +2,19 @@
 //! what callers, back ends and operators saw.
 
 use super::history::{HistoryEvent, RequestName, SeenAnswer};
+use super::load::DEADLY_PREFIX;
 use super::no_server::servers_are_found;
 use super::plan::DaemonIndex;
 use super::stops::stops_cut_nothing;
+use crate::backends::DEADLY;
+use seamhatch_core::outcome::Reason;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 /// Retry tokens of a request, as the soak's configuration gives them.
 pub const RETRY_TOKENS: usize = 3;
+/// Runs of a request that crashes servers: three for each of two servers whose daemons hear nothing of each other, as when
+/// one is cut off or starts, and as many as callers come with in the first moment.
+const MOST_CRASHES: usize = 9;
 /// Outcome of a request that was not run.
 pub(super) const NOT_RUN: &str = "not-run";
 /// Name prefix of the requests that are sent when everything is over.
@@ -35,6 +41,10 @@
     ConfigurationEverywhere,
     /// A service that has a living server is found.
     ServersFound,
+    /// A request that crashes servers ends few of them.
+    CrashesContained,
+    /// Nothing else is turned away for crashes.
+    HarmlessServed,
     /// After the faults everything is served again.
     Recovers,
 }
@@ -53,7 +63,7 @@
 type Check = fn(&[HistoryEvent]) -> Vec<Violation>;
 
 /// All checks.
-const CHECKS: [Check; 10] = [
+const CHECKS: [Check; 12] = [
     retries_bounded,
     answers_whole,
     refusals_true,
@@ -63,6 +73,8 @@
     configuration_forward,
     configuration_everywhere,
     servers_are_found,
+    crashes_contained,
+    harmless_served,
     recovers,
 ];
 
@@ -167,6 +179,29 @@
         .collect()
 }
 
+/// Runs of one request that crashes servers, over all its copies.
+fn crashes_contained(history: &[HistoryEvent]) -> Vec<Violation> {
+    let mut runs: BTreeMap<&str, usize> = BTreeMap::new();
+    for event in history {
+        if let HistoryEvent::Executed { call, .. } = event
+            && call.contains(DEADLY)
+        {
+            *runs.entry(call).or_default() += 1;
+        }
+    }
+    let many = runs.into_iter().filter(|(_, count)| *count > MOST_CRASHES);
+    let told = |count| format!("ran {count} times, {MOST_CRASHES} are allowed");
+    many.map(|(call, count)| violation(Promise::CrashesContained, call, told(count))).collect()
+}
+
+fn harmless_served(history: &[HistoryEvent]) -> Vec<Violation> {
+    let turned_away = answers(history).filter(|(request, answer)| {
+        answer.reason == Reason::CrashesServers.name() && !request.starts_with(DEADLY_PREFIX)
+    });
+    let detail = "turned away for crashes that are not its own".to_owned();
+    turned_away.map(|(request, _)| violation(Promise::HarmlessServed, request, detail.clone())).collect()
+}
+
 fn configuration_forward(history: &[HistoryEvent]) -> Vec<Violation> {
     let mut newest: HashMap<(DaemonIndex, u32), u64> = HashMap::new();
     let mut violations = Vec::new();
--- a/crates/seamhatch-lab/src/soak/draw.rs
+++ b/crates/seamhatch-lab/src/soak/draw.rs
@@ -30,6 +30,13 @@
 /// Most daemons that are stopped at random in one series.
 const MOST_STOPPED: usize = 4;
 
+/// Time between two crashes, or requests that cause them, in milliseconds.
+const CRASH_GAP_MS: Range<u64> = 3_000..12_000;
+/// How long callers come again with a request that crashes back ends, in milliseconds.
+const DEADLY_MS: u64 = 3_000;
+/// What a plan's seed is changed by to draw these.
+const CRASH_SEED: u64 = 0x6372_6173_6865_7321;
+
 /// What comes next in a plan.
 enum Drawn {
     /// One fault.
@@ -61,12 +68,45 @@
             faults.extend(added);
             at_ms += pause_ms;
         }
+        let crashes = draw_crashes(seed, end_ms, fleet);
+        let beside_a_stop = |crash: &PlannedFault| faults.iter().any(|fault| disturbs_stop(crash, fault));
+        let crashes: Vec<PlannedFault> = crashes.into_iter().filter(|crash| !beside_a_stop(crash)).collect();
+        faults.extend(crashes);
         faults.sort_by_key(|fault| fault.at_ms);
         let clients = CLIENTS_PER_DAEMON * fleet.daemons();
         Self { seed, seconds, rate: RATE, clients, servers: fleet.servers, faults }
     }
 }
 
+/// Crashes of back ends and requests that cause them, drawn apart, so that the other faults of a seed stay as they are: what
+/// crashes has nothing to do with what else happens.
+fn draw_crashes(seed: u64, end_ms: u64, fleet: SoakFleet) -> Vec<PlannedFault> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ CRASH_SEED);
+    let mut faults = Vec::new();
+    let mut at_ms = millis(QUIET) + rng.random_range(CRASH_GAP_MS);
+    while at_ms + DEADLY_MS < end_ms {
+        let fault = if rng.random_bool(0.5) {
+            SoakFault::DeadlyRequest { number: rng.random::<u32>().into() }
+        } else {
+            SoakFault::ServerCrash { daemon: rng.random_range(0..fleet.daemons()) }
+        };
+        let for_ms = match fault {
+            SoakFault::DeadlyRequest { .. } => DEADLY_MS,
+            _ => rng.random_range(LENGTH_MS.start..DEADLY_MS),
+        };
+        faults.push(PlannedFault { at_ms, for_ms, fault });
+        at_ms += rng.random_range(CRASH_GAP_MS);
+    }
+    faults
+}
+
+/// Whether a crash comes so near to a planned stop that this could not be judged any more.
+fn disturbs_stop(crash: &PlannedFault, fault: &PlannedFault) -> bool {
+    let apart_ms = millis(APART);
+    let is_stop = matches!(fault.fault, SoakFault::PlannedStop { .. } | SoakFault::HastyStop { .. });
+    is_stop && crash.at_ms < fault.end_ms() + apart_ms && fault.at_ms < crash.end_ms() + apart_ms
+}
+
 /// The faults in their places, and the time until the next ones may begin.
 fn placed(drawn: Drawn, at_ms: u64, rng: &mut SmallRng) -> (Vec<PlannedFault>, u64) {
     match drawn {
--- a/crates/seamhatch-lab/src/soak/faults.rs
+++ b/crates/seamhatch-lab/src/soak/faults.rs
@@ -112,8 +112,9 @@
         SoakFault::ServerForges { daemon } => {
             behaviour(deployment, *daemon).forges_outcome.store(true, Ordering::Relaxed);
         }
-        // Submitted by the run itself, which records what became of it.
-        SoakFault::Configuration { .. } => {}
+        SoakFault::ServerCrash { daemon } => deployment.relays().crash(deployment.machines[*daemon].ip),
+        // Submitted or sent by the run itself, which records what became of it.
+        SoakFault::Configuration { .. } | SoakFault::DeadlyRequest { .. } => {}
     }
     Ok(())
 }
@@ -152,7 +153,8 @@
         | SoakFault::ServerFails { daemon }
         | SoakFault::ServerCuts { daemon }
         | SoakFault::ServerForges { daemon } => restore(&behaviour(deployment, *daemon)),
-        SoakFault::Configuration { .. } => {}
+        SoakFault::ServerCrash { daemon } => deployment.relays().revive(deployment.machines[*daemon].ip),
+        SoakFault::Configuration { .. } | SoakFault::DeadlyRequest { .. } => {}
     }
     Ok(FaultEnd::Ended)
 }
--- a/crates/seamhatch-lab/src/soak/load.rs
+++ b/crates/seamhatch-lab/src/soak/load.rs
@@ -3,6 +3,7 @@
 use super::history::{HistoryEvent, SeenAnswer};
 use super::plan::{DaemonIndex, SoakPlan};
 use super::recorder::Recorder;
+use crate::backends::DEADLY;
 use crate::client::{Caller, CallerAnswer, CallerRequest};
 use crate::connection::CallerConnection;
 use crate::topology::{RequestKind, Topology};
@@ -19,6 +20,15 @@
 /// Pause of a client whose new connection was refused.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Name prefix of the requests that crash back ends.
+pub const DEADLY_PREFIX: &str = "deadly-";
+/// Of so many daemons one has a caller who comes again with such a request.
+const INSISTING_EACH: usize = 3;
+/// Between two attempts of a caller, and between the first ones at two daemons.
+const INSISTING_APART: Duration = Duration::from_millis(50);
+/// More daemons than a soak has, to number the copies of a request by daemon and attempt.
+const MOST_DAEMONS: usize = 1000;
+
 /// Sends the load of a plan and waits for all answers.
 pub async fn send_load(plan: SoakPlan, topology: Topology, ingresses: Vec<Address>, recorder: Recorder) {
     let end = recorder.start() + Duration::from_secs(plan.seconds);
@@ -78,6 +88,14 @@
         Self { request, service: topology.entry_service(kind).unwrap_or_default().to_owned() }
     }
 
+    /// A copy of a request that crashes each back end that runs it.
+    #[must_use]
+    pub fn deadly(topology: &Topology, kind: &RequestKind, number: u64, copy: usize) -> Self {
+        let request = Self::new(topology, kind, format!("{DEADLY_PREFIX}{number}-{copy}"));
+        let path = format!("{}{DEADLY}{number}", kind.path);
+        Self { request: CallerRequest { path, key: None, ..request.request }, ..request }
+    }
+
     fn note_sent(&self, daemon: DaemonIndex, recorder: &Recorder) {
         recorder.note(HistoryEvent::Sent {
             at_ms: recorder.at_ms(),
@@ -98,6 +116,26 @@
     }
 }
 
+/// Callers that come again at once, each at a daemon of its own, with one request that crashes back ends.
+pub fn insist(deadly: u64, span: Duration, topology: &Topology, ingresses: &[Address], recorder: &Recorder) {
+    let Some(kind) = topology.kinds.iter().find(|kind| !kind.keyed).cloned() else { return };
+    for (daemon, ingress) in ingresses.iter().copied().enumerate().step_by(INSISTING_EACH) {
+        let (kind, topology, recorder) = (kind.clone(), topology.clone(), recorder.clone());
+        tokio::spawn(async move {
+            let caller = Caller::default();
+            let end = Instant::now() + span;
+            tokio::time::sleep(INSISTING_APART * daemon as u32).await;
+            let mut copy = daemon;
+            while Instant::now() < end {
+                let request = SoakRequest::deadly(&topology, &kind, deadly, copy);
+                send(caller.clone(), ingress, daemon, request, recorder.clone()).await;
+                copy += MOST_DAEMONS;
+                tokio::time::sleep(INSISTING_APART).await;
+            }
+        });
+    }
+}
+
 /// Sends a request over any connection and records what becomes of it.
 pub async fn send(
     caller: Caller,
--- a/crates/seamhatch-lab/src/soak/no_server.rs
+++ b/crates/seamhatch-lab/src/soak/no_server.rs
@@ -121,14 +121,16 @@
         | SoakFault::ServerSlow { .. }
         | SoakFault::ServerFails { .. }
         | SoakFault::ServerCuts { .. }
-        | SoakFault::ServerForges { .. } => Some((span.from_ms, span.to_ms.saturating_add(CALM_AFTER_MS))),
+        | SoakFault::ServerForges { .. }
+        | SoakFault::ServerCrash { .. } => Some((span.from_ms, span.to_ms.saturating_add(CALM_AFTER_MS))),
         SoakFault::Reload { .. }
         | SoakFault::Configuration { .. }
         | SoakFault::StoreOut
         | SoakFault::StoreSlow { .. }
         | SoakFault::StoreThrottled { .. }
         | SoakFault::StoreLosesAnswers { .. }
-        | SoakFault::MachinesOut => None,
+        | SoakFault::MachinesOut
+        | SoakFault::DeadlyRequest { .. } => None,
     }
 }
 
--- a/crates/seamhatch-lab/src/soak/plan.rs
+++ b/crates/seamhatch-lab/src/soak/plan.rs
@@ -163,6 +163,16 @@
         /// The daemon beside it.
         daemon: DaemonIndex,
     },
+    /// A back end crashes, and is back at the end.
+    ServerCrash {
+        /// The daemon beside it.
+        daemon: DaemonIndex,
+    },
+    /// Callers come again and again, at all daemons, with a request that crashes each back end that runs it.
+    DeadlyRequest {
+        /// Number of the request, the same for all its copies.
+        number: u64,
+    },
     /// A new configuration is submitted.
     Configuration {
         /// The daemon that is asked.
@@ -310,12 +320,14 @@
             | Self::ServerFails { daemon }
             | Self::ServerCuts { daemon }
             | Self::ServerForges { daemon }
+            | Self::ServerCrash { daemon }
             | Self::Configuration { daemon } => vec![*daemon],
             Self::StoreOut
             | Self::StoreSlow { .. }
             | Self::StoreThrottled { .. }
             | Self::StoreLosesAnswers { .. }
-            | Self::MachinesOut => Vec::new(),
+            | Self::MachinesOut
+            | Self::DeadlyRequest { .. } => Vec::new(),
         }
     }
 }
--- a/crates/seamhatch-lab/src/soak/steps.rs
+++ b/crates/seamhatch-lab/src/soak/steps.rs
@@ -2,6 +2,7 @@
 
 use super::faults::{self, BegunFault, DaemonLives, FaultEnd};
 use super::history::{HistoryEvent, SoakMillis};
+use super::load;
 use super::plan::{DaemonIndex, PlannedFault, SoakFault};
 use super::recorder::Recorder;
 use crate::deployment::Deployment;
@@ -93,7 +94,7 @@
     recorder: &Recorder,
 ) -> std::io::Result<Option<JoinHandle<()>>> {
     let planned_ms = planned.end_ms();
-    let PlannedFault { at_ms, fault, .. } = planned;
+    let PlannedFault { at_ms, for_ms, fault } = planned;
     recorder.note(HistoryEvent::FaultBegins { at_ms: recorder.at_ms(), fault: fault.clone() });
     if let SoakFault::HastyStop { daemon, again_ms } = fault {
         queue.add(at_ms + again_ms, Step::Again(daemon));
@@ -102,6 +103,10 @@
         SoakFault::Configuration { daemon } => Some(submit(deployment, daemon, recorder)),
         _ => None,
     };
+    if let SoakFault::DeadlyRequest { number } = fault {
+        let span = Duration::from_millis(for_ms);
+        load::insist(number, span, &deployment.topology, &deployment.ingresses(), recorder);
+    }
     let begun = faults::begin(deployment, lives, fault)?;
     queue.add(planned_ms, Step::End { begun, planned_ms });
     Ok(submission)
--- a/crates/seamhatch-lab/src/soak/stops.rs
+++ b/crates/seamhatch-lab/src/soak/stops.rs
@@ -115,6 +115,8 @@
         | SoakFault::ServerSlow { .. }
         | SoakFault::ServerFails { .. }
         | SoakFault::ServerCuts { .. }
-        | SoakFault::ServerForges { .. } => false,
+        | SoakFault::ServerForges { .. }
+        | SoakFault::ServerCrash { .. }
+        | SoakFault::DeadlyRequest { .. } => false,
     }
 }
--- a/crates/seamhatch-lab/tests/soak.rs
+++ b/crates/seamhatch-lab/tests/soak.rs
@@ -249,6 +249,17 @@
             Promise::ConfigurationEverywhere,
             vec![accepted(4), status(21_000, 1, 0, 3), healed(true), status(51_000, 1, 0, 3)],
         ),
+        kept("a request that ended nine servers", deadly_runs(9)),
+        broken("a request that ended ten", Promise::CrashesContained, deadly_runs(10)),
+        kept(
+            "a request that crashes servers, turned away",
+            vec![answered(3, "deadly-1-0", answer(503, "not-run", "crashes-servers"))],
+        ),
+        broken(
+            "another one, turned away in its place",
+            Promise::HarmlessServed,
+            vec![answered(3, "a", answer(503, "not-run", "crashes-servers"))],
+        ),
         broken("not ready again", Promise::Recovers, vec![healed(false)]),
         broken(
             "not served again",
@@ -258,6 +269,11 @@
     ]
 }
 
+fn deadly_runs(count: usize) -> Vec<HistoryEvent> {
+    // Each copy is a request of its own.
+    (0..count).map(|copy| executed(&format!("deadly-1-{copy}"), "GET /claims/deadly-1", "")).collect()
+}
+
 #[test]
 fn each_promise_is_found_broken_where_it_is_and_nowhere_else() {
     for case in
@@ -410,6 +426,26 @@
     });
 }
 
+/// Back ends that crash, and a request that crashes each that runs it, beside the restart of a daemon and a store that is out.
+#[test]
+fn crashes_and_a_request_that_causes_them_keep_all_promises() {
+    soak_keeps_all_promises(&SoakPlan {
+        seed: 3,
+        seconds: 14,
+        rate: 40.0,
+        clients: 16,
+        servers: SERVERS,
+        faults: vec![
+            PlannedFault { at_ms: 1_500, for_ms: 800, fault: SoakFault::ServerCrash { daemon: 2 } },
+            PlannedFault { at_ms: 3_000, for_ms: 3_000, fault: SoakFault::DeadlyRequest { number: 1 } },
+            PlannedFault { at_ms: 4_500, for_ms: 700, fault: SoakFault::Kill { daemons: vec![0] } },
+            PlannedFault { at_ms: 6_500, for_ms: 1_500, fault: SoakFault::StoreOut },
+            PlannedFault { at_ms: 7_000, for_ms: 3_000, fault: SoakFault::DeadlyRequest { number: 2 } },
+            PlannedFault { at_ms: 8_000, for_ms: 600, fault: SoakFault::ServerCrash { daemon: 5 } },
+        ],
+    });
+}
+
 /// Plans of soaks that once failed; why stands in each file.
 #[test]
 fn plans_that_once_failed_are_kept() {
--- a/crates/seamhatchd/src/controllers/control_thread/suspects.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/suspects.rs
@@ -1,6 +1,6 @@
 //! Telling all daemons which requests were at work when servers crashed.
 //!
-//! News goes to every live member at once, in datagrams, and once more a little later, as some are lost. What is missed even so
+//! News goes to the live members that need it at once, in datagrams, and once more a little later, as some are lost. What is missed even so
 //! comes with the exchanges of member lists, and a daemon that starts asks for one before it serves.
 
 use super::ControlThread;
@@ -63,7 +63,7 @@
 
     fn tell_suspects(&self, requests: &[RequestDigest]) {
         let reports = self.shared.suspects.reports(requests);
-        let outgoing = self.membership.state.tell_all_suspects(&reports);
+        let outgoing = self.membership.state.spread_suspects(&reports);
         self.membership.send_all(outgoing);
     }
 }
--- a/crates/seamhatchd/src/peer/server_call.rs
+++ b/crates/seamhatchd/src/peer/server_call.rs
@@ -176,10 +176,11 @@
                 let load = self.shared.conventions.back_end_load(&answer.headers);
                 load.into_iter().for_each(|load| permit.note_load(load));
                 let status = answer.status.as_u16();
-                let complete = tokio::select! {
-                    complete = self.pass_answer(running, answer, beginning) => complete,
-                    () = self.given_up() => false,
+                let passed = tokio::select! {
+                    complete = self.pass_answer(running, answer, beginning) => Some(complete),
+                    () = self.given_up() => None,
                 };
+                let complete = passed == Some(true);
                 if running.has_calls() {
                     permit.mark_calls_made();
                 }
@@ -191,7 +192,7 @@
                 drop(permit);
                 self.log_run(status, complete, started);
                 self.end(running, complete);
-                if !complete && !self.outbox.is_closed() {
+                if passed == Some(false) {
                     crashes::has_crashed(&self.shared, &work, instance.id.as_ref()).await;
                 }
             }
