Retries: what an ended call gives back can't be spent by calls of its that are on their way

Ruled out: copies of the request counted as one (each has a name of its own). Change: a ledger is closed with its call. The soak test fails before, passes now.

--- a/crates/seamhatch-core/src/retry.rs
+++ b/crates/seamhatch-core/src/retry.rs
@@ -53,6 +53,8 @@
 pub struct RetryLedger {
     tokens: u32,
     repeat: bool,
+    /// The call has ended, and what was left has gone back.
+    closed: bool,
     children: Vec<Child>,
 }
 
@@ -60,7 +62,7 @@
     /// A ledger that holds `tokens`; `repeat` says that this call may have run before.
     #[must_use]
     pub fn new(tokens: u32, repeat: bool) -> Self {
-        Self { tokens, repeat, children: Vec::new() }
+        Self { tokens, repeat, closed: false, children: Vec::new() }
     }
 
     /// Tokens at hand.
@@ -69,6 +71,13 @@
         self.tokens
     }
 
+    /// Ends the call. Returns the tokens that it did not spend, which go back to its parent: calls of its that are still on
+    /// their way can't spend them any more, as when a server breaks off and goes on calling.
+    pub fn close(&mut self) -> u32 {
+        self.closed = true;
+        std::mem::take(&mut self.tokens)
+    }
+
     /// Whether this call may have run before.
     #[must_use]
     pub fn is_repeat(&self) -> bool {
@@ -130,9 +139,12 @@
 
     /// Takes back what a child did not spend.
     ///
-    /// `handed_over` bounds what is taken, so that a peer can't create tokens.
+    /// `handed_over` bounds what is taken, so that a peer can't create tokens. After the end of this call nobody can use
+    /// them.
     pub fn give_back(&mut self, unspent: u32, handed_over: u32) {
-        self.tokens += unspent.min(handed_over);
+        if !self.closed {
+            self.tokens += unspent.min(handed_over);
+        }
     }
 
     /// Registers the end of one dispatch of the child call `call`.
--- a/crates/seamhatch-lab/src/main.rs
+++ b/crates/seamhatch-lab/src/main.rs
@@ -10,6 +10,7 @@
 
   demo               start a small deployment, send load, print what happened
   soak               bring faults about under load and check the promises
+  report HISTORY     draw what a soak saw, as a page of plots
   bound PLAN.toml    the most credit that any admission could earn on a day
   run SCENARIO.toml  run an experiment, with control and without, and report
   daemon FLAGS       run seamhatchd (ends when its standard input closes)
@@ -26,6 +27,7 @@
     match command.to_string_lossy().as_ref() {
         "demo" => seamhatch_lab::demo::run(arguments),
         "soak" => seamhatch_lab::soak::run(arguments),
+        "report" => seamhatch_lab::soak::report::run(arguments),
         "bound" => seamhatch_lab::bound::run(arguments),
         "run" => seamhatch_lab::experiment::run(arguments),
         "daemon" => {
--- a/crates/seamhatch-lab/src/soak/checks.rs
+++ b/crates/seamhatch-lab/src/soak/checks.rs
@@ -16,7 +16,7 @@
 /// one is cut off or starts, and as many as callers come with in the first moment.
 const MOST_CRASHES: usize = 9;
 /// Outcome of a request that was not run.
-pub(super) const NOT_RUN: &str = "not-run";
+pub(crate) const NOT_RUN: &str = "not-run";
 /// Name prefix of the requests that are sent when everything is over.
 pub const PROBE_PREFIX: &str = "probe-";
 
--- a/crates/seamhatch-lab/src/soak/mod.rs
+++ b/crates/seamhatch-lab/src/soak/mod.rs
@@ -10,6 +10,7 @@
 pub mod no_server;
 pub mod plan;
 pub mod recorder;
+pub mod report;
 pub mod run;
 pub mod shrink;
 pub mod spans;
--- a/crates/seamhatch-model/src/retries.rs
+++ b/crates/seamhatch-model/src/retries.rs
@@ -17,6 +17,8 @@
     ForgottenRepeat,
     /// A lost answer gives back what went out with the call.
     LostTokensReturn,
+    /// What an ended call gives back can still be spent by calls of its that are on their way.
+    OpenAfterEnd,
 }
 
 /// Bounds of a search.
@@ -86,6 +88,7 @@
             self.dispatch_steps(state, index, &mut steps);
             if index > 0 {
                 self.end_steps(state, index, &mut steps);
+                self.resend_step(state, index, &mut steps);
             }
         }
         steps
@@ -140,7 +143,7 @@
     fn end_steps(&self, state: &RetriesState, index: usize, steps: &mut Vec<Step<RetriesState>>) {
         for (end, name) in [(ChildEnd::Succeeded, "node succeeds"), (ChildEnd::Failed, "node fails")] {
             let mut next = state.clone();
-            next.answer(index, end);
+            next.answer(index, end, self.fault);
             steps.push(Step { action: action(name, index, 0), state: next });
         }
         if state.nodes[index].awaited {
@@ -158,6 +161,36 @@
     }
 }
 
+impl RetriesModel {
+    /// A call whose parent has ended fails, and the daemon that sent it sends it again: it may not know of that end yet.
+    fn resend_step(&self, state: &RetriesState, index: usize, steps: &mut Vec<Step<RetriesState>>) {
+        let parent = state.nodes[index].parent;
+        let orphan = state.nodes[index].awaited && !state.nodes[parent].running;
+        if !orphan || state.nodes.len() > self.most_dispatches {
+            return;
+        }
+        let mut next = state.clone();
+        let (returned, handed_over) = (next.nodes[index].ledger.close(), next.nodes[index].handed_over);
+        next.nodes[index].running = false;
+        next.nodes[index].awaited = false;
+        let ledger = &mut next.nodes[parent].ledger;
+        ledger.give_back(returned, handed_over);
+        if ledger.spend().is_err() {
+            return;
+        }
+        let tokens = ledger.hand_over();
+        let again = Node {
+            ledger: RetryLedger::new(tokens, true),
+            handed_over: tokens,
+            running: true,
+            awaited: true,
+            ..state.nodes[index].clone()
+        };
+        next.nodes.push(again);
+        steps.push(Step { action: action("node fails and is sent again", index, parent), state: next });
+    }
+}
+
 impl RetriesState {
     fn parent_and_call(&self, index: usize) -> (usize, Fingerprint) {
         (self.nodes[index].parent, fingerprint(self.call_number(index)))
@@ -167,10 +200,13 @@
         self.nodes[index].path.last().map(|(call, _)| *call).unwrap_or_default()
     }
 
-    fn answer(&mut self, index: usize, end: ChildEnd) {
+    fn answer(&mut self, index: usize, end: ChildEnd, fault: RetriesFault) {
         let (parent, call) = self.parent_and_call(index);
         self.nodes[index].running = false;
-        let unspent = self.nodes[index].ledger.tokens();
+        let unspent = match fault {
+            RetriesFault::OpenAfterEnd => self.nodes[index].ledger.tokens(),
+            _ => self.nodes[index].ledger.close(),
+        };
         let handed_over = self.nodes[index].handed_over;
         if self.nodes[index].awaited && self.nodes[parent].running {
             self.nodes[parent].ledger.give_back(unspent, handed_over);
--- a/crates/seamhatch-model/tests/retries.rs
+++ b/crates/seamhatch-model/tests/retries.rs
@@ -44,6 +44,11 @@
     assert_found(RetriesModel { fault: RetriesFault::ForgottenRepeat, ..model(1, 2, 1, 7) });
 }
 
+#[test]
+fn tokens_that_are_spent_after_they_went_back_are_found() {
+    assert_found(RetriesModel { fault: RetriesFault::OpenAfterEnd, ..model(3, 2, 1, 7) });
+}
+
 #[test]
 fn tokens_that_return_from_a_lost_call_are_found() {
     assert_found(RetriesModel { fault: RetriesFault::LostTokensReturn, ..model(1, 2, 1, 7) });
--- a/crates/seamhatchd/src/peer/server_call.rs
+++ b/crates/seamhatchd/src/peer/server_call.rs
@@ -295,7 +295,7 @@
     }
 
     fn end(&self, running: &RunningCall, complete: bool) {
-        let unspent_tokens = running.ledger().tokens();
+        let unspent_tokens = running.ledger().close();
         let tail = AnswerTail { call: self.head.call, complete, unspent_tokens };
         let _ = self.outbox.send(PeerMessage::AnswerTail(tail));
     }
@@ -324,7 +324,7 @@
             outcome,
             reason,
             retry_after: self.retry_after(reason),
-            unspent_tokens: running.ledger().tokens(),
+            unspent_tokens: running.ledger().close(),
             crashes: self.shared.suspects.standing(self.head.request).crashes(),
             server,
         };
