Crashes: evidence goes ahead of the call it concerns; a dying back end's last connection is no sign of life

Traced by the lines of all daemons: a crash was reported 1.3 s late, by the next instance, as the look for the back end had met its listener while the process was ending. And a sender could send a call on before the news of the crash, by datagram, had come. Change: the connection that looks is looked at for 8 ms, and one that is closed then counts as refused; a refusal for a crash, and a call whose request is a suspect, are preceded by the evidence on the same link.

--- a/crates/seamhatch-wire/src/message.rs
+++ b/crates/seamhatch-wire/src/message.rs
@@ -6,6 +6,7 @@
 
 use seamhatch_core::claims::{Claim, ClaimHolder, ClaimKey, ClaimReply, Epoch};
 use seamhatch_core::clock::{Instant, Microseconds};
+use seamhatch_core::crashes::SuspectReport;
 use seamhatch_core::generation::Generation;
 use seamhatch_core::identity::{Address, CallId, Incarnation, RequestDigest, RootId};
 use seamhatch_core::instance::InstanceId;
@@ -41,6 +42,8 @@
         /// Which call.
         call: CallId,
     },
+    /// Evidence against requests, on the way ahead of a call or a refusal that it concerns: news by datagram may come later.
+    Suspects(Vec<SuspectReport>),
     /// The call has no back end answer.
     Refused {
         /// Which call.
--- a/crates/seamhatch-wire/tests/hostile.rs
+++ b/crates/seamhatch-wire/tests/hostile.rs
@@ -100,6 +100,7 @@
         PeerMessage::Pulse(pulse),
         call(),
         PeerMessage::RequestChunk { call: CallId(1), bytes: vec![3; 40] },
+        PeerMessage::Suspects(vec![suspect(3)]),
         PeerMessage::Refused { call: CallId(1), refusal },
         PeerMessage::AnswerHead(Box::new(head)),
         PeerMessage::AnswerTail(AnswerTail { call: CallId(1), complete: true, unspent_tokens: 0 }),
--- a/crates/seamhatchd/src/backend/mod.rs
+++ b/crates/seamhatchd/src/backend/mod.rs
@@ -32,11 +32,11 @@
 /// end reads it.
 const SHORT_BODY: u64 = 16 * 1024;
 
-/// Connections in a row that must be refused before the back end counts as gone.
+/// Connections in a row that must be refused, or closed at once, before the back end counts as gone.
 const PROBES: u32 = 2;
-/// Pause after one that was refused: a back end that has no room for connections refuses some, and takes
-/// others a moment later. Calls that broke off wait for both.
-const PROBE_PAUSE: Duration = Duration::from_millis(5);
+/// How long each of them is looked at: a process closes its connections one after the other, its listener among them, and a
+/// back end that has no room for connections takes others a moment later. Calls that broke off wait for it.
+const PROBE_PAUSE: Duration = Duration::from_millis(8);
 
 /// What is sent to the back end.
 #[derive(Debug)]
@@ -185,14 +185,16 @@
     /// opens is kept for the next call.
     pub async fn is_gone(&self) -> bool {
         for _probe in 0..PROBES {
-            match self.connections.open(SilenceCheck::Always).await {
+            let opened = self.connections.open(SilenceCheck::Always).await;
+            tokio::time::sleep(PROBE_PAUSE).await;
+            match opened {
+                // One that came up while the process was ending is reset with it.
+                Ok(connection) if connection.sender.is_closed() => {}
                 Ok(connection) => {
                     self.connections.keep(connection, idle_span(&HeaderMap::new()));
                     return false;
                 }
-                Err(error) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
-                    tokio::time::sleep(PROBE_PAUSE).await;
-                }
+                Err(error) if error.kind() == std::io::ErrorKind::ConnectionRefused => {}
                 // Silence is no proof: the process may be frozen.
                 Err(_) => return false,
             }
--- a/crates/seamhatchd/src/dispatch/attempt.rs
+++ b/crates/seamhatchd/src/dispatch/attempt.rs
@@ -33,6 +33,7 @@
         if let Some(claimed) = &mut self.claimed {
             claimed.dispatched();
         }
+        self.tell_suspicion(connection);
         let Ok(mut stream) = connection.start_call(head) else {
             // Closed between the choice and here: nothing was written.
             return Attempt::Refused(not_sent(self.child.handed_over));
--- a/crates/seamhatchd/src/dispatch/suspects.rs
+++ b/crates/seamhatchd/src/dispatch/suspects.rs
@@ -3,12 +3,13 @@
 use super::Dispatcher;
 use crate::crashes::time_until_trial;
 use crate::filters::Rejection;
+use crate::peer::PeerConnection;
 use crate::snapshot::Server;
 use seamhatch_core::balance::{Candidate, CandidateStanding};
 use seamhatch_core::crashes::SuspectStanding;
 use seamhatch_core::outcome::Reason;
 use seamhatch_core::rendezvous;
-use seamhatch_wire::Refusal;
+use seamhatch_wire::{PeerMessage, Refusal};
 
 /// Crashes after which a request isn't sent again within the same try. One is most often an accident, and a repeat at once
 /// saves the many calls that were at work beside the cause; what was there twice goes on at its caller's next attempt.
@@ -28,6 +29,14 @@
         Err(Rejection::not_run(Reason::CrashesServers, detail).retry_after(pause))
     }
 
+    /// Tells the daemon beside the server what is known of the request, ahead of the call.
+    pub(super) fn tell_suspicion(&self, connection: &PeerConnection) {
+        if self.shared.suspects.standing(self.digest).crashes() > 0 {
+            let reports = self.shared.suspects.reports(&[self.digest]);
+            connection.send(PeerMessage::Suspects(reports));
+        }
+    }
+
     /// Whether a refusal tells that the request has crashed too many servers to be sent again in this try.
     pub(super) fn crashes_too_much(&self, refusal: &Refusal) -> bool {
         let known = self.shared.suspects.standing(self.digest).crashes();
--- a/crates/seamhatchd/src/peer/connection.rs
+++ b/crates/seamhatchd/src/peer/connection.rs
@@ -237,6 +237,7 @@
                 }
                 shared.control.saw_generation(self.address, pulse.generation);
             }
+            PeerMessage::Suspects(reports) => shared.suspects.merge(&reports),
             PeerMessage::Refused { call, refusal } => {
                 self.note_report(shared, refusal.server);
                 self.deliver(shared, call, CallEvent::Refused(refusal));
--- a/crates/seamhatchd/src/peer/server.rs
+++ b/crates/seamhatchd/src/peer/server.rs
@@ -126,6 +126,7 @@
 
     fn handle(&self, message: PeerMessage) {
         match message {
+            PeerMessage::Suspects(reports) => self.shared.suspects.merge(&reports),
             PeerMessage::Call(head) => self.start_call(*head),
             PeerMessage::RequestChunk { call, bytes } => self.feed(call, Bytes::from(bytes)),
             PeerMessage::RequestEnd { call } => self.end_body(call),
--- a/crates/seamhatchd/src/peer/server_call.rs
+++ b/crates/seamhatchd/src/peer/server_call.rs
@@ -320,6 +320,10 @@
             left_ms = running.expiry.since(clock::now()) / MILLISECOND;
             "call refused"
         );
+        if matches!(reason, Reason::BackendCrashed | Reason::CrashesServers) {
+            let reports = self.shared.suspects.reports(&[self.head.request]);
+            let _ = self.outbox.send(PeerMessage::Suspects(reports));
+        }
         let refusal = Refusal {
             outcome,
             reason,
