Crashes: many connections that break at once are told by one look at the back end

Found by reading: each call whose connection broke looked for the back end by itself, one after the other, 8 ms each; a reset of all connections of a busy server would have held the last of a hundred for the better part of a second. Change: a look that began after a connection broke tells that call too.

--- a/crates/seamhatchd/src/crashes/at_work.rs
+++ b/crates/seamhatchd/src/crashes/at_work.rs
@@ -23,8 +23,8 @@
 pub struct CrashWatch {
     incarnation: Incarnation,
     calls: Arc<Mutex<CallTable>>,
-    /// Held by the call that looks whether the back end is gone.
-    pub(super) probing: tokio::sync::Mutex<()>,
+    /// When the last look that found the back end alive began; held by the call that looks.
+    pub(super) seen_alive: tokio::sync::Mutex<Instant>,
 }
 
 #[derive(Debug, Default)]
@@ -76,7 +76,7 @@
     /// Nothing is at work yet.
     #[must_use]
     pub fn new(incarnation: Incarnation) -> Self {
-        Self { incarnation, calls: Arc::default(), probing: tokio::sync::Mutex::default() }
+        Self { incarnation, calls: Arc::default(), seen_alive: tokio::sync::Mutex::default() }
     }
 
     /// A call that is about to be sent to the back end.
--- a/crates/seamhatchd/src/crashes/mod.rs
+++ b/crates/seamhatchd/src/crashes/mod.rs
@@ -31,14 +31,22 @@
     if watch.has_ended(work) {
         return true;
     }
-    let _only_one = watch.probing.lock().await;
+    let broke = clock::now();
+    let mut seen_alive = watch.seen_alive.lock().await;
     if watch.has_ended(work) {
         return true;
     }
+    // Many connections may break at once: one look that began after that tells all of them.
+    if *seen_alive >= broke {
+        watch.note_broken(work, broke);
+        return false;
+    }
+    let looked = clock::now();
     let is_leaving = || instance.is_some_and(|instance| shared.instances.is_leaving(instance));
     // The goodbye may come while the back end is being looked for.
     if is_leaving() || !shared.backend.is_gone().await || is_leaving() {
-        watch.note_broken(work, clock::now());
+        *seen_alive = looked;
+        watch.note_broken(work, broke);
         return false;
     }
     let suspects = watch.end_life(work);
