Instances: a back end that starts again under its name is another life

Cause: an instance was its name alone. A back end that starts again under the name that it had begins its count anew, so that all its heartbeats were stale and it got no work; and its earlier departure would have shut it out. Ruled out: a second table of lives beside the names (every place that compares instances would have to know both). Change: an instance is its name and the moment of its start, where that is told. A later life counts from its first heartbeat, late word of an earlier one does nothing, a departure binds all lives up to the one that said it, and a crash is told by life. Without the moment the earlier rule holds. A goodbye that names no start binds the registered life, else all that have started by now. Records in the store stay readable either way. Messages between daemons are version 8.

Tests: lives_under_one_name_are_told_apart_by_their_start, a_departure_binds_lives_up_to_the_one_that_said_it (cases of order and of late words); before, the second life's heartbeats were stale.

--- a/crates/seamhatch-core/src/crashes/mod.rs
+++ b/crates/seamhatch-core/src/crashes/mod.rs
@@ -27,7 +27,9 @@
     /// The life of a server that registers.
     #[must_use]
     pub fn of_instance(instance: &InstanceId) -> Self {
-        Self(RequestDigest::of(&[instance.0.as_bytes()]).0)
+        let born = instance.born.map(u64::to_le_bytes);
+        let born = born.as_ref().map_or(&[][..], |bytes| bytes);
+        Self(RequestDigest::of(&[instance.name.as_bytes(), born]).0)
     }
 
     /// The life of a server without a name, beside a daemon that has seen it crash `crashes` times.
--- a/crates/seamhatch-core/src/instance.rs
+++ b/crates/seamhatch-core/src/instance.rs
@@ -2,7 +2,8 @@
 //!
 //! An instance is one life of a back end process. Heartbeats may arrive late and
 //! out of order, so the sequence decides within an instance, and an instance
-//! that has departed by its own word never comes back.
+//! that has departed by its own word never comes back. A back end may start again under
+//! the name that it had; then the moment of its start tells its lives apart, and the latest one counts.
 //!
 //! An instance that is heard for the first time supersedes the registered one. That is a guess: a
 //! heartbeat of a crashed instance may come after its successor has registered. It is refuted by
@@ -33,7 +34,63 @@
 
 /// Names one life of a back end; chosen by the back end.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Readable, Writable, Serialize, Deserialize)]
-pub struct InstanceId(pub String);
+#[serde(from = "WrittenId", into = "WrittenId")]
+pub struct InstanceId {
+    /// Its name. A later life may have the same.
+    pub name: String,
+    /// When it started, in milliseconds since the Unix epoch by its own clock; none where it doesn't tell, so that
+    /// each life has a name of its own.
+    pub born: Option<u64>,
+}
+
+/// An [`InstanceId`] as it lies in the store: the name alone where nothing else is known.
+#[derive(Serialize, Deserialize)]
+#[serde(untagged)]
+enum WrittenId {
+    Name(String),
+    Life { name: String, born: u64 },
+}
+
+impl From<WrittenId> for InstanceId {
+    fn from(written: WrittenId) -> Self {
+        match written {
+            WrittenId::Name(name) => Self { name, born: None },
+            WrittenId::Life { name, born } => Self { name, born: Some(born) },
+        }
+    }
+}
+
+impl From<InstanceId> for WrittenId {
+    fn from(InstanceId { name, born }: InstanceId) -> Self {
+        match born {
+            None => Self::Name(name),
+            Some(born) => Self::Life { name, born },
+        }
+    }
+}
+
+impl InstanceId {
+    /// A life of which only the name is told.
+    #[must_use]
+    pub fn named(name: impl Into<String>) -> Self {
+        Self { name: name.into(), born: None }
+    }
+
+    /// Whether `other` is this life or an earlier one under the same name, as far as is told.
+    #[must_use]
+    pub fn covers(&self, other: &Self) -> bool {
+        let not_later = match (self.born, other.born) {
+            (Some(own), Some(others)) => others <= own,
+            _ => true,
+        };
+        self.name == other.name && not_later
+    }
+
+    /// Whether `other` is an earlier life under the same name.
+    fn follows(&self, other: &Self) -> bool {
+        self.name == other.name && self.born.zip(other.born).is_some_and(|(own, others)| others < own)
+    }
+}
 
 /// What an instance says of itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -163,10 +220,26 @@
         self.departed.iter()
     }
 
-    /// Whether an instance has departed.
+    /// Whether an instance has departed, or a later life under its name.
     #[must_use]
     pub fn has_departed(&self, instance: &InstanceId) -> bool {
-        self.departed.contains(instance)
+        self.departed.iter().any(|departed| departed.covers(instance))
+    }
+
+    /// The life that is meant by who tells the name alone: the registered one, if it has that name.
+    #[must_use]
+    pub fn resolve(&self, instance: InstanceId) -> InstanceId {
+        match &self.registered {
+            Some(known) if instance.born.is_none() && known.id.name == instance.name => known.id.clone(),
+            _ => instance,
+        }
+    }
+
+    /// Whether a later life under its name has been heard.
+    fn is_outlived(&self, instance: &InstanceId) -> bool {
+        let registered = self.registered.iter();
+        let mut known = registered.chain(self.superseded.iter().map(|earlier| &earlier.instance));
+        known.any(|known| known.id.follows(instance))
     }
 
     /// Whether an instance has told that it leaves.
@@ -178,7 +251,8 @@
 
     /// Takes in a heartbeat that arrived at `now`.
     pub fn heartbeat(&mut self, heartbeat: Heartbeat, now: Instant) -> HeartbeatVerdict {
-        if self.has_departed(&heartbeat.instance) {
+        let heartbeat = Heartbeat { instance: self.resolve(heartbeat.instance), ..heartbeat };
+        if self.has_departed(&heartbeat.instance) || self.is_outlived(&heartbeat.instance) {
             return HeartbeatVerdict::Stale;
         }
         if let Some(known) = &mut self.registered
@@ -204,7 +278,11 @@
     }
 
     fn register(&mut self, heartbeat: Heartbeat, now: Instant) -> HeartbeatVerdict {
+        let is_later_life =
+            self.registered.as_ref().is_some_and(|known| heartbeat.instance.follows(&known.id));
         self.supersede_registered();
+        // An earlier life under this name has ended, whatever it said last.
+        self.superseded.retain(|earlier| !heartbeat.instance.follows(&earlier.instance.id));
         let state = heartbeat.state;
         self.registered = Some(Registered {
             id: heartbeat.instance,
@@ -214,7 +292,7 @@
             heard: now,
             sequence: heartbeat.sequence,
             suspended: false,
-            confirmed: heartbeat.sequence <= FIRST_SEQUENCE,
+            confirmed: is_later_life || heartbeat.sequence <= FIRST_SEQUENCE,
         });
         match state {
             InstanceState::Ready => HeartbeatVerdict::Opened,
@@ -262,8 +340,8 @@
     /// True when that closes the registered one.
     pub fn depart(&mut self, instance: &InstanceId) -> bool {
         self.remember_departure(instance.clone());
-        self.superseded.retain(|earlier| earlier.instance.id != *instance);
-        let registered = self.registered.as_ref().is_some_and(|known| known.id == *instance);
+        self.superseded.retain(|earlier| !instance.covers(&earlier.instance.id));
+        let registered = self.registered.as_ref().is_some_and(|known| instance.covers(&known.id));
         if registered {
             self.registered = None;
         }
@@ -271,7 +349,7 @@
     }
 
     fn remember_departure(&mut self, instance: InstanceId) {
-        if self.has_departed(&instance) {
+        if self.departed.contains(&instance) {
             return;
         }
         if self.departed.len() == REMEMBERED_DEPARTURES {
--- a/crates/seamhatch-core/tests/crashes.rs
+++ b/crates/seamhatch-core/tests/crashes.rs
@@ -155,7 +155,7 @@
 
 #[test]
 fn one_life_of_a_server_has_one_name_everywhere() {
-    let life = |name: &str| ServerLife::of_instance(&InstanceId(name.into()));
+    let life = |name: &str| ServerLife::of_instance(&InstanceId::named(name));
     assert_eq!(life("i-1"), life("i-1"));
     assert_ne!(life("i-1"), life("i-2"));
 }
--- a/crates/seamhatch-core/tests/instance.rs
+++ b/crates/seamhatch-core/tests/instance.rs
@@ -9,7 +9,7 @@
 const NOW: Instant = Instant(1_000_000);
 
 fn heartbeat(instance: &str, sequence: u64, state: InstanceState) -> Heartbeat {
-    Heartbeat { instance: InstanceId(instance.into()), sequence, state, slots: 8, cold_for: 0 }
+    Heartbeat { instance: InstanceId::named(instance), sequence, state, slots: 8, cold_for: 0 }
 }
 
 fn ready(instance: &str, sequence: u64) -> Heartbeat {
@@ -43,10 +43,10 @@
 fn an_instance_that_departed_never_comes_back() {
     let mut registry = InstanceRegistry::default();
     registry.heartbeat(ready("a", 1), NOW);
-    assert!(registry.depart(&InstanceId("a".into())));
+    assert!(registry.depart(&InstanceId::named("a")));
     assert_eq!(registry.heartbeat(ready("a", 9), NOW), HeartbeatVerdict::Stale);
     assert_eq!(registry.heartbeat(ready("b", 1), NOW), HeartbeatVerdict::Opened);
-    assert!(!registry.depart(&InstanceId("a".into())));
+    assert!(!registry.depart(&InstanceId::named("a")));
     assert!(registry.open().is_some());
 }
 
@@ -54,7 +54,7 @@
 #[test]
 fn a_departure_that_others_remember_counts_before_any_heartbeat() {
     let mut registry = InstanceRegistry::default();
-    assert!(!registry.depart(&InstanceId("a".into())));
+    assert!(!registry.depart(&InstanceId::named("a")));
     assert_eq!(registry.heartbeat(ready("a", 9), NOW), HeartbeatVerdict::Stale);
 }
 
@@ -64,7 +64,7 @@
     registry.heartbeat(ready("a", 7), NOW);
     assert_eq!(registry.heartbeat(ready("b", 1), NOW), HeartbeatVerdict::Opened);
     assert_eq!(registry.heartbeat(ready("a", 8), NOW), HeartbeatVerdict::Stale);
-    assert_eq!(registry.open().map(|open| open.id.0.as_str()), Some("b"));
+    assert_eq!(registry.open().map(|open| open.id.name.as_str()), Some("b"));
 }
 
 /// What the back ends at one address, or who talks to them, tell the daemon.
@@ -257,17 +257,17 @@
                     registry.heartbeat(draining(instance, sequence), now);
                 }
                 Step::Goodbye(instance) => {
-                    registry.depart(&InstanceId(instance.into()));
+                    registry.depart(&InstanceId::named(instance));
                 }
                 Step::Misdirected(instance) => {
-                    registry.refute(&InstanceId(instance.into()), now);
+                    registry.refute(&InstanceId::named(instance), now);
                 }
                 Step::Silence(seconds) => now = now.plus(seconds * SECOND),
                 Step::Unreachable(instance) => {
-                    registry.suspend(&InstanceId(instance.into()));
+                    registry.suspend(&InstanceId::named(instance));
                 }
             }
-            let now_open = registry.open().map(|open| open.id.0.as_str());
+            let now_open = registry.open().map(|open| open.id.name.as_str());
             assert_eq!(now_open, *open, "{}: after {step:?}", case.name);
         }
     }
@@ -277,16 +277,16 @@
 fn departures_are_bounded_and_the_latest_are_kept() {
     let mut registry = InstanceRegistry::default();
     for number in 0..2 * REMEMBERED_DEPARTURES {
-        registry.depart(&InstanceId(number.to_string()));
+        registry.depart(&InstanceId::named(number.to_string()));
     }
     assert_eq!(registry.departed().count(), REMEMBERED_DEPARTURES);
-    assert!(registry.has_departed(&InstanceId((2 * REMEMBERED_DEPARTURES - 1).to_string())));
+    assert!(registry.has_departed(&InstanceId::named((2 * REMEMBERED_DEPARTURES - 1).to_string())));
 }
 
 #[test]
 fn an_instance_that_can_not_be_reached_is_closed_until_its_next_heartbeat() {
     let mut registry = InstanceRegistry::default();
-    let id = InstanceId("a".into());
+    let id = InstanceId::named("a");
     registry.heartbeat(ready("a", 1), NOW);
     assert!(registry.suspend(&id));
     assert!(!registry.suspend(&id));
@@ -296,3 +296,87 @@
     assert_eq!(registry.heartbeat(ready("a", 2), NOW), HeartbeatVerdict::Opened);
     assert!(registry.open().is_some());
 }
+
+fn life(name: &str, born: u64) -> InstanceId {
+    InstanceId { name: name.into(), born: Some(born) }
+}
+
+/// Heartbeats of lives under one name, each as (born, sequence, state), and whose turn it is afterwards.
+struct LivesCase {
+    name: &'static str,
+    steps: &'static [(Option<u64>, u64, InstanceState)],
+    open: Option<Option<u64>>,
+}
+
+const LIVES: [LivesCase; 7] = [
+    LivesCase {
+        name: "a later life counts from its first heartbeat",
+        steps: &[(Some(5), 40, InstanceState::Ready), (Some(9), 1, InstanceState::Ready)],
+        open: Some(Some(9)),
+    },
+    LivesCase {
+        name: "a late heartbeat of the earlier life does nothing",
+        steps: &[
+            (Some(5), 40, InstanceState::Ready),
+            (Some(9), 1, InstanceState::Ready),
+            (Some(5), 41, InstanceState::Ready),
+            (Some(5), 42, InstanceState::Ready),
+        ],
+        open: Some(Some(9)),
+    },
+    LivesCase {
+        name: "nor does its late word that it leaves",
+        steps: &[
+            (Some(5), 40, InstanceState::Ready),
+            (Some(9), 1, InstanceState::Ready),
+            (Some(5), 43, InstanceState::Draining),
+        ],
+        open: Some(Some(9)),
+    },
+    LivesCase {
+        name: "an earlier life that drained does not close the later one",
+        steps: &[(Some(5), 40, InstanceState::Draining), (Some(9), 1, InstanceState::Ready)],
+        open: Some(Some(9)),
+    },
+    LivesCase {
+        name: "a late heartbeat of an earlier life never opens it",
+        steps: &[(Some(9), 3, InstanceState::Draining), (Some(5), 41, InstanceState::Ready)],
+        open: None,
+    },
+    LivesCase {
+        name: "without the moment of a start, the sequence decides",
+        steps: &[(None, 40, InstanceState::Ready), (None, 1, InstanceState::Draining)],
+        open: Some(None),
+    },
+    LivesCase {
+        name: "a heartbeat without it is of the life that is there",
+        steps: &[(Some(5), 4, InstanceState::Ready), (None, 5, InstanceState::Draining)],
+        open: None,
+    },
+];
+
+#[test]
+fn lives_under_one_name_are_told_apart_by_their_start() {
+    for case in LIVES {
+        let mut registry = InstanceRegistry::default();
+        for (born, sequence, state) in case.steps {
+            let instance = InstanceId { name: "a".into(), born: *born };
+            let heartbeat = Heartbeat { instance, ..heartbeat("a", *sequence, *state) };
+            registry.heartbeat(heartbeat, NOW);
+        }
+        assert_eq!(registry.open().map(|open| open.id.born), case.open, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_departure_binds_lives_up_to_the_one_that_said_it() {
+    let mut registry = InstanceRegistry::default();
+    registry.depart(&life("a", 5));
+    let beat = |born, sequence| Heartbeat { instance: life("a", born), ..ready("a", sequence) };
+    assert_eq!(registry.heartbeat(beat(4, 9), NOW), HeartbeatVerdict::Stale);
+    assert_eq!(registry.heartbeat(beat(5, 9), NOW), HeartbeatVerdict::Stale);
+    assert_eq!(registry.heartbeat(beat(6, 1), NOW), HeartbeatVerdict::Opened);
+    assert!(!registry.depart(&life("a", 5)), "said again, late");
+    assert!(registry.open().is_some());
+    assert!(registry.depart(&life("a", 6)));
+}
--- a/crates/seamhatch-model/src/departures.rs
+++ b/crates/seamhatch-model/src/departures.rs
@@ -81,11 +81,11 @@
 }
 
 fn instance_id(instance: usize) -> InstanceId {
-    InstanceId(instance.to_string())
+    InstanceId::named(instance.to_string())
 }
 
 fn instance_number(id: &InstanceId) -> usize {
-    id.0.parse().unwrap_or_default()
+    id.name.parse().unwrap_or_default()
 }
 
 type Steps = Vec<Step<DeparturesState>>;
--- a/crates/seamhatch-wire/src/lib.rs
+++ b/crates/seamhatch-wire/src/lib.rs
@@ -15,4 +15,4 @@
 };
 
 /// Version of the messages; daemons of another version are refused.
-pub const PROTOCOL_VERSION: u16 = 7;
+pub const PROTOCOL_VERSION: u16 = 8;
--- a/crates/seamhatchd/src/controllers/control_thread/instances.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/instances.rs
@@ -147,6 +147,7 @@
     /// Takes in a heartbeat of the back end and answers it, once what it says is remembered.
     pub(super) fn heartbeat(&mut self, heartbeat: Heartbeat, reply: oneshot::Sender<InstanceAnswer>) {
         let instance = heartbeat.instance.clone();
+        let instance = self.shared.instances.resolve(instance);
         if heartbeat.state == InstanceState::Draining {
             self.take_heartbeat(heartbeat);
             return self.remember(instance, reply);
@@ -162,7 +163,7 @@
     }
 
     fn take_heartbeat(&mut self, heartbeat: Heartbeat) {
-        let (instance, sequence, now) = (heartbeat.instance.0.clone(), heartbeat.sequence, clock::now());
+        let (instance, sequence, now) = (heartbeat.instance.name.clone(), heartbeat.sequence, clock::now());
         let before = self.shared.instances.current();
         match self.shared.instances.heartbeat(heartbeat, now) {
             HeartbeatVerdict::Opened => {
@@ -214,13 +215,23 @@
 
     /// The back end says goodbye.
     pub(super) fn instance_departs(&mut self, instance: InstanceId, reply: oneshot::Sender<InstanceAnswer>) {
+        let instance = self.departing_life(instance);
         if self.shared.instances.depart([&instance]) {
-            info!(instance = instance.0.as_str(); "instance closed: it said goodbye");
+            info!(instance = instance.name.as_str(); "instance closed: it said goodbye");
             self.work_changed();
         }
         self.remember(instance, reply);
     }
 
+    /// The life that says goodbye. Where neither it nor what is registered tells, it is each that has started by now:
+    /// a heartbeat of it may still come, and a later life may have its name.
+    fn departing_life(&self, instance: InstanceId) -> InstanceId {
+        let instance = self.shared.instances.resolve(instance);
+        let is_registered = self.shared.instances.current().as_ref() == Some(&instance);
+        let born = instance.born.or_else(|| (!is_registered).then(clock::unix_milliseconds));
+        InstanceId { born, ..instance }
+    }
+
     /// Answers once the store or another daemon remembers that an instance takes no work any more.
     fn remember(&self, instance: InstanceId, reply: oneshot::Sender<InstanceAnswer>) {
         let known = self.departures.remembered.contains(&instance);
@@ -232,7 +243,7 @@
         let (shared, control) = (self.shared.clone(), self.control.clone());
         tokio::spawn(async move {
             let remembered = remember_departure(shared, followed, instance.clone(), peers).await;
-            info!(instance = instance.0.as_str(), remembered = remembered; "departure of an instance");
+            info!(instance = instance.name.as_str(), remembered = remembered; "departure of an instance");
             let _ = reply.send(if remembered {
                 control.send(ControlEvent::DepartureRemembered(instance));
                 InstanceAnswer::Acknowledged
@@ -255,7 +266,7 @@
         if refutation == Refutation::Known {
             return;
         }
-        warn!(instance = instance.0.as_str(), refutation:? = refutation; "another instance answered");
+        warn!(instance = instance.name.as_str(), refutation:? = refutation; "another instance answered");
         self.shared.backend.forget_connections();
         if refutation == Refutation::Replaced {
             self.open_instance();
@@ -267,7 +278,7 @@
     /// The back end could not be reached: it gets no new work until it is heard again.
     pub(super) fn lost_instance(&mut self, instance: &InstanceId, why: &str) {
         if self.shared.instances.suspend(instance) {
-            warn!(instance = instance.0.as_str(), why = why; "instance lost");
+            warn!(instance = instance.name.as_str(), why = why; "instance lost");
             self.shared.backend.forget_connections();
             self.work_changed();
         }
--- a/crates/seamhatchd/src/controllers/follow/departures.rs
+++ b/crates/seamhatchd/src/controllers/follow/departures.rs
@@ -52,7 +52,7 @@
         // Nobody waits where other daemons have noted it before.
         let _ = done.send(());
     } else {
-        warn!(instance = instance.0.as_str(); "the store could not be told of a departure; other daemons hold it");
+        warn!(instance = instance.name.as_str(); "the store could not be told of a departure; other daemons hold it");
     }
 }
 
--- a/crates/seamhatchd/src/crashes/mod.rs
+++ b/crates/seamhatchd/src/crashes/mod.rs
@@ -106,7 +106,7 @@
         format!("{request}:{crashes}")
     });
     warn!(
-        instance = instance.map_or("", |instance| instance.0.as_str()),
+        instance = instance.map_or("", |instance| instance.name.as_str()),
         at_work = suspects.len(),
         crashes_by_digest = evidence.collect::<Vec<_>>().join(",").as_str();
         "back end crashed"
--- a/crates/seamhatchd/src/instances.rs
+++ b/crates/seamhatchd/src/instances.rs
@@ -80,6 +80,15 @@
         }
     }
 
+    /// The life that is meant by who tells the name alone, as far as is known.
+    #[must_use]
+    pub fn resolve(&self, instance: InstanceId) -> InstanceId {
+        match self {
+            Self::Fixed => instance,
+            Self::Registered(registry) => lock(registry).resolve(instance),
+        }
+    }
+
     /// Takes in departures. True when that closes the registered instance.
     pub fn depart<'a>(&self, departed: impl IntoIterator<Item = &'a InstanceId>) -> bool {
         match self {
--- a/crates/seamhatchd/src/listeners/registry.rs
+++ b/crates/seamhatchd/src/listeners/registry.rs
@@ -33,6 +33,14 @@
     #[serde(default)]
     cold_for_ms: f64,
     sequence: u64,
+    /// When this life started, in milliseconds since the Unix epoch.
+    born: Option<u64>,
+}
+
+/// A goodbye as sent; its body may be empty.
+#[derive(Debug, Default, Deserialize)]
+struct GoodbyeBody {
+    born: Option<u64>,
 }
 
 #[derive(Debug, Clone, Copy, Deserialize)]
@@ -57,10 +65,14 @@
     let Some(name) = name else {
         return Ok(problem(StatusCode::NOT_FOUND, "not-found", "instances are at /v1/instances/NAME"));
     };
-    let instance = InstanceId(name.to_owned());
+    let instance = InstanceId::named(name);
     let response = match parts.method {
         Method::PUT => heartbeat(&shared, instance, body).await,
-        Method::DELETE => answer(shared.control.instance_departs(instance).await),
+        Method::DELETE => {
+            // What can't be read tells as little as nothing.
+            let GoodbyeBody { born } = read_json(body, LARGEST_HEARTBEAT).await.unwrap_or_default();
+            answer(shared.control.instance_departs(InstanceId { born, ..instance }).await)
+        }
         _ => {
             problem(StatusCode::METHOD_NOT_ALLOWED, "method", "use PUT for a heartbeat, DELETE for a goodbye")
         }
@@ -87,7 +99,7 @@
         return problem(StatusCode::BAD_REQUEST, "bad-heartbeat", detail);
     }
     let heartbeat = Heartbeat {
-        instance,
+        instance: InstanceId { born: told.born, ..instance },
         sequence: told.sequence,
         state: match told.state {
             StateName::Ready => InstanceState::Ready,
