--- a/crates/seamhatch-core/src/outcome.rs
+++ b/crates/seamhatch-core/src/outcome.rs
@@ -91,6 +91,12 @@
     CrashesServers,
     /// The daemon is beside a server of another service: the sender's membership is out of date.
     OtherService,
+    /// The request needs a tenant's key and has none.
+    NoKey,
+    /// No tenant has the request's key.
+    UnknownKey,
+    /// The daemon can't show that its configuration is new enough to go by a tenant's key.
+    NoProof,
 }
 
 impl Reason {
@@ -125,6 +131,9 @@
             Self::BodyTooLarge => "body-too-large",
             Self::CrashesServers => "crashes-servers",
             Self::OtherService => "other-service",
+            Self::NoKey => "no-key",
+            Self::UnknownKey => "unknown-key",
+            Self::NoProof => "no-proof",
         }
     }
 
--- /dev/null
+++ b/crates/seamhatch-core/tests/freshness.rs
@@ -0,0 +1,81 @@
+//! Proof that a configuration is the newest: what counts, from when on, and what never does.
+
+use seamhatch_core::Instant;
+use seamhatch_core::freshness::{FreshnessProof, FreshnessTracker};
+use seamhatch_core::generation::Generation;
+
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    InForce(u64),
+    /// A proof of a generation at an instant.
+    Proof(u64, u64),
+}
+
+struct ProofCase {
+    name: &'static str,
+    steps: &'static [Step],
+    proved: Option<(u64, u64)>,
+}
+
+const CASES: [ProofCase; 8] = [
+    ProofCase { name: "nothing told", steps: &[Step::InForce(1)], proved: None },
+    ProofCase {
+        name: "the generation in force",
+        steps: &[Step::InForce(1), Step::Proof(1, 10)],
+        proved: Some((1, 10)),
+    },
+    ProofCase {
+        name: "an older generation",
+        steps: &[Step::InForce(3), Step::Proof(1, 10)],
+        proved: Some((3, 10)),
+    },
+    ProofCase {
+        name: "a newer one does not count",
+        steps: &[Step::InForce(1), Step::Proof(2, 10)],
+        proved: None,
+    },
+    ProofCase {
+        name: "until it is in force",
+        steps: &[Step::InForce(1), Step::Proof(2, 10), Step::InForce(2)],
+        proved: Some((2, 10)),
+    },
+    ProofCase {
+        name: "an older proof changes nothing",
+        steps: &[Step::InForce(1), Step::Proof(1, 10), Step::Proof(1, 5)],
+        proved: Some((1, 10)),
+    },
+    ProofCase {
+        name: "a later generation keeps the proof",
+        steps: &[Step::InForce(1), Step::Proof(1, 10), Step::InForce(2)],
+        proved: Some((2, 10)),
+    },
+    ProofCase {
+        name: "the youngest awaited one counts",
+        steps: &[
+            Step::InForce(1),
+            Step::Proof(3, 20),
+            Step::Proof(2, 10),
+            Step::InForce(2),
+            Step::InForce(3),
+        ],
+        proved: Some((3, 20)),
+    },
+];
+
+#[test]
+fn a_proof_counts_once_its_generation_is_in_force() {
+    for case in CASES {
+        let mut tracker = FreshnessTracker::default();
+        for step in case.steps {
+            match *step {
+                Step::InForce(generation) => tracker.set_in_force(Generation(generation)),
+                Step::Proof(generation, at) => {
+                    tracker.prove(FreshnessProof { generation: Generation(generation), at: Instant(at) });
+                }
+            }
+        }
+        let proved = tracker.proof().map(|proof| (proof.generation.0, proof.at.0));
+        assert_eq!(proved, case.proved, "{}", case.name);
+        assert_eq!(tracker.age(Instant(30)), case.proved.map(|(_, at)| 30 - at), "{}", case.name);
+    }
+}
--- a/crates/seamhatch-lab/src/conventions.rs
+++ b/crates/seamhatch-lab/src/conventions.rs
@@ -41,6 +41,10 @@
         OwnConventions.entry_fields(own_service)
     }
 
+    fn tenant_field(&self) -> &'static str {
+        OwnConventions.tenant_field()
+    }
+
     fn request_name<'a>(&self, fields: &'a [HeaderField]) -> Option<&'a str> {
         field_text(fields, CALL_HEADER)
     }
--- a/crates/seamhatch-policy/src/configuration.rs
+++ b/crates/seamhatch-policy/src/configuration.rs
@@ -5,8 +5,9 @@
 };
 use crate::error::ConfigurationError;
 use crate::host::host_name;
-use crate::program::{Decision, PolicyProgram, PolicyRequest, RouteView};
-use std::collections::{BTreeMap, HashMap};
+use crate::program::{Decision, PolicyProgram, PolicyRequest, RouteView, TenantView};
+use crate::tenant::{Tenant, TenantTable};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// Paths that every policy is tried on, besides its own samples.
 const BUILT_IN_SAMPLES: [(&str, &str); 2] = [("GET", "/"), ("POST", "/")];
@@ -20,8 +21,10 @@
     pub targets: Vec<WeightedService>,
     /// What the policy sees of it.
     pub view: RouteView,
-    /// The policy's decision, where that depends on the route alone.
-    pub decision: Option<Decision>,
+    /// Whether its requests need no key where there are tenants.
+    pub anonymous: bool,
+    /// The policy's decisions by the rank of the tenant that sends, where they depend on nothing else.
+    decisions: Vec<(Option<u8>, Decision)>,
 }
 
 impl Route {
@@ -30,10 +33,28 @@
             prefix: settings.prefix.clone(),
             targets: settings.targets().collect(),
             view: RouteView { name: settings.name.clone(), attributes: settings.attributes() },
-            decision: None,
+            anonymous: settings.anonymous,
+            decisions: Vec::new(),
         }
     }
 
+    /// Runs the policy for requests of tenants of each rank.
+    fn decide(&mut self, policy: &mut PolicyProgram, ranks: &BTreeSet<Option<u8>>) {
+        let first = self.first_service().to_owned();
+        for rank in ranks {
+            let decision = policy.decide_route(&self.view, &first, *rank);
+            self.decisions.extend(decision.map(|decision| (*rank, decision)));
+        }
+    }
+
+    /// The policy's decision for a request of this tenant, or of none, where it depends on the route and the
+    /// tenant's rank alone.
+    #[must_use]
+    pub fn decision(&self, tenant: Option<&Tenant>) -> Option<&Decision> {
+        let rank = tenant.and_then(|tenant| tenant.rank);
+        self.decisions.iter().find(|(of, _)| *of == rank).map(|(_, decision)| decision)
+    }
+
     fn matches(&self, path: &str) -> bool {
         let Some(rest) = path.strip_prefix(self.prefix.as_str()) else { return false };
         self.prefix.ends_with('/') || rest.is_empty() || rest.starts_with('/')
@@ -66,7 +87,9 @@
         }
     }
 
-    fn first_service(&self) -> &str {
+    /// The service that it names first; the only one unless several share its requests.
+    #[must_use]
+    pub fn first_service(&self) -> &str {
         self.targets.first().map_or("", |target| target.service.as_str())
     }
 }
@@ -82,6 +105,7 @@
     policy: PolicyProgram,
     limits: LimitSettings,
     crashes: CrashSettings,
+    tenants: TenantTable,
 }
 
 impl Configuration {
@@ -103,17 +127,19 @@
     pub fn from_document(document: &Document) -> Result<Self, ConfigurationError> {
         document.check()?;
         let mut policy = PolicyProgram::compile(&document.policy)?;
+        let tenants = TenantTable::new(&document.tenants)?;
+        let ranks = tenants.iter().map(|tenant| tenant.rank).chain([None]).collect();
         let mut routes = RoutesByHost::new();
         for settings in &document.routes {
             let mut route = Route::new(settings);
-            route.decision = policy.decide_route(&route.view, route.first_service());
+            route.decide(&mut policy, &ranks);
             routes.entry(settings.host.as_deref().map(host_name)).or_default().push(route);
         }
         for of_host in routes.values_mut() {
             of_host.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
         let Document { services, limits, crashes, .. } = document;
-        Ok(Self { services: services.clone(), routes, policy, limits: *limits, crashes: *crashes })
+        Ok(Self { services: services.clone(), routes, policy, limits: *limits, crashes: *crashes, tenants })
     }
 
     /// The policy program.
@@ -134,6 +160,12 @@
         &self.crashes
     }
 
+    /// Who may send requests.
+    #[must_use]
+    pub fn tenants(&self) -> &TenantTable {
+        &self.tenants
+    }
+
     /// The route of a request to a host, as [`host_name`] spells it: the longest prefix among those of its
     /// host, else among those of any host.
     #[must_use]
@@ -176,7 +208,8 @@
     }
 
     fn try_sample(&self, sample: &Sample) -> Result<(), ConfigurationError> {
-        let request = self.request(&sample.method, &sample.path, sample.headers.clone());
+        let mut request = self.request(&sample.method, &sample.path, sample.headers.clone());
+        request.tenant = self.tenant_of(sample)?;
         let decision = self.policy.try_on(&request)?;
         match &sample.expect_class {
             Some(expected) if expected != decision.class.name() => Err(ConfigurationError::SampleClass {
@@ -188,7 +221,18 @@
         }
     }
 
-    /// The policy's view of a request from outside.
+    /// The policy's view of the tenant that sends a sample.
+    ///
+    /// # Errors
+    /// [`ConfigurationError::UnknownTenant`].
+    pub fn tenant_of(&self, sample: &Sample) -> Result<TenantView, ConfigurationError> {
+        let Some(name) = &sample.tenant else { return Ok(TenantView::default()) };
+        let tenant = self.tenants.named(name);
+        let unknown = || ConfigurationError::UnknownTenant { name: name.clone() };
+        tenant.map(|tenant| TenantView::of(Some(tenant))).ok_or_else(unknown)
+    }
+
+    /// The policy's view of a request from outside, without a tenant.
     #[must_use]
     pub fn request(
         &self,
@@ -206,6 +250,7 @@
             service: route.map(Route::first_service).unwrap_or_default().to_owned(),
             headers,
             route: route.map(|route| route.view.clone()).unwrap_or_default(),
+            tenant: TenantView::default(),
         }
     }
 }
--- a/crates/seamhatch-policy/src/document.rs
+++ b/crates/seamhatch-policy/src/document.rs
@@ -2,6 +2,7 @@
 
 use crate::error::ConfigurationError;
 use crate::host::host_name;
+use crate::tenant::TenantSettings;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -19,6 +20,9 @@
     /// Paths from outside and the services they lead to.
     #[serde(default)]
     pub routes: Vec<RouteSettings>,
+    /// Who may send requests. Where there are any, a request needs the key of one.
+    #[serde(default)]
+    pub tenants: Vec<TenantSettings>,
     /// Requests that the policy is tried on before it is accepted.
     #[serde(default)]
     pub samples: Vec<Sample>,
@@ -122,6 +126,8 @@
     pub timeout_ms: Option<u64>,
     /// Servers that one request may be sent to, at most.
     pub dispatches: Option<u32>,
+    /// Whether its requests need no key where there are tenants.
+    pub anonymous: bool,
 }
 
 /// A service's share of the requests of a route.
@@ -185,6 +191,9 @@
     /// Header fields, names in lower case.
     #[serde(default)]
     pub headers: BTreeMap<String, String>,
+    /// Name of the tenant that sends it; none for a request without a key.
+    #[serde(default)]
+    pub tenant: Option<String>,
     /// Class that the policy must choose.
     #[serde(default)]
     pub expect_class: Option<String>,
--- a/crates/seamhatch-policy/src/error.rs
+++ b/crates/seamhatch-policy/src/error.rs
@@ -47,6 +47,41 @@
         /// The route's path prefix.
         prefix: String,
     },
+    /// A tenant's name can't be sent in a header field.
+    #[error("the tenant name {name:?} is not 1 to 128 visible characters of ASCII; choose another name")]
+    BadTenantName {
+        /// The name.
+        name: String,
+    },
+    /// Two tenants have one name.
+    #[error("two tenants have the name {name:?}; give the keys of both to one, or rename one")]
+    DuplicateTenant {
+        /// The name.
+        name: String,
+    },
+    /// A key of a tenant isn't one.
+    #[error(
+        "a key of the tenant {tenant:?} is not 1 to 512 visible characters of ASCII, or the digest of one \
+         not 64 hexadecimal digits; correct it"
+    )]
+    BadKey {
+        /// The tenant.
+        tenant: String,
+    },
+    /// A sample names a tenant that the document doesn't define.
+    #[error("the tenant {name:?} is not defined; name one of [[tenants]]")]
+    UnknownTenant {
+        /// The name.
+        name: String,
+    },
+    /// Two tenants have one key, so that it tells nobody's requests.
+    #[error("the tenants {first:?} and {second:?} have a key in common; take it away from one of them")]
+    SharedKey {
+        /// One tenant.
+        first: String,
+        /// The other.
+        second: String,
+    },
     /// Two routes have one prefix.
     #[error("two routes have the prefix {prefix:?}; remove one")]
     DuplicateRoute {
--- a/crates/seamhatch-policy/src/lib.rs
+++ b/crates/seamhatch-policy/src/lib.rs
@@ -11,6 +11,7 @@
 mod host;
 mod program;
 mod stored;
+mod tenant;
 
 pub use configuration::{Configuration, Route};
 pub use document::{
@@ -19,5 +20,6 @@
 };
 pub use error::ConfigurationError;
 pub use host::host_name;
-pub use program::{Decision, PolicyProgram, PolicyRequest, RouteView, ServerView};
+pub use program::{Decision, PolicyProgram, PolicyRequest, RouteView, ServerView, TenantView};
 pub use stored::{StoredConfiguration, SubmissionRecord};
+pub use tenant::{ApiKey, KeyDigest, RateLimit, Tenant, TenantSettings, TenantTable};
--- a/crates/seamhatch-policy/src/program.rs
+++ b/crates/seamhatch-policy/src/program.rs
@@ -12,6 +12,7 @@
 
 use crate::document::RouteAttributes;
 use crate::error::ConfigurationError;
+use crate::tenant::Tenant;
 use rhai::{AST, Dynamic, Engine, Map, Scope};
 use seamhatch_core::claims::LONGEST_REQUEST;
 use seamhatch_core::clock::{MILLISECOND, Microseconds};
@@ -60,6 +61,38 @@
     pub headers: BTreeMap<String, String>,
     /// The route that it takes.
     pub route: RouteView,
+    /// The tenant that sends it.
+    pub tenant: TenantView,
+}
+
+/// What a policy sees of a tenant.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct TenantView {
+    /// Its name; empty for a request without a key.
+    pub name: String,
+    /// Order of importance of its requests; that of their route where there is none.
+    pub rank: Option<u8>,
+}
+
+impl TenantView {
+    /// What a policy sees of a request's tenant.
+    #[must_use]
+    pub fn of(tenant: Option<&Tenant>) -> Self {
+        tenant.map_or_else(Self::default, |tenant| Self { name: tenant.name.clone(), rank: tenant.rank })
+    }
+
+    fn to_map(&self) -> Map {
+        let mut map = rank_map(self.rank);
+        map.insert("name".into(), self.name.clone().into());
+        map
+    }
+}
+
+/// What depends on a tenant's rank alone.
+fn rank_map(rank: Option<u8>) -> Map {
+    let mut map = Map::new();
+    map.insert("rank".into(), rank.map_or(Dynamic::UNIT, |rank| Dynamic::from(i64::from(rank))));
+    map
 }
 
 /// What a policy sees of a route.
@@ -99,8 +132,14 @@
         map.insert("service".into(), self.service.clone().into());
         map.insert("headers".into(), headers.into());
         map.insert("route".into(), self.route.to_map().into());
+        map.insert("tenant".into(), self.tenant.to_map().into());
         map
     }
+
+    /// The order of importance that the operators' document gives it: a tenant's goes before its route's.
+    fn rank(&self) -> Option<u8> {
+        self.tenant.rank.or(self.route.attributes.rank)
+    }
 }
 
 /// What a policy sees of a server when it decides whether to stop sending.
@@ -181,7 +220,7 @@
         let mut failed = Vec::new();
         let argument = request.to_map();
         let attributes = &request.route.attributes;
-        let class = self.class(&argument, attributes).unwrap_or_else(|_| {
+        let class = self.class(&argument, request.rank()).unwrap_or_else(|_| {
             failed.push(CLASSIFY);
             PriorityClass::Normal
         });
@@ -201,13 +240,18 @@
         Decision { class, retries, deadline, repeatable, failed }
     }
 
-    /// The decision for every request of a route, where it depends on nothing else.
+    /// The decision for every request of a route from tenants of this rank, where it depends on nothing else.
     ///
-    /// The functions run on the route and its service alone, and reading anything else of the
+    /// The functions run on the route, its service and that rank alone, and reading anything else of the
     /// request fails. None when one of them failed: then each request is decided by itself. A
     /// program that only looks whether a field is there (`"method" in request`) is not recognised.
     #[must_use]
-    pub fn decide_route(&mut self, route: &RouteView, service: &str) -> Option<Decision> {
+    pub fn decide_route(
+        &mut self,
+        route: &RouteView,
+        service: &str,
+        tenant_rank: Option<u8>,
+    ) -> Option<Decision> {
         // Without the operator's word, the method decides.
         if route.attributes.repeatable.is_none() && !self.defined.contains(&REPEATABLE) {
             return None;
@@ -215,15 +259,22 @@
         let mut argument = Map::new();
         argument.insert("service".into(), service.into());
         argument.insert("route".into(), route.to_map().into());
+        argument.insert("tenant".into(), rank_map(tenant_rank).into());
         self.engine.set_fail_on_invalid_map_property(true);
-        let decision = self.decide_all(&argument, &route.attributes);
+        let rank = tenant_rank.or(route.attributes.rank);
+        let decision = self.decide_all(&argument, &route.attributes, rank);
         self.engine.set_fail_on_invalid_map_property(false);
         decision.ok()
     }
 
-    fn decide_all(&self, argument: &Map, attributes: &RouteAttributes) -> Result<Decision, Failure> {
+    fn decide_all(
+        &self,
+        argument: &Map,
+        attributes: &RouteAttributes,
+        rank: Option<u8>,
+    ) -> Result<Decision, Failure> {
         Ok(Decision {
-            class: self.class(argument, attributes)?,
+            class: self.class(argument, rank)?,
             retries: self.retries(argument, attributes)?,
             deadline: self.deadline(argument, attributes)?,
             repeatable: self.repeatable_map(argument, attributes, || false)?,
@@ -258,7 +309,7 @@
         let attributes = &request.route.attributes;
         let otherwise = || is_safe(&request.method);
         Ok(Decision {
-            class: self.class(&argument, attributes).map_err(name(CLASSIFY))?,
+            class: self.class(&argument, request.rank()).map_err(name(CLASSIFY))?,
             retries: self.retries(&argument, attributes).map_err(name(RETRIES))?,
             deadline: self.deadline(&argument, attributes).map_err(name(DEADLINE))?,
             repeatable: self.repeatable_map(&argument, attributes, otherwise).map_err(name(REPEATABLE))?,
@@ -277,10 +328,10 @@
             .map_err(|failure| to_error(STOP_SENDING, "an idle server".into(), failure))
     }
 
-    fn class(&self, argument: &Map, attributes: &RouteAttributes) -> Result<PriorityClass, Failure> {
+    fn class(&self, argument: &Map, rank: Option<u8>) -> Result<PriorityClass, Failure> {
         const WANTED: &str = "\"critical\", \"normal\", \"bulk\" or \"background\"";
         let Some(value) = self.run(CLASSIFY, argument.clone())? else {
-            return Ok(class_of_rank(attributes.rank));
+            return Ok(class_of_rank(rank));
         };
         let shown = show(&value);
         let name =
@@ -368,7 +419,7 @@
     matches!(method, "GET" | "HEAD" | "OPTIONS")
 }
 
-/// The class of a route's rank where the policy does not say.
+/// The class of a rank where the policy does not say.
 fn class_of_rank(rank: Option<u8>) -> PriorityClass {
     let Some(rank) = rank else { return PriorityClass::Normal };
     PriorityClass::ALL.get(usize::from(rank)).copied().unwrap_or(PriorityClass::Background)
--- a/crates/seamhatch-policy/tests/routes.rs
+++ b/crates/seamhatch-policy/tests/routes.rs
@@ -63,7 +63,7 @@
 #[test]
 fn the_attributes_decide_without_a_policy() {
     let configuration = compile("");
-    let decision = configuration.find(Some("shop.example"), "/a/1").expect("known").decision.clone();
+    let decision = configuration.find(Some("shop.example"), "/a/1").expect("known").decision(None).cloned();
     let decision = decision.expect("depends on the route alone");
     assert_eq!((decision.class, decision.repeatable), (PriorityClass::Critical, false));
     assert_eq!((decision.retries, decision.deadline), (2, 1_200 * MILLISECOND));
@@ -76,7 +76,7 @@
          fn classify(request) { if request.route.rank == 0 { \"bulk\" } else { \"normal\" } }",
     );
     let route = configuration.find(Some("shop.example"), "/a/1").expect("known");
-    let decision = route.decision.clone().expect("depends on the route alone");
+    let decision = route.decision(None).cloned().expect("depends on the route alone");
     assert_eq!((decision.class, decision.repeatable), (PriorityClass::Bulk, false));
     assert_eq!((decision.retries, decision.deadline), (2, 1_200 * MILLISECOND));
 }
@@ -85,7 +85,7 @@
 fn a_policy_that_reads_the_request_is_not_decided_by_route() {
     let configuration =
         compile("fn classify(request) { if request.method == \"GET\" { \"bulk\" } else { \"normal\" } }");
-    assert_eq!(configuration.find(Some("shop.example"), "/a/1").expect("known").decision, None);
+    assert_eq!(configuration.find(Some("shop.example"), "/a/1").expect("known").decision(None), None);
     let headers = BTreeMap::from([("host".to_owned(), "shop.example".to_owned())]);
     let decision = configuration.policy().decide(&configuration.request("GET", "/a/1", headers));
     assert_eq!((decision.class, decision.repeatable), (PriorityClass::Bulk, false));
--- a/crates/seamhatch-wire/src/message.rs
+++ b/crates/seamhatch-wire/src/message.rs
@@ -7,6 +7,7 @@
 use seamhatch_core::claims::{Claim, ClaimHolder, ClaimKey, ClaimReply, Epoch};
 use seamhatch_core::clock::{Instant, Microseconds};
 use seamhatch_core::crashes::SuspectReport;
+use seamhatch_core::freshness::FreshnessProof;
 use seamhatch_core::generation::Generation;
 use seamhatch_core::identity::{Address, CallId, Incarnation, RequestDigest, RootId};
 use seamhatch_core::instance::InstanceId;
@@ -157,6 +158,9 @@
     pub intake: CallIntake,
     /// The state of the server beside it.
     pub server: ServerReport,
+    /// Its proof that its configuration is the newest, translated into the receiver's boot clock so that it
+    /// errs early.
+    pub proof: Option<FreshnessProof>,
 }
 
 /// The state of a server, told by the daemon beside it on every answer.
--- a/crates/seamhatch-wire/tests/hostile.rs
+++ b/crates/seamhatch-wire/tests/hostile.rs
@@ -4,6 +4,7 @@
 use proptest::prelude::*;
 use seamhatch_core::Instant;
 use seamhatch_core::crashes::{MOST_MARKS, ServerLife, SuspectRecord, SuspectReport};
+use seamhatch_core::freshness::FreshnessProof;
 use seamhatch_core::generation::Generation;
 use seamhatch_core::identity::{Address, CallId, Incarnation, RequestDigest, RootId};
 use seamhatch_core::membership::{GossipBody, GossipMessage, SUSPECTS_PER_MESSAGE};
@@ -85,6 +86,7 @@
         generation: Generation(1),
         intake: CallIntake::LastResort { left: 5 },
         server: report(),
+        proof: Some(FreshnessProof { generation: Generation(1), at: Instant(2) }),
     };
     let hello = Hello {
         cluster: "c".into(),
--- a/crates/seamhatchd/src/controllers/control_thread/configuration.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/configuration.rs
@@ -23,8 +23,10 @@
             self.publish();
             // After the snapshot, and only what can be decided by: until then this daemon is behind.
             self.control.note_told(generation, clock::now());
-            let in_force = self.configuration.in_force().map(|(generation, _)| generation);
-            self.control.set_generation(in_force.unwrap_or_default());
+            if let Some((in_force, configuration)) = self.configuration.in_force() {
+                self.control.set_generation(in_force);
+                self.shared.freshness.set_in_force(in_force, !configuration.tenants().is_empty());
+            }
             if self.followed().is_none() {
                 // Daemons that follow a store hear of it there.
                 self.pass_on_configuration();
--- a/crates/seamhatchd/src/controllers/control_thread/followed.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/followed.rs
@@ -4,7 +4,7 @@
 use crate::clock;
 use crate::controllers::ask::ask_generation;
 use crate::controllers::events::ControlEvent;
-use crate::controllers::follow::{Discovery, discover, follow_configuration};
+use crate::controllers::follow::{Discovery, discover, follow_configuration, keep_fresh};
 use crate::ports::{Backing, FollowedStore};
 use log::info;
 use seamhatch_core::Instant;
@@ -13,12 +13,15 @@
 use seamhatch_core::generation::Generation;
 use seamhatch_core::identity::Address;
 use seamhatch_core::membership::{Lifecycle, MemberRecord};
+use seamhatch_core::rendezvous;
 use seamhatch_wire::ControlReply;
 
 /// The store's own word is awaited for this long before a generation told by peers is asked for.
 const PULL_PATIENCE: Microseconds = 300 * MILLISECOND;
 /// Time between two attempts to get a generation that peers have told.
 const PULL_INTERVAL: Microseconds = 400 * MILLISECOND;
+/// Seed of the order in which daemons ask the store whether the configuration is the newest.
+const ASKING_SEED: u64 = 4;
 /// Daemons that are greeted at once by one that starts.
 const GREETED: usize = 6;
 /// A generation that peers have and this daemon has not.
@@ -59,6 +62,7 @@
             self.control.clone(),
             metrics.clone(),
         ));
+        tokio::spawn(keep_fresh(self.shared.clone(), followed.clone(), self.documents.clone()));
         let gossip = self.shared.settings.advertise.gossip;
         tokio::spawn(discover(followed, gossip, self.control.clone(), metrics));
     }
@@ -71,9 +75,18 @@
         if now >= self.schedule.roster {
             self.schedule.roster = now.plus(SECOND);
             self.update_metrics();
+            self.update_asking_order();
         }
     }
 
+    /// Counts the live members that ask the store before this daemon whether the configuration is the newest.
+    fn update_asking_order(&self) {
+        let weight = |member: Address| rendezvous::weight(ASKING_SEED, member.to_string().as_bytes());
+        let own = weight(self.shared.settings.advertise.gossip);
+        let live = self.membership.state.others().filter(|record| record.is_live());
+        self.shared.freshness.set_rank(live.filter(|record| weight(record.info.gossip) > own).count());
+    }
+
     pub(super) fn discovered(&mut self, Discovery { members, condemned }: Discovery) {
         self.shared.suspects.merge(&condemned);
         info!(members = members.len(); "read the daemons' records");
--- a/crates/seamhatchd/src/controllers/control_thread/mod.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/mod.rs
@@ -231,6 +231,7 @@
             }
             ControlEvent::DeparturesNotLearnt => self.departures_not_learnt(),
             ControlEvent::StoreConfigurationRead => self.configuration_was_read(),
+            ControlEvent::Proved(proof) => self.shared.freshness.prove(proof),
             ControlEvent::Discovered(discovery) => self.discovered(discovery),
             ControlEvent::Condemned(requests) => self.condemned(requests),
             ControlEvent::Met(gossip) => self.met(gossip),
--- a/crates/seamhatchd/src/controllers/events.rs
+++ b/crates/seamhatchd/src/controllers/events.rs
@@ -7,6 +7,7 @@
 use crate::controllers::submission::SubmitError;
 use crate::store::{StoreError, Stored};
 use seamhatch_core::departure::DepartureSource;
+use seamhatch_core::freshness::FreshnessProof;
 use seamhatch_core::generation::{Generation, SubmissionId};
 use seamhatch_core::identity::{Address, RequestDigest};
 use seamhatch_core::instance::{Heartbeat, InstanceId};
@@ -103,6 +104,8 @@
     DeparturesNotLearnt,
     /// The followed store has told the configuration as it is, or that there is none.
     StoreConfigurationRead,
+    /// At an instant, no newer configuration had been accepted.
+    Proved(FreshnessProof),
     /// What the store knows of all daemons.
     Discovered(Discovery),
     /// Requests that a crash of this daemon's back end has condemned.
--- a/crates/seamhatchd/src/controllers/follow/configuration.rs
+++ b/crates/seamhatchd/src/controllers/follow/configuration.rs
@@ -1,12 +1,15 @@
 //! Watching the operators' configuration in the store.
 
 use super::{ANSWER_TIMEOUT, Backoff};
+use crate::clock;
 use crate::controllers::ControlHandle;
 use crate::controllers::events::ControlEvent;
 use crate::metrics::Metrics;
 use crate::ports::{DocumentFormat, FollowedStore};
 use crate::store::{Change, Item, Revision, StoreError};
 use log::{error, info, warn};
+use seamhatch_core::freshness::FreshnessProof;
+use seamhatch_core::generation::Generation;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -54,12 +57,13 @@
 impl Follower {
     /// Reads the configuration as it is now. Returns the revision that it was read at.
     async fn read(&mut self) -> Result<Revision, StoreError> {
+        let sent = clock::now();
         let reading = self.followed.store.get(&self.followed.configuration_key);
         let reading = tokio::time::timeout(ANSWER_TIMEOUT, reading);
         let reading = self.metrics.time_store_call(reading).await.map_err(|_| no_answer())??;
         self.note_answer();
-        if let Some(item) = reading.found {
-            self.offer(&item);
+        if let Some(generation) = reading.found.and_then(|item| self.offer(&item)) {
+            self.control.send(ControlEvent::Proved(FreshnessProof { generation, at: sent }));
         }
         self.control.send(ControlEvent::StoreConfigurationRead);
         Ok(reading.at)
@@ -88,14 +92,22 @@
         }
     }
 
-    fn offer(&self, item: &Item) {
+    /// Passes a configuration on. Its generation, where it can be read.
+    fn offer(&self, item: &Item) -> Option<Generation> {
         match self.documents.read(&item.value) {
-            Ok(stored) => self.control.send(ControlEvent::Offered(stored)),
-            Err(problem) => error!(
-                revision = item.revision.0,
-                problem = problem.to_string().as_str();
-                "the store's configuration can't be read; the earlier one stays in force"
-            ),
+            Ok(stored) => {
+                let generation = stored.generation;
+                self.control.send(ControlEvent::Offered(stored));
+                Some(generation)
+            }
+            Err(problem) => {
+                error!(
+                    revision = item.revision.0,
+                    problem = problem.to_string().as_str();
+                    "the store's configuration can't be read; the earlier one stays in force"
+                );
+                None
+            }
         }
     }
 
--- a/crates/seamhatchd/src/controllers/follow/mod.rs
+++ b/crates/seamhatchd/src/controllers/follow/mod.rs
@@ -7,12 +7,14 @@
 mod configuration;
 mod departures;
 mod discovery;
+mod freshness;
 mod own_record;
 
 pub use condemned::remember_condemned;
 pub use configuration::follow_configuration;
 pub use departures::{ask_departures, remember_departure};
 pub use discovery::{Discovery, discover};
+pub use freshness::keep_fresh;
 
 use std::time::Duration;
 
--- a/crates/seamhatchd/src/conventions/mod.rs
+++ b/crates/seamhatchd/src/conventions/mod.rs
@@ -9,6 +9,7 @@
 pub use own::OwnConventions;
 
 use bytes::Bytes;
+use http::header::AUTHORIZATION;
 use http::{HeaderMap, Response, StatusCode};
 use seamhatch_core::admission::BackEndLoad;
 use seamhatch_core::clock::Microseconds;
@@ -16,9 +17,44 @@
 use seamhatch_core::identity::RootId;
 use seamhatch_core::instance::InstanceId;
 use seamhatch_core::outcome::{Outcome, Reason};
+use seamhatch_policy::KeyDigest;
 use seamhatch_wire::HeaderField;
 use std::fmt;
 
+/// Scheme under which callers send keys, in lower case.
+const KEY_SCHEME: &[u8] = b"bearer";
+
+/// What a caller shows of who it is.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum CallerCredential {
+    /// Nothing.
+    #[default]
+    None,
+    /// A key.
+    Key(KeyDigest),
+    /// Something that is no key: of another scheme, empty, or more than one.
+    Unusable,
+}
+
+impl CallerCredential {
+    /// Reads the field `Authorization` (RFC 6750, section 2.1; the scheme in any case by RFC 9110, section 11.1).
+    #[must_use]
+    pub fn of(headers: &HeaderMap) -> Self {
+        let mut values = headers.get_all(AUTHORIZATION).iter();
+        let Some(value) = values.next() else { return Self::None };
+        if values.next().is_some() {
+            return Self::Unusable;
+        }
+        let value = value.as_bytes().trim_ascii();
+        let Some((scheme, rest)) = value.split_at_checked(KEY_SCHEME.len()) else { return Self::Unusable };
+        let key = rest.trim_ascii_start();
+        if !scheme.eq_ignore_ascii_case(KEY_SCHEME) || key.is_empty() || key.len() == rest.len() {
+            return Self::Unusable;
+        }
+        Self::Key(KeyDigest::of(key))
+    }
+}
+
 /// What a caller tells of its request.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct CallerTerms {
@@ -31,6 +67,8 @@
     pub context: Option<String>,
     /// How long the caller waits.
     pub remaining: Option<Microseconds>,
+    /// Who it is.
+    pub credential: CallerCredential,
 }
 
 /// A call that is about to be written to the back end.
@@ -100,6 +138,9 @@
     /// Fields that the entry adds, given the service beside it.
     fn entry_fields(&self, own_service: &str) -> Vec<HeaderField>;
 
+    /// Field that tells a back end the name of the tenant, in lower case.
+    fn tenant_field(&self) -> &'static str;
+
     /// Name of a request by the fields that pass through.
     fn request_name<'a>(&self, fields: &'a [HeaderField]) -> Option<&'a str>;
 
--- a/crates/seamhatchd/src/conventions/own.rs
+++ b/crates/seamhatchd/src/conventions/own.rs
@@ -1,6 +1,9 @@
 //! The product's own header fields.
 
-use super::{AnswerMark, AnswerVerdict, BackEndCall, CallerTerms, HttpConventions, OwnAnswer, field, text};
+use super::{
+    AnswerMark, AnswerVerdict, BackEndCall, CallerCredential, CallerTerms, HttpConventions, OwnAnswer, field,
+    text,
+};
 use crate::headers;
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
@@ -27,7 +30,7 @@
 impl HttpConventions for OwnConventions {
     fn caller_terms(&self, headers: &HeaderMap) -> CallerTerms {
         let context = text(headers, headers::CONTEXT).map(str::to_owned);
-        CallerTerms { context, ..CallerTerms::default() }
+        CallerTerms { context, credential: CallerCredential::of(headers), ..CallerTerms::default() }
     }
 
     fn requires_name(&self) -> bool {
@@ -43,6 +46,10 @@
         Vec::new()
     }
 
+    fn tenant_field(&self) -> &'static str {
+        headers::TENANT
+    }
+
     fn request_name<'a>(&self, _fields: &'a [HeaderField]) -> Option<&'a str> {
         None
     }
--- a/crates/seamhatchd/src/dispatch/mod.rs
+++ b/crates/seamhatchd/src/dispatch/mod.rs
@@ -131,11 +131,12 @@
 }
 
 /// Names what is asked, wherever it comes in: its caller's service is left out, as a caller may ask at any
-/// machine. The deployment's name is the key, so that digests mean nothing elsewhere.
+/// machine. Two tenants that ask the same ask two things. The deployment's name is the key, so that digests mean nothing elsewhere.
 fn request_digest(shared: &Shared, request: &RequestState, body: Fingerprint) -> RequestDigest {
     RequestDigest::of(&[
         shared.settings.cluster.as_bytes(),
         request.header("authorization").unwrap_or_default().as_bytes(),
+        request.header(shared.conventions.tenant_field()).unwrap_or_default().as_bytes(),
         request.host.as_deref().unwrap_or(&request.service).as_bytes(),
         request.method.as_bytes(),
         request.path.as_bytes(),
--- a/crates/seamhatchd/src/filters/classification.rs
+++ b/crates/seamhatchd/src/filters/classification.rs
@@ -10,7 +10,7 @@
 use seamhatch_core::outcome::Reason;
 use seamhatch_core::priority::{Priority, PriorityClass};
 use seamhatch_core::retry::RetryLedger;
-use seamhatch_policy::{Configuration, PolicyRequest};
+use seamhatch_policy::{Configuration, PolicyRequest, TenantView};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -58,7 +58,7 @@
         let Some(route) = configuration.find(request.host.as_deref(), path) else {
             return Err(Rejection::not_run(Reason::NoRoute, "the request was not routed"));
         };
-        let decision = match &route.decision {
+        let decision = match route.decision(request.tenant.as_deref()) {
             Some(decision) => decision.clone(),
             None => configuration.policy().decide(&policy_request(&configuration, request)),
         };
@@ -127,5 +127,6 @@
         .collect();
     let mut view = configuration.request(&request.method, &request.path, headers);
     view.service.clone_from(&request.service);
+    view.tenant = TenantView::of(request.tenant.as_deref());
     view
 }
--- a/crates/seamhatchd/src/filters/idempotency.rs
+++ b/crates/seamhatchd/src/filters/idempotency.rs
@@ -19,7 +19,8 @@
     fn apply(&self, shared: &Shared, request: &mut RequestState) -> Result<(), Rejection> {
         let Some(key) = checked_key(shared, request)? else { return Ok(()) };
         if !request.repeatable {
-            let credentials = request.header("authorization").unwrap_or_default();
+            let tenant = request.tenant.as_ref().map(|tenant| tenant.name.as_str());
+            let credentials = tenant.or_else(|| request.header("authorization")).unwrap_or_default();
             let cookies = request.header("cookie").unwrap_or_default();
             request.claim_text = Some(format!("caller\n{credentials}\n{cookies}\n{key}"));
         }
--- a/crates/seamhatchd/src/filters/mod.rs
+++ b/crates/seamhatchd/src/filters/mod.rs
@@ -6,6 +6,7 @@
 mod context;
 mod entry_floor;
 mod idempotency;
+mod identity;
 mod limits;
 mod naming;
 mod readiness;
@@ -48,6 +49,8 @@
         Box::new(context::RemoveTrustedFields),
         // The policy's decision may depend on the service.
         Box::new(routing::RouteByPath),
+        // Some routes need no key. The policy sees the tenant, and what comes later no key.
+        Box::new(identity::Identity),
         // Sets class, retry tokens, deadline and whether the request may run again.
         Box::new(classification::Classification),
         // Needs to know whether the request may run again.
@@ -67,6 +70,8 @@
         Box::new(limits::RequestLimits),
         // Finds the running call that causes this one; all else is inherited from it.
         Box::new(context::ParentFromContext),
+        // From the call just found: a back end has no key of the tenant's.
+        Box::new(identity::InheritedTenant),
         // The first segment of the path names the service.
         Box::new(routing::ServiceFromPath),
         // Only asks whether the call may run again; the class is the parent's.
@@ -91,6 +96,8 @@
         Box::new(naming::RequiredName),
         // A call of work that runs here keeps its request's place in the order of shedding.
         Box::new(context::ParentFromName),
+        // Calls of work that runs here need no key, and some routes need none. What comes later sees no key.
+        Box::new(identity::Identity),
         // After it is known whose call it is: what runs here must be able to finish.
         Box::new(readiness::BeforeTheEnd),
         // Sets class, attempts, deadline and objective; a parent found before takes precedence.
--- a/crates/seamhatchd/src/filters/rejection.rs
+++ b/crates/seamhatchd/src/filters/rejection.rs
@@ -89,7 +89,14 @@
     /// Whether the verdict is true only where the configuration that decided is the one in force.
     #[must_use]
     pub fn rests_on_configuration(&self) -> bool {
-        matches!(self.reason, Reason::NoRoute | Reason::HeadTooLarge | Reason::BodyTooLarge)
+        matches!(
+            self.reason,
+            Reason::NoRoute
+                | Reason::HeadTooLarge
+                | Reason::BodyTooLarge
+                | Reason::NoKey
+                | Reason::UnknownKey
+        )
     }
 
     /// The HTTP status. Only what the entry itself finds wrong with a request may blame its caller, who
@@ -121,6 +128,7 @@
 fn callers_fault(reason: Reason) -> Option<StatusCode> {
     match reason {
         Reason::BadRequest => Some(StatusCode::BAD_REQUEST),
+        Reason::NoKey | Reason::UnknownKey => Some(StatusCode::UNAUTHORIZED),
         Reason::BadContext => Some(StatusCode::FORBIDDEN),
         Reason::NoRoute => Some(StatusCode::NOT_FOUND),
         Reason::KeyHeld | Reason::KeyMismatch => Some(StatusCode::CONFLICT),
--- a/crates/seamhatchd/src/filters/request.rs
+++ b/crates/seamhatchd/src/filters/request.rs
@@ -9,7 +9,7 @@
 use seamhatch_core::identity::RootId;
 use seamhatch_core::outcome::Reason;
 use seamhatch_core::priority::PriorityClass;
-use seamhatch_policy::Configuration;
+use seamhatch_policy::{Configuration, Tenant};
 use seamhatch_wire::HeaderField;
 use std::sync::Arc;
 
@@ -57,6 +57,10 @@
     pub root: RootId,
     /// The call that caused it; made for a request from outside.
     pub parent: Option<Arc<RunningCall>>,
+    /// Whether its route needs no key.
+    pub anonymous: bool,
+    /// Whose key it brought.
+    pub tenant: Option<Arc<Tenant>>,
     /// Whether it may run more than once.
     pub repeatable: bool,
     /// How long its answer would still be early, from its dispatch on.
@@ -87,6 +91,8 @@
             class: PriorityClass::Normal,
             root: RootId(rand::random()),
             parent: None,
+            anonymous: false,
+            tenant: None,
             repeatable: false,
             early_for: Microseconds::MAX,
             objective: Microseconds::MAX,
@@ -103,6 +109,13 @@
         self.configuration.clone().ok_or_else(|| Rejection::not_run(Reason::NotReady, detail))
     }
 
+    /// Takes it for a request of its own, whatever call its name seemed to belong to.
+    pub fn stand_alone(&mut self) {
+        if self.parent.take().is_some() {
+            self.root = RootId(rand::random());
+        }
+    }
+
     /// How logs name it: as its caller does, else by its root id.
     #[must_use]
     pub fn log_name(&self) -> String {
--- a/crates/seamhatchd/src/filters/routing.rs
+++ b/crates/seamhatchd/src/filters/routing.rs
@@ -11,11 +11,12 @@
     fn apply(&self, _shared: &Shared, request: &mut RequestState) -> Result<(), Rejection> {
         let configuration = request.configuration()?;
         let path = request.path.split('?').next().unwrap_or_default();
-        let Some(service) = configuration.route(path) else {
+        let Some(route) = configuration.find(None, path) else {
             let detail = "no route has this path; add one to the configuration or correct the path";
             return Err(Rejection::not_run(Reason::NoRoute, detail));
         };
-        request.service = service.to_owned();
+        request.service = route.first_service().to_owned();
+        request.anonymous = route.anonymous;
         request.entry_key = format!("{} {}", request.method, first_segments(path));
         Ok(())
     }
@@ -34,6 +35,7 @@
         };
         request.service = route.service(|below| rand::random_range(0..below)).to_owned();
         request.entry_key = route.kind(&request.service);
+        request.anonymous = route.anonymous;
         Ok(())
     }
 }
--- a/crates/seamhatchd/src/headers.rs
+++ b/crates/seamhatchd/src/headers.rs
@@ -17,6 +17,8 @@
 pub const GENERATION: &str = "seamhatch-generation";
 /// Root id of the request, for logs.
 pub const REQUEST_ID: &str = "seamhatch-request-id";
+/// Name of the tenant that sent the request from outside.
+pub const TENANT: &str = "seamhatch-tenant";
 /// Marks repeats of one request.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 
--- a/crates/seamhatchd/src/lib.rs
+++ b/crates/seamhatchd/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod crashes;
 pub mod dispatch;
 pub mod filters;
+pub mod freshness;
 pub mod gate;
 pub mod headers;
 pub mod instances;
--- a/crates/seamhatchd/src/listeners/admin.rs
+++ b/crates/seamhatchd/src/listeners/admin.rs
@@ -151,7 +151,12 @@
     let Some(configuration) = snapshot.configuration() else {
         return problem(StatusCode::NOT_FOUND, "no-configuration", "no configuration yet; submit one");
     };
-    let request = configuration.request(&sample.method, &sample.path, sample.headers);
+    let tenant = match configuration.tenant_of(&sample) {
+        Ok(tenant) => tenant,
+        Err(error) => return problem(StatusCode::UNPROCESSABLE_ENTITY, "no-tenant", error.to_string()),
+    };
+    let mut request = configuration.request(&sample.method, &sample.path, sample.headers);
+    request.tenant = tenant;
     let decision = configuration.policy().decide(&request);
     let explanation = Explanation {
         generation: snapshot.generation().0,
--- a/crates/seamhatchd/src/peer/connection.rs
+++ b/crates/seamhatchd/src/peer/connection.rs
@@ -164,9 +164,10 @@
     ) {
         let (connection, shared) = (self.clone(), shared.clone());
         tokio::spawn(async move {
+            let to_peer_clock = |instant| connection.to_peer_clock(instant);
             let result = tokio::select! {
                 result = connection.read(&shared, frames) => result,
-                _ = link::send_pulses(&shared, connection.outbox.clone(), || false) => Ok(()),
+                _ = link::send_pulses(&shared, connection.outbox.clone(), || false, to_peer_clock) => Ok(()),
                 () = connection.until_silent_or_idle(&shared) => Ok(()),
                 () = connection.inner.closing.notified() => Ok(()),
                 result = &mut writing => result.unwrap_or(Ok(())),
@@ -228,6 +229,7 @@
         match message {
             PeerMessage::Pulse(pulse) => {
                 self.inner.view().take_pulse(&pulse);
+                pulse.proof.into_iter().for_each(|proof| shared.freshness.prove(proof));
                 if pulse.intake == CallIntake::Closed {
                     shared.service_floors.forget(&self.service, self.address);
                 } else {
--- a/crates/seamhatchd/src/peer/link.rs
+++ b/crates/seamhatchd/src/peer/link.rs
@@ -3,6 +3,8 @@
 use crate::clock;
 use crate::shared::Shared;
 use log::debug;
+use seamhatch_core::Instant;
+use seamhatch_core::freshness::FreshnessProof;
 use seamhatch_wire::{Hello, PeerMessage, Pulse, WireError, encode_frame};
 use std::time::Duration;
 use tokio::io::{AsyncWrite, AsyncWriteExt};
@@ -70,14 +72,20 @@
     Ok(())
 }
 
-/// Puts heartbeats into the outbox until it closes; `is_busy` tells whether the other side waits for answers.
-pub async fn send_pulses(shared: &Shared, outbox: Outbox, is_busy: impl Fn() -> bool) {
+/// Puts heartbeats into the outbox until it closes; `is_busy` tells whether the other side waits for answers,
+/// `to_peer_clock` translates a local instant so that it errs early.
+pub async fn send_pulses(
+    shared: &Shared,
+    outbox: Outbox,
+    is_busy: impl Fn() -> bool,
+    to_peer_clock: impl Fn(Instant) -> Instant,
+) {
     loop {
         // Before the state is read, so that no later change of it is missed.
         let changed = shared.work_changed.notified();
         tokio::pin!(changed);
         changed.as_mut().enable();
-        if outbox.send(PeerMessage::Pulse(pulse(shared))).is_err() {
+        if outbox.send(PeerMessage::Pulse(pulse(shared, &to_peer_clock))).is_err() {
             return;
         }
         tokio::select! {
@@ -100,12 +108,14 @@
 }
 
 /// The present heartbeat.
-pub fn pulse(shared: &Shared) -> Pulse {
+fn pulse(shared: &Shared, to_peer_clock: &impl Fn(Instant) -> Instant) -> Pulse {
+    let proof = shared.freshness.proof();
     Pulse {
         clock: clock::now(),
         generation: shared.snapshot().generation(),
         intake: shared.intake(),
         server: shared.gate.report(),
+        proof: proof.map(|proof| FreshnessProof { at: to_peer_clock(proof.at), ..proof }),
     }
 }
 
--- a/crates/seamhatchd/src/peer/server.rs
+++ b/crates/seamhatchd/src/peer/server.rs
@@ -10,10 +10,12 @@
 use crate::shared::Shared;
 use bytes::Bytes;
 use log::warn;
+use seamhatch_core::Instant;
+use seamhatch_core::clock::PeerClock;
 use seamhatch_core::identity::CallId;
 use seamhatch_wire::{CallHead, FrameReader, Hello, PeerMessage, WireError, read_preface, write_preface};
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, mpsc};
@@ -68,14 +70,17 @@
     let _ = outbox.send(PeerMessage::Hello(link::hello(shared)));
     let writing = AbortOnDrop(tokio::spawn(link::write_messages(writer, messages)));
     let calls = Calls::default();
+    let peer_clock = SenderClock::default();
+    peer_clock.observe(hello.clock);
     let pulses = AbortOnDrop(tokio::spawn({
-        let (shared, outbox, calls) = (shared.clone(), outbox.clone(), calls.clone());
+        let (shared, outbox, calls, peer_clock) =
+            (shared.clone(), outbox.clone(), calls.clone(), peer_clock.clone());
         async move {
             let is_busy = || !calls.lock().expect("calls lock").is_empty();
-            link::send_pulses(&shared, outbox, is_busy).await;
+            link::send_pulses(&shared, outbox, is_busy, |instant| peer_clock.translate(instant)).await;
         }
     }));
-    let session = Session { shared: shared.clone(), outbox, hello, calls };
+    let session = Session { shared: shared.clone(), outbox, hello, calls, peer_clock };
     let result = session.read(frames).await;
     session.cancel_all();
     drop((writing, pulses));
@@ -106,12 +111,33 @@
 /// Calls in progress on one connection.
 pub(super) type Calls = Arc<Mutex<HashMap<CallId, CallEntry>>>;
 
+/// The boot clock of the daemon that sends calls.
+#[derive(Debug, Clone, Default)]
+struct SenderClock(Arc<Mutex<PeerClock>>);
+
+impl SenderClock {
+    fn observe(&self, sent: Instant) {
+        self.lock().observe(sent, clock::now());
+    }
+
+    /// Translates a local instant, erring early.
+    fn translate(&self, instant: Instant) -> Instant {
+        // The first message has told the clock.
+        self.lock().to_peer(instant).unwrap_or_default()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, PeerClock> {
+        self.0.lock().expect("a thread panicked inside the clock of a peer")
+    }
+}
+
 /// One connection of a daemon that sends calls here.
 struct Session {
     shared: Arc<Shared>,
     outbox: Outbox,
     hello: Hello,
     calls: Calls,
+    peer_clock: SenderClock,
 }
 
 impl Session {
@@ -152,6 +178,8 @@
                 });
             }
             PeerMessage::Pulse(pulse) => {
+                self.peer_clock.observe(pulse.clock);
+                pulse.proof.into_iter().for_each(|proof| self.shared.freshness.prove(proof));
                 self.shared.control.saw_generation(self.hello.peer, pulse.generation);
             }
             _ => self.shared.metrics.bad_input(BadInput::PeerConnection),
--- a/crates/seamhatchd/src/peer/server_call.rs
+++ b/crates/seamhatchd/src/peer/server_call.rs
@@ -2,6 +2,7 @@
 
 use crate::backend::{self, BackendAnswer, BackendError, BackendRequest};
 use crate::clock;
+use crate::conventions::field_text;
 use crate::crashes::{self, Trial};
 use crate::gate::{GateRequest, Permit};
 use crate::headers;
@@ -76,14 +77,16 @@
         self.shared.control.saw_generation_of_call(self.head.generation);
         let now = clock::now();
         let context = &self.head.context;
-        let running = Arc::new(RunningCall::new(
+        let running = RunningCall::new(
             context.root,
             context.priority,
             now.minus(context.root_age),
             context.expiry,
             context.depth + 1,
             RetryLedger::new(context.tokens, context.repeat),
-        ));
+        );
+        let tenant = field_text(&self.head.headers, self.shared.conventions.tenant_field());
+        let running = Arc::new(running.of_tenant(tenant));
         match self.admit(&running).await {
             Ok((permit, trial)) => self.execute(&running, permit, trial.as_ref(), body).await,
             Err(reason) => self.refuse(&running, Outcome::NotRun, reason, ""),
--- a/crates/seamhatchd/src/running.rs
+++ b/crates/seamhatchd/src/running.rs
@@ -30,6 +30,8 @@
     ledger: Mutex<RetryLedger>,
     chain_floor: Mutex<Option<ChainFloor>>,
     cause: Option<Arc<RunningCall>>,
+    /// Name of the tenant whose request it belongs to.
+    tenant: Option<String>,
     /// It has made calls of its own.
     has_calls: AtomicBool,
 }
@@ -55,6 +57,7 @@
             ledger,
             chain_floor: Mutex::default(),
             cause: None,
+            tenant: None,
             repeats: false,
             has_calls: AtomicBool::new(false),
         }
@@ -69,7 +72,20 @@
         let call = Self::new(cause.root, cause.priority, cause.root_admitted, expiry, depth, ledger);
         let repeats = cause.ledger().is_repeat();
         cause.has_calls.store(true, Ordering::Relaxed);
-        Self { cause: Some(cause), repeats, ..call }
+        let tenant = cause.tenant.clone();
+        Self { cause: Some(cause), repeats, tenant, ..call }
+    }
+
+    /// As a call of this tenant's request.
+    #[must_use]
+    pub fn of_tenant(self, tenant: Option<&str>) -> Self {
+        Self { tenant: tenant.map(str::to_owned), ..self }
+    }
+
+    /// Name of the tenant whose request it belongs to.
+    #[must_use]
+    pub fn tenant(&self) -> Option<&str> {
+        self.tenant.as_deref()
     }
 
     /// Its retry tokens and child calls.
--- a/crates/seamhatchd/src/settings/checks.rs
+++ b/crates/seamhatchd/src/settings/checks.rs
@@ -1,6 +1,6 @@
 //! Checks of the settings, each with an error that names key, value and remedy.
 
-use super::file::{LogFile, RetriesFile, SettingsFile, StopFile};
+use super::file::{LogFile, RetriesFile, SettingsFile, StopFile, TenantsFile};
 use super::{AdvertiseSettings, ListenSettings, LogFormat, LogSettings, RetryBound, Settings, SettingsError};
 use seamhatch_core::identity::Address;
 use std::time::Duration;
@@ -60,6 +60,7 @@
             first_start: self.membership.first_start,
             grace: self.stop.check()?,
             retries: self.retries.check()?,
+            revocation: self.tenants.check()?,
             log: self.log.check()?,
             traffic_threads,
         })
@@ -74,6 +75,15 @@
     }
 }
 
+impl TenantsFile {
+    fn check(self) -> Result<Option<Duration>, SettingsError> {
+        let Some(milliseconds) = self.revocation_ms else { return Ok(None) };
+        // Less leaves no time to ask the store again after an answer that was lost.
+        number_in("tenants.revocation_ms", milliseconds, 2e3..=36e5, "a number from 2000 to 3600000")?;
+        Ok(Some(Duration::from_secs_f64(milliseconds / 1e3)))
+    }
+}
+
 impl RetriesFile {
     fn check(self) -> Result<Option<RetryBound>, SettingsError> {
         let Some(ratio) = self.ratio else { return Ok(None) };
--- a/crates/seamhatchd/src/settings/file.rs
+++ b/crates/seamhatchd/src/settings/file.rs
@@ -21,6 +21,7 @@
     pub(super) threads: ThreadsFile,
     pub(super) stop: StopFile,
     pub(super) retries: RetriesFile,
+    pub(super) tenants: TenantsFile,
 }
 
 #[derive(Debug, Clone, Default, Deserialize)]
@@ -48,6 +49,12 @@
     pub(super) slack: Option<f64>,
 }
 
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub(super) struct TenantsFile {
+    pub(super) revocation_ms: Option<f64>,
+}
+
 #[derive(Debug, Clone, Default, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub(super) struct AdvertiseFile {
--- a/crates/seamhatchd/src/settings/mod.rs
+++ b/crates/seamhatchd/src/settings/mod.rs
@@ -101,6 +101,9 @@
     pub grace: Option<Duration>,
     /// Bound on the retries that the whole deployment may cause at one service, if there is one.
     pub retries: Option<RetryBound>,
+    /// Time after the acceptance of a configuration from which no daemon, however it is cut off, goes by a key that the
+    /// configuration took away; none where a daemon may go by the newest one that it knows.
+    pub revocation: Option<Duration>,
     /// Logs.
     pub log: LogSettings,
     /// Threads for requests, connections between daemons and to the back end.
--- a/crates/seamhatchd/src/shared.rs
+++ b/crates/seamhatchd/src/shared.rs
@@ -7,6 +7,7 @@
 use crate::conventions::HttpConventions;
 use crate::crashes::{CrashWatch, SuspectBook};
 use crate::filters::EntryFloors;
+use crate::freshness::Freshness;
 use crate::gate::AdmissionGate;
 use crate::instances::Instances;
 use crate::metrics::Metrics;
@@ -61,6 +62,8 @@
     pub entry_floors: EntryFloors,
     /// What the services admit that this daemon calls.
     pub service_floors: ServiceFloors,
+    /// Whether the configuration in force is known to be the newest.
+    pub freshness: Freshness,
     /// The control thread.
     pub control: ControlHandle,
     /// The state that the control thread published last.
--- a/crates/seamhatchd/src/startup.rs
+++ b/crates/seamhatchd/src/startup.rs
@@ -6,6 +6,7 @@
 use crate::controllers::{ControlHandle, ControlThread, DrainTarget};
 use crate::crashes::{CrashWatch, SuspectBook};
 use crate::filters::EntryFloors;
+use crate::freshness::Freshness;
 use crate::gate::AdmissionGate;
 use crate::instances::Instances;
 use crate::listeners::Listeners;
@@ -165,6 +166,7 @@
         retry_budget: RetryBudget::new(settings.retries),
         entry_floors: EntryFloors::default(),
         service_floors: ServiceFloors::default(),
+        freshness: Freshness::new(settings.revocation),
         control,
         published: ArcSwap::from_pointee(Snapshot::default()),
         draining: AtomicBool::new(false),
