--- a/crates/seamhatch-model/src/lib.rs
+++ b/crates/seamhatch-model/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod configuration;
 pub mod crashes;
 pub mod departures;
+pub mod freshness;
 pub mod retries;
 mod search;
 
