Quotas of tenants over all daemons: seats with leases, tokens on demand

Change: each limit is divided into eight seats; whoever holds a seat, by a key that goes with a lease in the store, fills a bucket for each tenant and hands out tokens on demand. A token counts for a tenth of the window from when it was asked for; the bucket is smaller by what is filled meanwhile, so that the bound holds through loss, delay, restart, partition and another holder. What did not run is given back. At the limit: 429 with the time at which there is room; 503 where no holder answers. Rows, records and heartbeats of another writer name nobody and hide no other.

--- a/crates/seamhatch-core/src/lib.rs
+++ b/crates/seamhatch-core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod membership;
 pub mod outcome;
 pub mod priority;
+pub mod quota;
 pub mod rendezvous;
 pub mod retry;
 pub mod roster;
--- a/crates/seamhatch-core/src/membership/mod.rs
+++ b/crates/seamhatch-core/src/membership/mod.rs
@@ -202,6 +202,15 @@
         self.speak_up();
     }
 
+    /// Changes the seats of the tenants' limits that this daemon tells to hold.
+    pub fn set_seats(&mut self, seats: u64) {
+        if self.me.info.seats == seats {
+            return;
+        }
+        self.me.info.seats = seats;
+        self.speak_up();
+    }
+
     /// Offers this daemon's record and list to `targets` at once, as a starting daemon does.
     #[must_use]
     pub fn greet(&self, targets: &[Address]) -> Vec<Outgoing> {
--- a/crates/seamhatch-core/src/outcome.rs
+++ b/crates/seamhatch-core/src/outcome.rs
@@ -97,6 +97,10 @@
     UnknownKey,
     /// The daemon can't show that its configuration is new enough to go by a tenant's key.
     NoProof,
+    /// The request's tenant is at its limit.
+    OverQuota,
+    /// Nobody can tell what is left of the tenant's limit.
+    NoSeat,
 }
 
 impl Reason {
@@ -134,6 +138,8 @@
             Self::NoKey => "no-key",
             Self::UnknownKey => "unknown-key",
             Self::NoProof => "no-proof",
+            Self::OverQuota => "over-quota",
+            Self::NoSeat => "no-seat",
         }
     }
 
--- a/crates/seamhatch-model/src/lib.rs
+++ b/crates/seamhatch-model/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod freshness;
 pub mod retries;
 mod search;
+pub mod seats;
 
 pub use search::{Action, Model, SearchResult, Step, action, search};
--- a/crates/seamhatch-wire/src/message.rs
+++ b/crates/seamhatch-wire/src/message.rs
@@ -13,6 +13,7 @@
 use seamhatch_core::instance::InstanceId;
 use seamhatch_core::outcome::{Outcome, Reason};
 use seamhatch_core::priority::{AdmissionFloor, Priority};
+use seamhatch_core::quota::SeatNumber;
 use seamhatch_core::roster::Roster;
 use seamhatch_policy::StoredConfiguration;
 use speedy::{Readable, Writable};
@@ -353,6 +354,15 @@
         /// Gossip address of the daemon beside them.
         member: Address,
     },
+    /// Asks the holder of a seat of the tenants' limits for tokens.
+    GetTokens {
+        /// Number of the seat.
+        seat: SeatNumber,
+        /// Name of the tenant.
+        tenant: String,
+        /// Tokens that are wanted.
+        wanted: u32,
+    },
     /// Asks the holder of a claim what became of it.
     GetRecorded {
         /// The claim's key.
@@ -386,6 +396,13 @@
     },
     /// What became of a claim.
     Recorded(RecordedState),
+    /// Tokens of a tenant's limit.
+    Tokens {
+        /// How many.
+        tokens: u32,
+        /// When to ask again; zero where there were some.
+        pause: Microseconds,
+    },
     /// Departed instances, the latest last.
     Departures(Vec<InstanceId>),
 }
--- a/crates/seamhatch/src/arguments.rs
+++ b/crates/seamhatch/src/arguments.rs
@@ -68,9 +68,11 @@
 ";
 
 const EXPLAIN_HELP: &str = "\
-seamhatch explain --path PATH [--method METHOD] [--header NAME:VALUE]...
+seamhatch explain --path PATH [--method METHOD] [--header NAME:VALUE]... [--tenant NAME]
 
 Shows what the policy in force decides for a request.
+
+  --tenant NAME  as sent with a key of this tenant (default: without a key)
 ";
 
 const DRAIN_HELP: &str = "\
@@ -194,6 +196,8 @@
     pub path: String,
     /// Header fields, names in lower case.
     pub headers: Vec<(String, String)>,
+    /// Name of the tenant that sends it.
+    pub tenant: Option<String>,
 }
 
 /// Reads the command line.
@@ -305,6 +309,7 @@
         method: method.unwrap_or_else(|| "GET".to_owned()),
         path: path.ok_or_else(|| usage("explain needs --path"))?,
         headers: fields.into_iter().map(split).collect::<Result<_, CliError>>()?,
+        tenant: value(arguments, "--tenant")?,
     })
 }
 
--- a/crates/seamhatch/src/commands.rs
+++ b/crates/seamhatch/src/commands.rs
@@ -225,7 +225,9 @@
 
 async fn explain(daemons: Vec<Address>, json: bool, options: ExplainOptions) -> Result<String, CliError> {
     let headers: BTreeMap<String, String> = options.headers.into_iter().collect();
-    let body = serde_json::json!({ "method": options.method, "path": options.path, "headers": headers });
+    let body = serde_json::json!({
+        "method": options.method, "path": options.path, "headers": headers, "tenant": options.tenant,
+    });
     let explanation: Explanation = AdminClient::new(daemons)?.post("/v1/explain", &body).await?;
     Ok(output::show(json, &explanation, output::explanation))
 }
--- a/crates/seamhatch/src/trace/cause.rs
+++ b/crates/seamhatch/src/trace/cause.rs
@@ -106,6 +106,15 @@
             "no majority of the witnesses of its key answered: see `seamhatch status`".into()
         }
         "key-held" | "key-mismatch" => "another request has its idempotency key".into(),
+        "no-key" => "it brought no tenant's key, and its route needs one".into(),
+        "unknown-key" => {
+            "no tenant of the configuration in force has its key: it is wrong, or was taken away".into()
+        }
+        "no-proof" => {
+            "the daemon could not show that its keys are the newest: see the store, and `tenants.revocation_ms`".into()
+        }
+        "over-quota" => format!("the tenant {} was at its limit: see `rate` and `burst`", shown(line, "tenant")),
+        "no-seat" => "no daemon that hands out the tenants' limits answered: see the store".into(),
         "head-too-large" | "body-too-large" => "it is larger than the configuration's limits".into(),
         _ => "docs/OPERATIONS.md lists the reasons".into(),
     };
--- a/crates/seamhatchd/src/controllers/control_thread/configuration.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/configuration.rs
@@ -6,6 +6,7 @@
 use crate::controllers::events::{ControlEvent, SubmitRequest};
 use crate::controllers::submission::{Submission, SubmitError};
 use crate::ports::Backing;
+use log::warn;
 use seamhatch_core::generation::{Generation, Offer};
 use seamhatch_core::identity::Address;
 use seamhatch_core::membership::GossipMessage;
@@ -25,7 +26,15 @@
             self.control.note_told(generation, clock::now());
             if let Some((in_force, configuration)) = self.configuration.in_force() {
                 self.control.set_generation(in_force);
-                self.shared.freshness.set_in_force(in_force, !configuration.tenants().is_empty());
+                let tenants = configuration.tenants();
+                self.shared.freshness.set_in_force(in_force, !tenants.is_empty());
+                let limited = tenants.iter().any(|tenant| tenant.limit.is_some());
+                if limited && self.followed().is_none() {
+                    warn!(
+                        "limits of tenants are not kept: operators of this deployment submit to daemons, not to its store"
+                    );
+                }
+                self.shared.quota.set_needed(limited && self.followed().is_some());
             }
             if self.followed().is_none() {
                 // Daemons that follow a store hear of it there.
--- a/crates/seamhatchd/src/controllers/control_thread/mod.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/mod.rs
@@ -6,6 +6,7 @@
 mod publishing;
 mod requests;
 mod roster;
+mod seats;
 mod store;
 mod suspects;
 
@@ -108,6 +109,7 @@
             zone: settings.zone.clone(),
             service: settings.service.clone(),
             slots: settings.slots,
+            seats: 0,
         };
         let state =
             Membership::new(MembershipPolicy::default(), info, shared.incarnation, settings.seeds.clone());
@@ -231,6 +233,7 @@
             }
             ControlEvent::DeparturesNotLearnt => self.departures_not_learnt(),
             ControlEvent::StoreConfigurationRead => self.configuration_was_read(),
+            ControlEvent::SeatsChanged => self.seats_changed(),
             ControlEvent::Proved(proof) => self.shared.freshness.prove(proof),
             ControlEvent::Discovered(discovery) => self.discovered(discovery),
             ControlEvent::Condemned(requests) => self.condemned(requests),
--- a/crates/seamhatchd/src/controllers/control_thread/requests.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/requests.rs
@@ -62,6 +62,8 @@
                 Some(stored) if stored.generation > have => ControlReply::Configuration(stored),
                 other => ControlReply::Generation(other.map(|stored| stored.generation).unwrap_or_default()),
             },
+            // Answered by the thread that carries traffic.
+            ControlRequest::GetTokens { .. } => ControlReply::Declined,
             ControlRequest::GetRecorded { key, holder } => {
                 ControlReply::Recorded(self.shared.records.get(key, holder))
             }
--- a/crates/seamhatchd/src/controllers/follow/discovery.rs
+++ b/crates/seamhatchd/src/controllers/follow/discovery.rs
@@ -4,6 +4,7 @@
 //! all others, so that of two daemons that start together at least one sees the other.
 
 use super::own_record::OwnRecord;
+use super::seats::SeatRecord;
 use super::{ANSWER_TIMEOUT, Backoff};
 use crate::clock::unix_milliseconds;
 use crate::controllers::ControlHandle;
@@ -15,6 +16,7 @@
 use seamhatch_core::crashes::SuspectReport;
 use seamhatch_core::departure::{DepartureRecord, DepartureSource};
 use seamhatch_core::identity::Address;
+use seamhatch_core::quota::SeatNumber;
 use std::sync::Arc;
 
 /// What the records of all daemons tell.
@@ -24,6 +26,8 @@
     pub members: Vec<Address>,
     /// Requests that were condemned, as any of them has noted.
     pub condemned: Vec<SuspectReport>,
+    /// Seats of the tenants' limits and who holds them.
+    pub seats: Vec<(SeatNumber, SeatRecord)>,
 }
 
 /// Key of a daemon's record.
@@ -69,7 +73,7 @@
     let write = Write {
         expect: vec![(key.clone(), Revision(0))],
         put: vec![(key, OwnRecord::default().to_bytes())],
-        remove: Vec::new(),
+        ..Write::default()
     };
     let written = tokio::time::timeout(ANSWER_TIMEOUT, followed.store.write(&write));
     let timed_out = |_| StoreError::AnswerLost { detail: "no answer in time".into() };
@@ -92,6 +96,10 @@
         let reading = metrics.time_store_call(tokio::time::timeout(ANSWER_TIMEOUT, reading)).await;
         let Page { items, more } = reading.map_err(timed_out)??.found;
         for item in &items {
+            if let Some(seat) = SeatRecord::read(followed, item) {
+                discovery.seats.push(seat);
+                continue;
+            }
             discovery.members.extend(address_of(followed, item));
             let condemned = OwnRecord::from_bytes(&item.value).condemned;
             discovery.condemned.extend(condemned.iter().map(|known| known.to_report(now)));
--- a/crates/seamhatchd/src/controllers/follow/own_record.rs
+++ b/crates/seamhatchd/src/controllers/follow/own_record.rs
@@ -75,7 +75,7 @@
     let write = Write {
         expect: vec![(key.clone(), revision)],
         put: vec![(key, record.to_bytes())],
-        remove: Vec::new(),
+        ..Write::default()
     };
     shared.metrics.time_store_call(followed.store.write(&write)).await
 }
--- a/crates/seamhatchd/src/filters/rejection.rs
+++ b/crates/seamhatchd/src/filters/rejection.rs
@@ -112,6 +112,7 @@
 
     fn failure_status(&self) -> StatusCode {
         match (self.reason, self.outcome) {
+            (Reason::OverQuota, Outcome::NotRun) => StatusCode::TOO_MANY_REQUESTS,
             (Reason::DeadlineExceeded, Outcome::Unknown) => StatusCode::GATEWAY_TIMEOUT,
             // An earlier attempt may have run, whatever the last peer says of itself.
             (_, Outcome::Unknown) if self.source == VerdictSource::Peer => StatusCode::BAD_GATEWAY,
--- a/crates/seamhatchd/src/lib.rs
+++ b/crates/seamhatchd/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod metrics;
 pub mod peer;
 pub mod ports;
+pub mod quota;
 mod reload;
 pub mod retry_budget;
 pub mod running;
--- a/crates/seamhatchd/src/listeners/admin.rs
+++ b/crates/seamhatchd/src/listeners/admin.rs
@@ -7,7 +7,7 @@
 use http::{Method, StatusCode};
 use seamhatch_core::generation::{Generation, SubmissionId};
 use seamhatch_core::identity::Address;
-use seamhatch_policy::Sample;
+use seamhatch_policy::{Sample, StoredConfiguration};
 use serde::{Deserialize, Serialize};
 use std::convert::Infallible;
 use std::sync::Arc;
@@ -108,11 +108,18 @@
 
 async fn configuration(shared: &Shared) -> WebResponse {
     match shared.control.stored().await {
-        Some(stored) => json(StatusCode::OK, &stored),
+        Some(stored) => json(StatusCode::OK, &without_keys(shared, stored)),
         None => problem(StatusCode::NOT_FOUND, "no-configuration", "no configuration yet; submit one"),
     }
 }
 
+/// A document with tenants is not shown, as it may hold their keys.
+fn without_keys(shared: &Shared, stored: StoredConfiguration) -> StoredConfiguration {
+    let has_tenants = shared.snapshot().configuration().is_some_and(|known| !known.tenants().is_empty());
+    let document = if has_tenants { String::new() } else { stored.document };
+    StoredConfiguration { document, ..stored }
+}
+
 async fn submit(shared: &Shared, body: RequestBody) -> WebResponse {
     let submission: SubmissionBody = match read_json(body).await {
         Ok(submission) => submission,
--- a/crates/seamhatchd/src/listeners/proxy.rs
+++ b/crates/seamhatchd/src/listeners/proxy.rs
@@ -6,6 +6,7 @@
 use crate::filters::{self, Entry, FilterChain, RETURN_JITTER, Rejection, RequestState};
 use crate::headers;
 use crate::listeners::body::{self, CallerBody, OpenRequest};
+use crate::quota;
 use crate::shared::Shared;
 use bytes::Bytes;
 use http::header::{CONNECTION, CONTENT_LENGTH, HOST};
@@ -111,7 +112,12 @@
         })
     }
 
+    /// Charges a request to its tenant, answers it, and gives back what was charged for one that did not run.
     async fn answer(&self, request: RequestState, body: Incoming, open: OpenRequest) -> Response<CallerBody> {
+        let permit = match quota::admit(&self.shared, &request).await {
+            Ok(permit) => permit,
+            Err(rejection) => return self.reject(&request, &rejection),
+        };
         let body = match ReplayBody::read_prefix(body).await {
             Ok(body) => body,
             Err(rejection) => return self.reject(&request, &rejection),
@@ -124,7 +130,12 @@
                 self.pass(&request, *answer, open)
             }
             CallResult::Recorded(recorded) => self.repeat(&request, recorded),
-            CallResult::Rejected(rejection) => self.reject(&request, &rejection),
+            CallResult::Rejected(rejection) => {
+                if rejection.outcome == Outcome::NotRun {
+                    permit.into_iter().for_each(|permit| permit.give_back(&self.shared.quota));
+                }
+                self.reject(&request, &rejection)
+            }
         }
     }
 
@@ -201,6 +212,7 @@
             request = request.log_name().as_str(),
             service = request.service.as_str(),
             class = request.class.name(),
+            tenant = request.tenant.as_ref().map_or("", |tenant| tenant.name.as_str()),
             outcome = rejection.outcome.name(),
             reason = rejection.reason.name(),
             detail = rejection.detail.as_str(),
--- a/crates/seamhatchd/src/listeners/registry.rs
+++ b/crates/seamhatchd/src/listeners/registry.rs
@@ -2,8 +2,10 @@
 
 use crate::controllers::InstanceAnswer;
 use crate::listeners::answers::{json, read_json, typed};
+use crate::metrics::BadInput;
 use crate::shared::Shared;
 use http::{Method, StatusCode};
+use log::warn;
 use seamhatch_core::clock::MILLISECOND;
 use seamhatch_core::instance::{Heartbeat, InstanceId, InstanceState};
 use serde::{Deserialize, Serialize};
@@ -87,7 +89,11 @@
 async fn heartbeat(shared: &Shared, instance: InstanceId, body: RequestBody) -> WebResponse {
     let told: HeartbeatBody = match read_json(body, LARGEST_HEARTBEAT).await {
         Ok(told) => told,
-        Err(unusable) => return problem(unusable.status, "bad-heartbeat", &unusable.detail),
+        Err(unusable) => {
+            shared.metrics.bad_input(BadInput::Heartbeat);
+            warn!(instance = instance.name.as_str(), detail = unusable.detail.as_str(); "a heartbeat can't be read and is passed over");
+            return problem(unusable.status, "bad-heartbeat", &unusable.detail);
+        }
     };
     if told.service != shared.settings.service {
         let detail =
--- a/crates/seamhatchd/src/metrics.rs
+++ b/crates/seamhatchd/src/metrics.rs
@@ -49,6 +49,8 @@
     PeerConnection,
     /// An HTTP request.
     Request,
+    /// A heartbeat of a back end.
+    Heartbeat,
     /// A context header that this daemon didn't make.
     Context,
     /// A policy function that failed at run time.
@@ -63,6 +65,7 @@
             Self::Datagram => "datagram",
             Self::PeerConnection => "peer-connection",
             Self::Request => "request",
+            Self::Heartbeat => "heartbeat",
             Self::Context => "context",
             Self::Policy => "policy",
             Self::LateAnswer => "late-answer",
--- a/crates/seamhatchd/src/peer/server.rs
+++ b/crates/seamhatchd/src/peer/server.rs
@@ -7,13 +7,18 @@
 use crate::peer::credit::CreditWindow;
 use crate::peer::link::{self, Outbox};
 use crate::peer::server_call::ServerCall;
+use crate::quota;
 use crate::shared::Shared;
 use bytes::Bytes;
 use log::warn;
 use seamhatch_core::Instant;
 use seamhatch_core::clock::PeerClock;
 use seamhatch_core::identity::CallId;
-use seamhatch_wire::{CallHead, FrameReader, Hello, PeerMessage, WireError, read_preface, write_preface};
+use seamhatch_core::quota::QuotaGrant;
+use seamhatch_wire::{
+    CallHead, ControlReply, ControlRequest, FrameReader, Hello, PeerMessage, WireError, read_preface,
+    write_preface,
+};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -169,6 +174,16 @@
             PeerMessage::ReleaseClaim { shard, epoch, key, holder } => {
                 self.shared.witnesses.release(shard, epoch, key, holder);
             }
+            PeerMessage::ControlRequest {
+                exchange,
+                request: ControlRequest::GetTokens { seat, tenant, wanted },
+            } => {
+                let grant = quota::grant(&self.shared, seat, &tenant, wanted);
+                let reply = grant.map_or(ControlReply::Declined, |QuotaGrant { tokens, pause }| {
+                    ControlReply::Tokens { tokens, pause }
+                });
+                let _ = self.outbox.send(PeerMessage::ControlReply { exchange, reply });
+            }
             PeerMessage::ControlRequest { exchange, request } => {
                 let outbox = self.outbox.clone();
                 let reply = self.shared.control.ask(request);
--- /dev/null
+++ b/crates/seamhatchd/src/quota/mod.rs
@@ -0,0 +1,76 @@
+//! Limits of tenants: the seats that this daemon holds, the tokens that it has, and where it asks for more.
+//!
+//! [`seamhatch_core::quota`] decides; seats are taken in `controllers::follow::seats`.
+
+mod admission;
+mod directory;
+mod holder;
+
+pub use admission::{QuotaPermit, admit};
+pub use directory::{SeatDirectory, SeatPlace};
+pub use holder::{HeldSeats, grant};
+
+use crate::clock;
+use seamhatch_core::clock::{Microseconds, SECOND};
+use seamhatch_core::quota::{QuotaPolicy, QuotaPurse, TenantLimit};
+use seamhatch_policy::Tenant;
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Mutex, MutexGuard};
+
+/// A tenant that was not heard for this long has nothing left here that counts.
+const FORGOTTEN_AFTER: Microseconds = 60 * SECOND;
+
+/// What this daemon knows of the tenants' limits.
+#[derive(Debug)]
+pub struct Quota {
+    /// How exactly limits are kept.
+    pub policy: QuotaPolicy,
+    /// Seats of other daemons and this one, as far as is known.
+    pub directory: SeatDirectory,
+    /// Seats held here.
+    pub held: HeldSeats,
+    purses: Mutex<HashMap<String, QuotaPurse>>,
+    /// Whether any tenant has a limit that can be kept.
+    needed: AtomicBool,
+}
+
+impl Quota {
+    /// Nothing held, nothing known.
+    #[must_use]
+    pub fn new(policy: QuotaPolicy) -> Self {
+        Self {
+            policy,
+            directory: SeatDirectory::default(),
+            held: HeldSeats::default(),
+            purses: Mutex::default(),
+            needed: AtomicBool::new(false),
+        }
+    }
+
+    /// Sets whether any tenant has a limit that can be kept.
+    pub fn set_needed(&self, needed: bool) {
+        self.needed.store(needed, Ordering::Relaxed);
+    }
+
+    /// Whether any tenant has a limit that can be kept.
+    #[must_use]
+    pub fn is_needed(&self) -> bool {
+        self.needed.load(Ordering::Relaxed)
+    }
+
+    /// Forgets the tenants that were not heard for long.
+    pub fn forget_old(&self) {
+        let now = clock::now();
+        self.purses().retain(|_, purse| now.since(purse.seen()) < FORGOTTEN_AFTER);
+    }
+
+    fn purses(&self) -> MutexGuard<'_, HashMap<String, QuotaPurse>> {
+        self.purses.lock().expect("a thread panicked inside the tokens of tenants")
+    }
+}
+
+/// The limit of a tenant, if it has one.
+fn limit_of(tenant: &Tenant) -> Option<TenantLimit> {
+    tenant.limit.map(|limit| TenantLimit { rate: limit.rate, burst: limit.burst })
+}
--- a/crates/seamhatchd/src/settings/checks.rs
+++ b/crates/seamhatchd/src/settings/checks.rs
@@ -1,12 +1,22 @@
 //! Checks of the settings, each with an error that names key, value and remedy.
 
-use super::file::{LogFile, RetriesFile, SettingsFile, StopFile, TenantsFile};
+use super::file::{LogFile, QuotasFile, RetriesFile, SettingsFile, StopFile, TenantsFile};
 use super::{AdvertiseSettings, ListenSettings, LogFormat, LogSettings, RetryBound, Settings, SettingsError};
+use seamhatch_core::clock::Microseconds;
 use seamhatch_core::identity::Address;
+use seamhatch_core::quota::QuotaPolicy;
 use std::time::Duration;
 
 /// Most threads of one kind.
 const MAX_THREADS: usize = 64;
+/// Span in which a tenant's limit is judged, in seconds, and the part by which it may be exceeded.
+const DEFAULT_QUOTA_WINDOW_S: f64 = 5.0;
+const DEFAULT_QUOTA_OVERAGE: f64 = 0.1;
+/// Parts of each limit: the loss of one holder costs an eighth, and an eighth of some tens of requests a second still
+/// is some requests a second.
+const DEFAULT_SEATS: u32 = 8;
+/// Most parts of a limit: a bit each in what members tell.
+const MOST_SEATS: usize = 64;
 /// Most slots of a back end.
 const MAX_SLOTS: u32 = 10_000;
 /// Longest name of a cluster, region, zone or service.
@@ -61,6 +71,7 @@
             grace: self.stop.check()?,
             retries: self.retries.check()?,
             revocation: self.tenants.check()?,
+            quota: self.quotas.check()?,
             log: self.log.check()?,
             traffic_threads,
         })
@@ -84,6 +95,21 @@
     }
 }
 
+impl QuotasFile {
+    fn check(self) -> Result<QuotaPolicy, SettingsError> {
+        let window = self.window_s.unwrap_or(DEFAULT_QUOTA_WINDOW_S);
+        let overage = self.overage.unwrap_or(DEFAULT_QUOTA_OVERAGE);
+        let slack = self.slack.unwrap_or_default();
+        let seats = self.seats.unwrap_or(DEFAULT_SEATS);
+        number_in("quotas.window_s", window, 1.0..=3600.0, "a number from 1 to 3600")?;
+        number_in("quotas.overage", overage, 0.01..=1.0, "a number from 0.01 to 1")?;
+        number_in("quotas.slack", slack, 0.0..=1e6, "a number from 0 to 1000000")?;
+        in_range("quotas.seats", seats as usize, 1..=MOST_SEATS, "a number from 1 to 64")?;
+        let window = Duration::from_secs_f64(window).as_micros() as Microseconds;
+        Ok(QuotaPolicy { window, overage, slack, seats })
+    }
+}
+
 impl RetriesFile {
     fn check(self) -> Result<Option<RetryBound>, SettingsError> {
         let Some(ratio) = self.ratio else { return Ok(None) };
--- a/crates/seamhatchd/src/settings/file.rs
+++ b/crates/seamhatchd/src/settings/file.rs
@@ -22,6 +22,7 @@
     pub(super) stop: StopFile,
     pub(super) retries: RetriesFile,
     pub(super) tenants: TenantsFile,
+    pub(super) quotas: QuotasFile,
 }
 
 #[derive(Debug, Clone, Default, Deserialize)]
@@ -55,6 +56,15 @@
     pub(super) revocation_ms: Option<f64>,
 }
 
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub(super) struct QuotasFile {
+    pub(super) window_s: Option<f64>,
+    pub(super) overage: Option<f64>,
+    pub(super) slack: Option<f64>,
+    pub(super) seats: Option<u32>,
+}
+
 #[derive(Debug, Clone, Default, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub(super) struct AdvertiseFile {
--- a/crates/seamhatchd/src/settings/mod.rs
+++ b/crates/seamhatchd/src/settings/mod.rs
@@ -10,6 +10,7 @@
 use flags::{apply_flags, optional};
 use pico_args::Arguments;
 use seamhatch_core::identity::Address;
+use seamhatch_core::quota::QuotaPolicy;
 use std::ffi::OsString;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -104,6 +105,8 @@
     /// Time after the acceptance of a configuration from which no daemon, however it is cut off, goes by a key that the
     /// configuration took away; none where a daemon may go by the newest one that it knows.
     pub revocation: Option<Duration>,
+    /// How exactly the tenants' limits are kept.
+    pub quota: QuotaPolicy,
     /// Logs.
     pub log: LogSettings,
     /// Threads for requests, connections between daemons and to the back end.
--- a/crates/seamhatchd/src/shared.rs
+++ b/crates/seamhatchd/src/shared.rs
@@ -12,6 +12,7 @@
 use crate::instances::Instances;
 use crate::metrics::Metrics;
 use crate::peer::PeerPool;
+use crate::quota::Quota;
 use crate::retry_budget::RetryBudget;
 use crate::running::RunningCalls;
 use crate::service_floors::ServiceFloors;
@@ -64,6 +65,8 @@
     pub service_floors: ServiceFloors,
     /// Whether the configuration in force is known to be the newest.
     pub freshness: Freshness,
+    /// What is left of the tenants' limits.
+    pub quota: Quota,
     /// The control thread.
     pub control: ControlHandle,
     /// The state that the control thread published last.
--- a/crates/seamhatchd/src/startup.rs
+++ b/crates/seamhatchd/src/startup.rs
@@ -14,6 +14,7 @@
 use crate::metrics::Metrics;
 use crate::peer::{self, PeerPool};
 use crate::ports::Ports;
+use crate::quota::Quota;
 use crate::reload;
 use crate::retry_budget::RetryBudget;
 use crate::running::RunningCalls;
@@ -167,6 +168,7 @@
         entry_floors: EntryFloors::default(),
         service_floors: ServiceFloors::default(),
         freshness: Freshness::new(settings.revocation),
+        quota: Quota::new(settings.quota),
         control,
         published: ArcSwap::from_pointee(Snapshot::default()),
         draining: AtomicBool::new(false),
--- a/crates/seamhatchd/src/store/mod.rs
+++ b/crates/seamhatchd/src/store/mod.rs
@@ -75,8 +75,14 @@
     pub put: Vec<(String, Vec<u8>)>,
     /// Keys to remove.
     pub remove: Vec<String>,
+    /// Lease that the written keys go with; none for keys that stay.
+    pub lease: Option<LeaseId>,
 }
 
+/// Names a lease of the store. The keys that go with it are removed when it ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LeaseId(pub u64);
+
 /// What became of a [`Write`].
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum WriteOutcome {
@@ -103,6 +109,12 @@
         wait: Duration,
     ) -> StoreFuture<'a, Reading<Vec<Change>>>;
 
+    /// Makes a lease that ends `span` after the call has arrived, unless it is renewed.
+    fn make_lease(&self, span: Duration) -> StoreFuture<'_, LeaseId>;
+
+    /// Renews a lease for its span, from the arrival of the call on. False when it is over.
+    fn keep_lease(&self, lease: LeaseId) -> StoreFuture<'_, bool>;
+
     /// Writes under conditions. After [`StoreError::AnswerLost`] it may have been done, or may be later.
     fn write<'a>(&'a self, write: &'a Write) -> StoreFuture<'a, WriteOutcome>;
 }
