--- a/crates/seamhatchd/tests/rejections.rs
+++ b/crates/seamhatchd/tests/rejections.rs
@@ -26,7 +26,7 @@
     StatusCase { reason, entry: (503, 503), peer: (503, 502) }
 }
 
-const CASES: [StatusCase; 27] = [
+const CASES: [StatusCase; 32] = [
     blames_caller(Reason::BadRequest, 400),
     blames_caller(Reason::BadContext, 403),
     blames_caller(Reason::NoRoute, 404),
@@ -54,6 +54,11 @@
     blames_nobody(Reason::OtherInstance, 503, 502),
     blames_nobody(Reason::CrashesServers, 503, 502),
     blames_nobody(Reason::OtherService, 503, 502),
+    blames_caller(Reason::NoKey, 401),
+    blames_caller(Reason::UnknownKey, 401),
+    blames_nobody(Reason::NoProof, 503, 502),
+    blames_nobody(Reason::OverQuota, 429, 502),
+    blames_nobody(Reason::NoSeat, 503, 502),
 ];
 
 fn refusal(outcome: Outcome, reason: Reason) -> Refusal {
--- a/crates/seamhatchd/tests/settings.rs
+++ b/crates/seamhatchd/tests/settings.rs
@@ -1,7 +1,10 @@
 //! Settings: flags win over the file, and each error names key, value and remedy.
 
+use seamhatch_core::clock::SECOND;
+use seamhatch_core::quota::QuotaPolicy;
 use seamhatchd::settings::{Invocation, from_arguments};
 use std::ffi::OsString;
+use std::time::Duration;
 
 const COMPLETE: &str = "\
 cluster = \"c\"
@@ -39,6 +42,18 @@
     assert!(matches!(load(COMPLETE, &["--check"]), Ok(Invocation::Check(_))));
 }
 
+#[test]
+fn tenants_are_kept_as_exactly_as_the_settings_say() {
+    let more = "[tenants]\nrevocation_ms = 4000\n[quotas]\nwindow_s = 2\noverage = 0.2\nslack = 3\nseats = 16\n[backend]";
+    let Ok(Invocation::Run(settings)) = load(&COMPLETE.replace("[backend]", more), &[]) else {
+        panic!("valid")
+    };
+    assert_eq!(settings.revocation, Some(Duration::from_secs(4)));
+    assert_eq!(settings.quota, QuotaPolicy { window: 2 * SECOND, overage: 0.2, slack: 3.0, seats: 16 });
+    let Ok(Invocation::Run(settings)) = load(COMPLETE, &[]) else { panic!("valid") };
+    assert_eq!((settings.revocation, settings.quota.seats), (None, 8));
+}
+
 #[test]
 fn errors_name_key_value_and_remedy() {
     let with = |from: &str, to: &str| COMPLETE.replace(from, to);
@@ -54,6 +69,9 @@
         ("unknown flag", COMPLETE.into(), vec!["--verbose"]),
         ("flag without value", COMPLETE.into(), vec!["--zone"]),
         ("not TOML", "cluster = ".into(), vec![]),
+        ("short revocation", with("[backend]", "[tenants]\nrevocation_ms = 100\n[backend]"), vec![]),
+        ("no overage", with("[backend]", "[quotas]\noverage = 0\n[backend]"), vec![]),
+        ("no seats", with("[backend]", "[quotas]\nseats = 0\n[backend]"), vec![]),
     ];
     let mut report = String::new();
     for (name, text, flags) in cases {
