Quotas: a lost holder's seat is free after five seconds, and taken sooner; proofs are awaited by one more place

Change: leases of 5 s renewed each second (6 and 2 s before; a renewal is a tenth of a read), pauses of 0.3 and 0.5 s before the next daemon tries (0.7 and 1 s), seats that are held are not written again; daemons late in the order wait for others' proofs 3.0 s in place of 2.6 s before they ask the store.

--- a/crates/seamhatchd/src/controllers/follow/freshness.rs
+++ b/crates/seamhatchd/src/controllers/follow/freshness.rs
@@ -26,7 +26,7 @@
 /// How much later each next one asks: two heartbeats, which bring the proof of the one before.
 const NEXT_ASKS_AFTER: Microseconds = 400 * MILLISECOND;
 /// Place in the order from which all are alike: these ask when several before them could not.
-const LAST_PLACE: usize = 4;
+const LAST_PLACE: usize = 5;
 
 /// Keeps the proof young for ever, while anything depends on it.
 pub async fn keep_fresh(shared: Arc<Shared>, followed: FollowedStore, documents: Arc<dyn DocumentFormat>) {
--- a/crates/seamhatchd/src/controllers/follow/seats.rs
+++ b/crates/seamhatchd/src/controllers/follow/seats.rs
@@ -26,13 +26,14 @@
 /// Pause between two looks at what is to be done.
 const POLL: Duration = Duration::from_millis(200);
 /// How long a lease lasts without renewal: a seat whose holder is lost is free after that.
-const LEASE: Duration = Duration::from_secs(6);
-/// Time between two renewals: two may fail before the lease ends.
-const RENEWAL: Microseconds = 2 * SECOND;
+const LEASE: Duration = Duration::from_secs(5);
+/// Time between two renewals, each a tenth of a read: three may fail before the lease ends, and it outlasts an outage of
+/// the store of four seconds.
+const RENEWAL: Microseconds = SECOND;
 /// How much later each next one in the order tries to take a seat.
-const NEXT_TRIES_AFTER: Microseconds = 700 * MILLISECOND;
+const NEXT_TRIES_AFTER: Microseconds = 300 * MILLISECOND;
 /// Pause after another daemon was found to hold a seat that seemed vacant.
-const HELD_ELSEWHERE_PAUSE: Microseconds = SECOND;
+const HELD_ELSEWHERE_PAUSE: Microseconds = 500 * MILLISECOND;
 
 /// What lies in the store for a seat.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -96,7 +97,9 @@
     async fn step(&mut self) -> Result<(), StoreError> {
         self.drop_what_has_ended();
         self.renew().await?;
-        let vacant = self.shared.quota.directory.vacant();
+        let held = self.shared.quota.held.mask();
+        let mut vacant = self.shared.quota.directory.vacant();
+        vacant.retain(|(seat, _)| held & (1 << seat) == 0);
         self.noticed.retain(|seat, _| vacant.iter().any(|(vacant, _)| vacant == seat));
         for (seat, place) in vacant {
             let now = clock::now();
