--- a/crates/seamhatch-core/src/membership/mod.rs
+++ b/crates/seamhatch-core/src/membership/mod.rs
@@ -202,12 +202,12 @@
         self.speak_up();
     }
 
-    /// Changes the seats of the tenants' limits that this daemon tells to hold.
-    pub fn set_seats(&mut self, seats: u64) {
-        if self.me.info.seats == seats {
+    /// Changes the shards of the tenants' limits that this daemon tells to hold.
+    pub fn set_quota_shards(&mut self, shards: u64) {
+        if self.me.info.quota_shards == shards {
             return;
         }
-        self.me.info.seats = seats;
+        self.me.info.quota_shards = shards;
         self.speak_up();
     }
 
--- a/crates/seamhatch-core/src/membership/record.rs
+++ b/crates/seamhatch-core/src/membership/record.rs
@@ -51,8 +51,8 @@
     pub service: String,
     /// Slots that the back end reports.
     pub slots: u32,
-    /// Seats that it holds of the tenants' limits, a bit each.
-    pub seats: u64,
+    /// Shards that it holds of the tenants' limits, a bit each.
+    pub quota_shards: u64,
 }
 
 /// A member as known somewhere.
--- a/crates/seamhatch-core/src/outcome.rs
+++ b/crates/seamhatch-core/src/outcome.rs
@@ -100,7 +100,7 @@
     /// The request's tenant is at its limit.
     OverQuota,
     /// Nobody can tell what is left of the tenant's limit.
-    NoSeat,
+    NoQuotaShard,
 }
 
 impl Reason {
@@ -139,7 +139,7 @@
             Self::UnknownKey => "unknown-key",
             Self::NoProof => "no-proof",
             Self::OverQuota => "over-quota",
-            Self::NoSeat => "no-seat",
+            Self::NoQuotaShard => "no-quota-shard",
         }
     }
 
--- a/crates/seamhatch-core/src/quota.rs
+++ b/crates/seamhatch-core/src/quota.rs
@@ -1,15 +1,15 @@
 //! Limits on the requests of a tenant over all daemons together, kept without a meeting on each request.
 //!
-//! A tenant's limit is divided among a fixed number of *seats*. Whoever holds a seat fills a token bucket for
-//! each tenant with the seat's part of the rate, and hands out tokens on demand. A daemon admits a request of
+//! A tenant's limit is divided among a fixed number of *shards*. Whoever holds a shard fills a token bucket for
+//! each tenant with the shard's part of the rate, and hands out tokens on demand. A daemon admits a request of
 //! the tenant with a token, which is worth nothing once its lifetime, counted from when it was *asked for*, is over.
 //! So the tokens that are used in a window were granted in that window or one lifetime before it, and a bucket
 //! that is smaller by what its rate fills in a lifetime keeps the bound whatever is lost, delayed, cut or restarted:
 //!
 //! - A token that is lost on its way, or with a daemon, was granted and is never used.
-//! - A seat has one holder at a time, by a lease in the store that its holder takes to end no later than the
-//!   store does ([`SeatLease`]). A new holder begins with empty buckets.
-//! - What a seat's part allows is allowed at that seat only, so that one that nobody holds, or that can't be reached,
+//! - A shard has one holder at a time, by a lease in the store that its holder takes to end no later than the
+//!   store does ([`ShardLease`]). A new holder begins with empty buckets.
+//! - What a shard's part allows is allowed at that shard only, so that one that nobody holds, or that can't be reached,
 //!   takes its part away and nothing else.
 //!
 //! Each daemon alone with its share of the limit is exact too, but refuses where a tenant's requests come in
@@ -20,9 +20,9 @@
 use std::collections::VecDeque;
 
 /// Number of one part of all limits.
-pub type SeatNumber = u32;
+pub type ShardNumber = u32;
 
-/// Shortest and longest time after which a daemon that got no token asks the same seat again. The bounds are a
+/// Shortest and longest time after which a daemon that got no token asks the same shard again. The bounds are a
 /// few round trips, and a lifetime of tokens.
 const SHORTEST_PAUSE: Microseconds = 50 * MILLISECOND;
 const LONGEST_PAUSE: Microseconds = 500 * MILLISECOND;
@@ -50,7 +50,7 @@
     /// Requests by which it may be exceeded besides.
     pub slack: f64,
     /// Parts that each limit is divided into.
-    pub seats: SeatNumber,
+    pub shards: ShardNumber,
 }
 
 impl QuotaPolicy {
@@ -61,18 +61,18 @@
         ((self.window as f64 * self.overage) as Microseconds).clamp(SHORTEST_PAUSE, SECOND)
     }
 
-    /// What one seat may hand out of a limit. A bucket holds one token at least.
+    /// What one shard may hand out of a limit. A bucket holds one token at least.
     #[must_use]
-    pub fn seat_limit(&self, limit: TenantLimit) -> TenantLimit {
+    pub fn shard_limit(&self, limit: TenantLimit) -> TenantLimit {
         let seconds = |span: Microseconds| span as f64 / SECOND as f64;
         let excess = self.overage * (limit.rate * seconds(self.window) + limit.burst) + self.slack;
         let burst = limit.burst + excess - limit.rate * seconds(self.token_lifetime());
-        let seats = f64::from(self.seats);
-        TenantLimit { rate: limit.rate / seats, burst: (burst / seats).max(1.0) }
+        let shards = f64::from(self.shards);
+        TenantLimit { rate: limit.rate / shards, burst: (burst / shards).max(1.0) }
     }
 }
 
-/// What a holder of a seat answers.
+/// What a holder of a shard answers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct QuotaGrant {
     /// Tokens handed out.
@@ -81,7 +81,7 @@
     pub pause: Microseconds,
 }
 
-/// The tokens of one tenant at one seat.
+/// The tokens of one tenant at one shard.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct QuotaBucket {
     tokens: f64,
@@ -98,7 +98,7 @@
         Self { tokens: 0.0, filled_at: now, window_start: now, asked: 0, asked_before: 0 }
     }
 
-    /// Hands out up to `wanted` tokens of the seat's `limit`.
+    /// Hands out up to `wanted` tokens of the shard's `limit`.
     pub fn grant(&mut self, limit: TenantLimit, wanted: u32, now: Instant) -> QuotaGrant {
         let passed = now.since(self.filled_at) as f64 / SECOND as f64;
         self.tokens = (self.tokens + passed * limit.rate).min(limit.burst);
@@ -146,15 +146,15 @@
 
 /// What one daemon has of one tenant's limit.
 #[derive(Debug, Clone, Default, PartialEq)]
-pub struct QuotaPurse {
+pub struct TokenCache {
     held: VecDeque<HeldTokens>,
-    /// Until when each seat that had no token is not asked again.
-    paused: Vec<(SeatNumber, Instant)>,
+    /// Until when each shard that had no token is not asked again.
+    paused: Vec<(ShardNumber, Instant)>,
     rate: f64,
     seen: Instant,
 }
 
-impl QuotaPurse {
+impl TokenCache {
     /// Takes in that a request has come.
     pub fn note_request(&mut self, now: Instant) {
         let passed = now.since(self.seen) as f64 / SECOND as f64;
@@ -191,46 +191,46 @@
         1 + (expected * TAKEN_AHEAD) as u32
     }
 
-    /// Takes in what a seat answered a question sent at `asked`.
+    /// Takes in what a shard answered a question sent at `asked`.
     pub fn take_in(
         &mut self,
-        seat: SeatNumber,
+        shard: ShardNumber,
         grant: QuotaGrant,
         asked: Instant,
         lifetime: Microseconds,
         now: Instant,
     ) {
-        self.paused.retain(|(paused, until)| *paused != seat && *until > now);
+        self.paused.retain(|(paused, until)| *paused != shard && *until > now);
         if grant.tokens > 0 {
             self.held.push_back(HeldTokens { count: grant.tokens, until: asked.plus(lifetime) });
         } else {
-            self.paused.push((seat, now.plus(grant.pause)));
+            self.paused.push((shard, now.plus(grant.pause)));
         }
     }
 
-    /// Whether a seat may be asked.
+    /// Whether a shard may be asked.
     #[must_use]
-    pub fn may_ask(&self, seat: SeatNumber, now: Instant) -> bool {
-        !self.paused.iter().any(|(paused, until)| *paused == seat && *until > now)
+    pub fn may_ask(&self, shard: ShardNumber, now: Instant) -> bool {
+        !self.paused.iter().any(|(paused, until)| *paused == shard && *until > now)
     }
 
-    /// When the first seat that had no token may be asked again.
+    /// When the first shard that had no token may be asked again.
     #[must_use]
     pub fn room_at(&self, now: Instant) -> Option<Instant> {
         self.paused.iter().map(|(_, until)| *until).filter(|until| *until > now).min()
     }
 }
 
-/// Until when a holder may go by its seat.
+/// Until when a holder may go by its shard.
 ///
 /// The store counts a lease from the arrival of the call that made or renewed it, its holder from the sending, which
 /// is earlier: it has always ceased before the store lets anybody else in.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
-pub struct SeatLease {
+pub struct ShardLease {
     until: Instant,
 }
 
-impl SeatLease {
+impl ShardLease {
     /// Takes in that a call sent at `sent` made or renewed the lease for `span`.
     pub fn renewed(&mut self, sent: Instant, span: Microseconds) {
         self.until = self.until.max(sent.plus(span));
--- a/crates/seamhatch-core/tests/membership.rs
+++ b/crates/seamhatch-core/tests/membership.rs
@@ -36,7 +36,7 @@
         zone: "z".into(),
         service: service.into(),
         slots: 1,
-        seats: 0,
+        quota_shards: 0,
     }
 }
 
--- a/crates/seamhatch-core/tests/quota.rs
+++ b/crates/seamhatch-core/tests/quota.rs
@@ -4,17 +4,17 @@
 use proptest::prelude::*;
 use seamhatch_core::Instant;
 use seamhatch_core::clock::{MILLISECOND, Microseconds, SECOND};
-use seamhatch_core::quota::{QuotaBucket, QuotaGrant, QuotaPolicy, QuotaPurse, TenantLimit};
+use seamhatch_core::quota::{QuotaBucket, QuotaGrant, QuotaPolicy, TenantLimit, TokenCache};
 
-const POLICY: QuotaPolicy = QuotaPolicy { window: 5 * SECOND, overage: 0.1, slack: 20.0, seats: 8 };
+const POLICY: QuotaPolicy = QuotaPolicy { window: 5 * SECOND, overage: 0.1, slack: 20.0, shards: 8 };
 /// Start of each play; buckets fill from here on.
 const START: Instant = Instant(1_000 * SECOND);
 
-/// A seat's answer on its way to a daemon.
+/// A shard's answer on its way to a daemon.
 #[derive(Debug, Clone, Copy)]
 struct Answer {
     daemon: usize,
-    seat: usize,
+    shard: usize,
     asked: Instant,
     arrives: Instant,
     grant: QuotaGrant,
@@ -23,23 +23,23 @@
 /// One drawn play: requests and mishaps in order, each some time after the one before.
 #[derive(Debug, Clone, Copy)]
 enum Event {
-    /// A request comes to a daemon, which asks a seat when it has no token; the answer takes this long.
-    Request { daemon: usize, seat: usize, delay_ms: u64 },
+    /// A request comes to a daemon, which asks a shard when it has no token; the answer takes this long.
+    Request { daemon: usize, shard: usize, delay_ms: u64 },
     /// A daemon restarts and forgets its tokens.
     Restart { daemon: usize },
-    /// A seat passes to another holder.
-    NewHolder { seat: usize },
+    /// A shard passes to another holder.
+    NewHolder { shard: usize },
 }
 
 fn event() -> impl Strategy<Value = (u64, Event)> {
-    let request = (0..4_usize, 0..8_usize, 0..900_u64).prop_map(|(daemon, seat, delay_ms)| Event::Request {
+    let request = (0..4_usize, 0..8_usize, 0..900_u64).prop_map(|(daemon, shard, delay_ms)| Event::Request {
         daemon,
-        seat,
+        shard,
         delay_ms,
     });
     let mishap = prop_oneof![
         (0..4_usize).prop_map(|daemon| Event::Restart { daemon }),
-        (0..8_usize).prop_map(|seat| Event::NewHolder { seat }),
+        (0..8_usize).prop_map(|shard| Event::NewHolder { shard }),
     ];
     (0..20_u64, prop_oneof![60 => request, 1 => mishap])
 }
@@ -64,11 +64,11 @@
         events in proptest::collection::vec(event(), 200..1500),
     ) {
         let limit = TenantLimit { rate, burst };
-        let seat_limit = POLICY.seat_limit(limit);
+        let shard_limit = POLICY.shard_limit(limit);
         let lifetime = POLICY.token_lifetime();
         // Full to begin with, as after a long rest.
-        let mut seats = [QuotaBucket::empty(START); 8];
-        let mut purses: Vec<QuotaPurse> = vec![QuotaPurse::default(); 4];
+        let mut shards = [QuotaBucket::empty(START); 8];
+        let mut caches: Vec<TokenCache> = vec![TokenCache::default(); 4];
         let mut answers: Vec<Answer> = Vec::new();
         let mut used = Vec::new();
         let mut now = START.plus(100 * SECOND);
@@ -76,30 +76,30 @@
             now = now.plus(pause * MILLISECOND);
             let (come, later): (Vec<Answer>, _) = answers.into_iter().partition(|answer| answer.arrives <= now);
             answers = later;
-            for Answer { daemon, seat, asked, grant, .. } in come {
-                purses[daemon].take_in(seat as u32, grant, asked, lifetime, now);
+            for Answer { daemon, shard, asked, grant, .. } in come {
+                caches[daemon].take_in(shard as u32, grant, asked, lifetime, now);
             }
             match event {
-                Event::Request { daemon, seat, delay_ms } => {
-                    let purse = &mut purses[daemon];
-                    purse.note_request(now);
-                    if purse.take(now).is_some() {
+                Event::Request { daemon, shard, delay_ms } => {
+                    let cache = &mut caches[daemon];
+                    cache.note_request(now);
+                    if cache.take(now).is_some() {
                         used.push(now);
-                    } else if purse.may_ask(seat as u32, now) {
-                        let grant = seats[seat].grant(seat_limit, purse.wanted(lifetime), now);
+                    } else if cache.may_ask(shard as u32, now) {
+                        let grant = shards[shard].grant(shard_limit, cache.wanted(lifetime), now);
                         let arrives = now.plus(delay_ms * MILLISECOND);
-                        answers.push(Answer { daemon, seat, asked: now, arrives, grant });
+                        answers.push(Answer { daemon, shard, asked: now, arrives, grant });
                     }
                 }
                 Event::Restart { daemon } => {
-                    purses[daemon] = QuotaPurse::default();
+                    caches[daemon] = TokenCache::default();
                     answers.retain(|answer| answer.daemon != daemon);
                 }
-                Event::NewHolder { seat } => seats[seat] = QuotaBucket::empty(now),
+                Event::NewHolder { shard } => shards[shard] = QuotaBucket::empty(now),
             }
         }
-        // Where a bucket of less than one token is rounded up, each seat may add one.
-        let rounded = if seat_limit.burst > 1.0 { 0.0 } else { f64::from(POLICY.seats) };
+        // Where a bucket of less than one token is rounded up, each shard may add one.
+        let rounded = if shard_limit.burst > 1.0 { 0.0 } else { f64::from(POLICY.shards) };
         prop_assert!(most_in_a_window(&used) as f64 <= bound(limit) + rounded);
     }
 }
@@ -124,25 +124,25 @@
     SpreadCase { name: "many daemons, far above", daemons: 70, rate: 50.0, load: 8.0, least: 0.95 },
 ];
 
-/// Requests at an even pace for ten seconds, each at the next daemon, which asks all seats in turn. The part admitted.
+/// Requests at an even pace for ten seconds, each at the next daemon, which asks all shards in turn. The part admitted.
 fn admitted(case: &SpreadCase) -> f64 {
     let limit = TenantLimit { rate: case.rate, burst: case.rate };
-    let (seat_limit, lifetime) = (POLICY.seat_limit(limit), POLICY.token_lifetime());
-    let mut seats = [QuotaBucket::empty(START); 8];
-    let mut purses = vec![QuotaPurse::default(); case.daemons];
+    let (shard_limit, lifetime) = (POLICY.shard_limit(limit), POLICY.token_lifetime());
+    let mut shards = [QuotaBucket::empty(START); 8];
+    let mut caches = vec![TokenCache::default(); case.daemons];
     let offered = (case.rate * case.load * 10.0) as u64;
     let mut count = 0_u32;
     for number in 0..offered {
         let now = START.plus(100 * SECOND + number * 10 * SECOND / offered);
-        let purse = &mut purses[number as usize % case.daemons];
-        purse.note_request(now);
-        let mut token = purse.take(now);
+        let cache = &mut caches[number as usize % case.daemons];
+        cache.note_request(now);
+        let mut token = cache.take(now);
         for offset in 0..8_u64 {
-            let seat = (number + offset) as usize % 8;
-            if token.is_none() && purse.may_ask(seat as u32, now) {
-                let grant = seats[seat].grant(seat_limit, purse.wanted(lifetime), now);
-                purse.take_in(seat as u32, grant, now, lifetime, now);
-                token = purse.take(now);
+            let shard = (number + offset) as usize % 8;
+            if token.is_none() && cache.may_ask(shard as u32, now) {
+                let grant = shards[shard].grant(shard_limit, cache.wanted(lifetime), now);
+                cache.take_in(shard as u32, grant, now, lifetime, now);
+                token = cache.take(now);
             }
         }
         count += u32::from(token.is_some());
@@ -160,8 +160,8 @@
 
 /// The same with each daemon alone: its share of the limit, and nothing asked of anybody.
 fn admitted_alone(case: &SpreadCase, members: usize) -> f64 {
-    let part = QuotaPolicy { seats: members as u32, ..POLICY };
-    let limit = part.seat_limit(TenantLimit { rate: case.rate, burst: case.rate });
+    let part = QuotaPolicy { shards: members as u32, ..POLICY };
+    let limit = part.shard_limit(TenantLimit { rate: case.rate, burst: case.rate });
     let mut buckets = vec![QuotaBucket::empty(START); case.daemons];
     let offered = (case.rate * case.load * 10.0) as u64;
     let mut count = 0;
@@ -186,12 +186,12 @@
 fn a_token_is_worth_nothing_after_its_lifetime_and_is_put_back_before() {
     let lifetime: Microseconds = 500 * MILLISECOND;
     let grant = QuotaGrant { tokens: 2, pause: 0 };
-    let mut purse = QuotaPurse::default();
-    purse.take_in(0, grant, START, lifetime, START);
-    let token = purse.take(START).expect("a token");
-    purse.put_back(token, START.plus(1));
-    assert!(purse.take(START.plus(2)).is_some() && purse.take(START.plus(3)).is_some());
-    assert!(purse.take(START.plus(4)).is_none());
-    purse.put_back(token, START.plus(lifetime));
-    assert!(purse.take(START.plus(lifetime)).is_none(), "its lifetime is over");
+    let mut cache = TokenCache::default();
+    cache.take_in(0, grant, START, lifetime, START);
+    let token = cache.take(START).expect("a token");
+    cache.put_back(token, START.plus(1));
+    assert!(cache.take(START.plus(2)).is_some() && cache.take(START.plus(3)).is_some());
+    assert!(cache.take(START.plus(4)).is_none());
+    cache.put_back(token, START.plus(lifetime));
+    assert!(cache.take(START.plus(lifetime)).is_none(), "its lifetime is over");
 }
--- a/crates/seamhatch-model/src/lib.rs
+++ b/crates/seamhatch-model/src/lib.rs
@@ -10,8 +10,8 @@
 pub mod crashes;
 pub mod departures;
 pub mod freshness;
+pub mod quota_shards;
 pub mod retries;
 mod search;
-pub mod seats;
 
 pub use search::{Action, Model, SearchResult, Step, action, search};
--- a/crates/seamhatch-model/src/seats.rs
+++ b/crates/seamhatch-model/src/quota_shards.rs
@@ -1,16 +1,16 @@
-//! Seats of tenants' limits through late, lost and crossed calls to the store, restarts and leases that run out: no two
-//! daemons hand out tokens of one seat at the same time.
+//! Shards of tenants' limits through late, lost and crossed calls to the store, restarts and leases that run out: no two
+//! daemons hand out tokens of one shard at the same time.
 //!
-//! Bounds: one seat, two daemons, few instants. A lease and the key that goes with it are made by one call.
+//! Bounds: one shard, two daemons, few instants. A lease and the key that goes with it are made by one call.
 
 use crate::search::{Action, Model, SearchResult, Step, action, search};
 use seamhatch_core::Instant;
-use seamhatch_core::quota::SeatLease;
+use seamhatch_core::quota::ShardLease;
 use std::collections::BTreeSet;
 
 /// A rule that is left out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum SeatsFault {
+pub enum QuotaShardsFault {
     /// None.
     None,
     /// The holder counts its lease from the answer.
@@ -21,13 +21,13 @@
 
 /// Bounds of a search.
 #[derive(Debug, Clone, Copy)]
-pub struct SeatsModel {
+pub struct QuotaShardsModel {
     /// Last instant.
     pub instants: u64,
     /// Restarts of each daemon.
     pub restarts: u8,
     /// The seeded fault.
-    pub fault: SeatsFault,
+    pub fault: QuotaShardsFault,
 }
 
 const DAEMONS: usize = 2;
@@ -38,7 +38,7 @@
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 enum Call {
-    /// Asks for the seat, or renews its lease.
+    /// Asks for the shard, or renews its lease.
     Asked { daemon: usize, life: u8, sent: u64 },
     /// The store has done it.
     Done { daemon: usize, life: u8, sent: u64 },
@@ -47,33 +47,38 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
 struct DaemonState {
     life: u8,
-    lease: SeatLease,
+    lease: ShardLease,
 }
 
 /// A state of the store, the daemons and the calls between them.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub struct SeatsState {
+pub struct QuotaShardsState {
     now: u64,
-    /// Who has the seat in the store, and until when.
+    /// Who has the shard in the store, and until when.
     holder: Option<(usize, u64)>,
     daemons: [DaemonState; DAEMONS],
     calls: BTreeSet<Call>,
 }
 
-type Steps = Vec<Step<SeatsState>>;
+type Steps = Vec<Step<QuotaShardsState>>;
 
-fn add(steps: &mut Steps, before: &SeatsState, action: Action, change: impl FnOnce(&mut SeatsState)) {
+fn add(
+    steps: &mut Steps,
+    before: &QuotaShardsState,
+    action: Action,
+    change: impl FnOnce(&mut QuotaShardsState),
+) {
     Step::add(steps, before, action, change);
 }
 
-impl Model for SeatsModel {
-    type State = SeatsState;
+impl Model for QuotaShardsModel {
+    type State = QuotaShardsState;
 
-    fn initial(&self) -> SeatsState {
-        SeatsState { now: 1, holder: None, daemons: Default::default(), calls: BTreeSet::new() }
+    fn initial(&self) -> QuotaShardsState {
+        QuotaShardsState { now: 1, holder: None, daemons: Default::default(), calls: BTreeSet::new() }
     }
 
-    fn steps(&self, state: &SeatsState) -> Steps {
+    fn steps(&self, state: &QuotaShardsState) -> Steps {
         let mut steps = Vec::new();
         if state.now < self.instants {
             add(&mut steps, state, action("time passes", 0, 0), |next| next.now += 1);
@@ -103,23 +108,23 @@
         steps
     }
 
-    fn violation(&self, state: &SeatsState) -> Option<&'static str> {
+    fn violation(&self, state: &QuotaShardsState) -> Option<&'static str> {
         let holders = state.daemons.iter().filter(|daemon| daemon.lease.holds(Instant(state.now)));
-        (holders.count() > 1).then_some("two daemons hand out tokens of one seat")
+        (holders.count() > 1).then_some("two daemons hand out tokens of one shard")
     }
 }
 
-impl SeatsModel {
+impl QuotaShardsModel {
     /// Searches all reachable states, at most `limit`.
     #[must_use]
     pub fn search(&self, limit: usize) -> SearchResult {
         search(self, limit)
     }
 
-    fn deliver(&self, state: &mut SeatsState, call: Call) {
+    fn deliver(&self, state: &mut QuotaShardsState, call: Call) {
         match call {
             Call::Asked { daemon, life, sent } => {
-                let early = if self.fault == SeatsFault::FreedEarly { SPAN / 2 } else { 0 };
+                let early = if self.fault == QuotaShardsFault::FreedEarly { SPAN / 2 } else { 0 };
                 let free =
                     state.holder.is_none_or(|(holder, until)| holder == daemon || until <= state.now + early);
                 if free {
@@ -133,7 +138,7 @@
                 if daemon.life != life {
                     return;
                 }
-                let late = self.fault == SeatsFault::CountedFromAnswer;
+                let late = self.fault == QuotaShardsFault::CountedFromAnswer;
                 daemon.lease.renewed(Instant(if late { now } else { sent }), SPAN);
             }
         }
--- a/crates/seamhatch-wire/src/message.rs
+++ b/crates/seamhatch-wire/src/message.rs
@@ -13,7 +13,7 @@
 use seamhatch_core::instance::InstanceId;
 use seamhatch_core::outcome::{Outcome, Reason};
 use seamhatch_core::priority::{AdmissionFloor, Priority};
-use seamhatch_core::quota::SeatNumber;
+use seamhatch_core::quota::ShardNumber;
 use seamhatch_core::roster::Roster;
 use seamhatch_policy::StoredConfiguration;
 use speedy::{Readable, Writable};
@@ -354,10 +354,10 @@
         /// Gossip address of the daemon beside them.
         member: Address,
     },
-    /// Asks the holder of a seat of the tenants' limits for tokens.
+    /// Asks the holder of a shard of the tenants' limits for tokens.
     GetTokens {
-        /// Number of the seat.
-        seat: SeatNumber,
+        /// Number of the shard.
+        shard: ShardNumber,
         /// Name of the tenant.
         tenant: String,
         /// Tokens that are wanted.
--- a/crates/seamhatch-wire/tests/codec.rs
+++ b/crates/seamhatch-wire/tests/codec.rs
@@ -26,7 +26,7 @@
             zone: name.into(),
             service: name.into(),
             slots: 8,
-            seats: 1 << 3,
+            quota_shards: 1 << 3,
         },
         incarnation: Incarnation(7),
         revision: 3,
--- a/crates/seamhatch/src/trace/cause.rs
+++ b/crates/seamhatch/src/trace/cause.rs
@@ -114,7 +114,7 @@
             "the daemon could not show that its keys are the newest: see the store, and `tenants.revocation_ms`".into()
         }
         "over-quota" => format!("the tenant {} was at its limit: see `rate` and `burst`", shown(line, "tenant")),
-        "no-seat" => "no daemon that hands out the tenants' limits answered: see the store".into(),
+        "no-quota-shard" => "no daemon that hands out the tenants' limits answered: see the store".into(),
         "head-too-large" | "body-too-large" => "it is larger than the configuration's limits".into(),
         _ => "docs/OPERATIONS.md lists the reasons".into(),
     };
--- a/crates/seamhatchd/src/controllers/control_thread/followed.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/followed.rs
@@ -4,7 +4,7 @@
 use crate::clock;
 use crate::controllers::ask::ask_generation;
 use crate::controllers::events::ControlEvent;
-use crate::controllers::follow::{Discovery, discover, follow_configuration, keep_fresh, keep_seats};
+use crate::controllers::follow::{Discovery, discover, follow_configuration, keep_fresh, keep_quota_shards};
 use crate::ports::{Backing, FollowedStore};
 use log::info;
 use seamhatch_core::Instant;
@@ -63,7 +63,7 @@
             metrics.clone(),
         ));
         tokio::spawn(keep_fresh(self.shared.clone(), followed.clone(), self.documents.clone()));
-        tokio::spawn(keep_seats(self.shared.clone(), followed.clone()));
+        tokio::spawn(keep_quota_shards(self.shared.clone(), followed.clone()));
         let gossip = self.shared.settings.advertise.gossip;
         tokio::spawn(discover(followed, gossip, self.control.clone(), metrics));
     }
@@ -77,7 +77,7 @@
             self.schedule.roster = now.plus(SECOND);
             self.update_metrics();
             self.update_asking_order();
-            self.update_vacant_seats(now);
+            self.update_vacant_shards(now);
             self.shared.quota.forget_old();
         }
     }
@@ -90,9 +90,9 @@
         self.shared.freshness.set_rank(live.filter(|record| weight(record.info.gossip) > own).count());
     }
 
-    pub(super) fn discovered(&mut self, Discovery { members, condemned, seats }: Discovery) {
+    pub(super) fn discovered(&mut self, Discovery { members, condemned, shards }: Discovery) {
         self.shared.suspects.merge(&condemned);
-        self.learn_seats(&seats);
+        self.learn_quota_shards(&shards);
         info!(members = members.len(); "read the daemons' records");
         let mut greeted: Vec<Address> = Vec::new();
         let own = self.shared.settings.advertise.gossip;
--- a/crates/seamhatchd/src/controllers/control_thread/mod.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/mod.rs
@@ -4,9 +4,9 @@
 mod followed;
 mod instances;
 mod publishing;
+mod quota_shards;
 mod requests;
 mod roster;
-mod seats;
 mod store;
 mod suspects;
 
@@ -109,7 +109,7 @@
             zone: settings.zone.clone(),
             service: settings.service.clone(),
             slots: settings.slots,
-            seats: 0,
+            quota_shards: 0,
         };
         let state =
             Membership::new(MembershipPolicy::default(), info, shared.incarnation, settings.seeds.clone());
@@ -233,7 +233,7 @@
             }
             ControlEvent::DeparturesNotLearnt => self.departures_not_learnt(),
             ControlEvent::StoreConfigurationRead => self.configuration_was_read(),
-            ControlEvent::SeatsChanged => self.seats_changed(),
+            ControlEvent::QuotaShardsChanged => self.quota_shards_changed(),
             ControlEvent::Proved(proof) => self.shared.freshness.prove(proof),
             ControlEvent::Discovered(discovery) => self.discovered(discovery),
             ControlEvent::Condemned(requests) => self.condemned(requests),
--- a/crates/seamhatchd/src/controllers/events.rs
+++ b/crates/seamhatchd/src/controllers/events.rs
@@ -104,8 +104,8 @@
     DeparturesNotLearnt,
     /// The followed store has told the configuration as it is, or that there is none.
     StoreConfigurationRead,
-    /// This daemon holds other seats of the tenants' limits than before.
-    SeatsChanged,
+    /// This daemon holds other shards of the tenants' limits than before.
+    QuotaShardsChanged,
     /// At an instant, no newer configuration had been accepted.
     Proved(FreshnessProof),
     /// What the store knows of all daemons.
--- a/crates/seamhatchd/src/controllers/follow/discovery.rs
+++ b/crates/seamhatchd/src/controllers/follow/discovery.rs
@@ -4,7 +4,7 @@
 //! all others, so that of two daemons that start together at least one sees the other.
 
 use super::own_record::OwnRecord;
-use super::seats::SeatRecord;
+use super::quota_shards::ShardRecord;
 use super::{ANSWER_TIMEOUT, Backoff};
 use crate::clock::unix_milliseconds;
 use crate::controllers::ControlHandle;
@@ -16,7 +16,7 @@
 use seamhatch_core::crashes::SuspectReport;
 use seamhatch_core::departure::{DepartureRecord, DepartureSource};
 use seamhatch_core::identity::Address;
-use seamhatch_core::quota::SeatNumber;
+use seamhatch_core::quota::ShardNumber;
 use std::sync::Arc;
 
 /// What the records of all daemons tell.
@@ -26,8 +26,8 @@
     pub members: Vec<Address>,
     /// Requests that were condemned, as any of them has noted.
     pub condemned: Vec<SuspectReport>,
-    /// Seats of the tenants' limits and who holds them.
-    pub seats: Vec<(SeatNumber, SeatRecord)>,
+    /// Shards of the tenants' limits and who holds them.
+    pub shards: Vec<(ShardNumber, ShardRecord)>,
 }
 
 /// Key of a daemon's record.
@@ -96,8 +96,8 @@
         let reading = metrics.time_store_call(tokio::time::timeout(ANSWER_TIMEOUT, reading)).await;
         let Page { items, more } = reading.map_err(timed_out)??.found;
         for item in &items {
-            if let Some(seat) = SeatRecord::read(followed, item) {
-                discovery.seats.push(seat);
+            if let Some(shard) = ShardRecord::read(followed, item) {
+                discovery.shards.push(shard);
                 continue;
             }
             discovery.members.extend(address_of(followed, item));
--- a/crates/seamhatchd/src/peer/server.rs
+++ b/crates/seamhatchd/src/peer/server.rs
@@ -176,9 +176,9 @@
             }
             PeerMessage::ControlRequest {
                 exchange,
-                request: ControlRequest::GetTokens { seat, tenant, wanted },
+                request: ControlRequest::GetTokens { shard, tenant, wanted },
             } => {
-                let grant = quota::grant(&self.shared, seat, &tenant, wanted);
+                let grant = quota::grant(&self.shared, shard, &tenant, wanted);
                 let reply = grant.map_or(ControlReply::Declined, |QuotaGrant { tokens, pause }| {
                     ControlReply::Tokens { tokens, pause }
                 });
--- a/crates/seamhatchd/src/quota/mod.rs
+++ b/crates/seamhatchd/src/quota/mod.rs
@@ -1,18 +1,18 @@
-//! Limits of tenants: the seats that this daemon holds, the tokens that it has, and where it asks for more.
+//! Limits of tenants: the shards that this daemon holds, the tokens that it has, and where it asks for more.
 //!
-//! [`seamhatch_core::quota`] decides; seats are taken in `controllers::follow::seats`.
+//! [`seamhatch_core::quota`] decides; shards are taken in `controllers::follow::quota_shards`.
 
 mod admission;
 mod directory;
 mod holder;
 
 pub use admission::{QuotaPermit, admit};
-pub use directory::{SeatDirectory, SeatPlace};
-pub use holder::{HeldSeats, grant};
+pub use directory::{ShardDirectory, ShardHolder};
+pub use holder::{HeldShards, grant};
 
 use crate::clock;
 use seamhatch_core::clock::{Microseconds, SECOND};
-use seamhatch_core::quota::{QuotaPolicy, QuotaPurse, TenantLimit};
+use seamhatch_core::quota::{QuotaPolicy, TenantLimit, TokenCache};
 use seamhatch_policy::Tenant;
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -26,11 +26,11 @@
 pub struct Quota {
     /// How exactly limits are kept.
     pub policy: QuotaPolicy,
-    /// Seats of other daemons and this one, as far as is known.
-    pub directory: SeatDirectory,
-    /// Seats held here.
-    pub held: HeldSeats,
-    purses: Mutex<HashMap<String, QuotaPurse>>,
+    /// Shards of other daemons and this one, as far as is known.
+    pub directory: ShardDirectory,
+    /// Shards held here.
+    pub held: HeldShards,
+    caches: Mutex<HashMap<String, TokenCache>>,
     /// Whether any tenant has a limit that can be kept.
     needed: AtomicBool,
 }
@@ -41,9 +41,9 @@
     pub fn new(policy: QuotaPolicy) -> Self {
         Self {
             policy,
-            directory: SeatDirectory::default(),
-            held: HeldSeats::default(),
-            purses: Mutex::default(),
+            directory: ShardDirectory::default(),
+            held: HeldShards::default(),
+            caches: Mutex::default(),
             needed: AtomicBool::new(false),
         }
     }
@@ -62,11 +62,11 @@
     /// Forgets the tenants that were not heard for long.
     pub fn forget_old(&self) {
         let now = clock::now();
-        self.purses().retain(|_, purse| now.since(purse.seen()) < FORGOTTEN_AFTER);
+        self.caches().retain(|_, cache| now.since(cache.seen()) < FORGOTTEN_AFTER);
     }
 
-    fn purses(&self) -> MutexGuard<'_, HashMap<String, QuotaPurse>> {
-        self.purses.lock().expect("a thread panicked inside the tokens of tenants")
+    fn caches(&self) -> MutexGuard<'_, HashMap<String, TokenCache>> {
+        self.caches.lock().expect("a thread panicked inside the tokens of tenants")
     }
 }
 
--- a/crates/seamhatchd/src/settings/checks.rs
+++ b/crates/seamhatchd/src/settings/checks.rs
@@ -14,9 +14,9 @@
 const DEFAULT_QUOTA_OVERAGE: f64 = 0.1;
 /// Parts of each limit: the loss of one holder costs an eighth, and an eighth of some tens of requests a second still
 /// is some requests a second.
-const DEFAULT_SEATS: u32 = 8;
+const DEFAULT_QUOTA_SHARDS: u32 = 8;
 /// Most parts of a limit: a bit each in what members tell.
-const MOST_SEATS: usize = 64;
+const MOST_QUOTA_SHARDS: usize = 64;
 /// Most slots of a back end.
 const MAX_SLOTS: u32 = 10_000;
 /// Longest name of a cluster, region, zone or service.
@@ -100,13 +100,13 @@
         let window = self.window_s.unwrap_or(DEFAULT_QUOTA_WINDOW_S);
         let overage = self.overage.unwrap_or(DEFAULT_QUOTA_OVERAGE);
         let slack = self.slack.unwrap_or_default();
-        let seats = self.seats.unwrap_or(DEFAULT_SEATS);
+        let shards = self.shards.unwrap_or(DEFAULT_QUOTA_SHARDS);
         number_in("quotas.window_s", window, 1.0..=3600.0, "a number from 1 to 3600")?;
         number_in("quotas.overage", overage, 0.01..=1.0, "a number from 0.01 to 1")?;
         number_in("quotas.slack", slack, 0.0..=1e6, "a number from 0 to 1000000")?;
-        in_range("quotas.seats", seats as usize, 1..=MOST_SEATS, "a number from 1 to 64")?;
+        in_range("quotas.shards", shards as usize, 1..=MOST_QUOTA_SHARDS, "a number from 1 to 64")?;
         let window = Duration::from_secs_f64(window).as_micros() as Microseconds;
-        Ok(QuotaPolicy { window, overage, slack, seats })
+        Ok(QuotaPolicy { window, overage, slack, shards })
     }
 }
 
--- a/crates/seamhatchd/src/settings/file.rs
+++ b/crates/seamhatchd/src/settings/file.rs
@@ -62,7 +62,7 @@
     pub(super) window_s: Option<f64>,
     pub(super) overage: Option<f64>,
     pub(super) slack: Option<f64>,
-    pub(super) seats: Option<u32>,
+    pub(super) shards: Option<u32>,
 }
 
 #[derive(Debug, Clone, Default, Deserialize)]
--- a/crates/seamhatchd/tests/rejections.rs
+++ b/crates/seamhatchd/tests/rejections.rs
@@ -58,7 +58,7 @@
     blames_caller(Reason::UnknownKey, 401),
     blames_nobody(Reason::NoProof, 503, 502),
     blames_nobody(Reason::OverQuota, 429, 502),
-    blames_nobody(Reason::NoSeat, 503, 502),
+    blames_nobody(Reason::NoQuotaShard, 503, 502),
 ];
 
 fn refusal(outcome: Outcome, reason: Reason) -> Refusal {
--- a/crates/seamhatchd/tests/settings.rs
+++ b/crates/seamhatchd/tests/settings.rs
@@ -44,14 +44,14 @@
 
 #[test]
 fn tenants_are_kept_as_exactly_as_the_settings_say() {
-    let more = "[tenants]\nrevocation_ms = 4000\n[quotas]\nwindow_s = 2\noverage = 0.2\nslack = 3\nseats = 16\n[backend]";
+    let more = "[tenants]\nrevocation_ms = 4000\n[quotas]\nwindow_s = 2\noverage = 0.2\nslack = 3\nshards = 16\n[backend]";
     let Ok(Invocation::Run(settings)) = load(&COMPLETE.replace("[backend]", more), &[]) else {
         panic!("valid")
     };
     assert_eq!(settings.revocation, Some(Duration::from_secs(4)));
-    assert_eq!(settings.quota, QuotaPolicy { window: 2 * SECOND, overage: 0.2, slack: 3.0, seats: 16 });
+    assert_eq!(settings.quota, QuotaPolicy { window: 2 * SECOND, overage: 0.2, slack: 3.0, shards: 16 });
     let Ok(Invocation::Run(settings)) = load(COMPLETE, &[]) else { panic!("valid") };
-    assert_eq!((settings.revocation, settings.quota.seats), (None, 8));
+    assert_eq!((settings.revocation, settings.quota.shards), (None, 8));
 }
 
 #[test]
@@ -71,7 +71,7 @@
         ("not TOML", "cluster = ".into(), vec![]),
         ("short revocation", with("[backend]", "[tenants]\nrevocation_ms = 100\n[backend]"), vec![]),
         ("no overage", with("[backend]", "[quotas]\noverage = 0\n[backend]"), vec![]),
-        ("no seats", with("[backend]", "[quotas]\nseats = 0\n[backend]"), vec![]),
+        ("no shards", with("[backend]", "[quotas]\nshards = 0\n[backend]"), vec![]),
     ];
     let mut report = String::new();
     for (name, text, flags) in cases {
