Quotas: leases of shards outlast an outage of the store that keys outlive

Cause: with leases of 5 s an outage of 4.5 s ended all of them, as a renewal was tried again only up to 1.8 s after a failure; until all shards were taken anew nobody could use a limit. Change: leases of 8 s; a daemon that holds shards, and the three that ask first for proofs, try again after 0.3 s. Price: the shards of a daemon that is lost for good are missing for up to 8 s (an eighth of each limit for each).

--- a/crates/seamhatchd/src/controllers/follow/freshness.rs
+++ b/crates/seamhatchd/src/controllers/follow/freshness.rs
@@ -28,6 +28,11 @@
 /// Place in the order from which all are alike: these ask when several before them could not.
 const LAST_PLACE: usize = 5;
 
+/// Places in the order that ask a store which fails at short, even pauses: after an outage the others hear the proof from them.
+const EAGER: usize = 3;
+/// Their pause.
+const EAGER_PAUSE: Duration = Duration::from_millis(300);
+
 /// Keeps the proof young for ever, while anything depends on it.
 pub async fn keep_fresh(shared: Arc<Shared>, followed: FollowedStore, documents: Arc<dyn DocumentFormat>) {
     let mut backoff = Backoff::default();
@@ -41,7 +46,11 @@
             Err(error) => {
                 shared.metrics.store_failures.inc();
                 debug!(error = error.to_string().as_str(); "the store does not tell whether the configuration is the newest");
-                backoff.pause().await;
+                if shared.freshness.rank() < EAGER {
+                    tokio::time::sleep(EAGER_PAUSE).await
+                } else {
+                    backoff.pause().await
+                }
             }
         }
     }
--- a/crates/seamhatchd/src/controllers/follow/quota_shards.rs
+++ b/crates/seamhatchd/src/controllers/follow/quota_shards.rs
@@ -26,10 +26,15 @@
 /// Pause between two looks at what is to be done.
 const POLL: Duration = Duration::from_millis(200);
 /// How long a lease lasts without renewal: a shard whose holder is lost is free after that.
-const LEASE: Duration = Duration::from_secs(5);
-/// Time between two renewals, each a tenth of a read: three may fail before the lease ends, and it outlasts an outage of
-/// the store of four seconds.
+///
+/// It outlasts an outage of the store that keys outlive, of which proofs of freshness are young enough for five seconds or so,
+/// with the last renewal before it and the first after it. Shorter, all limits are gone after such an outage until all shards are
+/// taken anew; longer, the shards of a daemon that is lost are missing for longer.
+const LEASE: Duration = Duration::from_secs(8);
+/// Time between two renewals, each a tenth of a read.
 const RENEWAL: Microseconds = SECOND;
+/// Pause after a failure of the store for a daemon that holds shards: there are few, and their leases run.
+const HOLDERS_PAUSE: Duration = Duration::from_millis(300);
 /// How much later each next one in the order tries to take a shard.
 const NEXT_TRIES_AFTER: Microseconds = 300 * MILLISECOND;
 /// Pause after another daemon was found to hold a shard that seemed vacant.
@@ -78,7 +83,11 @@
             Err(error) => {
                 keeper.shared.metrics.store_failures.inc();
                 debug!(error = error.to_string().as_str(); "shards can't be taken or kept");
-                backoff.pause().await;
+                if keeper.lease.is_some() {
+                    tokio::time::sleep(HOLDERS_PAUSE).await
+                } else {
+                    backoff.pause().await
+                }
             }
         }
     }
