Sight: how many calls a crash of a back end takes along, and how many requests are not answered for it

'back end crashed' says how many calls ran, copies included; counters crashed_calls (at the server) and crash_losses (at the daemon that took the request). Until now refusals{reason=backend-crashed} counted both together, so nobody could say how many innocent requests a crash costs. Nothing of the logic is changed. Messages, settings and stored data are as before.

--- a/crates/seamhatch-core/src/crashes/work.rs
+++ b/crates/seamhatch-core/src/crashes/work.rs
@@ -30,6 +30,15 @@
     pub on_trial: bool,
 }
 
+/// What was at work on an instance when it crashed.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct CrashedWork {
+    /// Calls that ran then, copies of a request included.
+    pub calls: usize,
+    /// The requests, each once.
+    pub suspects: Vec<Suspect>,
+}
+
 /// Names a running call in its [`WorkTable`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct WorkNumber(u64);
@@ -86,8 +95,8 @@
     }
 
     /// Records that an instance has ended in a crash, as the broken connection of one of its calls proves; `is_unnamed` says
-    /// that the back end's instances have no names. Returns what ran on it, each request once.
-    pub fn end(&mut self, instance: InstanceDigest, is_unnamed: bool) -> Vec<Suspect> {
+    /// that the back end's instances have no names. Returns what ran on it.
+    pub fn end(&mut self, instance: InstanceDigest, is_unnamed: bool) -> CrashedWork {
         self.unnamed_crashes += u64::from(is_unnamed);
         self.end_at(instance, Instant::NEVER)
     }
@@ -103,13 +112,13 @@
 
     /// Another instance has taken the place of this one, which had not reported that it leaves. Returns what ran on it when
     /// it ended, where that was not known before: calls that broke recently, and those that still wait for its answer.
-    pub fn replace(&mut self, instance: &InstanceId, now: Instant) -> Vec<Suspect> {
+    pub fn replace(&mut self, instance: &InstanceId, now: Instant) -> CrashedWork {
         let instance = InstanceDigest::of_instance(instance);
-        if self.has_ended(instance) { Vec::new() } else { self.end_at(instance, now) }
+        if self.has_ended(instance) { CrashedWork::default() } else { self.end_at(instance, now) }
     }
 
     /// Ends an instance at `now`, where broken calls count; [`Instant::NEVER`] where none does.
-    fn end_at(&mut self, instance: InstanceDigest, now: Instant) -> Vec<Suspect> {
+    fn end_at(&mut self, instance: InstanceDigest, now: Instant) -> CrashedWork {
         if self.ended.len() == REMEMBERED_ENDS {
             self.ended.pop_front();
         }
@@ -119,10 +128,11 @@
         let there = self.running.values().chain(broken).filter(|entry| entry.instance == instance);
         let suspect = |entry: &WorkEntry| Suspect { request: entry.request, on_trial: entry.on_trial };
         let mut suspects: Vec<Suspect> = there.map(suspect).collect();
+        let calls = suspects.len();
         // A copy on trial comes before one that is not.
         suspects.sort_unstable_by_key(|suspect| (suspect.request, !suspect.on_trial));
         suspects.dedup_by_key(|suspect| suspect.request);
         self.broken.retain(|(_, entry)| entry.instance != instance);
-        suspects
+        CrashedWork { calls, suspects }
     }
 }
--- a/crates/seamhatch-core/tests/quarantine.rs
+++ b/crates/seamhatch-core/tests/quarantine.rs
@@ -2,7 +2,9 @@
 
 use seamhatch_core::Instant;
 use seamhatch_core::clock::{MILLISECOND, SECOND};
-use seamhatch_core::crashes::{InstanceDigest, Suspect, WorkTable, ends_try, home_of, runs_isolated};
+use seamhatch_core::crashes::{
+    CrashedWork, InstanceDigest, Suspect, WorkTable, ends_try, home_of, runs_isolated,
+};
 use seamhatch_core::identity::{Incarnation, RequestDigest};
 use seamhatch_core::instance::InstanceId;
 use seamhatch_core::outcome::Reason;
@@ -49,7 +51,8 @@
     let (done, _) = table.begin(DAEMON, Some(&first), request(3), false);
     table.finish(done);
     assert!(!table.has_ended(instance));
-    assert_eq!(table.end(instance, false), [Suspect { request: request(1), on_trial: true }]);
+    let suspects = vec![Suspect { request: request(1), on_trial: true }];
+    assert_eq!(table.end(instance, false), CrashedWork { calls: 2, suspects });
     assert!(table.has_ended(instance) && !table.has_ended(InstanceDigest::of_instance(&second)));
 }
 
@@ -93,8 +96,8 @@
         if !case.still_waits {
             table.finish(number);
         }
-        let suspects = table.replace(&instance, NOW);
-        assert_eq!(!suspects.is_empty(), case.is_suspect, "{}", case.name);
-        assert!(table.replace(&instance, NOW).is_empty(), "{}: known", case.name);
+        let work = table.replace(&instance, NOW);
+        assert_eq!(!work.suspects.is_empty(), case.is_suspect, "{}", case.name);
+        assert_eq!(table.replace(&instance, NOW), CrashedWork::default(), "{}: known", case.name);
     }
 }
--- a/crates/seamhatchd/src/base/metrics.rs
+++ b/crates/seamhatchd/src/base/metrics.rs
@@ -107,6 +107,10 @@
     pub queue_seconds: Histogram,
     /// Crashes of the back end.
     pub crashes: Counter,
+    /// Calls that ran on the back end when it crashed.
+    pub crashed_calls: Counter,
+    /// Requests that end here without an answer because a back end crashed under them.
+    pub crash_losses: Counter,
     /// Requests that are refused because they crash servers.
     pub condemned: Gauge,
     /// Calls that the back end works on.
@@ -184,6 +188,12 @@
             store_seconds: latency(to, "store_seconds", "Time the key-value service took"),
             queue_seconds: latency(to, "queue_seconds", "Wait for a slot"),
             crashes: counter(to, "crashes", "Crashes of the back end"),
+            crashed_calls: counter(to, "crashed_calls", "Calls that ran on the back end when it crashed"),
+            crash_losses: counter(
+                to,
+                "crash_losses",
+                "Requests not answered as a back end crashed under them",
+            ),
             condemned: gauge(to, "condemned_requests", "Requests turned away as they crash servers"),
             running: gauge(to, "running_calls", "Calls the back end works on"),
             waiting: gauge(to, "waiting_calls", "Calls that wait for a slot"),
--- a/crates/seamhatchd/src/listeners/responses.rs
+++ b/crates/seamhatchd/src/listeners/responses.rs
@@ -15,7 +15,7 @@
 use http::{Response, StatusCode};
 use log::info;
 use seamhatch_core::clock::MILLISECOND;
-use seamhatch_core::outcome::Outcome;
+use seamhatch_core::outcome::{Outcome, Reason};
 use seamhatch_core::return_time::jittered;
 use seamhatch_wire::{HeaderField, RecordedAnswer};
 
@@ -80,6 +80,9 @@
         let took = clock::now().since(request.arrived);
         self.shared.metrics.refusal(rejection.outcome, rejection.reason, request.class);
         self.shared.metrics.request_ended(rejection.outcome, request.class, took);
+        if rejection.reason == Reason::BackendCrashed {
+            self.shared.metrics.crash_losses.inc();
+        }
         let retry_after = rejection.retry_after.map(|span| jittered(span, rand::random()));
         info!(
             request = request.log_name().as_str(),
--- a/crates/seamhatchd/src/server/crashes/at_work.rs
+++ b/crates/seamhatchd/src/server/crashes/at_work.rs
@@ -5,7 +5,7 @@
 
 use crate::base::lock::lock;
 use seamhatch_core::Instant;
-use seamhatch_core::crashes::{InstanceDigest, Suspect, WorkNumber, WorkTable};
+use seamhatch_core::crashes::{CrashedWork, InstanceDigest, WorkNumber, WorkTable};
 use seamhatch_core::identity::{Incarnation, RequestDigest};
 use seamhatch_core::instance::InstanceId;
 use std::sync::{Arc, Mutex};
@@ -56,8 +56,8 @@
         lock(&self.calls).has_ended(work.instance)
     }
 
-    /// Records that the instance that runs the call has ended in a crash. Returns what ran on it, each request once.
-    pub(super) fn end_instance(&self, work: &CallAtWork) -> Vec<Suspect> {
+    /// Records that the instance that runs the call has ended in a crash. Returns what ran on it.
+    pub(super) fn end_instance(&self, work: &CallAtWork) -> CrashedWork {
         lock(&self.calls).end(work.instance, work.is_unnamed)
     }
 
@@ -68,7 +68,7 @@
 
     /// Another instance has taken the place of this one, which had not reported that it leaves. Returns what ran on it when
     /// it ended, where that was not known before.
-    pub(super) fn replace_instance(&self, instance: &InstanceId, now: Instant) -> Vec<Suspect> {
+    pub(super) fn replace_instance(&self, instance: &InstanceId, now: Instant) -> CrashedWork {
         lock(&self.calls).replace(instance, now)
     }
 }
--- a/crates/seamhatchd/src/server/crashes/mod.rs
+++ b/crates/seamhatchd/src/server/crashes/mod.rs
@@ -20,7 +20,7 @@
 use crate::control::ControlHandle;
 use crate::server::ServerSide;
 use log::warn;
-use seamhatch_core::crashes::{InstanceDigest, Suspect, SuspectStanding};
+use seamhatch_core::crashes::{CrashedWork, InstanceDigest, Suspect, SuspectStanding};
 use seamhatch_core::identity::RequestDigest;
 use seamhatch_core::instance::InstanceId;
 use seamhatch_core::outcome::Reason;
@@ -64,8 +64,8 @@
             watch.note_broken(work, broke);
             return false;
         }
-        let suspects = watch.end_instance(work);
-        self.report(work.instance, instance, &suspects);
+        let crashed = watch.end_instance(work);
+        self.report(work.instance, instance, &crashed);
         if let Some(instance) = instance {
             self.control.lost_instance(instance.clone(), Reason::BackendCrashed);
         }
@@ -75,31 +75,34 @@
     /// Records that another instance of the back end is there in place of `instance`, which had not reported that it leaves.
     /// Where this daemon was frozen while that one crashed, nothing else shows the crash.
     pub fn instance_replaced(&self, instance: &InstanceId) {
-        let suspects = self.server.crashes.replace_instance(instance, clock::now());
-        if !suspects.is_empty() {
-            self.report(InstanceDigest::of_instance(instance), Some(instance), &suspects);
+        let crashed = self.server.crashes.replace_instance(instance, clock::now());
+        if !crashed.suspects.is_empty() {
+            self.report(InstanceDigest::of_instance(instance), Some(instance), &crashed);
         }
     }
 
     /// Records a crash here and has it reported to other daemons.
-    fn report(&self, digest: InstanceDigest, instance: Option<&InstanceId>, suspects: &[Suspect]) {
+    fn report(&self, digest: InstanceDigest, instance: Option<&InstanceId>, crashed: &CrashedWork) {
+        let suspects = crashed.suspects.as_slice();
         let condemned = self.suspects.report_crash(digest, suspects);
-        self.log_crash(instance, suspects);
+        self.log_crash(instance, crashed);
         self.metrics.crashes.inc();
+        self.metrics.crashed_calls.inc_by(crashed.calls as u64);
         self.control.suspects_changed(suspects.iter().map(|suspect| suspect.request).collect());
         if !condemned.is_empty() {
             self.control.remember_condemned(condemned);
         }
     }
 
-    fn log_crash(&self, instance: Option<&InstanceId>, suspects: &[Suspect]) {
-        let evidence = suspects.iter().map(|Suspect { request, .. }| {
+    fn log_crash(&self, instance: Option<&InstanceId>, crashed: &CrashedWork) {
+        let evidence = crashed.suspects.iter().map(|Suspect { request, .. }| {
             let crashes = self.suspects.standing(*request).crashes();
             format!("{request}:{crashes}")
         });
         warn!(
             instance = instance.map_or("", |instance| instance.name.as_str()),
-            at_work = suspects.len(),
+            calls = crashed.calls,
+            at_work = crashed.suspects.len(),
             crashes_by_digest = evidence.collect::<Vec<_>>().join(",").as_str();
             "back end crashed"
         );
