--- a/crates/seamhatch-core/tests/crashes.rs
+++ b/crates/seamhatch-core/tests/crashes.rs
@@ -4,7 +4,7 @@
 use seamhatch_core::clock::SECOND;
 use seamhatch_core::crashes::{
     CrashLedger, CrashPolicy, EvidenceEffect, InstanceDigest, MOST_MARKS, SuspectRecord, SuspectReport,
-    SuspectStanding,
+    SuspectStanding, runs_isolated,
 };
 use seamhatch_core::identity::RequestDigest;
 use seamhatch_core::instance::InstanceId;
@@ -245,3 +245,68 @@
     assert_eq!(told(40 * SECOND), SuspectStanding::Suspect { crashes: 3 });
     assert_eq!(told(4000 * SECOND), SuspectStanding::Clear);
 }
+
+/// Time after the third crash from which on a run of the request counts.
+const KNOWN: Microseconds = 3 * SECOND;
+/// Runs that may follow later than that.
+const MOST_RUNS: usize = 3;
+/// How long callers insist.
+const DAY: Microseconds = 24 * 3600 * SECOND;
+
+/// Callers of a request that crashes each server that runs it.
+struct InsistingCase {
+    /// Copies that run in the first moment, before any daemon knows of a crash.
+    in_flight: usize,
+    /// Time between two later attempts.
+    pause: Microseconds,
+}
+
+const INSISTING: [InsistingCase; 8] = [
+    InsistingCase { in_flight: 1, pause: SECOND },
+    InsistingCase { in_flight: 2, pause: SECOND },
+    InsistingCase { in_flight: 3, pause: SECOND },
+    InsistingCase { in_flight: 3, pause: 5 * SECOND },
+    InsistingCase { in_flight: 1, pause: 500 * SECOND },
+    InsistingCase { in_flight: 3, pause: 7200 * SECOND },
+    InsistingCase { in_flight: MOST_MARKS, pause: SECOND },
+    InsistingCase { in_flight: 40, pause: SECOND },
+];
+
+/// A digest in no order, as those of real instances are.
+fn scattered(number: usize) -> InstanceDigest {
+    InstanceDigest((number as u64 + 1).wrapping_mul(0x9E37_79B9_7F4A_7C15))
+}
+
+/// The trial runs of a condemned request went on for ever, at growing pauses, so that callers who insist crashed a fourth server,
+/// and more, long after the third. With sixteen copies in the first moment the record was full, and the crash of a trial run found
+/// no room in it. Found by reading; the table failed in all its cases.
+#[test]
+fn few_runs_follow_the_third_crash_however_long_callers_insist() {
+    let mut broken = Vec::new();
+    for InsistingCase { in_flight, pause } in INSISTING {
+        let mut ledger = CrashLedger::default();
+        let mut crashes: Vec<Instant> = Vec::new();
+        for number in 0..in_flight {
+            ledger.report(scattered(number), REQUEST, false, START);
+            crashes.push(START);
+        }
+        let mut now = START;
+        while now < START.plus(DAY) {
+            now = now.plus(pause);
+            ledger.forget_old(now);
+            let standing = ledger.standing(REQUEST, now);
+            if matches!(standing, SuspectStanding::Condemned { .. }) {
+                continue;
+            }
+            let isolated = runs_isolated(standing.crashes());
+            ledger.report(scattered(crashes.len()), REQUEST, isolated, now);
+            crashes.push(now);
+        }
+        let known = crashes[2].plus(KNOWN);
+        let late = crashes.iter().filter(|at| **at > known).count();
+        if late > MOST_RUNS {
+            broken.push(format!("{in_flight} copies, then one each {} s: {late} late runs", pause / SECOND));
+        }
+    }
+    assert!(broken.is_empty(), "{broken:#?}");
+}
