Trial runs of a condemned request have an end: three that crash a server

Cause: after its pause each condemned request got one more copy, for ever, at pauses doubled up to an hour. Callers who insist thus crashed a fourth server after the third, and more, where the rule allows three runs. Change: three crashes on trial runs are the last; the request is refused until an operator clears it, and says so (until_cleared in the report, 'turned away until it is cleared'). Callers are told the longest pause. Why it holds: a trial run is the only run of a condemned request, and each one that crashes is in the evidence.

--- a/crates/seamhatch-core/src/crashes/ledger.rs
+++ b/crates/seamhatch-core/src/crashes/ledger.rs
@@ -15,6 +15,8 @@
     pub condemned_after: u32,
     /// Pause after the crash that condemned it, before the trial run of one copy. Doubled by each further crash.
     pub first_pause: Microseconds,
+    /// Crashes on trial runs after which there are no more of them.
+    pub most_trials: u32,
     /// Longest such pause.
     pub longest_pause: Microseconds,
     /// How long evidence counts after the last crash. A request that returns more rarely does as little harm.
@@ -31,15 +33,14 @@
             // One crash makes a suspect of every call that ran; a third one, alone among its kind, is no accident. Without
             // the trial run, a popular request whose copies ran at three servers that were lost at once was condemned.
             condemned_after: 3,
-            // Chosen: a trial run may cost a server that is away for some seconds, once in half a minute.
+            // A trial run may cost a server that is away for some seconds, once in half a minute.
             first_pause: 30 * SECOND,
-            // Chosen, not measured.
+            // With copies that crash three servers in one moment, the first trial run follows the third crash.
+            most_trials: 3,
             longest_pause: 3600 * SECOND,
-            // Chosen, not measured.
             memory: 600 * SECOND,
-            // Chosen: at 80 bytes each, a third of a megabyte.
+            // At 80 bytes each, a third of a megabyte.
             most_suspects: 4096,
-            // Chosen, not measured.
             most_condemned: 1024,
         }
     }
@@ -59,7 +60,7 @@
     Condemned {
         /// The crashes during which it ran.
         crashes: u32,
-        /// When the trial run of one copy may begin.
+        /// When the trial run of one copy may begin; [`Instant::NEVER`] when it has had its trial runs.
         until: Instant,
     },
 }
@@ -131,6 +132,15 @@
         self.entries.get(&request).map_or(SuspectStanding::Clear, |entry| self.standing_of(entry, now))
     }
 
+    /// Time that callers of a condemned request are told to stay away, in microseconds; zero for any other.
+    #[must_use]
+    pub fn pause_left(&self, request: RequestDigest, now: Instant) -> Microseconds {
+        match self.standing(request, now) {
+            SuspectStanding::Condemned { until, .. } => until.since(now).min(self.policy.longest_pause),
+            SuspectStanding::Clear | SuspectStanding::Suspect { .. } => 0,
+        }
+    }
+
     /// Records that a request ran, on trial or not, when an instance of a server ended in a crash.
     pub fn report(
         &mut self,
@@ -202,7 +212,10 @@
         if crashes == 0 || now.since(entry.last_crash) > entry.kept_for(&self.policy) {
             return SuspectStanding::Clear;
         }
-        let until = entry.last_crash.plus(self.policy.pause_after(crashes));
+        let until = match self.policy.has_trials(&entry.record) {
+            true => entry.last_crash.plus(self.policy.pause_after(crashes)),
+            false => Instant::NEVER,
+        };
         if self.policy.condemns(&entry.record) && now < until {
             return SuspectStanding::Condemned { crashes, until };
         }
@@ -276,7 +289,12 @@
 impl CrashPolicy {
     /// Whether the evidence is enough.
     fn condemns(&self, record: &SuspectRecord) -> bool {
-        record.open_crashes() >= self.condemned_after && record.failed_trial()
+        record.open_crashes() >= self.condemned_after && record.failed_trials() > 0
+    }
+
+    /// Whether a request may have another trial run. Without an end, callers who insist would crash servers for ever.
+    fn has_trials(&self, record: &SuspectRecord) -> bool {
+        record.failed_trials() < self.most_trials
     }
 
     /// Pause after this many crashes.
--- a/crates/seamhatch-core/src/crashes/record.rs
+++ b/crates/seamhatch-core/src/crashes/record.rs
@@ -93,10 +93,10 @@
         self.marks.iter().filter(|mark| !mark.cleared).count() as u32
     }
 
-    /// Whether a crash that nothing has cleared happened on its trial.
+    /// Crashes on trial runs that nothing has cleared.
     #[must_use]
-    pub fn failed_trial(&self) -> bool {
-        self.marks.iter().any(|mark| mark.on_trial && !mark.cleared)
+    pub fn failed_trials(&self) -> u32 {
+        self.marks.iter().filter(|mark| mark.on_trial && !mark.cleared).count() as u32
     }
 
     /// Adds a crash. True when it was not known.
--- a/crates/seamhatch-core/tests/crashes.rs
+++ b/crates/seamhatch-core/tests/crashes.rs
@@ -33,6 +33,8 @@
     Suspect(u32),
     /// Crashes, and seconds until a trial.
     Condemned(u32, u64),
+    /// Crashes; it has had its trials.
+    ForGood(u32),
 }
 
 struct StandingCase {
@@ -43,7 +45,7 @@
 
 use Step::{Crash, GoodEnd, Trial, Wait};
 
-const CASES: [StandingCase; 12] = [
+const CASES: [StandingCase; 14] = [
     StandingCase { name: "unknown", steps: &[], standing: Standing::Clear },
     StandingCase { name: "one crash", steps: &[Crash(1)], standing: Standing::Suspect(1) },
     StandingCase { name: "one crash told often", steps: &[Crash(1); 5], standing: Standing::Suspect(1) },
@@ -88,6 +90,16 @@
         standing: Standing::Clear,
     },
     StandingCase { name: "long ago", steps: &[Crash(1), Crash(2), Wait(601)], standing: Standing::Clear },
+    StandingCase {
+        name: "the third trial crashes a server",
+        steps: &[Crash(1), Crash(2), Trial(3), Wait(30), Trial(4), Wait(60), Trial(5)],
+        standing: Standing::ForGood(5),
+    },
+    StandingCase {
+        name: "until an operator clears it",
+        steps: &[Crash(1), Crash(2), Trial(3), Trial(4), Trial(5), GoodEnd],
+        standing: Standing::Clear,
+    },
 ];
 
 fn play(ledger: &mut CrashLedger, steps: &[Step]) -> Instant {
@@ -117,6 +129,7 @@
         let standing = match ledger.standing(REQUEST, now) {
             SuspectStanding::Clear => Standing::Clear,
             SuspectStanding::Suspect { crashes } => Standing::Suspect(crashes),
+            SuspectStanding::Condemned { crashes, until: Instant::NEVER } => Standing::ForGood(crashes),
             SuspectStanding::Condemned { crashes, until } => {
                 Standing::Condemned(crashes, until.since(now) / SECOND)
             }
--- a/crates/seamhatch/src/output.rs
+++ b/crates/seamhatch/src/output.rs
@@ -62,6 +62,7 @@
     text.push_str(&format!("\n{:<18} {:>7}  STATE\n", "DIGEST", "CRASHES"));
     for suspect in &report.suspects {
         let state = match suspect.turned_away_for_ms {
+            Some(_) if suspect.until_cleared => "turned away until it is cleared".to_owned(),
             Some(left) => format!("turned away, tried again in {} s", left.div_ceil(1000)),
             None => "runs, one copy at a time".to_owned(),
         };
--- a/crates/seamhatchd/src/dispatch/suspects.rs
+++ b/crates/seamhatchd/src/dispatch/suspects.rs
@@ -21,7 +21,7 @@
             "this request was at work when {crashes} servers crashed, so it is not run for now; an operator can clear {}",
             self.digest
         );
-        let pause = self.shared.suspects.time_until_trial(self.digest);
+        let pause = self.shared.suspects.pause_left(self.digest);
         Err(Rejection::not_run(Reason::CrashesServers, detail).retry_after(pause))
     }
 
--- a/crates/seamhatchd/src/peer_server/call/refusal.rs
+++ b/crates/seamhatchd/src/peer_server/call/refusal.rs
@@ -36,7 +36,7 @@
     fn retry_after(&self, reason: Reason) -> Microseconds {
         match reason.rule().return_time {
             ReturnTime::AfterQueue => self.shared.server.gate.retry_after(),
-            ReturnTime::UntilTrial => self.shared.suspects.time_until_trial(self.head.request),
+            ReturnTime::UntilTrial => self.shared.suspects.pause_left(self.head.request),
             ReturnTime::Never | ReturnTime::After(_) | ReturnTime::AfterOverload | ReturnTime::AtLimit => {
                 SERVER_RETURN
             }
--- a/crates/seamhatchd/src/server/crashes/report.rs
+++ b/crates/seamhatchd/src/server/crashes/report.rs
@@ -1,9 +1,10 @@
 //! What operators see of requests that ran when servers crashed.
 
-use crate::base::clock;
 use crate::server::crashes::SuspectBook;
+use seamhatch_core::Instant;
 use seamhatch_core::clock::MILLISECOND;
 use seamhatch_core::crashes::SuspectStanding;
+use seamhatch_core::identity::RequestDigest;
 use serde::{Deserialize, Serialize};
 
 /// All suspects that a daemon knows.
@@ -22,21 +23,27 @@
     pub digest: String,
     /// Crashes it was at work in without a good end since.
     pub crashes: u32,
-    /// Where it is turned away: milliseconds until one copy is tried.
+    /// Where it is turned away: milliseconds that callers are told to stay away, after which one copy is tried.
     pub turned_away_for_ms: Option<u64>,
+    /// It has had its trial runs: it is turned away until an operator clears it.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub until_cleared: bool,
 }
 
 /// What this daemon knows; `crashes_here` are those of the back end beside it.
 #[must_use]
 pub fn crash_report(suspects: &SuspectBook, crashes_here: u64) -> CrashReport {
-    let now = clock::now();
-    let suspects = suspects.suspects().into_iter().map(|(digest, standing)| SuspectStatus {
-        digest: digest.to_string(),
-        crashes: standing.crashes(),
-        turned_away_for_ms: match standing {
-            SuspectStanding::Condemned { until, .. } => Some(until.since(now) / MILLISECOND),
+    let status = |(digest, standing): (RequestDigest, SuspectStanding)| {
+        let condemned_until = match standing {
+            SuspectStanding::Condemned { until, .. } => Some(until),
             SuspectStanding::Clear | SuspectStanding::Suspect { .. } => None,
-        },
-    });
-    CrashReport { crashes_here, suspects: suspects.collect() }
+        };
+        SuspectStatus {
+            digest: digest.to_string(),
+            crashes: standing.crashes(),
+            turned_away_for_ms: condemned_until.map(|_| suspects.pause_left(digest) / MILLISECOND),
+            until_cleared: condemned_until == Some(Instant::NEVER),
+        }
+    };
+    CrashReport { crashes_here, suspects: suspects.suspects().into_iter().map(status).collect() }
 }
--- a/crates/seamhatchd/src/server/crashes/suspects.rs
+++ b/crates/seamhatchd/src/server/crashes/suspects.rs
@@ -68,13 +68,10 @@
         self.lock().standing(request, clock::now())
     }
 
-    /// Time until the trial run of a condemned request, in microseconds; zero for any other.
+    /// Time that callers of a condemned request are told to stay away, in microseconds; zero for any other.
     #[must_use]
-    pub fn time_until_trial(&self, request: RequestDigest) -> Microseconds {
-        match self.standing(request) {
-            SuspectStanding::Condemned { until, .. } => until.since(clock::now()),
-            SuspectStanding::Clear | SuspectStanding::Suspect { .. } => 0,
-        }
+    pub fn pause_left(&self, request: RequestDigest) -> Microseconds {
+        self.lock().pause_left(request, clock::now())
     }
 
     /// Records a crash and what ran then. Returns what it has condemned.
--- a/crates/seamhatchd/tests/operator_interface.rs
+++ b/crates/seamhatchd/tests/operator_interface.rs
@@ -144,8 +144,14 @@
         members: vec![member],
         shards: vec![shard],
     };
-    let suspect = SuspectStatus { digest: "0a0b".into(), crashes: 9, turned_away_for_ms: Some(10) };
-    let crashes = CrashReport { crashes_here: 11, suspects: vec![suspect] };
+    let suspect = SuspectStatus {
+        digest: "0a0b".into(),
+        crashes: 9,
+        turned_away_for_ms: Some(10),
+        until_cleared: false,
+    };
+    let for_good = SuspectStatus { digest: "0c0d".into(), until_cleared: true, ..suspect.clone() };
+    let crashes = CrashReport { crashes_here: 11, suspects: vec![suspect, for_good] };
     insta::assert_snapshot!(format!("{}\n{}", json(&status), json(&crashes)));
 }
 
