Evidence that is enough to condemn doesn't lapse

Cause: all evidence was forgotten ten minutes after the last crash (and its pause), a verdict too, so that a request which comes again later crashed three servers more before it was condemned anew. Change: only evidence of fewer crashes than condemn lapses. Why it holds: a harmless request is cleared by its next run, so nothing harmless is kept for long; a request of three crashes has used what the rule allows. One case of a_report_counts_from_the_time_of_its_crash said that a report of three crashes is nothing after 4,000 s: it rests on what was wrong, and now says so of two crashes, and of three that it is a suspect.

--- a/crates/seamhatch-core/src/crashes/ledger.rs
+++ b/crates/seamhatch-core/src/crashes/ledger.rs
@@ -19,7 +19,7 @@
     pub most_trials: u32,
     /// Longest such pause.
     pub longest_pause: Microseconds,
-    /// How long evidence counts after the last crash. A request that returns more rarely does as little harm.
+    /// How long evidence of fewer crashes than condemn a request counts after the last one.
     pub memory: Microseconds,
     /// Requests that are kept as suspects; the ones with the least and oldest evidence are dropped first.
     pub most_suspects: usize,
@@ -170,7 +170,7 @@
     /// Records what another daemon knows.
     pub fn merge(&mut self, report: &SuspectReport, now: Instant) -> EvidenceEffect {
         let at = now.minus(report.age);
-        if now.since(at) > self.policy.memory.max(self.policy.longest_pause) {
+        if self.policy.lapses(&report.record) && now.since(at) > self.policy.memory {
             return EvidenceEffect::Known;
         }
         self.change(report.record.request, at, now, |record| record.merge(&report.record))
@@ -204,12 +204,12 @@
     /// Forgets what is too old to count.
     pub fn forget_old(&mut self, now: Instant) {
         let policy = self.policy;
-        self.entries.retain(|_, entry| now.since(entry.last_crash) <= entry.kept_for(&policy));
+        self.entries.retain(|_, entry| !entry.has_lapsed(&policy, now));
     }
 
     fn standing_of(&self, entry: &LedgerEntry, now: Instant) -> SuspectStanding {
         let crashes = entry.record.open_crashes();
-        if crashes == 0 || now.since(entry.last_crash) > entry.kept_for(&self.policy) {
+        if crashes == 0 || entry.has_lapsed(&self.policy, now) {
             return SuspectStanding::Clear;
         }
         let until = match self.policy.has_trials(&entry.record) {
@@ -278,11 +278,8 @@
         SuspectReport { record: self.record.clone(), age: now.since(self.last_crash) }
     }
 
-    /// How long it counts after its last crash.
-    fn kept_for(&self, policy: &CrashPolicy) -> Microseconds {
-        let crashes = self.record.open_crashes();
-        let pause = if crashes >= policy.condemned_after { policy.pause_after(crashes) } else { 0 };
-        pause + policy.memory
+    fn has_lapsed(&self, policy: &CrashPolicy, now: Instant) -> bool {
+        policy.lapses(&self.record) && now.since(self.last_crash) > policy.memory
     }
 }
 
@@ -297,6 +294,12 @@
         record.failed_trials() < self.most_trials
     }
 
+    /// Whether the evidence is forgotten with time. What is enough to condemn is not, as each return of the request would
+    /// crash as many servers again; a good end or an operator clears it.
+    fn lapses(&self, record: &SuspectRecord) -> bool {
+        record.open_crashes() < self.condemned_after
+    }
+
     /// Pause after this many crashes.
     #[must_use]
     pub fn pause_after(&self, crashes: u32) -> Microseconds {
--- a/crates/seamhatch-core/tests/crashes.rs
+++ b/crates/seamhatch-core/tests/crashes.rs
@@ -45,7 +45,7 @@
 
 use Step::{Crash, GoodEnd, Trial, Wait};
 
-const CASES: [StandingCase; 14] = [
+const CASES: [StandingCase; 16] = [
     StandingCase { name: "unknown", steps: &[], standing: Standing::Clear },
     StandingCase { name: "one crash", steps: &[Crash(1)], standing: Standing::Suspect(1) },
     StandingCase { name: "one crash told often", steps: &[Crash(1); 5], standing: Standing::Suspect(1) },
@@ -95,6 +95,16 @@
         steps: &[Crash(1), Crash(2), Trial(3), Wait(30), Trial(4), Wait(60), Trial(5)],
         standing: Standing::ForGood(5),
     },
+    StandingCase {
+        name: "and long after",
+        steps: &[Crash(1), Crash(2), Trial(3), Trial(4), Trial(5), Wait(100_000)],
+        standing: Standing::ForGood(5),
+    },
+    StandingCase {
+        name: "condemned long ago",
+        steps: &[Crash(1), Crash(2), Trial(3), Wait(100_000)],
+        standing: Standing::Suspect(3),
+    },
     StandingCase {
         name: "until an operator clears it",
         steps: &[Crash(1), Crash(2), Trial(3), Trial(4), Trial(5), GoodEnd],
@@ -242,10 +252,10 @@
 }
 
 #[test]
-fn a_report_counts_from_the_time_of_its_crash_and_not_at_all_when_that_is_long_ago() {
-    let told = |age: Microseconds| {
+fn a_report_counts_from_the_time_of_its_crash_and_of_few_crashes_not_at_all_when_that_is_long_ago() {
+    let told = |crashes: u64, age: Microseconds| {
         let mut teller = CrashLedger::default();
-        for life in 1..=3 {
+        for life in 1..=crashes {
             teller.report(InstanceDigest(life), REQUEST, life > 2, START);
         }
         let report: SuspectReport = teller.reports(&[REQUEST], START.plus(age)).remove(0);
@@ -254,9 +264,11 @@
         ledger.standing(REQUEST, START)
     };
     let until = START.plus(20 * SECOND);
-    assert_eq!(told(10 * SECOND), SuspectStanding::Condemned { crashes: 3, until });
-    assert_eq!(told(40 * SECOND), SuspectStanding::Suspect { crashes: 3 });
-    assert_eq!(told(4000 * SECOND), SuspectStanding::Clear);
+    assert_eq!(told(3, 10 * SECOND), SuspectStanding::Condemned { crashes: 3, until });
+    assert_eq!(told(3, 40 * SECOND), SuspectStanding::Suspect { crashes: 3 });
+    assert_eq!(told(3, 4000 * SECOND), SuspectStanding::Suspect { crashes: 3 });
+    assert_eq!(told(2, 40 * SECOND), SuspectStanding::Suspect { crashes: 2 });
+    assert_eq!(told(2, 4000 * SECOND), SuspectStanding::Clear);
 }
 
 /// Time after the third crash from which on a run of the request counts.
