Crashes on trial runs have room in a record that is full of others

Cause: a record keeps 16 crashes, those of the largest digests, whatever they show. After 16 copies had crashed their servers in the first moment, the crash of a trial run whose digest was smaller found no room: it was taken as known, the request stayed a suspect and ran again, six times in the case of 40 copies. Change: where there are too many, crashes on trial runs are kept before all others. Why it holds: there are three such crashes at most, and the order never changes, so merging stays commutative, associative and idempotent (property tests). Messages and stored records keep their form.

--- a/crates/seamhatch-core/src/crashes/record.rs
+++ b/crates/seamhatch-core/src/crashes/record.rs
@@ -6,8 +6,7 @@
 use serde::{Deserialize, Serialize};
 use speedy::{Readable, Writable};
 
-/// Crashes that are kept of one request. Chosen, not measured: with the default policy, the pause reaches its longest after
-/// ten.
+/// Crashes that are kept of one request: more than condemn it under any configuration.
 pub const MOST_MARKS: usize = 16;
 
 /// One crash during which a request ran.
@@ -24,12 +23,25 @@
     pub cleared: bool,
 }
 
+impl CrashMark {
+    /// What names the crash. An instance ends once, on a trial run or not, so that no two marks are of one instance.
+    fn key(&self) -> (InstanceDigest, bool) {
+        (self.life, self.on_trial)
+    }
+
+    /// Which mark is kept longer: never changes, so that merging is associative.
+    fn rank(&self) -> (bool, InstanceDigest) {
+        (self.on_trial, self.life)
+    }
+}
+
 /// The evidence against one request. Merging is commutative, associative and idempotent.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Readable, Writable, Serialize, Deserialize)]
 pub struct SuspectRecord {
     /// What is asked.
     pub request: RequestDigest,
-    /// By instance, each once, those with the largest digests where there are more than [`MOST_MARKS`].
+    /// By instance. Where there are more than [`MOST_MARKS`], those of trial runs and then those with the largest digests are
+    /// kept, so that copies that crash many servers in one moment leave room for the trial runs that decide.
     marks: Vec<CrashMark>,
 }
 
@@ -121,22 +133,26 @@
         news
     }
 
+    /// Drops the mark of the lowest rank where there are too many.
+    fn drop_lowest(&mut self) -> Option<CrashMark> {
+        if self.marks.len() <= MOST_MARKS {
+            return None;
+        }
+        let (lowest, _) = self.marks.iter().enumerate().min_by_key(|(_, mark)| mark.rank())?;
+        Some(self.marks.remove(lowest))
+    }
+
     fn add_mark(&mut self, mark: CrashMark) -> bool {
-        match self.marks.binary_search_by_key(&mark.life, |known| known.life) {
+        match self.marks.binary_search_by_key(&mark.key(), CrashMark::key) {
             Ok(position) => {
                 let known = &mut self.marks[position];
                 let before = *known;
                 known.cleared |= mark.cleared;
-                known.on_trial |= mark.on_trial;
                 *known != before
             }
-            Err(0) if self.marks.len() == MOST_MARKS => false,
             Err(position) => {
                 self.marks.insert(position, mark);
-                if self.marks.len() > MOST_MARKS {
-                    self.marks.remove(0);
-                }
-                true
+                self.drop_lowest() != Some(mark)
             }
         }
     }
