Evidence of several crashes is kept in the store until it is cleared, whatever the store goes through

Cause: a verdict was written once, in twenty attempts over some 20 s, and never looked at again. After a longer outage, or where the store came back from a copy, it was gone with the last daemon; crashes without a trial run weren't written; and a request that an operator had cleared was condemned again by the next restart of all daemons, as the store still held the verdict. Why it holds: merging is a union, so writing again never takes back; a starting daemon takes over what its record holds. A suspect of one crash is not written, as dozens are by accident.

--- a/crates/seamhatchd/src/control/events.rs
+++ b/crates/seamhatchd/src/control/events.rs
@@ -89,8 +89,8 @@
 pub enum SuspectEvent {
     /// The evidence about these changed here: the other daemons are to learn it.
     Changed(Vec<RequestDigest>),
-    /// A crash of this daemon's back end condemned these: the store is to remember them.
-    Condemned(Vec<RequestDigest>),
+    /// These ran in a crash of this daemon's back end: what speaks against them is to be remembered in the store.
+    CrashedHere(Vec<RequestDigest>),
 }
 
 /// About the configuration.
--- a/crates/seamhatchd/src/control/findings.rs
+++ b/crates/seamhatchd/src/control/findings.rs
@@ -3,7 +3,7 @@
 use crate::store::ShardRecord;
 use seamhatch_core::claims::Epoch;
 use seamhatch_core::crashes::SuspectReport;
-use seamhatch_core::identity::Address;
+use seamhatch_core::identity::{Address, RequestDigest};
 use seamhatch_core::quota::ShardNumber;
 
 /// What the records of all daemons in the store contain.
@@ -11,8 +11,10 @@
 pub struct Discovery {
     /// Gossip addresses of the daemons.
     pub members: Vec<Address>,
-    /// Requests that were condemned, as any of them has recorded.
-    pub condemned: Vec<SuspectReport>,
+    /// Evidence against requests that crash servers, as any of them has noted.
+    pub evidence: Vec<SuspectReport>,
+    /// Requests that this daemon has noted.
+    pub own_evidence: Vec<RequestDigest>,
     /// Shards of the tenants' limits and who holds them.
     pub shards: Vec<(ShardNumber, ShardRecord)>,
 }
--- a/crates/seamhatchd/src/control/handle.rs
+++ b/crates/seamhatchd/src/control/handle.rs
@@ -107,9 +107,9 @@
         self.send(SuspectEvent::Changed(requests));
     }
 
-    /// A crash of this daemon's back end condemned these requests.
-    pub fn remember_condemned(&self, requests: Vec<RequestDigest>) {
-        self.send(SuspectEvent::Condemned(requests));
+    /// These requests ran in a crash of this daemon's back end.
+    pub fn remember_evidence(&self, requests: Vec<RequestDigest>) {
+        self.send(SuspectEvent::CrashedHere(requests));
     }
 
     /// A daemon has connected.
--- a/crates/seamhatchd/src/controllers/control_thread/followed.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/followed.rs
@@ -87,6 +87,7 @@
             metrics.clone(),
         );
         tokio::spawn(keep_quota_shards(keeper));
+        self.start_keeping_evidence(followed.clone());
         tokio::spawn(discover(followed, gossip, control, metrics));
     }
 
--- a/crates/seamhatchd/src/controllers/control_thread/members.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/members.rs
@@ -2,6 +2,7 @@
 
 use super::ControlThread;
 use crate::control::{Discovery, MemberEvent};
+use crate::controllers::follow::EvidenceNews;
 use crate::store::{ListedMachine, MachineState, StoreError, read_machines};
 use log::{debug, info};
 use seamhatch_core::identity::Address;
@@ -20,8 +21,10 @@
     }
 
     /// Uses the records of all daemons that a starting daemon has read from the store.
-    fn discovered(&mut self, Discovery { members, condemned, shards }: Discovery) {
-        self.shared.suspects.merge(&condemned);
+    fn discovered(&mut self, discovery: Discovery) {
+        let Discovery { members, evidence, own_evidence, shards } = discovery;
+        self.shared.suspects.merge(&evidence);
+        self.remember_evidence(EvidenceNews::InOwnRecord(own_evidence));
         self.learn_quota_shards(&shards);
         info!(members = members.len(); "read the daemons' records");
         let own = self.shared.settings.advertise.gossip;
--- a/crates/seamhatchd/src/controllers/control_thread/mod.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/mod.rs
@@ -22,6 +22,7 @@
 use crate::base::clock;
 use crate::control::{ControlEvent, SuspectEvent};
 use crate::controllers::configuration::ConfigurationController;
+use crate::controllers::follow::EvidenceNews;
 use crate::controllers::membership::MembershipController;
 use crate::controllers::roster::RosterController;
 use crate::ports::{Backing, Ports};
@@ -175,7 +176,9 @@
             ControlEvent::Operator(event) => self.handle_operator(event),
             ControlEvent::Instance(event) => self.handle_instance(event),
             ControlEvent::Suspects(SuspectEvent::Changed(requests)) => self.suspects_changed(requests),
-            ControlEvent::Suspects(SuspectEvent::Condemned(requests)) => self.condemned(&requests),
+            ControlEvent::Suspects(SuspectEvent::CrashedHere(requests)) => {
+                self.remember_evidence(EvidenceNews::CrashedHere(requests));
+            }
             ControlEvent::Configuration(event) => self.handle_configuration(event),
             ControlEvent::Roster(event) => self.handle_roster(event),
             ControlEvent::Member(event) => self.handle_member(event),
--- a/crates/seamhatchd/src/controllers/control_thread/suspects.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/suspects.rs
@@ -2,15 +2,18 @@
 //!
 //! News goes at once to the live members that need it, in datagrams, and a second time a little later, as some are lost. What is missed
 //! all the same arrives with the exchanges of member lists, and a starting daemon asks for one before it serves. The evidence
-//! itself is owned by [`crate::server::crashes::SuspectBook`]; this file owns only what is due a second time.
+//! itself is owned by [`crate::server::crashes::SuspectBook`]; this file owns only what is due
+//! a second time, and the way to the task that keeps evidence in the store.
 
 use super::ControlThread;
 use crate::base::clock;
-use crate::controllers::follow::remember_condemned;
+use crate::controllers::follow::{EvidenceKeeper, EvidenceNews, keep_evidence};
+use crate::ports::FollowedStore;
 use seamhatch_core::Instant;
 use seamhatch_core::clock::{MILLISECOND, Microseconds, SECOND};
 use seamhatch_core::identity::RequestDigest;
 use seamhatch_core::membership::{GossipBody, GossipMessage, SUSPECTS_PER_MESSAGE};
+use tokio::sync::mpsc;
 
 /// Time until news is sent a second time: whatever made a link lose the first may be over by then. Chosen, not measured.
 const SECOND_SENDING: Microseconds = 300 * MILLISECOND;
@@ -21,11 +24,12 @@
 /// Time between two searches for records that are too old to count. Chosen, not measured.
 const FORGET_INTERVAL: Microseconds = 10 * SECOND;
 
-/// What is due to be sent a second time, and when.
+/// What is due to be sent a second time and when, and the task that keeps evidence in the store.
 #[derive(Debug, Default)]
 pub(super) struct SuspectNews {
     again: Vec<(Instant, Vec<RequestDigest>)>,
     next_forget: Instant,
+    keeper: Option<mpsc::UnboundedSender<EvidenceNews>>,
 }
 
 impl ControlThread {
@@ -34,12 +38,21 @@
         self.suspect_news.again.push((clock::now().plus(SECOND_SENDING), requests));
     }
 
-    /// Has the store remember, beyond the end of all daemons, that requests are condemned.
-    pub(super) fn condemned(&self, requests: &[RequestDigest]) {
-        let Some(followed) = self.followed().cloned() else { return };
+    /// Has the store remember, where one is followed, what speaks against requests.
+    pub(super) fn remember_evidence(&self, news: EvidenceNews) {
+        if let Some(keeper) = &self.suspect_news.keeper {
+            // The task ends with the process.
+            let _ = keeper.send(news);
+        }
+    }
+
+    /// Starts the task that keeps evidence in the followed store.
+    pub(super) fn start_keeping_evidence(&mut self, followed: FollowedStore) {
+        let (sender, news) = mpsc::unbounded_channel();
+        self.suspect_news.keeper = Some(sender);
         let gossip = self.shared.settings.advertise.gossip;
-        let reports = self.shared.suspects.reports(requests);
-        tokio::spawn(remember_condemned(self.shared.metrics.clone(), followed, gossip, reports));
+        let (suspects, metrics) = (self.shared.suspects.clone(), self.shared.metrics.clone());
+        tokio::spawn(keep_evidence(EvidenceKeeper::new(followed, gossip, suspects, metrics, news)));
     }
 
     /// Sends what is due a second time, and forgets records that are too old.
--- a/crates/seamhatchd/src/controllers/follow/discovery.rs
+++ b/crates/seamhatchd/src/controllers/follow/discovery.rs
@@ -35,7 +35,7 @@
     control.send(InstanceEvent::DeparturesLearned(DepartureSource::Store, own_departures.instances));
     backoff.succeeded();
     loop {
-        match read_records(&followed, &metrics).await {
+        match read_records(&followed, gossip, &metrics).await {
             Ok(discovery) => return control.send(MemberEvent::Discovered(discovery)),
             Err(error) => {
                 metrics.store_failures.inc();
@@ -68,7 +68,11 @@
     }
 }
 
-async fn read_records(followed: &FollowedStore, metrics: &Metrics) -> Result<Discovery, StoreError> {
+async fn read_records(
+    followed: &FollowedStore,
+    gossip: Address,
+    metrics: &Metrics,
+) -> Result<Discovery, StoreError> {
     let prefix = followed.member_prefix.as_str();
     let mut discovery = Discovery::default();
     let now = unix_milliseconds();
@@ -81,9 +85,13 @@
                 discovery.shards.push(shard);
                 continue;
             }
-            discovery.members.extend(DaemonRecord::member(prefix, &item.key));
-            let condemned = DaemonRecord::read(item).condemned;
-            discovery.condemned.extend(condemned.iter().map(|known| known.to_report(now)));
+            let member = DaemonRecord::member(prefix, &item.key);
+            discovery.members.extend(member);
+            let noted = DaemonRecord::read(item).condemned;
+            discovery.evidence.extend(noted.iter().map(|known| known.to_report(now)));
+            if member == Some(gossip) {
+                discovery.own_evidence.extend(noted.iter().map(|known| known.record.request));
+            }
         }
         after = items.last().map(|item| item.key.clone());
         if !more || after.is_none() {
--- a/crates/seamhatchd/src/server/crashes/mod.rs
+++ b/crates/seamhatchd/src/server/crashes/mod.rs
@@ -84,14 +84,13 @@
     /// Records a crash here and has it reported to other daemons.
     fn report(&self, digest: InstanceDigest, instance: Option<&InstanceId>, crashed: &CrashedWork) {
         let suspects = crashed.suspects.as_slice();
-        let condemned = self.suspects.report_crash(digest, suspects);
+        self.suspects.report_crash(digest, suspects);
         self.log_crash(instance, crashed);
         self.metrics.crashes.inc();
         self.metrics.crashed_calls.inc_by(crashed.calls as u64);
-        self.control.suspects_changed(suspects.iter().map(|suspect| suspect.request).collect());
-        if !condemned.is_empty() {
-            self.control.remember_condemned(condemned);
-        }
+        let requests: Vec<RequestDigest> = suspects.iter().map(|suspect| suspect.request).collect();
+        self.control.suspects_changed(requests.clone());
+        self.control.remember_evidence(requests);
     }
 
     fn log_crash(&self, instance: Option<&InstanceId>, crashed: &CrashedWork) {
--- a/crates/seamhatchd/src/server/crashes/suspects.rs
+++ b/crates/seamhatchd/src/server/crashes/suspects.rs
@@ -11,6 +11,7 @@
 use seamhatch_core::clock::{MILLISECOND, Microseconds};
 use seamhatch_core::crashes::{
     CrashLedger, CrashPolicy, EvidenceEffect, InstanceDigest, Suspect, SuspectReport, SuspectStanding,
+    runs_isolated,
 };
 use seamhatch_core::identity::RequestDigest;
 use seamhatch_policy::CrashSettings;
@@ -74,20 +75,21 @@
         self.lock().pause_left(request, clock::now())
     }
 
-    /// Records a crash and what ran then. Returns what it has condemned.
-    pub fn report_crash(&self, life: InstanceDigest, suspects: &[Suspect]) -> Vec<RequestDigest> {
+    /// Records a crash and what ran then.
+    pub fn report_crash(&self, life: InstanceDigest, suspects: &[Suspect]) {
         let now = clock::now();
         let mut ledger = self.lock();
-        let mut condemned = Vec::new();
         for Suspect { request, on_trial } in suspects.iter().copied() {
             let effect = ledger.report(life, request, on_trial, now);
             log_effect(&ledger, request, effect, now);
-            if matches!(ledger.standing(request, now), SuspectStanding::Condemned { .. }) {
-                condemned.push(request);
-            }
         }
         self.known.store(ledger.len(), Ordering::Release);
-        condemned
+    }
+
+    /// Whether a request ran in several crashes without a good end since.
+    #[must_use]
+    pub fn is_repeated(&self, request: RequestDigest) -> bool {
+        runs_isolated(self.lock().standing(request, clock::now()).crashes())
     }
 
     /// A run of this request has ended well. True when it was a suspect.
--- a/crates/seamhatchd/src/shared.rs
+++ b/crates/seamhatchd/src/shared.rs
@@ -37,7 +37,7 @@
     /// The back end beside this daemon.
     pub server: Arc<ServerSide>,
     /// Evidence about requests that were at work when servers crashed, here and elsewhere.
-    pub suspects: SuspectBook,
+    pub suspects: Arc<SuspectBook>,
     /// How HTTP carries names, deadlines and outcomes.
     pub conventions: Arc<dyn HttpConventions>,
     /// Connections to other daemons.
--- a/crates/seamhatchd/src/startup.rs
+++ b/crates/seamhatchd/src/startup.rs
@@ -22,7 +22,7 @@
 use crate::reload;
 use crate::server::ServerSide;
 use crate::server::backend::Backend;
-use crate::server::crashes::{CrashWatch, SuspectBook};
+use crate::server::crashes::CrashWatch;
 use crate::server::gate::AdmissionGate;
 use crate::server::instances::Instances;
 use crate::server::running::RunningCalls;
@@ -166,7 +166,7 @@
     Shared {
         incarnation,
         server: Arc::new(server_side(&settings, incarnation, &metrics, &conventions)),
-        suspects: SuspectBook::default(),
+        suspects: Arc::default(),
         conventions,
         pool,
         claims,
