A call that waited for its slot is judged again before it runs

Cause: whether a request is a suspect was asked once, before the call waited for a slot. Copies that came before the first crash ran when their turn came, whatever had crashed meanwhile: a service with full queues lost a server for each queue that held one. Change: with its slot, a call is judged again; where it has become a suspect it gives the slot back and waits for its trial run as any other, and where the request is condemned it is refused, not run. The time that it may wait counts from its arrival, not again from each wait. Why it holds: between this look and the run nothing waits.

--- a/crates/seamhatchd/src/peer_server/call/mod.rs
+++ b/crates/seamhatchd/src/peer_server/call/mod.rs
@@ -81,19 +81,29 @@
     /// The reason of the refusal; the call has not run.
     async fn admit(&self, running: &RunningCall) -> Result<(Permit, Option<TrialRun>), Reason> {
         self.check_intake(running)?;
-        let trial = self.admit_suspect(running).await?;
+        let objective_end = clock::now().plus(self.head.context.objective_left);
+        loop {
+            let trial = self.admit_suspect(running, objective_end).await?;
+            let permit = self.wait_for_slot(running, objective_end).await?;
+            // Servers may have crashed under the request in the meantime, so that it has to run alone now, or not at all.
+            if self.shared.suspects.may_run(self.head.request, trial.as_ref()) {
+                return Ok((permit, trial));
+            }
+        }
+    }
+
+    async fn wait_for_slot(&self, running: &RunningCall, objective_end: Instant) -> Result<Permit, Reason> {
         let request = GateRequest {
             priority: running.priority,
             root_admitted: running.root_admitted,
             expiry: running.expiry,
-            objective_end: clock::now().plus(self.head.context.objective_left),
+            objective_end,
             kind: call_kind(running),
         };
-        let permit = tokio::select! {
-            permit = self.shared.server.gate.admit(request) => permit?,
-            () = self.cancelled.notified() => return Err(Reason::Cancelled),
-        };
-        Ok((permit, trial))
+        tokio::select! {
+            permit = self.shared.server.gate.admit(request) => permit,
+            () = self.cancelled.notified() => Err(Reason::Cancelled),
+        }
     }
 
     /// Checks that the call is for this service, and that the daemon takes calls that end when this one does.
@@ -112,8 +122,12 @@
 
     /// Waits until a call whose request is a suspect may run, as long as its answer is worth waiting for. Other calls
     /// don't wait.
-    async fn admit_suspect(&self, running: &RunningCall) -> Result<Option<TrialRun>, Reason> {
-        let latest = clock::now().plus(self.head.context.objective_left).min(running.expiry);
+    async fn admit_suspect(
+        &self,
+        running: &RunningCall,
+        objective_end: Instant,
+    ) -> Result<Option<TrialRun>, Reason> {
+        let latest = objective_end.min(running.expiry);
         let admitted = crashes::until_admitted(&self.shared.suspects, self.head.request);
         tokio::select! {
             admitted = clock::timeout_at(latest, admitted) => {
--- a/crates/seamhatchd/src/server/crashes/suspects.rs
+++ b/crates/seamhatchd/src/server/crashes/suspects.rs
@@ -5,7 +5,7 @@
 
 use crate::base::clock;
 use crate::base::lock::lock;
-use crate::server::crashes::trial_runs::TrialRuns;
+use crate::server::crashes::trial_runs::{TrialRun, TrialRuns};
 use log::{info, warn};
 use seamhatch_core::Instant;
 use seamhatch_core::clock::{MILLISECOND, Microseconds};
@@ -69,6 +69,18 @@
         self.lock().standing(request, clock::now())
     }
 
+    /// Whether a call that was admitted earlier, as a trial run or not, may still run now.
+    #[must_use]
+    pub fn may_run(&self, request: RequestDigest, trial: Option<&TrialRun>) -> bool {
+        match self.standing(request) {
+            SuspectStanding::Clear => true,
+            SuspectStanding::Suspect { crashes } => {
+                trial.is_some_and(|trial| trial.is_isolated() || !runs_isolated(crashes))
+            }
+            SuspectStanding::Condemned { .. } => false,
+        }
+    }
+
     /// Time that callers of a condemned request are told to stay away, in microseconds; zero for any other.
     #[must_use]
     pub fn pause_left(&self, request: RequestDigest) -> Microseconds {
