A run that is over may still have crashed its server

Cause: only calls that ran when a server was found gone were suspects, and a whole answer cleared its request at once. A server that ended with the last byte of its answer had nothing at work; the next call found nobody listening, which was no crash. So the request was cleared with each server that it ended, and went on. Change: the table of calls keeps runs that are over for 3 s. What broke off counts; what was answered counts if that was within 0.1 s before the end, or its answer was among the last where nothing ran any more. A call that doesn't reach its server looks whether it has crashed. The good end of a suspect counts once the server has lived on for 0.1 s. Why it holds: an end with a last byte is within milliseconds of the answer, so that it is among these runs. Not covered: a server that ends later than 0.1 s after a whole answer.

--- a/crates/seamhatch-core/src/crashes/mod.rs
+++ b/crates/seamhatch-core/src/crashes/mod.rs
@@ -18,7 +18,7 @@
 pub use ledger::{CrashLedger, CrashPolicy, EvidenceEffect, SuspectStanding};
 pub use quarantine::{ends_try, home_of, runs_isolated};
 pub use record::{CondemnedRecord, CrashMark, MOST_MARKS, SuspectRecord, SuspectReport};
-pub use work::{CrashedWork, Suspect, WorkNumber, WorkTable};
+pub use work::{CrashedWork, GOOD_END, RunEnd, Suspect, WorkNumber, WorkTable};
 
 use crate::identity::{Incarnation, RequestDigest};
 use crate::instance::InstanceId;
--- a/crates/seamhatch-core/src/crashes/work.rs
+++ b/crates/seamhatch-core/src/crashes/work.rs
@@ -1,25 +1,30 @@
-//! The calls that run on one back end, and which of its instances have ended in a crash.
+//! The calls that run on one back end or did so lately, and which of its instances have ended in a crash.
 //!
-//! Decides which requests become suspects of a crash: each that ran on the instance when it ended, once, and each whose
-//! connection broke shortly before while something listened at the back end's address. It does not detect crashes:
-//! `seamhatchd::server::crashes` does, locks this table and reports the suspects.
+//! Decides which requests become suspects of a crash: each that ran on the instance when it ended, once, and each whose run
+//! was over shortly before. A crash shows only when somebody needs the back end, so a run may be over by then: with the answer's
+//! last byte, or because its caller has gone. It does not detect crashes: `seamhatchd::server::crashes` does, locks this table and
+//! reports the suspects.
 
 use super::InstanceDigest;
-use crate::clock::{Instant, Microseconds, SECOND};
+use crate::clock::{Instant, MILLISECOND, Microseconds, SECOND};
 use crate::identity::{Incarnation, RequestDigest};
 use crate::instance::InstanceId;
 use std::collections::{HashMap, VecDeque};
 
-/// Instances whose crash is remembered, the latest ones. Chosen, not measured: calls that were running find out within
-/// milliseconds, and a back end needs longer to start.
+/// Instances whose crash is remembered, the latest ones: calls that were running find out within milliseconds, and a back end
+/// needs longer to start.
 const REMEMBERED_ENDS: usize = 8;
 
-/// How long a broken call may wait for the news that its instance had ended: a daemon that was frozen while the back end
-/// crashed hears the next instance with its first heartbeats. Chosen, not measured.
-const BROKEN_COUNTS: Microseconds = 3 * SECOND;
+/// How long a run that is over may turn out to have crashed its back end: a daemon that was frozen meanwhile hears the next
+/// instance with its first heartbeats, and a back end may work on after its caller has gone.
+const PAST_COUNTS: Microseconds = 3 * SECOND;
 
-/// Broken calls that wait so, the latest ones. Chosen, not measured.
-const REMEMBERED_BROKEN: usize = 256;
+/// How long a back end must live on after an answer for it to be a good end: one that ends with its answer's last byte takes
+/// some milliseconds to close its connections.
+pub const GOOD_END: Microseconds = 100 * MILLISECOND;
+
+/// Runs that are over and may still count, the latest ones.
+const REMEMBERED_RUNS: usize = 256;
 
 /// A request that ran when the back end crashed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -35,10 +40,21 @@
 pub struct CrashedWork {
     /// Calls that ran then, copies of a request included.
     pub calls: usize,
-    /// The requests, each once.
+    /// The requests that may have crashed it, each once.
     pub suspects: Vec<Suspect>,
 }
 
+/// How a run ended, as far as its back end may crash of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RunEnd {
+    /// It never began.
+    NotRun,
+    /// With a whole answer.
+    Answered,
+    /// Without one: it broke off, or nobody waited for it any more.
+    BrokenOff,
+}
+
 /// Names a running call in its [`WorkTable`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct WorkNumber(u64);
@@ -50,7 +66,15 @@
     on_trial: bool,
 }
 
-/// The calls that run on one back end.
+/// A run that is over.
+#[derive(Debug, Clone, Copy)]
+struct PastRun {
+    entry: WorkEntry,
+    ended: Instant,
+    is_answered: bool,
+}
+
+/// The calls that run on one back end, and those that did so lately.
 #[derive(Debug, Default)]
 pub struct WorkTable {
     running: HashMap<WorkNumber, WorkEntry>,
@@ -59,8 +83,8 @@
     unnamed_crashes: u64,
     /// Instances that ended in a crash, the latest last.
     ended: VecDeque<InstanceDigest>,
-    /// Calls whose connection broke while something listened there, the latest last.
-    broken: VecDeque<(Instant, WorkEntry)>,
+    /// Runs that are over, the latest last.
+    past: VecDeque<PastRun>,
 }
 
 impl WorkTable {
@@ -83,9 +107,16 @@
         (number, instance)
     }
 
-    /// Removes a call that has ended.
-    pub fn finish(&mut self, number: WorkNumber) {
-        self.running.remove(&number);
+    /// Records how a call has ended.
+    pub fn finish(&mut self, number: WorkNumber, end: RunEnd, now: Instant) {
+        let Some(entry) = self.running.remove(&number) else { return };
+        if end == RunEnd::NotRun {
+            return;
+        }
+        if self.past.len() == REMEMBERED_RUNS {
+            self.past.pop_front();
+        }
+        self.past.push_back(PastRun { entry, ended: now, is_answered: end == RunEnd::Answered });
     }
 
     /// Whether an instance is known to have ended in a crash.
@@ -94,45 +125,42 @@
         self.ended.contains(&instance)
     }
 
-    /// Records that an instance has ended in a crash, as the broken connection of one of its calls proves; `is_unnamed` says
-    /// that the back end's instances have no names. Returns what ran on it.
-    pub fn end(&mut self, instance: InstanceDigest, is_unnamed: bool) -> CrashedWork {
+    /// Records that an instance has ended in a crash, as nothing listens at its address any more; `is_unnamed` says that the
+    /// back end's instances have no names. Returns what ran on it.
+    pub fn end(&mut self, instance: InstanceDigest, is_unnamed: bool, now: Instant) -> CrashedWork {
         self.unnamed_crashes += u64::from(is_unnamed);
-        self.end_at(instance, Instant::NEVER)
-    }
-
-    /// Records that a call's connection broke although something listens at the back end's address.
-    pub fn note_broken(&mut self, number: WorkNumber, now: Instant) {
-        let Some(entry) = self.running.get(&number).copied() else { return };
-        if self.broken.len() == REMEMBERED_BROKEN {
-            self.broken.pop_front();
-        }
-        self.broken.push_back((now, entry));
+        self.end_at(instance, now)
     }
 
     /// Another instance has taken the place of this one, which had not reported that it leaves. Returns what ran on it when
-    /// it ended, where that was not known before: calls that broke recently, and those that still wait for its answer.
+    /// it ended, where that was not known before.
     pub fn replace(&mut self, instance: &InstanceId, now: Instant) -> CrashedWork {
         let instance = InstanceDigest::of_instance(instance);
         if self.has_ended(instance) { CrashedWork::default() } else { self.end_at(instance, now) }
     }
 
-    /// Ends an instance at `now`, where broken calls count; [`Instant::NEVER`] where none does.
     fn end_at(&mut self, instance: InstanceDigest, now: Instant) -> CrashedWork {
         if self.ended.len() == REMEMBERED_ENDS {
             self.ended.pop_front();
         }
         self.ended.push_back(instance);
-        let broken =
-            self.broken.iter().filter(|(at, _)| now.since(*at) <= BROKEN_COUNTS).map(|(_, entry)| entry);
-        let there = self.running.values().chain(broken).filter(|entry| entry.instance == instance);
+        let running = self.running.values().filter(|entry| entry.instance == instance);
+        let calls = running.clone().count();
+        let past = self.past.iter().filter(|run| run.entry.instance == instance);
+        let answers = past.clone().filter(|run| run.is_answered).map(|run| run.ended);
+        // Calls that run break when it ends; else its last answer is its last known sign of life.
+        let lived_until = if calls > 0 { now } else { answers.max().unwrap_or(now) };
+        let counts = |run: &&PastRun| {
+            let is_recent = now.since(run.ended) <= PAST_COUNTS;
+            is_recent && (!run.is_answered || lived_until.since(run.ended) <= GOOD_END)
+        };
+        let there = running.chain(past.filter(counts).map(|run| &run.entry));
         let suspect = |entry: &WorkEntry| Suspect { request: entry.request, on_trial: entry.on_trial };
         let mut suspects: Vec<Suspect> = there.map(suspect).collect();
-        let calls = suspects.len();
         // A copy on trial comes before one that is not.
         suspects.sort_unstable_by_key(|suspect| (suspect.request, !suspect.on_trial));
         suspects.dedup_by_key(|suspect| suspect.request);
-        self.broken.retain(|(_, entry)| entry.instance != instance);
+        self.past.retain(|run| run.entry.instance != instance);
         CrashedWork { calls, suspects }
     }
 }
--- a/crates/seamhatch-core/tests/quarantine.rs
+++ b/crates/seamhatch-core/tests/quarantine.rs
@@ -3,7 +3,7 @@
 use seamhatch_core::Instant;
 use seamhatch_core::clock::{MILLISECOND, SECOND};
 use seamhatch_core::crashes::{
-    CrashedWork, InstanceDigest, Suspect, WorkTable, ends_try, home_of, runs_isolated,
+    CrashedWork, InstanceDigest, RunEnd, Suspect, WorkTable, ends_try, home_of, runs_isolated,
 };
 use seamhatch_core::identity::{Incarnation, RequestDigest};
 use seamhatch_core::instance::InstanceId;
@@ -49,10 +49,10 @@
     table.begin(DAEMON, Some(&first), request(1), true);
     table.begin(DAEMON, Some(&second), request(2), false);
     let (done, _) = table.begin(DAEMON, Some(&first), request(3), false);
-    table.finish(done);
+    table.finish(done, RunEnd::NotRun, NOW);
     assert!(!table.has_ended(instance));
     let suspects = vec![Suspect { request: request(1), on_trial: true }];
-    assert_eq!(table.end(instance, false), CrashedWork { calls: 2, suspects });
+    assert_eq!(table.end(instance, false, NOW), CrashedWork { calls: 2, suspects });
     assert!(table.has_ended(instance) && !table.has_ended(InstanceDigest::of_instance(&second)));
 }
 
@@ -60,12 +60,114 @@
 fn an_unnamed_back_end_is_another_instance_after_each_crash() {
     let mut table = WorkTable::default();
     let (_, before) = table.begin(DAEMON, None, request(1), false);
-    table.end(before, true);
+    table.end(before, true, NOW);
     let (_, after) = table.begin(DAEMON, None, request(1), false);
     assert_ne!(before, after);
     assert!(!table.has_ended(after));
 }
 
+/// A run that is over, and how long before its instance was found to be gone.
+struct PastCase {
+    name: &'static str,
+    end: RunEnd,
+    ended_before: u64,
+    /// Time between its end and the last answer of the instance; none where there was none.
+    answered_after: Option<u64>,
+    /// Another call still ran on the instance.
+    others_run: bool,
+    is_suspect: bool,
+}
+
+/// A server that ended with the last byte of an answer, or after the caller of a request had gone, was found gone later by a call
+/// that did not reach it, and nothing became a suspect. Found by reading.
+#[test]
+fn a_run_that_was_over_shortly_before_its_instance_ended_is_a_suspect() {
+    use RunEnd::{Answered, BrokenOff, NotRun};
+    let cases = [
+        PastCase {
+            name: "its answer was the last one",
+            end: Answered,
+            ended_before: SECOND,
+            answered_after: None,
+            others_run: false,
+            is_suspect: true,
+        },
+        PastCase {
+            name: "among the last answers",
+            end: Answered,
+            ended_before: SECOND,
+            answered_after: Some(50 * MILLISECOND),
+            others_run: false,
+            is_suspect: true,
+        },
+        PastCase {
+            name: "the instance answered others long after",
+            end: Answered,
+            ended_before: SECOND,
+            answered_after: Some(200 * MILLISECOND),
+            others_run: false,
+            is_suspect: false,
+        },
+        PastCase {
+            name: "its caller had gone",
+            end: BrokenOff,
+            ended_before: 2 * SECOND,
+            answered_after: Some(SECOND),
+            others_run: false,
+            is_suspect: true,
+        },
+        PastCase {
+            name: "answered long before, and others ran",
+            end: Answered,
+            ended_before: SECOND,
+            answered_after: None,
+            others_run: true,
+            is_suspect: false,
+        },
+        PastCase {
+            name: "answered just before, and others ran",
+            end: Answered,
+            ended_before: 50 * MILLISECOND,
+            answered_after: None,
+            others_run: true,
+            is_suspect: true,
+        },
+        PastCase {
+            name: "long before",
+            end: BrokenOff,
+            ended_before: 4 * SECOND,
+            answered_after: None,
+            others_run: false,
+            is_suspect: false,
+        },
+        PastCase {
+            name: "it never ran",
+            end: NotRun,
+            ended_before: 0,
+            answered_after: None,
+            others_run: false,
+            is_suspect: false,
+        },
+    ];
+    for case in cases {
+        let mut table = WorkTable::default();
+        let instance = InstanceId::named("a");
+        let (number, life) = table.begin(DAEMON, Some(&instance), request(1), false);
+        let ended = NOW.minus(case.ended_before);
+        table.finish(number, case.end, ended);
+        if let Some(after) = case.answered_after {
+            let (other, _) = table.begin(DAEMON, Some(&instance), request(2), false);
+            table.finish(other, Answered, ended.plus(after));
+        }
+        if case.others_run {
+            table.begin(DAEMON, Some(&instance), request(3), false);
+        }
+        let crashed = table.end(life, false, NOW);
+        let is_suspect = crashed.suspects.iter().any(|suspect| suspect.request == request(1));
+        assert_eq!(is_suspect, case.is_suspect, "{}", case.name);
+    }
+}
+
 /// A call whose connection broke, and how long before another instance took over.
 struct BrokenCase {
     name: &'static str,
@@ -92,9 +194,8 @@
         let mut table = WorkTable::default();
         let instance = InstanceId::named("a");
         let (number, _) = table.begin(DAEMON, Some(&instance), request(1), false);
-        table.note_broken(number, NOW.minus(case.broke_before));
         if !case.still_waits {
-            table.finish(number);
+            table.finish(number, RunEnd::BrokenOff, NOW.minus(case.broke_before));
         }
         let work = table.replace(&instance, NOW);
         assert_eq!(!work.suspects.is_empty(), case.is_suspect, "{}", case.name);
--- a/crates/seamhatchd/src/peer_server/call/execute.rs
+++ b/crates/seamhatchd/src/peer_server/call/execute.rs
@@ -16,6 +16,7 @@
 use log::info;
 use seamhatch_core::Instant;
 use seamhatch_core::clock::MILLISECOND;
+use seamhatch_core::crashes::{GOOD_END, RunEnd};
 use seamhatch_core::instance::InstanceId;
 use seamhatch_core::outcome::{Outcome, Reason};
 use std::sync::Arc;
@@ -121,7 +122,6 @@
             permit.mark_calls_made();
         }
         if complete {
-            self.clear_suspicion();
             permit.mark_succeeded();
             self.shared.metrics.backend_seconds.observe(seconds(clock::now().since(run.started)));
         }
@@ -129,8 +129,10 @@
         drop(permit);
         self.log_run(status, complete, run.started);
         self.end(running, complete);
-        if passed == Some(false) {
-            self.has_crashed(run).await;
+        match passed {
+            Some(true) => self.clear_suspicion(run).await,
+            Some(false) => drop(self.has_crashed(run).await),
+            None => {}
         }
     }
 
@@ -142,7 +144,12 @@
                 if let Some(instance) = run.instance.as_ref().filter(|_| lost) {
                     self.shared.control.lost_instance(instance.clone(), reason);
                 }
+                run.work.finish(RunEnd::NotRun);
                 self.refuse(running, Outcome::NotRun, reason, &detail);
+                if reason == Reason::BackendUnreachable {
+                    // Whatever ran last may have crashed it.
+                    self.has_crashed(run).await;
+                }
             }
             BackendError::Failed { detail } => {
                 let crashed = self.has_crashed(run).await;
@@ -156,10 +163,20 @@
         self.shared.crash_context().has_crashed(&run.work, run.instance.as_ref()).await
     }
 
-    /// Clears the request of any suspicion: one that crashes every server never runs to its end.
-    fn clear_suspicion(&self) {
-        if self.shared.suspects.ended_well(self.head.request) {
-            self.shared.control.suspects_changed(vec![self.head.request]);
+    /// Clears the request of any suspicion, once the back end has lived on for a moment: one that crashes every server may do
+    /// so with its answer's last byte. A suspect's copies wait for this.
+    async fn clear_suspicion(&self, run: &BackendRun) {
+        let request = self.head.request;
+        if !self.shared.suspects.is_suspect(request) {
+            return run.work.finish(RunEnd::Answered);
+        }
+        clock::sleep_until(clock::now().plus(GOOD_END)).await;
+        if self.has_crashed(run).await {
+            return;
+        }
+        run.work.finish(RunEnd::Answered);
+        if self.shared.suspects.clear(request) {
+            self.shared.control.suspects_changed(vec![request]);
         }
     }
 
--- a/crates/seamhatchd/src/server/crashes/at_work.rs
+++ b/crates/seamhatchd/src/server/crashes/at_work.rs
@@ -3,9 +3,10 @@
 //! Locks the table of [`seamhatch_core::crashes::WorkTable`], which decides who becomes a suspect; a call leaves it when its
 //! [`CallAtWork`] is dropped.
 
+use crate::base::clock;
 use crate::base::lock::lock;
 use seamhatch_core::Instant;
-use seamhatch_core::crashes::{CrashedWork, InstanceDigest, WorkNumber, WorkTable};
+use seamhatch_core::crashes::{CrashedWork, InstanceDigest, RunEnd, WorkNumber, WorkTable};
 use seamhatch_core::identity::{Incarnation, RequestDigest};
 use seamhatch_core::instance::InstanceId;
 use std::sync::{Arc, Mutex};
@@ -30,9 +31,16 @@
     number: WorkNumber,
 }
 
+impl CallAtWork {
+    /// Records how the run has ended. One that is dropped without this has broken off.
+    pub fn finish(&self, end: RunEnd) {
+        lock(&self.calls).finish(self.number, end, clock::now());
+    }
+}
+
 impl Drop for CallAtWork {
     fn drop(&mut self) {
-        lock(&self.calls).finish(self.number);
+        self.finish(RunEnd::BrokenOff);
     }
 }
 
@@ -58,17 +66,12 @@
 
     /// Records that the instance that runs the call has ended in a crash. Returns what ran on it.
     pub(super) fn end_instance(&self, work: &CallAtWork) -> CrashedWork {
-        lock(&self.calls).end(work.instance, work.is_unnamed)
-    }
-
-    /// Records that a call's connection broke although something listens at the back end's address.
-    pub(super) fn note_broken(&self, work: &CallAtWork, now: Instant) {
-        lock(&self.calls).note_broken(work.number, now);
+        lock(&self.calls).end(work.instance, work.is_unnamed, clock::now())
     }
 
     /// Another instance has taken the place of this one, which had not reported that it leaves. Returns what ran on it when
     /// it ended, where that was not known before.
-    pub(super) fn replace_instance(&self, instance: &InstanceId, now: Instant) -> CrashedWork {
-        lock(&self.calls).replace(instance, now)
+    pub(super) fn replace_instance(&self, instance: &InstanceId) -> CrashedWork {
+        lock(&self.calls).replace(instance, clock::now())
     }
 }
--- a/crates/seamhatchd/src/server/crashes/mod.rs
+++ b/crates/seamhatchd/src/server/crashes/mod.rs
@@ -1,7 +1,7 @@
 //! Crashes of the back end beside this daemon, the calls that ran then, and what follows for them.
 //!
-//! A crash is one instance of the back end that ended without reporting that it leaves while calls ran on it: their
-//! connections closed and nothing listens any more. An answer that broke off is none. [`seamhatch_core::crashes`] decides what
+//! A crash is one instance of the back end that ended without reporting that it leaves: connections closed and nothing listens
+//! any more. An answer that broke off is none. [`seamhatch_core::crashes`] decides what
 //! follows; here the back end is looked for, suspects wait for their trial runs, and crashes are reported to the control
 //! thread, which spreads them.
 
@@ -39,8 +39,8 @@
 }
 
 impl CrashContext<'_> {
-    /// Whether the back end has crashed under a call to `instance` whose connection broke. The first call that finds out
-    /// reports it for all that ran.
+    /// Whether the back end has crashed: under a call to `instance`, with its answer's last byte, or before the call could be
+    /// sent. The first call that finds out reports it for all that ran.
     pub async fn has_crashed(&self, work: &CallAtWork, instance: Option<&InstanceId>) -> bool {
         let watch = &self.server.crashes;
         if watch.has_ended(work) {
@@ -53,7 +53,6 @@
         }
         // Many connections may break at once: one look that began after that answers for all of them.
         if *seen_alive >= broke {
-            watch.note_broken(work, broke);
             return false;
         }
         let looked = clock::now();
@@ -61,7 +60,6 @@
         // The goodbye may come while the back end is being looked for.
         if is_leaving() || !self.server.backend.is_gone().await || is_leaving() {
             *seen_alive = looked;
-            watch.note_broken(work, broke);
             return false;
         }
         let crashed = watch.end_instance(work);
@@ -75,7 +73,7 @@
     /// Records that another instance of the back end is there in place of `instance`, which had not reported that it leaves.
     /// Where this daemon was frozen while that one crashed, nothing else shows the crash.
     pub fn instance_replaced(&self, instance: &InstanceId) {
-        let crashed = self.server.crashes.replace_instance(instance, clock::now());
+        let crashed = self.server.crashes.replace_instance(instance);
         if !crashed.suspects.is_empty() {
             self.report(InstanceDigest::of_instance(instance), Some(instance), &crashed);
         }
--- a/crates/seamhatchd/src/server/crashes/suspects.rs
+++ b/crates/seamhatchd/src/server/crashes/suspects.rs
@@ -104,12 +104,13 @@
         runs_isolated(self.lock().standing(request, clock::now()).crashes())
     }
 
-    /// A run of this request has ended well. True when it was a suspect.
-    pub fn ended_well(&self, request: RequestDigest) -> bool {
-        self.known.load(Ordering::Acquire) > 0 && self.clear(request)
+    /// Whether anything speaks against a request, however suspects are treated.
+    #[must_use]
+    pub fn is_suspect(&self, request: RequestDigest) -> bool {
+        self.known.load(Ordering::Acquire) > 0 && self.lock().standing(request, clock::now()).crashes() > 0
     }
 
-    /// Clears a request. True when it was a suspect.
+    /// Clears a request, as a run of it has ended well or an operator says so. True when it was a suspect.
     pub fn clear(&self, request: RequestDigest) -> bool {
         let now = clock::now();
         let mut ledger = self.lock();
--- a/crates/seamhatchd/tests/suspects.rs
+++ b/crates/seamhatchd/tests/suspects.rs
@@ -1,7 +1,7 @@
 //! Suspects as the threads of one daemon see them: standing by the configuration, trials one after the other, and what a
 //! call pays while nothing is suspected.
 
-use seamhatch_core::crashes::{InstanceDigest, Suspect, SuspectStanding};
+use seamhatch_core::crashes::{InstanceDigest, RunEnd, Suspect, SuspectStanding};
 use seamhatch_core::identity::{Incarnation, RequestDigest, RootId};
 use seamhatch_core::priority::{Priority, PriorityClass};
 use seamhatch_core::retry::RetryLedger;
@@ -117,7 +117,8 @@
         let digest = RequestDigest::of(&parts);
         black_box(book.standing(digest));
         let work = watch.begin(None, digest, false);
-        black_box(book.ended_well(digest));
+        black_box(book.is_suspect(digest));
+        work.finish(RunEnd::Answered);
         drop(work);
     });
     let calls = RunningCalls::new(Incarnation(1));
