The trial run of a condemned request counts from its beginning

Cause: after its pause a condemned request was an ordinary suspect until the daemon beside its server had told of another crash. Where server and daemon ended together nobody told, the next copy ran at once, and each machine of the service was lost. Change: a trial run enters the evidence as it begins, is spread and noted in the store, and counts as a crash until it ends well; one that the server did not begin is taken back. While it runs, other copies are refused at all daemons. Why it holds: beginning and looking are one step under the ledger's lock, and the three trial runs that a request may have are counted by their beginnings, whatever becomes of them.

--- a/crates/seamhatch-core/src/crashes/ledger.rs
+++ b/crates/seamhatch-core/src/crashes/ledger.rs
@@ -152,6 +152,25 @@
         self.change(request, now, now, |record| record.add(life, on_trial))
     }
 
+    /// Begins the trial run of a condemned request, named by `mark`: false where the request is not condemned. It counts as a
+    /// crash from now on, so that no daemon begins another one, and none is forgotten that ends its server together with the
+    /// daemon that could tell. A good end clears it.
+    pub fn begin_trial(&mut self, request: RequestDigest, mark: InstanceDigest, now: Instant) -> bool {
+        let is_condemned =
+            self.entries.get(&request).is_some_and(|entry| self.policy.condemns(&entry.record));
+        if is_condemned {
+            self.change(request, now, now, |record| record.add(mark, true));
+        }
+        is_condemned
+    }
+
+    /// Takes back a trial run that its server did not begin.
+    pub fn withdraw_trial(&mut self, request: RequestDigest, mark: InstanceDigest) {
+        if let Some(entry) = self.entries.get_mut(&request) {
+            entry.record.withdraw(mark);
+        }
+    }
+
     /// Records that a request has ended well, or that an operator clears it.
     pub fn clear(&mut self, request: RequestDigest, now: Instant) -> EvidenceEffect {
         let Some(entry) = self.entries.get_mut(&request) else { return EvidenceEffect::Known };
--- a/crates/seamhatch-core/src/crashes/mod.rs
+++ b/crates/seamhatch-core/src/crashes/mod.rs
@@ -18,7 +18,7 @@
 pub use ledger::{CrashLedger, CrashPolicy, EvidenceEffect, SuspectStanding};
 pub use quarantine::{ends_try, home_of, runs_isolated};
 pub use record::{CondemnedRecord, CrashMark, MOST_MARKS, SuspectRecord, SuspectReport};
-pub use work::{CrashedWork, GOOD_END, RunEnd, Suspect, WorkNumber, WorkTable};
+pub use work::{CrashedWork, GOOD_END, RunEnd, RunMode, Suspect, WorkNumber, WorkTable};
 
 use crate::identity::{Incarnation, RequestDigest};
 use crate::instance::InstanceId;
@@ -38,6 +38,12 @@
         Self(RequestDigest::of(&[instance.name.as_bytes(), born]).0)
     }
 
+    /// A trial run of a condemned request, which counts as one instance that it ends; `number` is drawn for it.
+    #[must_use]
+    pub fn of_trial(number: u64) -> Self {
+        Self(RequestDigest::of(&[b"trial", &number.to_le_bytes()]).0)
+    }
+
     /// The instance of a server without a name, beside a daemon that has seen it crash `crashes` times.
     #[must_use]
     pub fn of_unnamed(daemon: Incarnation, crashes: u64) -> Self {
--- a/crates/seamhatch-core/src/crashes/record.rs
+++ b/crates/seamhatch-core/src/crashes/record.rs
@@ -14,7 +14,7 @@
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Readable, Writable, Serialize, Deserialize,
 )]
 pub struct CrashMark {
-    /// Which life of which server ended.
+    /// Which instance of which server ended, or which trial run was begun.
     pub life: InstanceDigest,
     /// It ran there as the only suspect of several crashes. Where it did not, many may have run, as when half of a service is
     /// lost at once under a popular request.
@@ -123,6 +123,12 @@
         open
     }
 
+    /// Clears one crash.
+    pub fn withdraw(&mut self, life: InstanceDigest) {
+        let marks = self.marks.iter_mut().filter(|mark| mark.life == life);
+        marks.for_each(|mark| mark.cleared = true);
+    }
+
     /// Adds what another daemon knows of the same request. True when that changes anything.
     pub fn merge(&mut self, other: &Self) -> bool {
         let mut news = false;
--- a/crates/seamhatch-core/src/crashes/work.rs
+++ b/crates/seamhatch-core/src/crashes/work.rs
@@ -31,8 +31,19 @@
 pub struct Suspect {
     /// What is asked.
     pub request: RequestDigest,
-    /// It ran there as the only suspect of several crashes.
-    pub on_trial: bool,
+    /// How it ran.
+    pub mode: RunMode,
+}
+
+/// How a call runs, as far as a crash of its back end is evidence against its request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum RunMode {
+    /// Beside any others.
+    Usual,
+    /// As the only suspect of several crashes.
+    Isolated,
+    /// As the trial run of a condemned request, which is in its record as a crash since before it began.
+    Trial(InstanceDigest),
 }
 
 /// What was at work on an instance when it crashed.
@@ -63,7 +74,7 @@
 struct WorkEntry {
     instance: InstanceDigest,
     request: RequestDigest,
-    on_trial: bool,
+    mode: RunMode,
 }
 
 /// A run that is over.
@@ -95,7 +106,7 @@
         incarnation: Incarnation,
         instance: Option<&InstanceId>,
         request: RequestDigest,
-        on_trial: bool,
+        mode: RunMode,
     ) -> (WorkNumber, InstanceDigest) {
         let instance = match instance {
             Some(instance) => InstanceDigest::of_instance(instance),
@@ -103,7 +114,7 @@
         };
         self.last += 1;
         let number = WorkNumber(self.last);
-        self.running.insert(number, WorkEntry { instance, request, on_trial });
+        self.running.insert(number, WorkEntry { instance, request, mode });
         (number, instance)
     }
 
@@ -155,10 +166,10 @@
             is_recent && (!run.is_answered || lived_until.since(run.ended) <= GOOD_END)
         };
         let there = running.chain(past.filter(counts).map(|run| &run.entry));
-        let suspect = |entry: &WorkEntry| Suspect { request: entry.request, on_trial: entry.on_trial };
+        let suspect = |entry: &WorkEntry| Suspect { request: entry.request, mode: entry.mode };
         let mut suspects: Vec<Suspect> = there.map(suspect).collect();
         // A copy on trial comes before one that is not.
-        suspects.sort_unstable_by_key(|suspect| (suspect.request, !suspect.on_trial));
+        suspects.sort_unstable_by_key(|suspect| (suspect.request, std::cmp::Reverse(suspect.mode)));
         suspects.dedup_by_key(|suspect| suspect.request);
         self.past.retain(|run| run.entry.instance != instance);
         CrashedWork { calls, suspects }
--- a/crates/seamhatch-core/tests/quarantine.rs
+++ b/crates/seamhatch-core/tests/quarantine.rs
@@ -3,7 +3,7 @@
 use seamhatch_core::Instant;
 use seamhatch_core::clock::{MILLISECOND, SECOND};
 use seamhatch_core::crashes::{
-    CrashedWork, InstanceDigest, RunEnd, Suspect, WorkTable, ends_try, home_of, runs_isolated,
+    CrashedWork, InstanceDigest, RunEnd, RunMode, Suspect, WorkTable, ends_try, home_of, runs_isolated,
 };
 use seamhatch_core::identity::{Incarnation, RequestDigest};
 use seamhatch_core::instance::InstanceId;
@@ -45,13 +45,13 @@
 fn each_request_that_ran_on_the_instance_is_a_suspect_once() {
     let mut table = WorkTable::default();
     let (first, second) = (InstanceId::named("a"), InstanceId::named("b"));
-    let (_, instance) = table.begin(DAEMON, Some(&first), request(1), false);
-    table.begin(DAEMON, Some(&first), request(1), true);
-    table.begin(DAEMON, Some(&second), request(2), false);
-    let (done, _) = table.begin(DAEMON, Some(&first), request(3), false);
+    let (_, instance) = table.begin(DAEMON, Some(&first), request(1), RunMode::Usual);
+    table.begin(DAEMON, Some(&first), request(1), RunMode::Isolated);
+    table.begin(DAEMON, Some(&second), request(2), RunMode::Usual);
+    let (done, _) = table.begin(DAEMON, Some(&first), request(3), RunMode::Usual);
     table.finish(done, RunEnd::NotRun, NOW);
     assert!(!table.has_ended(instance));
-    let suspects = vec![Suspect { request: request(1), on_trial: true }];
+    let suspects = vec![Suspect { request: request(1), mode: RunMode::Isolated }];
     assert_eq!(table.end(instance, false, NOW), CrashedWork { calls: 2, suspects });
     assert!(table.has_ended(instance) && !table.has_ended(InstanceDigest::of_instance(&second)));
 }
@@ -59,9 +59,9 @@
 #[test]
 fn an_unnamed_back_end_is_another_instance_after_each_crash() {
     let mut table = WorkTable::default();
-    let (_, before) = table.begin(DAEMON, None, request(1), false);
+    let (_, before) = table.begin(DAEMON, None, request(1), RunMode::Usual);
     table.end(before, true, NOW);
-    let (_, after) = table.begin(DAEMON, None, request(1), false);
+    let (_, after) = table.begin(DAEMON, None, request(1), RunMode::Usual);
     assert_ne!(before, after);
     assert!(!table.has_ended(after));
 }
@@ -152,15 +152,15 @@
     for case in cases {
         let mut table = WorkTable::default();
         let instance = InstanceId::named("a");
-        let (number, life) = table.begin(DAEMON, Some(&instance), request(1), false);
+        let (number, life) = table.begin(DAEMON, Some(&instance), request(1), RunMode::Usual);
         let ended = NOW.minus(case.ended_before);
         table.finish(number, case.end, ended);
         if let Some(after) = case.answered_after {
-            let (other, _) = table.begin(DAEMON, Some(&instance), request(2), false);
+            let (other, _) = table.begin(DAEMON, Some(&instance), request(2), RunMode::Usual);
             table.finish(other, Answered, ended.plus(after));
         }
         if case.others_run {
-            table.begin(DAEMON, Some(&instance), request(3), false);
+            table.begin(DAEMON, Some(&instance), request(3), RunMode::Usual);
         }
         let crashed = table.end(life, false, NOW);
         let is_suspect = crashed.suspects.iter().any(|suspect| suspect.request == request(1));
@@ -193,7 +193,7 @@
     for case in cases {
         let mut table = WorkTable::default();
         let instance = InstanceId::named("a");
-        let (number, _) = table.begin(DAEMON, Some(&instance), request(1), false);
+        let (number, _) = table.begin(DAEMON, Some(&instance), request(1), RunMode::Usual);
         if !case.still_waits {
             table.finish(number, RunEnd::BrokenOff, NOW.minus(case.broke_before));
         }
--- a/crates/seamhatchd/src/control/handle.rs
+++ b/crates/seamhatchd/src/control/handle.rs
@@ -107,7 +107,7 @@
         self.send(SuspectEvent::Changed(requests));
     }
 
-    /// These requests ran in a crash of this daemon's back end.
+    /// These requests ran in a crash of this daemon's back end, or are condemned and have a trial run there.
     pub fn remember_evidence(&self, requests: Vec<RequestDigest>) {
         self.send(SuspectEvent::CrashedHere(requests));
     }
--- a/crates/seamhatchd/src/peer_server/call/execute.rs
+++ b/crates/seamhatchd/src/peer_server/call/execute.rs
@@ -16,7 +16,7 @@
 use log::info;
 use seamhatch_core::Instant;
 use seamhatch_core::clock::MILLISECOND;
-use seamhatch_core::crashes::{GOOD_END, RunEnd};
+use seamhatch_core::crashes::{GOOD_END, RunEnd, RunMode};
 use seamhatch_core::instance::InstanceId;
 use seamhatch_core::outcome::{Outcome, Reason};
 use std::sync::Arc;
@@ -27,6 +27,7 @@
     instance: Option<InstanceId>,
     /// Its entry among the calls that a crash of the back end would concern.
     work: CallAtWork,
+    mode: RunMode,
     started: Instant,
 }
 
@@ -44,10 +45,13 @@
             Ok(OpenInstance { id }) => id,
             Err(reason) => return self.refuse(running, Outcome::NotRun, reason, ""),
         };
+        let mode = match self.begin_run(trial) {
+            Ok(mode) => mode,
+            Err(reason) => return self.refuse(running, Outcome::NotRun, reason, ""),
+        };
         self.shared.metrics.execution(running.priority.class);
-        let is_isolated = trial.is_some_and(TrialRun::is_isolated);
-        let work = self.shared.server.crashes.begin(instance.as_ref(), self.head.request, is_isolated);
-        let run = BackendRun { instance, work, started: clock::now() };
+        let work = self.shared.server.crashes.begin(instance.as_ref(), self.head.request, mode);
+        let run = BackendRun { instance, work, mode, started: clock::now() };
         let exchanged = tokio::select! {
             exchanged = self.exchange(running, &run, registration.header(), body) => exchanged,
             () = self.given_up() => return self.refuse(running, Outcome::Unknown, Reason::Cancelled, ""),
@@ -70,6 +74,18 @@
         self.shared.server.instances.open().ok_or(Reason::NoInstance)
     }
 
+    /// How the call runs. All daemons and the store hear of the trial run of a condemned request as it begins.
+    fn begin_run(&self, trial: Option<&TrialRun>) -> Result<RunMode, Reason> {
+        let request = self.head.request;
+        let mode = self.shared.suspects.begin_run(request, trial)?;
+        if matches!(mode, RunMode::Trial(_)) {
+            info!(digest = request.to_string().as_str(); "trial run of a condemned request");
+            self.shared.control.suspects_changed(vec![request]);
+            self.shared.control.remember_evidence(vec![request]);
+        }
+        Ok(mode)
+    }
+
     /// Sends the request to the back end and reads the start of its answer.
     async fn exchange(
         &self,
@@ -144,7 +160,7 @@
                 if let Some(instance) = run.instance.as_ref().filter(|_| lost) {
                     self.shared.control.lost_instance(instance.clone(), reason);
                 }
-                run.work.finish(RunEnd::NotRun);
+                self.take_back(run);
                 self.refuse(running, Outcome::NotRun, reason, &detail);
                 if reason == Reason::BackendUnreachable {
                     // Whatever ran last may have crashed it.
@@ -159,6 +175,15 @@
         }
     }
 
+    /// Records that the back end has not begun the call.
+    fn take_back(&self, run: &BackendRun) {
+        run.work.finish(RunEnd::NotRun);
+        if let RunMode::Trial(mark) = run.mode {
+            self.shared.suspects.withdraw_trial(self.head.request, mark);
+            self.shared.control.suspects_changed(vec![self.head.request]);
+        }
+    }
+
     async fn has_crashed(&self, run: &BackendRun) -> bool {
         self.shared.crash_context().has_crashed(&run.work, run.instance.as_ref()).await
     }
--- a/crates/seamhatchd/src/server/crashes/at_work.rs
+++ b/crates/seamhatchd/src/server/crashes/at_work.rs
@@ -6,7 +6,7 @@
 use crate::base::clock;
 use crate::base::lock::lock;
 use seamhatch_core::Instant;
-use seamhatch_core::crashes::{CrashedWork, InstanceDigest, RunEnd, WorkNumber, WorkTable};
+use seamhatch_core::crashes::{CrashedWork, InstanceDigest, RunEnd, RunMode, WorkNumber, WorkTable};
 use seamhatch_core::identity::{Incarnation, RequestDigest};
 use seamhatch_core::instance::InstanceId;
 use std::sync::{Arc, Mutex};
@@ -53,9 +53,9 @@
 
     /// A call that is about to be sent to the back end.
     #[must_use]
-    pub fn begin(&self, instance: Option<&InstanceId>, request: RequestDigest, on_trial: bool) -> CallAtWork {
+    pub fn begin(&self, instance: Option<&InstanceId>, request: RequestDigest, mode: RunMode) -> CallAtWork {
         let is_unnamed = instance.is_none();
-        let (number, instance) = lock(&self.calls).begin(self.incarnation, instance, request, on_trial);
+        let (number, instance) = lock(&self.calls).begin(self.incarnation, instance, request, mode);
         CallAtWork { instance, is_unnamed, calls: self.calls.clone(), number }
     }
 
--- a/crates/seamhatchd/src/server/crashes/suspects.rs
+++ b/crates/seamhatchd/src/server/crashes/suspects.rs
@@ -10,10 +10,11 @@
 use seamhatch_core::Instant;
 use seamhatch_core::clock::{MILLISECOND, Microseconds};
 use seamhatch_core::crashes::{
-    CrashLedger, CrashPolicy, EvidenceEffect, InstanceDigest, Suspect, SuspectReport, SuspectStanding,
-    runs_isolated,
+    CrashLedger, CrashPolicy, EvidenceEffect, InstanceDigest, RunMode, Suspect, SuspectReport,
+    SuspectStanding, runs_isolated,
 };
 use seamhatch_core::identity::RequestDigest;
+use seamhatch_core::outcome::Reason;
 use seamhatch_policy::CrashSettings;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard};
@@ -81,6 +82,30 @@
         }
     }
 
+    /// How a call that was admitted, as a trial run or not, runs from now on.
+    ///
+    /// # Errors
+    /// [`Reason::CrashesServers`]: it may not run.
+    pub fn begin_run(&self, request: RequestDigest, trial: Option<&TrialRun>) -> Result<RunMode, Reason> {
+        let is_isolated = trial.is_some_and(TrialRun::is_isolated);
+        let mode = if is_isolated { RunMode::Isolated } else { RunMode::Usual };
+        if self.standing(request) == SuspectStanding::Clear {
+            return Ok(mode);
+        }
+        let now = clock::now();
+        let mut ledger = self.lock();
+        if matches!(ledger.standing(request, now), SuspectStanding::Condemned { .. }) {
+            return Err(Reason::CrashesServers);
+        }
+        let mark = InstanceDigest::of_trial(rand::random());
+        Ok(if ledger.begin_trial(request, mark, now) { RunMode::Trial(mark) } else { mode })
+    }
+
+    /// Takes back a trial run that the server did not begin.
+    pub fn withdraw_trial(&self, request: RequestDigest, mark: InstanceDigest) {
+        self.lock().withdraw_trial(request, mark);
+    }
+
     /// Time that callers of a condemned request are told to stay away, in microseconds; zero for any other.
     #[must_use]
     pub fn pause_left(&self, request: RequestDigest) -> Microseconds {
@@ -91,8 +116,12 @@
     pub fn report_crash(&self, life: InstanceDigest, suspects: &[Suspect]) {
         let now = clock::now();
         let mut ledger = self.lock();
-        for Suspect { request, on_trial } in suspects.iter().copied() {
-            let effect = ledger.report(life, request, on_trial, now);
+        for Suspect { request, mode } in suspects.iter().copied() {
+            let effect = match mode {
+                RunMode::Usual => ledger.report(life, request, false, now),
+                RunMode::Isolated => ledger.report(life, request, true, now),
+                RunMode::Trial(mark) => ledger.report(mark, request, true, now),
+            };
             log_effect(&ledger, request, effect, now);
         }
         self.known.store(ledger.len(), Ordering::Release);
--- a/crates/seamhatchd/tests/suspects.rs
+++ b/crates/seamhatchd/tests/suspects.rs
@@ -1,7 +1,7 @@
 //! Suspects as the threads of one daemon see them: standing by the configuration, trials one after the other, and what a
 //! call pays while nothing is suspected.
 
-use seamhatch_core::crashes::{InstanceDigest, RunEnd, Suspect, SuspectStanding};
+use seamhatch_core::crashes::{InstanceDigest, RunEnd, RunMode, Suspect, SuspectStanding};
 use seamhatch_core::identity::{Incarnation, RequestDigest, RootId};
 use seamhatch_core::priority::{Priority, PriorityClass};
 use seamhatch_core::retry::RetryLedger;
@@ -14,10 +14,14 @@
 
 const REQUEST: RequestDigest = RequestDigest(7);
 
+fn suspect(isolated: bool) -> Suspect {
+    Suspect { request: REQUEST, mode: if isolated { RunMode::Isolated } else { RunMode::Usual } }
+}
+
 fn book_after(crashes: u64) -> SuspectBook {
     let book = SuspectBook::default();
     for life in 1..=crashes {
-        book.report_crash(InstanceDigest(life), &[Suspect { request: REQUEST, on_trial: life > 2 }]);
+        book.report_crash(InstanceDigest(life), &[suspect(life > 2)]);
     }
     book
 }
@@ -91,6 +95,47 @@
     }
 }
 
+/// What becomes of a trial run that was begun.
+struct BegunCase {
+    name: &'static str,
+    then: fn(&SuspectBook, RunMode),
+    crashes: u32,
+}
+
+const BEGUN: [BegunCase; 4] = [
+    BegunCase { name: "nobody tells how it ended", then: |_, _| {}, crashes: 4 },
+    BegunCase {
+        name: "its server crashes",
+        then: |book, mode| book.report_crash(InstanceDigest(99), &[Suspect { request: REQUEST, mode }]),
+        crashes: 4,
+    },
+    BegunCase {
+        name: "its server does not begin it",
+        then: |book, mode| {
+            if let RunMode::Trial(mark) = mode {
+                book.withdraw_trial(REQUEST, mark);
+            }
+        },
+        crashes: 3,
+    },
+    BegunCase { name: "it ends well", then: |book, _| assert!(book.clear(REQUEST)), crashes: 0 },
+];
+
+#[tokio::test]
+async fn a_trial_run_counts_once_from_its_beginning_until_it_ends_well() {
+    for case in BEGUN {
+        let book = book_after(3);
+        book.set_settings(&CrashSettings { pause_ms: 1, ..CrashSettings::default() });
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        let trial = book.trial_runs.begin(REQUEST, 3).await;
+        let mode = book.begin_run(REQUEST, Some(&trial)).expect("its pause is over");
+        assert!(matches!(mode, RunMode::Trial(_)), "{}", case.name);
+        assert_eq!(book.standing(REQUEST).crashes(), 4, "{}: while it runs", case.name);
+        (case.then)(&book, mode);
+        assert_eq!(book.standing(REQUEST).crashes(), case.crashes, "{}", case.name);
+    }
+}
+
 /// Calls of one batch, and batches; the fastest batch counts, so that other work on the machine doesn't.
 const CALLS: u32 = 10_000;
 const BATCHES: usize = 20;
@@ -116,7 +161,7 @@
         let parts: [&[u8]; 6] = [b"cluster", b"host.example", b"GET", b"/a/path/", &number, &[7; 8]];
         let digest = RequestDigest::of(&parts);
         black_box(book.standing(digest));
-        let work = watch.begin(None, digest, false);
+        let work = watch.begin(None, digest, RunMode::Usual);
         black_box(book.is_suspect(digest));
         work.finish(RunEnd::Answered);
         drop(work);
