A back end without a name that is away has crashed once

Cause: since calls that don't reach a back end look whether it has crashed, each of them reported one more crash of a back end whose instances have no names, with nothing at work, and gave the next instance another name: some 30 lines a second. Change: an end without anything that ran on the instance is no crash to report, and gives no new name. Callers saw nothing of it.

--- a/crates/seamhatch-core/src/crashes/work.rs
+++ b/crates/seamhatch-core/src/crashes/work.rs
@@ -139,22 +139,35 @@
     /// Records that an instance has ended in a crash, as nothing listens at its address any more; `is_unnamed` says that the
     /// back end's instances have no names. Returns what ran on it.
     pub fn end(&mut self, instance: InstanceDigest, is_unnamed: bool, now: Instant) -> CrashedWork {
-        self.unnamed_crashes += u64::from(is_unnamed);
-        self.end_at(instance, now)
+        let crashed = self.take_work(instance, now);
+        // A back end without a name that is still away, and on which nothing ran since, hasn't crashed again.
+        if !(is_unnamed && crashed.suspects.is_empty()) {
+            self.unnamed_crashes += u64::from(is_unnamed);
+            self.note_ended(instance);
+        }
+        crashed
     }
 
     /// Another instance has taken the place of this one, which had not reported that it leaves. Returns what ran on it when
     /// it ended, where that was not known before.
     pub fn replace(&mut self, instance: &InstanceId, now: Instant) -> CrashedWork {
         let instance = InstanceDigest::of_instance(instance);
-        if self.has_ended(instance) { CrashedWork::default() } else { self.end_at(instance, now) }
+        if self.has_ended(instance) {
+            return CrashedWork::default();
+        }
+        self.note_ended(instance);
+        self.take_work(instance, now)
     }
 
-    fn end_at(&mut self, instance: InstanceDigest, now: Instant) -> CrashedWork {
+    fn note_ended(&mut self, instance: InstanceDigest) {
         if self.ended.len() == REMEMBERED_ENDS {
             self.ended.pop_front();
         }
         self.ended.push_back(instance);
+    }
+
+    /// What ran on an instance that has ended by `now`; runs that are over count for one crash only.
+    fn take_work(&mut self, instance: InstanceDigest, now: Instant) -> CrashedWork {
         let running = self.running.values().filter(|entry| entry.instance == instance);
         let calls = running.clone().count();
         let past = self.past.iter().filter(|run| run.entry.instance == instance);
--- a/crates/seamhatch-core/tests/quarantine.rs
+++ b/crates/seamhatch-core/tests/quarantine.rs
@@ -66,6 +66,22 @@
     assert!(!table.has_ended(after));
 }
 
+/// A back end that was away was reported as crashed once more by each call that did not reach it.
+#[test]
+fn an_unnamed_back_end_that_is_away_has_crashed_once() {
+    let mut table = WorkTable::default();
+    let (_, instance) = table.begin(DAEMON, None, request(1), RunMode::Usual);
+    assert_eq!(table.end(instance, true, NOW).suspects.len(), 1);
+    let (first, away) = table.begin(DAEMON, None, request(2), RunMode::Usual);
+    table.finish(first, RunEnd::NotRun, NOW);
+    for _ in 0..3 {
+        assert_eq!(table.end(away, true, NOW), CrashedWork::default());
+    }
+    let (_, back) = table.begin(DAEMON, None, request(3), RunMode::Usual);
+    assert_eq!(back, away);
+    assert!(!table.has_ended(back));
+}
+
 /// A run that is over, and how long before its instance was found to be gone.
 struct PastCase {
     name: &'static str,
--- a/crates/seamhatchd/src/server/crashes/mod.rs
+++ b/crates/seamhatchd/src/server/crashes/mod.rs
@@ -63,7 +63,9 @@
             return false;
         }
         let crashed = watch.end_instance(work);
-        self.report(work.instance, instance, &crashed);
+        if !crashed.suspects.is_empty() {
+            self.report(work.instance, instance, &crashed);
+        }
         if let Some(instance) = instance {
             self.control.lost_instance(instance.clone(), Reason::BackendCrashed);
         }
