--- a/crates/seamhatch-lab/src/soak/load.rs
+++ b/crates/seamhatch-lab/src/soak/load.rs
@@ -85,7 +85,8 @@
 
 /// A request and the service that it goes to.
 pub struct SoakRequest {
-    request: CallerRequest,
+    /// What the caller sends.
+    pub request: CallerRequest,
     service: String,
 }
 
