A request is the same whatever host names the daemon that it comes in at

Cause: the digest that names a request held the host that it was sent to. Where callers address the daemon of their own machine, each daemon had a request of its own, and each was condemned only after three crashes of its own. Change: the host is part of it only where it goes on to the back end; else the service is. Why it holds: what the back end doesn't get can't make it crash. Where a host passes, as on the users' platform, nothing changes.

--- a/crates/seamhatchd/src/dispatch/digests.rs
+++ b/crates/seamhatchd/src/dispatch/digests.rs
@@ -20,11 +20,13 @@
 pub(super) fn request_digest(shared: &Shared, request: &RequestState, body: Fingerprint) -> RequestDigest {
     // An absent field counts as an empty one.
     let header = |name| request.header(name).unwrap_or_default().as_bytes();
+    // A host that the back end doesn't get only says which daemon the caller has addressed.
+    let host = request.host.as_deref().filter(|_| shared.conventions.passes_through("host"));
     RequestDigest::of(&[
         shared.settings.cluster.as_bytes(),
         header("authorization"),
         header(shared.conventions.tenant_field()),
-        request.host.as_deref().unwrap_or(&request.service).as_bytes(),
+        host.unwrap_or(&request.service).as_bytes(),
         request.method.as_bytes(),
         request.path.as_bytes(),
         &body.0.to_le_bytes(),
