The evidence is in a file for its policy; trial runs that were taken back don't push a verdict out

Cause of the fault: a trial run that its server does not begin is taken back, but its mark stays in the record, and marks of trial runs go before others. With a back end that can't be reached for minutes, sixteen of them had pushed the three crashes out, and the request was released. Change: a record has room for eight trial runs in all.

--- a/crates/seamhatch-core/src/crashes/mod.rs
+++ b/crates/seamhatch-core/src/crashes/mod.rs
@@ -1,21 +1,22 @@
 //! Quarantine of requests that crash servers.
 //!
 //! Decides from crashes which requests are suspects, how a suspect runs, and which are condemned and refused. Inputs are
-//! crashes: a crash is one instance of a server that ended without reporting that it leaves while calls ran on it. Each of
-//! these calls is a suspect, one among many. A run that ends well clears its request, as a request that crashes every server
+//! crashes: a crash is one instance of a server that ended without reporting that it leaves. Each call that ran on it then, or
+//! shortly before, is a suspect, one among many. A run that ends well clears its request, as a request that crashes every server
 //! never has such a run. A request of several crashes since is condemned: it isn't sent to servers any more until a pause is
-//! over, and then as a trial run of one copy.
+//! over, and then as a trial run of one copy; after few of these it isn't sent at all until it is cleared.
 //!
-//! It protects the servers of a service from being crashed one after another by one request: five servers were ended 30 times
-//! in 9 s by one caller before, 3 times with these rules. Evidence is a set of distinct crashes, not a sum of reports, so it
-//! may be reported twice, late and in any order. Alternatives: docs/DESIGN.md#requests-that-crash-servers.
+//! It protects the servers of a service from being crashed one after another by one request. Evidence is a set of distinct
+//! crashes, not a sum of reports, so it may be reported twice, late and in any order. Alternatives: docs/DESIGN.md#requests-that-crash-servers.
 
 mod ledger;
+mod policy;
 mod quarantine;
 mod record;
 mod work;
 
-pub use ledger::{CrashLedger, CrashPolicy, EvidenceEffect, SuspectStanding};
+pub use ledger::{CrashLedger, EvidenceEffect, SuspectStanding};
+pub use policy::CrashPolicy;
 pub use quarantine::{ends_try, home_of, runs_isolated};
 pub use record::{CondemnedRecord, CrashMark, MOST_MARKS, SuspectRecord, SuspectReport};
 pub use work::{CrashedWork, GOOD_END, RunEnd, RunMode, Suspect, WorkNumber, WorkTable};
--- a/crates/seamhatch-core/src/crashes/quarantine.rs
+++ b/crates/seamhatch-core/src/crashes/quarantine.rs
@@ -11,11 +11,11 @@
 use crate::rendezvous;
 
 /// Crashes from which on a suspect runs alone among its kind. Each call that was at work in one crash is a suspect, so
-/// suspects of one crash are many and would wait for each other; two crashes leave few. Chosen, not measured.
+/// suspects of one crash are many and would wait for each other; two crashes leave few.
 const CRASHES_TO_ISOLATE: u32 = 2;
 
 /// Crashes after which a request isn't sent again within the same try. One is most often an accident, and a repeat at
-/// once saves the calls that ran beside the cause. Chosen, not measured.
+/// once saves the calls that ran beside the cause.
 const CRASHES_PER_TRY: u32 = 2;
 
 /// Whether a suspect of this many crashes runs alone among the suspects of several crashes.
--- a/crates/seamhatch-core/src/crashes/record.rs
+++ b/crates/seamhatch-core/src/crashes/record.rs
@@ -9,6 +9,10 @@
 /// Crashes that are kept of one request: more than condemn it under any configuration.
 pub const MOST_MARKS: usize = 16;
 
+/// Trial runs that a record has room for, those included that were taken back or cleared: the crashes that condemn a request
+/// have to stay beside them.
+pub(super) const MOST_TRIAL_MARKS: usize = MOST_MARKS / 2;
+
 /// One crash during which a request ran.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Readable, Writable, Serialize, Deserialize,
@@ -111,6 +115,11 @@
         self.marks.iter().filter(|mark| mark.on_trial && !mark.cleared).count() as u32
     }
 
+    /// Whether there is room for another trial run.
+    pub(super) fn has_room_for_trial(&self) -> bool {
+        self.marks.iter().filter(|mark| mark.on_trial).count() < MOST_TRIAL_MARKS
+    }
+
     /// Adds a crash. True when it was not known.
     pub fn add(&mut self, life: InstanceDigest, on_trial: bool) -> bool {
         self.add_mark(CrashMark { life, on_trial, cleared: false })
--- a/crates/seamhatch-core/tests/crashes.rs
+++ b/crates/seamhatch-core/tests/crashes.rs
@@ -271,6 +271,23 @@
     assert_eq!(told(2, 4000 * SECOND), SuspectStanding::Clear);
 }
 
+/// A trial run that its server does not begin is taken back. A back end that couldn't be reached for long would have filled the
+/// record with these, until the crashes that condemn the request had no room.
+#[test]
+fn trial_runs_that_were_taken_back_do_not_push_the_verdict_out() {
+    let mut ledger = CrashLedger::default();
+    let mut now = play(&mut ledger, &[Crash(1), Crash(2), Trial(3)]);
+    for number in 0..100 {
+        now = now.plus(3600 * SECOND);
+        let mark = InstanceDigest::of_trial(number);
+        if !matches!(ledger.standing(REQUEST, now), SuspectStanding::Condemned { .. }) {
+            assert!(ledger.begin_trial(REQUEST, mark, now), "trial {number}");
+            ledger.withdraw_trial(REQUEST, mark);
+        }
+        assert_eq!(ledger.standing(REQUEST, now).crashes(), 3, "after trial {number}");
+    }
+}
+
 /// Time after the third crash from which on a run of the request counts.
 const KNOWN: Microseconds = 3 * SECOND;
 /// Runs that may follow later than that.
--- a/crates/seamhatchd/src/control/events.rs
+++ b/crates/seamhatchd/src/control/events.rs
@@ -89,7 +89,8 @@
 pub enum SuspectEvent {
     /// The evidence about these changed here: the other daemons are to learn it.
     Changed(Vec<RequestDigest>),
-    /// These ran in a crash of this daemon's back end, or are condemned and have a trial run there: what speaks against them is to be remembered in the store.
+    /// These ran in a crash of this daemon's back end, or are condemned and have a trial run there: the store is to remember
+    /// what speaks against them.
     CrashedHere(Vec<RequestDigest>),
 }
 
