--- a/crates/seamhatchd/src/controllers/control_thread/suspects.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/suspects.rs
@@ -15,13 +15,13 @@
 use seamhatch_core::membership::{GossipBody, GossipMessage, SUSPECTS_PER_MESSAGE};
 use tokio::sync::mpsc;
 
-/// Time until news is sent a second time: whatever made a link lose the first may be over by then. Chosen, not measured.
+/// Time until news is sent a second time: whatever made a link lose the first may be over by then.
 const SECOND_SENDING: Microseconds = 300 * MILLISECOND;
-/// Datagrams of suspects that answer an exchange of member lists. Chosen, not measured.
+/// Datagrams of suspects that answer an exchange of member lists.
 const DATAGRAMS_PER_EXCHANGE: usize = 8;
-/// Records that an exchange of member lists brings, those with the most crashes. Derived from the datagrams.
+/// Records that an exchange of member lists brings, those with the most crashes.
 const RECORDS_PER_EXCHANGE: usize = DATAGRAMS_PER_EXCHANGE * SUSPECTS_PER_MESSAGE;
-/// Time between two searches for records that are too old to count. Chosen, not measured.
+/// Time between two searches for records that are too old to count.
 const FORGET_INTERVAL: Microseconds = 10 * SECOND;
 
 /// What is due to be sent a second time and when, and the task that keeps evidence in the store.
