Sight: logs, answers, status and metrics name the configuration that decided, and where each was learnt

Cause: `request answered`, `request not answered` and the answer's mark named the generation in force at the end of the request, so one decided by an old configuration looked as if by the new one; the gauge `generation`, `status` and the answer to a peer showed the newest generation known, also where it can't be used; `configuration in force` didn't say from where it came. Change: the request keeps the generation with its pinned configuration, and every line names that one; the gauge and `status` show what is in force, `newest_generation` what is held; `configuration in force` has `source` (watch, store, peer, submission, witnesses).

--- a/crates/seamhatchd/src/base/metrics.rs
+++ b/crates/seamhatchd/src/base/metrics.rs
@@ -125,6 +125,8 @@
     pub floor: Gauge,
     /// Generation of the configuration in force.
     pub generation: Gauge,
+    /// Newest generation that this daemon holds: above the one in force where it can't be used.
+    pub newest_generation: Gauge,
     /// Live members.
     pub members: Gauge,
     /// Gossip bytes sent.
@@ -201,6 +203,7 @@
             limit: gauge(to, "limit_calls", "Calls that may run at once"),
             floor: gauge(to, "admission_floor", "First refused priority level"),
             generation: gauge(to, "generation", "Configuration in force"),
+            newest_generation: gauge(to, "newest_generation", "Newest configuration held"),
             members: gauge(to, "live_members", "Live members, this one included"),
             gossip_sent_bytes: counter(to, "gossip_sent_bytes", "Gossip sent"),
             gossip_received_bytes: counter(to, "gossip_received_bytes", "Gossip received"),
--- a/crates/seamhatchd/src/control/events.rs
+++ b/crates/seamhatchd/src/control/events.rs
@@ -94,6 +94,35 @@
     CrashedHere(Vec<RequestDigest>),
 }
 
+/// From where this daemon learnt a configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConfigurationSource {
+    /// The watch of the followed store.
+    Watch,
+    /// A read of the store: at the start, after a failure, or to prove that the one in force is the newest.
+    Store,
+    /// Another daemon.
+    Peer,
+    /// A submission to this daemon.
+    Submission,
+    /// The witnesses, asked at the start.
+    Witnesses,
+}
+
+impl ConfigurationSource {
+    /// Its name in logs.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Watch => "watch",
+            Self::Store => "store",
+            Self::Peer => "peer",
+            Self::Submission => "submission",
+            Self::Witnesses => "witnesses",
+        }
+    }
+}
+
 /// About the configuration.
 #[derive(Debug)]
 pub enum ConfigurationEvent {
@@ -105,7 +134,7 @@
         generation: Generation,
     },
     /// A configuration that may be in force: a majority of the witnesses holds it, or a followed store has it.
-    Offered(StoredConfiguration),
+    Offered(StoredConfiguration, ConfigurationSource),
     /// No newer configuration had been accepted at an instant.
     Proved(FreshnessProof),
     /// The store was read, in a deployment where daemons accept configurations.
--- a/crates/seamhatchd/src/control/mod.rs
+++ b/crates/seamhatchd/src/control/mod.rs
@@ -12,8 +12,8 @@
 mod submission;
 
 pub use events::{
-    ConfigurationEvent, ControlEvent, DrainTarget, InstanceAnswer, InstanceEvent, MemberEvent, OperatorEvent,
-    RosterEvent, SuspectEvent,
+    ConfigurationEvent, ConfigurationSource, ControlEvent, DrainTarget, InstanceAnswer, InstanceEvent,
+    MemberEvent, OperatorEvent, RosterEvent, SuspectEvent,
 };
 pub use findings::{Discovery, TransitionResult};
 pub use handle::ControlHandle;
--- a/crates/seamhatchd/src/controllers/configuration.rs
+++ b/crates/seamhatchd/src/controllers/configuration.rs
@@ -3,6 +3,7 @@
 //! [`ConfigurationController`] owns it for the control thread, which offers what it learns from the store, from other daemons and from
 //! submissions. A daemon that is a witness also holds here what may soon be in force.
 
+use crate::control::ConfigurationSource;
 use crate::controllers::registration::newer;
 use crate::ports::DocumentFormat;
 use log::{error, info};
@@ -66,12 +67,17 @@
         self.in_force.clone()
     }
 
+    /// Generation of the configuration that decides now; zero for none.
+    pub fn generation_in_force(&self) -> Generation {
+        self.in_force.as_ref().map(|(generation, _)| *generation).unwrap_or_default()
+    }
+
     /// Adopts an accepted configuration if it is newer than the one held.
-    pub fn offer(&mut self, stored: StoredConfiguration) -> Offer {
+    pub fn offer(&mut self, stored: StoredConfiguration, source: ConfigurationSource) -> Offer {
         let current = self.newest.as_ref().map(StoredConfiguration::version);
         let offer = judge_offer(current, stored.version());
         match offer {
-            Offer::Adopt => self.adopt(stored),
+            Offer::Adopt => self.adopt(stored, source),
             Offer::Conflict => error!(
                 generation = stored.generation.0;
                 "another configuration of the same generation was offered and refused: the store went back in time"
@@ -81,10 +87,10 @@
         offer
     }
 
-    fn adopt(&mut self, stored: StoredConfiguration) {
+    fn adopt(&mut self, stored: StoredConfiguration, source: ConfigurationSource) {
         match self.documents.compile(&stored.document) {
             Ok(configuration) => {
-                info!(generation = stored.generation.0; "configuration in force");
+                info!(generation = stored.generation.0, source = source.name(); "configuration in force");
                 self.in_force = Some((stored.generation, Arc::new(configuration)));
             }
             // It was checked when it was accepted, so this daemon is another version of the program.
--- a/crates/seamhatchd/src/controllers/control_thread/configuration.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/configuration.rs
@@ -2,7 +2,7 @@
 
 use super::ControlThread;
 use crate::base::clock;
-use crate::control::{ConfigurationEvent, SubmitError, SubmitRequest};
+use crate::control::{ConfigurationEvent, ConfigurationSource, SubmitError, SubmitRequest};
 use crate::controllers::ask::ask_generation;
 use crate::controllers::submission::Submission;
 use crate::ports::Backing;
@@ -61,9 +61,9 @@
                 Backing::Witnessed(_) => self.pull_if_behind(peer, generation),
                 Backing::Followed(_) => self.note_ahead(peer, generation),
             },
-            ConfigurationEvent::Offered(stored) => {
+            ConfigurationEvent::Offered(stored, source) => {
                 self.exchanges.end_all();
-                self.offer(stored);
+                self.offer(stored, source);
             }
             ConfigurationEvent::Proved(proof) => self.shared.limits.freshness.prove(proof),
             ConfigurationEvent::StoreRead(result) => self.store_read(result),
@@ -75,8 +75,8 @@
     }
 
     /// Adopts a configuration if it is newer than the one held.
-    pub(super) fn offer(&mut self, stored: StoredConfiguration) -> Offer {
-        let offer = self.configuration.offer(stored);
+    pub(super) fn offer(&mut self, stored: StoredConfiguration, source: ConfigurationSource) -> Offer {
+        let offer = self.configuration.offer(stored, source);
         if offer != Offer::Adopt {
             return offer;
         }
@@ -133,7 +133,7 @@
         let shared = self.shared.clone();
         tokio::spawn(async move {
             if let Some(ControlReply::Configuration(newer)) = shared.pool.ask(peer, request).await {
-                shared.control.send(ConfigurationEvent::Offered(newer));
+                shared.control.send(ConfigurationEvent::Offered(newer, ConfigurationSource::Peer));
             }
         });
     }
@@ -149,7 +149,7 @@
         let shared = self.shared.clone();
         tokio::spawn(async move {
             if let Some(ControlReply::Configuration(newer)) = ask_generation(&shared.pool, peer, have).await {
-                shared.control.send(ConfigurationEvent::Offered(newer));
+                shared.control.send(ConfigurationEvent::Offered(newer, ConfigurationSource::Peer));
             }
         });
     }
@@ -189,7 +189,9 @@
                 Err(error) => Err(error),
             };
             let result = result.map(|accepted| {
-                shared.control.send(ConfigurationEvent::Offered(accepted.newest));
+                shared
+                    .control
+                    .send(ConfigurationEvent::Offered(accepted.newest, ConfigurationSource::Submission));
                 accepted.generation
             });
             // The operator may have gone away; the submission stands all the same.
--- a/crates/seamhatchd/src/controllers/control_thread/followed.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/followed.rs
@@ -6,7 +6,7 @@
 
 use super::{ControlThread, HOUSEKEEPING_INTERVAL};
 use crate::base::clock;
-use crate::control::ConfigurationEvent;
+use crate::control::{ConfigurationEvent, ConfigurationSource};
 use crate::controllers::ask::ask_generation;
 use crate::controllers::follow::{
     ProofKeeper, ShardKeeper, ShardOwner, discover, follow_configuration, keep_fresh, keep_quota_shards,
@@ -162,7 +162,7 @@
         tokio::spawn(async move {
             if let Some(ControlReply::Configuration(newer)) = ask_generation(&shared.pool, peer, have).await {
                 info!(generation = newer.generation.0, waited_ms = clock::now().since(missing.since) / MILLISECOND; "configuration learnt from a peer");
-                shared.control.send(ConfigurationEvent::Offered(newer));
+                shared.control.send(ConfigurationEvent::Offered(newer, ConfigurationSource::Peer));
             }
         });
     }
--- a/crates/seamhatchd/src/controllers/control_thread/requests.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/requests.rs
@@ -1,7 +1,7 @@
 //! Answering the controllers of other daemons, and operators.
 
 use super::ControlThread;
-use crate::control::{OperatorEvent, StatusReport};
+use crate::control::{ConfigurationSource, OperatorEvent, StatusReport};
 use crate::controllers::status::StatusInput;
 use crate::controllers::{registration, status};
 use log::debug;
@@ -45,13 +45,13 @@
     fn configuration_above(&self, have: Generation) -> ControlReply {
         match self.configuration.newest() {
             Some(stored) if stored.generation > have => ControlReply::Configuration(stored.clone()),
-            _ => ControlReply::Generation(self.configuration.generation()),
+            _ => ControlReply::Generation(self.configuration.generation_in_force()),
         }
     }
 
     /// Adopts a configuration that is in force at the daemon that sent it, or returns the newer one held here.
     fn take_configuration(&mut self, stored: StoredConfiguration) -> ControlReply {
-        match self.offer(stored) {
+        match self.offer(stored, ConfigurationSource::Peer) {
             Offer::Stale => {
                 let newest = self.configuration.newest().cloned();
                 newest.map_or(ControlReply::Done, ControlReply::Configuration)
@@ -125,7 +125,7 @@
             me: self.membership.state.me().clone(),
             others: self.membership.state.others().cloned().collect(),
             roster: self.roster.roster().clone(),
-            generation: self.configuration.generation(),
+            generation: self.configuration.generation_in_force(),
         };
         let shared = self.shared.clone();
         tokio::spawn(async move {
--- a/crates/seamhatchd/src/controllers/control_thread/verification.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/verification.rs
@@ -4,7 +4,7 @@
 //! that is verified stays so: from then on it learns of each newer configuration as all daemons do.
 
 use super::ControlThread;
-use crate::control::ConfigurationEvent;
+use crate::control::{ConfigurationEvent, ConfigurationSource};
 use crate::controllers::registration::{Held, ask_held, newer, register};
 use crate::shared::Shared;
 use log::info;
@@ -108,7 +108,7 @@
         if !register(&self.shared, &newest).await && !self.store_is_enough {
             return false;
         }
-        self.shared.control.send(ConfigurationEvent::Offered(newest));
+        self.shared.control.send(ConfigurationEvent::Offered(newest, ConfigurationSource::Witnesses));
         true
     }
 }
--- a/crates/seamhatchd/src/controllers/control_thread/witnessed.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/witnessed.rs
@@ -4,7 +4,7 @@
 //! older copy in the store is overwritten. Only a few members, the watchers, read the store.
 
 use super::{ControlThread, HOUSEKEEPING_INTERVAL, jittered};
-use crate::control::{ConfigurationEvent, RosterEvent};
+use crate::control::{ConfigurationEvent, ConfigurationSource, RosterEvent};
 use crate::controllers::registration;
 use crate::ports::Backing;
 use crate::store::{CONFIGURATION_KEY, ROSTER_KEY, StoreError, Stored, Swap};
@@ -154,7 +154,7 @@
         tokio::spawn(async move {
             let held = registration::register(&shared, &stored).await;
             shared.control.send(if held {
-                ConfigurationEvent::Offered(stored)
+                ConfigurationEvent::Offered(stored, ConfigurationSource::Store)
             } else {
                 ConfigurationEvent::NotRegistered
             });
--- a/crates/seamhatchd/src/controllers/follow/configuration.rs
+++ b/crates/seamhatchd/src/controllers/follow/configuration.rs
@@ -3,7 +3,7 @@
 use super::store_calls::{Backoff, call_store};
 use crate::base::clock;
 use crate::base::metrics::Metrics;
-use crate::control::{ConfigurationEvent, ControlHandle};
+use crate::control::{ConfigurationEvent, ConfigurationSource, ControlHandle};
 use crate::ports::{DocumentFormat, FollowedStore};
 use crate::store::{Change, Item, Revision, StoreError};
 use log::{error, info, warn};
@@ -61,7 +61,8 @@
         let reading = self.followed.store.get(&self.followed.configuration_key);
         let reading = call_store(&self.metrics, reading).await?;
         self.note_answer();
-        if let Some(generation) = reading.found.and_then(|item| self.offer(&item)) {
+        if let Some(generation) = reading.found.and_then(|item| self.offer(&item, ConfigurationSource::Store))
+        {
             self.control.send(ConfigurationEvent::Proved(FreshnessProof { generation, at: sent }));
         }
         self.control.send(ConfigurationEvent::FollowedStoreRead);
@@ -85,18 +86,18 @@
                 _ => None,
             });
             if let Some(item) = newest {
-                self.offer(&item);
+                self.offer(&item, ConfigurationSource::Watch);
                 tokio::time::sleep(GATHER_PAUSE).await;
             }
         }
     }
 
     /// Offers a configuration to the control thread. Returns its generation, where it can be read.
-    fn offer(&self, item: &Item) -> Option<Generation> {
+    fn offer(&self, item: &Item, source: ConfigurationSource) -> Option<Generation> {
         match self.documents.read(&item.value) {
             Ok(stored) => {
                 let generation = stored.generation;
-                self.control.send(ConfigurationEvent::Offered(stored));
+                self.control.send(ConfigurationEvent::Offered(stored, source));
                 Some(generation)
             }
             Err(problem) => {
--- a/crates/seamhatchd/src/controllers/follow/freshness.rs
+++ b/crates/seamhatchd/src/controllers/follow/freshness.rs
@@ -10,7 +10,7 @@
 use super::store_calls::{Backoff, call_store};
 use crate::base::clock;
 use crate::base::metrics::Metrics;
-use crate::control::{ConfigurationEvent, ControlHandle};
+use crate::control::{ConfigurationEvent, ConfigurationSource, ControlHandle};
 use crate::limits::SharedLimits;
 use crate::limits::freshness::Freshness;
 use crate::ports::{DocumentFormat, FollowedStore};
@@ -86,7 +86,7 @@
         // One that can't be read is logged by the watch, and proves nothing.
         let Ok(stored) = self.documents.read(&item.value) else { return Ok(()) };
         let proof = FreshnessProof { generation: stored.generation, at: sent };
-        self.control.send(ConfigurationEvent::Offered(stored));
+        self.control.send(ConfigurationEvent::Offered(stored, ConfigurationSource::Store));
         self.control.send(ConfigurationEvent::Proved(proof));
         Ok(())
     }
--- a/crates/seamhatchd/src/dispatch/prepare.rs
+++ b/crates/seamhatchd/src/dispatch/prepare.rs
@@ -68,6 +68,7 @@
 /// Settings of the called service in the configuration that decides the request, or else in the one in force.
 fn service_settings(shared: &Shared, request: &RequestState) -> Option<ServiceSettings> {
     let snapshot = shared.snapshot();
-    let configuration = request.configuration.as_ref().or(snapshot.configuration())?;
+    let pinned = request.configuration.as_ref().map(|(_, configuration)| configuration);
+    let configuration = pinned.or(snapshot.configuration())?;
     configuration.service(&request.service).copied()
 }
--- a/crates/seamhatchd/src/filters/classification.rs
+++ b/crates/seamhatchd/src/filters/classification.rs
@@ -21,9 +21,8 @@
 
 impl RequestFilter for Classification {
     fn apply(&self, shared: &Shared, request: &mut RequestState) -> Result<(), Rejection> {
-        let snapshot = shared.snapshot();
-        let Some(configuration) = snapshot.configuration() else { return Err(no_configuration()) };
-        let decision = configuration.policy().decide(&policy_request(configuration, request));
+        let configuration = request.configuration()?;
+        let decision = configuration.policy().decide(&policy_request(&configuration, request));
         if !decision.failed.is_empty() {
             shared.metrics.bad_input(BadInput::Policy);
             warn!(
@@ -97,10 +96,9 @@
 const ORPHAN_DEADLINE: u64 = 10 * SECOND;
 
 impl RequestFilter for InheritedClass {
-    fn apply(&self, shared: &Shared, request: &mut RequestState) -> Result<(), Rejection> {
-        let snapshot = shared.snapshot();
-        let Some(configuration) = snapshot.configuration() else { return Err(no_configuration()) };
-        request.repeatable = configuration.policy().repeatable(&policy_request(configuration, request));
+    fn apply(&self, _shared: &Shared, request: &mut RequestState) -> Result<(), Rejection> {
+        let configuration = request.configuration()?;
+        request.repeatable = configuration.policy().repeatable(&policy_request(&configuration, request));
         if request.parent.is_none() {
             let now = clock::now();
             request.class = PriorityClass::Background;
@@ -117,10 +115,6 @@
     }
 }
 
-fn no_configuration() -> Rejection {
-    Rejection::not_run(Reason::NotReady, "this daemon has no configuration yet; submit one")
-}
-
 /// The request as the policy sees it. Header fields that are no text are left out.
 fn policy_request(configuration: &Configuration, request: &RequestState) -> PolicyRequest {
     let headers: BTreeMap<String, String> = request
--- a/crates/seamhatchd/src/filters/readiness.rs
+++ b/crates/seamhatchd/src/filters/readiness.rs
@@ -48,7 +48,7 @@
 
 impl RequestFilter for PinConfiguration {
     fn apply(&self, shared: &Shared, request: &mut RequestState) -> Result<(), Rejection> {
-        request.configuration = shared.snapshot().configuration().cloned();
+        request.configuration = shared.snapshot().configuration.clone();
         Ok(())
     }
 }
--- a/crates/seamhatchd/src/filters/request.rs
+++ b/crates/seamhatchd/src/filters/request.rs
@@ -6,6 +6,7 @@
 use crate::server::running::RunningCall;
 use seamhatch_core::Instant;
 use seamhatch_core::clock::Microseconds;
+use seamhatch_core::generation::Generation;
 use seamhatch_core::identity::{Fingerprint, RootId};
 use seamhatch_core::outcome::Reason;
 use seamhatch_core::priority::PriorityClass;
@@ -61,8 +62,8 @@
     pub host: Option<String>,
     /// What its caller states by header fields.
     pub terms: CallerTerms,
-    /// The configuration that decides it, whatever comes into force meanwhile.
-    pub configuration: Option<Arc<Configuration>>,
+    /// The configuration that decides it, whatever comes into force meanwhile, and its generation.
+    pub configuration: Option<(Generation, Arc<Configuration>)>,
     /// Size of the header fields as its caller sent them, names and values, in bytes.
     pub field_bytes: usize,
     /// Length of its body in bytes, where the request states it.
@@ -126,7 +127,14 @@
     /// The daemon had none when the request came in.
     pub fn configuration(&self) -> Result<Arc<Configuration>, Rejection> {
         let detail = "this daemon has no configuration yet; come back after Retry-After";
-        self.configuration.clone().ok_or_else(|| Rejection::not_run(Reason::NotReady, detail))
+        let pinned = self.configuration.as_ref().map(|(_, configuration)| configuration.clone());
+        pinned.ok_or_else(|| Rejection::not_run(Reason::NotReady, detail))
+    }
+
+    /// Generation of the configuration that decides it; zero for none.
+    #[must_use]
+    pub fn generation(&self) -> Generation {
+        self.configuration.as_ref().map(|(generation, _)| *generation).unwrap_or_default()
     }
 
     /// Makes it a caller's own request, whatever call it named as its parent.
--- a/crates/seamhatchd/src/listeners/responses.rs
+++ b/crates/seamhatchd/src/listeners/responses.rs
@@ -36,7 +36,7 @@
             status = answer.head.status,
             server = answer.server.to_string().as_str(),
             dispatches = answer.dispatches,
-            generation = self.shared.snapshot().generation().0,
+            generation = request.generation().0,
             took_ms = took / MILLISECOND;
             "request answered"
         );
@@ -92,7 +92,7 @@
             outcome = rejection.outcome.name(),
             reason = rejection.reason.name(),
             detail = rejection.detail.as_str(),
-            generation = self.shared.snapshot().generation().0,
+            generation = request.generation().0,
             took_ms = took / MILLISECOND,
             retry_after_ms = retry_after.unwrap_or_default() / 1000;
             "request not answered"
@@ -110,8 +110,7 @@
     }
 
     fn mark(&self, request: &RequestState, outcome: Outcome, response: &mut Response<CallerBody>) {
-        let generation = self.shared.snapshot().generation();
-        let mark = AnswerMark { outcome, root: request.root, generation };
+        let mark = AnswerMark { outcome, root: request.root, generation: request.generation() };
         self.shared.conventions.mark(response.headers_mut(), &mark);
     }
 }
