Each daemon that follows a store keeps a proof that its configuration is the newest, whatever its watch hears

Cause: a daemon took the silence of its watch for "nothing has changed". Probes of the kernel reach the other kernel, not the store: behind a relay that passes nothing on, the watch waited for 28 s. Heartbeats spread a generation only from one that has it, and with all watches silent nobody had. Change: the proofs of freshness, kept only for tenants' keys so far, are kept wherever a store is followed. The first daemon in the order asks at an age of 0.4 s, the next at 0.95 and 1.1, all others at 1.2 s; heartbeats carry proofs as before, so the others seldom ask. What a read finds is offered like the watch's answers. A store without a usable configuration is asked no more often. What callers saw: 404 on routes that are there and runs at old services, for up to 28 s, at every daemon.

--- a/crates/seamhatchd/src/controllers/control_thread/configuration.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/configuration.rs
@@ -100,7 +100,7 @@
     /// Applies what the configuration says of tenants.
     fn apply_tenants(&self, generation: Generation, configuration: &Configuration) {
         let tenants = configuration.tenants();
-        self.shared.limits.freshness.set_in_force(generation, !tenants.is_empty());
+        self.shared.limits.freshness.set_in_force(generation);
         let is_limited = tenants.iter().any(|tenant| tenant.limit.is_some());
         let can_be_limited = self.followed().is_some();
         if is_limited && !can_be_limited {
--- a/crates/seamhatchd/src/controllers/follow/freshness.rs
+++ b/crates/seamhatchd/src/controllers/follow/freshness.rs
@@ -1,11 +1,12 @@
 //! Asking the store whether the configuration in force is still the newest.
 //!
-//! The daemons' heartbeats carry the proofs, so only a few daemons have to ask: the first in an order that all members know, and each later
+//! A watch that hears nothing proves nothing: its connection may pass nothing on, and its other end still acknowledge. So each daemon
+//! that follows a store keeps a proof, and asks the store itself where the proof grows too old. What such a read finds is offered to the
+//! control thread as the watch's answers are.
+//!
+//! The daemons' heartbeats carry the proofs, so that few daemons have to ask: the first in an order that all members know, and each later
 //! one if it has received no recent proof by then. No daemon has to know which one is the first, and the next in the order stands in for
 //! one that the store refuses or that is cut off from the others. [`crate::limits::freshness`] owns the proof.
-//!
-//! Measured with 71 daemons: the first asks once a second, and the proofs of the others are 0.4 to 1.2 s older than its own. With
-//! each daemon asking for itself there were 71 calls a second.
 
 use super::store_calls::{Backoff, call_store};
 use crate::base::clock;
@@ -16,22 +17,21 @@
 use crate::ports::{DocumentFormat, FollowedStore};
 use crate::store::StoreError;
 use log::debug;
-use seamhatch_core::clock::{MILLISECOND, Microseconds, SECOND};
+use seamhatch_core::Instant;
+use seamhatch_core::clock::{MILLISECOND, Microseconds};
 use seamhatch_core::freshness::FreshnessProof;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Pause between two checks of the age of the proof. Chosen, not measured.
+/// Pause between two checks of the age of the proof.
 const POLL: Duration = Duration::from_millis(100);
-/// Age of its proof at which the first in the order asks, in microseconds. Chosen, not measured: four more attempts fit into a bound of
-/// five seconds.
-const FIRST_ASKS_AFTER: Microseconds = SECOND;
-/// How much later each next one asks, in microseconds: the time between two idle heartbeats, which bring the proof of the one before.
-const NEXT_ASKS_AFTER: Microseconds = 400 * MILLISECOND;
-/// Place in the order from which all daemons ask at the same age: they do where several before them could not. Chosen, not measured.
-const LAST_PLACE: usize = 5;
-/// Places in the order that try again at short, even pauses: after an outage the others receive the proof from them. Chosen, not
-/// measured.
+/// Age of its proof at which a daemon asks, in microseconds, by its place in the order; all later ones ask at the last.
+///
+/// A configuration is to be in force 2 s after it was accepted: the last age leaves 0.7 s for the poll, the read and the compiler. A proof
+/// reaches a direct peer of the first within the age at which that one asks, a poll and a heartbeat: 0.9 s.
+const ASKS_AFTER: [Microseconds; 4] =
+    [400 * MILLISECOND, 950 * MILLISECOND, 1100 * MILLISECOND, 1200 * MILLISECOND];
+/// Places in the order that try again at short, even pauses: after an outage the others receive the proof from them.
 const EAGER_PLACES: usize = 3;
 
 /// What this task uses.
@@ -48,15 +48,18 @@
     pub metrics: Arc<Metrics>,
 }
 
-/// Keeps the proof recent until the process ends, while anything depends on it.
+/// Keeps the proof recent until the process ends.
 pub async fn keep_fresh(keeper: ProofKeeper) {
     let freshness = &keeper.limits.freshness;
     let mut backoff = Backoff::default();
+    // The watch begins with a read, which is a proof.
+    let mut asked = clock::now();
     loop {
         tokio::time::sleep(POLL).await;
-        if !freshness.is_needed() || !is_due(freshness) {
+        if !is_due(freshness, asked, clock::now()) {
             continue;
         }
+        asked = clock::now();
         match keeper.ask().await {
             Ok(()) => backoff.succeeded(),
             Err(error) => {
@@ -72,10 +75,10 @@
     }
 }
 
-fn is_due(freshness: &Freshness) -> bool {
-    let place = freshness.rank().min(LAST_PLACE) as Microseconds;
-    let asks_after = FIRST_ASKS_AFTER + place * NEXT_ASKS_AFTER;
-    freshness.age(clock::now()).is_none_or(|age| age >= asks_after)
+/// Whether neither a proof nor an attempt to get one is young enough. An attempt may bring none, as without a configuration.
+fn is_due(freshness: &Freshness, asked: Instant, now: Instant) -> bool {
+    let asks_after = ASKS_AFTER[freshness.rank().min(ASKS_AFTER.len() - 1)];
+    now.since(asked) >= asks_after && freshness.age(now).is_none_or(|age| age >= asks_after)
 }
 
 impl ProofKeeper {
--- a/crates/seamhatchd/src/limits/freshness.rs
+++ b/crates/seamhatchd/src/limits/freshness.rs
@@ -9,18 +9,16 @@
 use seamhatch_core::clock::Microseconds;
 use seamhatch_core::freshness::{FreshnessProof, FreshnessTracker};
 use seamhatch_core::generation::Generation;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 
 /// What this daemon can prove of its configuration, and how old the proof may be.
 #[derive(Debug)]
 pub struct Freshness {
-    /// How old a proof may be; none where no proof is needed.
+    /// How old a proof may be for requests to run by a tenant's key; none for any age.
     bound: Option<Microseconds>,
     tracker: Mutex<FreshnessTracker>,
-    /// Whether the configuration has tenants, so that anything depends on the proof.
-    needed: AtomicBool,
     /// Live members that ask the store before this one does.
     rank: AtomicUsize,
 }
@@ -30,13 +28,12 @@
     #[must_use]
     pub fn new(bound: Option<Duration>) -> Self {
         let bound = bound.map(|bound| bound.as_micros() as Microseconds);
-        Self { bound, tracker: Mutex::default(), needed: AtomicBool::new(false), rank: AtomicUsize::new(0) }
+        Self { bound, tracker: Mutex::default(), rank: AtomicUsize::new(0) }
     }
 
     /// Records the configuration in force.
-    pub fn set_in_force(&self, generation: Generation, has_tenants: bool) {
+    pub fn set_in_force(&self, generation: Generation) {
         self.lock().set_in_force(generation);
-        self.needed.store(has_tenants, Ordering::Relaxed);
     }
 
     /// Records a proof in the local boot clock.
@@ -51,16 +48,10 @@
         self.lock().is_proved(bound, clock::now())
     }
 
-    /// The proof for other daemons; none while nothing depends on it.
+    /// The proof for other daemons.
     #[must_use]
     pub fn proof(&self) -> Option<FreshnessProof> {
-        self.lock().proof().filter(|_| self.is_needed())
-    }
-
-    /// Whether requests depend on a proof.
-    #[must_use]
-    pub fn is_needed(&self) -> bool {
-        self.bound.is_some() && self.needed.load(Ordering::Relaxed)
+        self.lock().proof()
     }
 
     /// How old the proof is, in microseconds; none without one.
