A configuration that can't be used is refused whole, and takes none along that can

Cause: *offered* counted as *known*. Of the changes in one answer to a watch only the newest was looked at, so one that can't be read or compiled took the one before it along; one that doesn't compile became the newest known of a daemon that follows a store, was passed on by gossip and to daemons that start, and these had nothing in force and asked nobody for the one that works. Change: the watch offers all changes of an answer, and the last that can be used counts. Where a store is followed, one that can't be compiled is refused: the earlier one stays the newest known, is in force and is what peers get; the refused one is logged once, not at each read, and stands in the gauge newest_generation. Where daemons accept configurations, one that another version of the program has compiled is held and passed on as before. What callers saw: routes of an accepted version missing until the next one; at a restarted daemon 503 until then. Why it holds: what is refused changes no state but the gauge.

--- a/crates/seamhatchd/src/control/events.rs
+++ b/crates/seamhatchd/src/control/events.rs
@@ -135,6 +135,8 @@
     },
     /// A configuration that may be in force: a majority of the witnesses holds it, or a followed store has it.
     Offered(StoredConfiguration, ConfigurationSource),
+    /// Several that were accepted one after the other, in their order: the last one that can be used counts.
+    OfferedSeries(Vec<StoredConfiguration>, ConfigurationSource),
     /// No newer configuration had been accepted at an instant.
     Proved(FreshnessProof),
     /// The store was read, in a deployment where daemons accept configurations.
--- a/crates/seamhatchd/src/controllers/configuration.rs
+++ b/crates/seamhatchd/src/controllers/configuration.rs
@@ -7,15 +7,27 @@
 use crate::controllers::registration::newer;
 use crate::ports::DocumentFormat;
 use log::{error, info};
-use seamhatch_core::generation::{Generation, Offer, judge_offer};
+use seamhatch_core::generation::{Generation, Offer, Version, judge_offer};
 use seamhatch_policy::{Configuration, StoredConfiguration};
 use std::sync::Arc;
 
+/// What becomes of an accepted configuration that can't be compiled here.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UnusableRule {
+    /// It is held and passed on: its submitter's daemon could compile it, so this one is another version of the program.
+    Hold,
+    /// It is refused whole: nobody has checked it, and no daemon is better off with it.
+    Refuse,
+}
+
 /// Holds the configuration in force, the newest one that may be in force (they differ only where this version of the daemon
 /// can't compile it), and, as a witness, what may soon be in force.
 #[derive(Debug)]
 pub struct ConfigurationController {
     documents: Arc<dyn DocumentFormat>,
+    unusable: UnusableRule,
+    /// The newest version that was refused.
+    refused: Option<Version>,
     held: Option<StoredConfiguration>,
     newest: Option<StoredConfiguration>,
     in_force: Option<(Generation, Arc<Configuration>)>,
@@ -23,8 +35,8 @@
 
 impl ConfigurationController {
     /// Holds nothing yet; documents are compiled by `documents`.
-    pub fn new(documents: Arc<dyn DocumentFormat>) -> Self {
-        Self { documents, held: None, newest: None, in_force: None }
+    pub fn new(documents: Arc<dyn DocumentFormat>, unusable: UnusableRule) -> Self {
+        Self { documents, unusable, refused: None, held: None, newest: None, in_force: None }
     }
 
     /// What reads and compiles documents.
@@ -74,10 +86,13 @@
 
     /// Adopts an accepted configuration if it is newer than the one held.
     pub fn offer(&mut self, stored: StoredConfiguration, source: ConfigurationSource) -> Offer {
+        if self.has_refused(stored.version()) {
+            return Offer::Same;
+        }
         let current = self.newest.as_ref().map(StoredConfiguration::version);
         let offer = judge_offer(current, stored.version());
         match offer {
-            Offer::Adopt => self.adopt(stored, source),
+            Offer::Adopt => return self.adopt(stored, source),
             Offer::Conflict => error!(
                 generation = stored.generation.0;
                 "another configuration of the same generation was offered and refused: the store went back in time"
@@ -87,19 +102,36 @@
         offer
     }
 
-    fn adopt(&mut self, stored: StoredConfiguration, source: ConfigurationSource) {
+    /// Whether this version was refused as it can't be used.
+    pub fn has_refused(&self, version: Version) -> bool {
+        self.refused == Some(version)
+    }
+
+    /// Generation of the newest configuration that was offered, whether or not it can be used; zero for none.
+    pub fn newest_offered(&self) -> Generation {
+        self.refused.map_or(self.generation(), |refused| refused.generation.max(self.generation()))
+    }
+
+    /// Brings a newer configuration into force; one that can't be compiled is held or refused.
+    fn adopt(&mut self, stored: StoredConfiguration, source: ConfigurationSource) -> Offer {
         match self.documents.compile(&stored.document) {
             Ok(configuration) => {
                 info!(generation = stored.generation.0, source = source.name(); "configuration in force");
                 self.in_force = Some((stored.generation, Arc::new(configuration)));
             }
-            // It was checked when it was accepted, so this daemon is another version of the program.
-            Err(problem) => error!(
-                generation = stored.generation.0,
-                problem = problem.to_string().as_str();
-                "an accepted configuration can't be compiled here; the earlier one stays in force"
-            ),
+            Err(problem) => {
+                error!(
+                    generation = stored.generation.0,
+                    problem = problem.to_string().as_str();
+                    "an accepted configuration can't be compiled here; the earlier one stays in force"
+                );
+                if self.unusable == UnusableRule::Refuse {
+                    self.refused = Some(stored.version());
+                    return Offer::Stale;
+                }
+            }
         }
         self.newest = Some(stored);
+        Offer::Adopt
     }
 }
--- a/crates/seamhatchd/src/controllers/control_thread/configuration.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/configuration.rs
@@ -65,6 +65,10 @@
                 self.exchanges.end_all();
                 self.offer(stored, source);
             }
+            ConfigurationEvent::OfferedSeries(series, source) => {
+                self.exchanges.end_all();
+                self.offer_series(series, source);
+            }
             ConfigurationEvent::Proved(proof) => self.shared.limits.freshness.prove(proof),
             ConfigurationEvent::StoreRead(result) => self.store_read(result),
             ConfigurationEvent::FollowedStoreRead => self.followed_store_read(),
@@ -74,6 +78,17 @@
         }
     }
 
+    /// Adopts the last of several that can be used, if it is newer than the one held.
+    fn offer_series(&mut self, series: Vec<StoredConfiguration>, source: ConfigurationSource) {
+        for stored in series.into_iter().rev() {
+            let version = stored.version();
+            self.offer(stored, source);
+            if !self.configuration.has_refused(version) {
+                return;
+            }
+        }
+    }
+
     /// Adopts a configuration if it is newer than the one held.
     pub(super) fn offer(&mut self, stored: StoredConfiguration, source: ConfigurationSource) -> Offer {
         let offer = self.configuration.offer(stored, source);
--- a/crates/seamhatchd/src/controllers/control_thread/mod.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/mod.rs
@@ -21,7 +21,7 @@
 
 use crate::base::clock;
 use crate::control::{ControlEvent, SuspectEvent};
-use crate::controllers::configuration::ConfigurationController;
+use crate::controllers::configuration::{ConfigurationController, UnusableRule};
 use crate::controllers::follow::EvidenceNews;
 use crate::controllers::membership::MembershipController;
 use crate::controllers::roster::RosterController;
@@ -100,10 +100,14 @@
     ) -> Self {
         let info = own_info(&shared.settings);
         let seeds = shared.settings.seeds.clone();
+        let unusable = match ports.backing {
+            Backing::Followed(_) => UnusableRule::Refuse,
+            Backing::Witnessed(_) => UnusableRule::Hold,
+        };
         let state = Membership::new(MembershipPolicy::default(), info, shared.incarnation, seeds);
         Self {
             membership: MembershipController::new(state, Arc::new(socket), shared.metrics.clone()),
-            configuration: ConfigurationController::new(ports.documents.clone()),
+            configuration: ConfigurationController::new(ports.documents.clone(), unusable),
             roster: RosterController::default(),
             backing: ports.backing.clone(),
             verification: Verification::default(),
--- a/crates/seamhatchd/src/controllers/control_thread/publishing.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/publishing.rs
@@ -68,7 +68,7 @@
     pub(super) fn update_metrics(&self) {
         let metrics = &self.shared.metrics;
         metrics.generation.set(self.configuration.generation_in_force().0 as i64);
-        metrics.newest_generation.set(self.configuration.generation().0 as i64);
+        metrics.newest_generation.set(self.configuration.newest_offered().0 as i64);
         metrics.members.set(self.membership.state.live_count() as i64);
         metrics.condemned.set(self.shared.suspects.condemned() as i64);
         metrics.claims.set(self.shared.claims.witnesses.forget_old() as i64);
--- a/crates/seamhatchd/src/controllers/follow/configuration.rs
+++ b/crates/seamhatchd/src/controllers/follow/configuration.rs
@@ -8,7 +8,7 @@
 use crate::store::{Change, Item, Revision, StoreError};
 use log::{error, info, warn};
 use seamhatch_core::freshness::FreshnessProof;
-use seamhatch_core::generation::Generation;
+use seamhatch_policy::StoredConfiguration;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -61,9 +61,10 @@
         let reading = self.followed.store.get(&self.followed.configuration_key);
         let reading = call_store(&self.metrics, reading).await?;
         self.note_answer();
-        if let Some(generation) = reading.found.and_then(|item| self.offer(&item, ConfigurationSource::Store))
-        {
-            self.control.send(ConfigurationEvent::Proved(FreshnessProof { generation, at: sent }));
+        if let Some(stored) = reading.found.and_then(|item| self.parse(&item)) {
+            let proof = FreshnessProof { generation: stored.generation, at: sent };
+            self.control.send(ConfigurationEvent::Offered(stored, ConfigurationSource::Store));
+            self.control.send(ConfigurationEvent::Proved(proof));
         }
         self.control.send(ConfigurationEvent::FollowedStoreRead);
         Ok(reading.at)
@@ -81,25 +82,26 @@
             };
             self.note_answer();
             after = changes.at;
-            let newest = changes.found.iter().rev().find_map(|change| match change {
-                Change::Put(item) if item.key == self.followed.configuration_key => Some(item.clone()),
-                _ => None,
-            });
-            if let Some(item) = newest {
-                self.offer(&item, ConfigurationSource::Watch);
+            let versions: Vec<StoredConfiguration> =
+                changes.found.iter().filter_map(|change| self.changed(change)).collect();
+            if !versions.is_empty() {
+                self.control.send(ConfigurationEvent::OfferedSeries(versions, ConfigurationSource::Watch));
                 tokio::time::sleep(GATHER_PAUSE).await;
             }
         }
     }
 
-    /// Offers a configuration to the control thread. Returns its generation, where it can be read.
-    fn offer(&self, item: &Item, source: ConfigurationSource) -> Option<Generation> {
+    /// The configuration that a change has put, where it is one and can be read.
+    fn changed(&self, change: &Change) -> Option<StoredConfiguration> {
+        match change {
+            Change::Put(item) if item.key == self.followed.configuration_key => self.parse(item),
+            _ => None,
+        }
+    }
+
+    fn parse(&self, item: &Item) -> Option<StoredConfiguration> {
         match self.documents.read(&item.value) {
-            Ok(stored) => {
-                let generation = stored.generation;
-                self.control.send(ConfigurationEvent::Offered(stored, source));
-                Some(generation)
-            }
+            Ok(stored) => Some(stored),
             Err(problem) => {
                 error!(
                     revision = item.revision.0,
