A daemon whose own calls bring it no proof of freshness connects to the member above it

Cause: proofs travel with heartbeats, and daemons that serve no callers have no connections: before traffic each asked the store itself. Change: each daemon knows its place in the order of those that ask, and the member above it, of which each serves up to 32; where its proof is older than 0.95 s it sees to a connection to that one. The second and third ask at 1.05 and 1.15 s. Why it holds: the connection only brings proofs sooner; a daemon without one asks the store at 1.2 s as before.

--- a/crates/seamhatchd/src/controllers/control_thread/followed.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/followed.rs
@@ -11,6 +11,7 @@
 use crate::controllers::follow::{
     ProofKeeper, ShardKeeper, ShardOwner, discover, follow_configuration, keep_fresh, keep_quota_shards,
 };
+use crate::limits::freshness::AskingPlace;
 use crate::ports::{Backing, FollowedStore};
 use log::info;
 use seamhatch_core::Instant;
@@ -20,11 +21,14 @@
 use seamhatch_core::identity::Address;
 use seamhatch_core::rendezvous;
 use seamhatch_wire::ControlReply;
+use std::cmp::Reverse;
 
 /// How long the watch of the store may take before a generation that peers reported is asked for. Chosen, not measured.
 const PULL_PATIENCE: Microseconds = 300 * MILLISECOND;
 /// Time between two attempts to get a generation that peers reported. Chosen, not measured.
 const PULL_INTERVAL: Microseconds = 400 * MILLISECOND;
+/// Members to which one passes its proofs on: with 570 members all others are one or two heartbeats from the first.
+const PROOF_FANOUT: usize = 32;
 /// Seed of the order in which daemons ask the store whether the configuration is the newest. Any number will do that differs from the
 /// other seeds of rendezvous hashing, so that one daemon isn't first everywhere.
 const ASKING_SEED: u64 = 4;
@@ -78,6 +82,7 @@
             limits: self.shared.limits.clone(),
             control: control.clone(),
             metrics: metrics.clone(),
+            pool: self.shared.pool.clone(),
         }));
         let keeper = ShardKeeper::new(
             self.shard_owner(),
@@ -116,12 +121,19 @@
         }
     }
 
-    /// Counts the live members that ask the store before this daemon whether the configuration is the newest.
+    /// Finds this daemon's place in the order in which live members ask the store whether the configuration is the newest.
     fn update_asking_order(&self) {
         let weight = |member: Address| rendezvous::weight(ASKING_SEED, member.to_string().as_bytes());
         let own = weight(self.shared.settings.advertise.gossip);
         let live = self.membership.state.others().filter(|record| record.is_live());
-        self.shared.limits.freshness.set_rank(live.filter(|record| weight(record.info.gossip) > own).count());
+        let mut before: Vec<(u64, Address)> = live
+            .map(|record| (weight(record.info.gossip), record.info.peer))
+            .filter(|(weight, _)| *weight > own)
+            .collect();
+        before.sort_unstable_by_key(|(weight, _)| Reverse(*weight));
+        let rank = before.len();
+        let upstream = rank.checked_sub(1).map(|above| before[above / PROOF_FANOUT].1);
+        self.shared.limits.freshness.set_place(AskingPlace { rank, upstream });
     }
 
     /// Records a generation that a peer reported. The store is expected to return it too.
--- a/crates/seamhatchd/src/controllers/follow/freshness.rs
+++ b/crates/seamhatchd/src/controllers/follow/freshness.rs
@@ -5,8 +5,9 @@
 //! control thread as the watch's answers are.
 //!
 //! The daemons' heartbeats carry the proofs, so that few daemons have to ask: the first in an order that all members know, and each later
-//! one if it has received no recent proof by then. No daemon has to know which one is the first, and the next in the order stands in for
-//! one that the store refuses or that is cut off from the others. [`crate::limits::freshness`] owns the proof.
+//! one if it has received no recent proof by then. A daemon whose own calls bring it no proof opens a connection to the member above it
+//! in that order. No daemon has to know which one is the first, and the next in the order stands in for one that the store refuses
+//! or that is cut off from the others. [`crate::limits::freshness`] owns the proof.
 
 use super::store_calls::{Backoff, call_store};
 use crate::base::clock;
@@ -14,6 +15,7 @@
 use crate::control::{ConfigurationEvent, ConfigurationSource, ControlHandle};
 use crate::limits::SharedLimits;
 use crate::limits::freshness::Freshness;
+use crate::peer::PeerPool;
 use crate::ports::{DocumentFormat, FollowedStore};
 use crate::store::StoreError;
 use log::debug;
@@ -30,7 +32,11 @@
 /// A configuration is to be in force 2 s after it was accepted: the last age leaves 0.7 s for the poll, the read and the compiler. A proof
 /// reaches a direct peer of the first within the age at which that one asks, a poll and a heartbeat: 0.9 s.
 const ASKS_AFTER: [Microseconds; 4] =
-    [400 * MILLISECOND, 950 * MILLISECOND, 1100 * MILLISECOND, 1200 * MILLISECOND];
+    [400 * MILLISECOND, 1050 * MILLISECOND, 1150 * MILLISECOND, 1200 * MILLISECOND];
+/// Age of its proof at which a daemon sees to a connection to the member above it, in microseconds: just above what a working one allows.
+const CONNECTS_AFTER: Microseconds = 950 * MILLISECOND;
+/// Time between two attempts to do so, in microseconds.
+const CONNECT_INTERVAL: Microseconds = 500 * MILLISECOND;
 /// Places in the order that try again at short, even pauses: after an outage the others receive the proof from them.
 const EAGER_PLACES: usize = 3;
 
@@ -46,6 +52,8 @@
     pub control: ControlHandle,
     /// Counts the calls.
     pub metrics: Arc<Metrics>,
+    /// Connections to the members whose heartbeats bring proofs.
+    pub pool: Arc<PeerPool>,
 }
 
 /// Keeps the proof recent until the process ends.
@@ -54,18 +62,24 @@
     let mut backoff = Backoff::default();
     // The watch begins with a read, which is a proof.
     let mut asked = clock::now();
+    let mut connected = clock::now();
     loop {
         tokio::time::sleep(POLL).await;
-        if !is_due(freshness, asked, clock::now()) {
+        let now = clock::now();
+        if is_older(freshness, CONNECTS_AFTER, now) && now.since(connected) >= CONNECT_INTERVAL {
+            connected = now;
+            keeper.connect_upstream();
+        }
+        if !is_due(freshness, asked, now) {
             continue;
         }
-        asked = clock::now();
+        asked = now;
         match keeper.ask().await {
             Ok(()) => backoff.succeeded(),
             Err(error) => {
                 keeper.metrics.store_failures.inc();
                 debug!(error = error.to_string().as_str(); "the store does not tell whether the configuration is the newest");
-                if freshness.rank() < EAGER_PLACES {
+                if freshness.place().rank < EAGER_PLACES {
                     backoff.eager_pause().await;
                 } else {
                     backoff.pause().await;
@@ -77,11 +91,23 @@
 
 /// Whether neither a proof nor an attempt to get one is young enough. An attempt may bring none, as without a configuration.
 fn is_due(freshness: &Freshness, asked: Instant, now: Instant) -> bool {
-    let asks_after = ASKS_AFTER[freshness.rank().min(ASKS_AFTER.len() - 1)];
-    now.since(asked) >= asks_after && freshness.age(now).is_none_or(|age| age >= asks_after)
+    let asks_after = ASKS_AFTER[freshness.place().rank.min(ASKS_AFTER.len() - 1)];
+    now.since(asked) >= asks_after && is_older(freshness, asks_after, now)
+}
+
+fn is_older(freshness: &Freshness, than: Microseconds, now: Instant) -> bool {
+    freshness.age(now).is_none_or(|age| age >= than)
 }
 
 impl ProofKeeper {
+    /// Opens a connection to the member above this one unless there is one: the first heartbeat on it brings that one's proof.
+    fn connect_upstream(&self) {
+        let Some(upstream) = self.limits.freshness.place().upstream else { return };
+        let pool = self.pool.clone();
+        // Where it fails, this daemon asks the store itself.
+        tokio::spawn(async move { drop(pool.get(upstream).await) });
+    }
+
     async fn ask(&self) -> Result<(), StoreError> {
         let sent = clock::now();
         let reading = self.followed.store.get(&self.followed.configuration_key);
--- a/crates/seamhatchd/src/limits/freshness.rs
+++ b/crates/seamhatchd/src/limits/freshness.rs
@@ -9,7 +9,7 @@
 use seamhatch_core::clock::Microseconds;
 use seamhatch_core::freshness::{FreshnessProof, FreshnessTracker};
 use seamhatch_core::generation::Generation;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use seamhatch_core::identity::Address;
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -19,8 +19,16 @@
     /// How old a proof may be for requests to run by a tenant's key; none for any age.
     bound: Option<Microseconds>,
     tracker: Mutex<FreshnessTracker>,
+    place: Mutex<AskingPlace>,
+}
+
+/// Where a daemon gets its proofs from, by the order of all live members.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct AskingPlace {
     /// Live members that ask the store before this one does.
-    rank: AtomicUsize,
+    pub rank: usize,
+    /// Peer address of the member whose heartbeats are to bring proofs; none for the first.
+    pub upstream: Option<Address>,
 }
 
 impl Freshness {
@@ -28,7 +36,7 @@
     #[must_use]
     pub fn new(bound: Option<Duration>) -> Self {
         let bound = bound.map(|bound| bound.as_micros() as Microseconds);
-        Self { bound, tracker: Mutex::default(), rank: AtomicUsize::new(0) }
+        Self { bound, tracker: Mutex::default(), place: Mutex::default() }
     }
 
     /// Records the configuration in force.
@@ -60,15 +68,15 @@
         self.lock().age(now)
     }
 
-    /// Sets how many live members ask the store before this one does.
-    pub fn set_rank(&self, rank: usize) {
-        self.rank.store(rank, Ordering::Relaxed);
+    /// Sets this daemon's place in the order of all live members.
+    pub fn set_place(&self, place: AskingPlace) {
+        *lock(&self.place) = place;
     }
 
-    /// How many live members ask the store before this one does.
+    /// This daemon's place in the order of all live members.
     #[must_use]
-    pub fn rank(&self) -> usize {
-        self.rank.load(Ordering::Relaxed)
+    pub fn place(&self) -> AskingPlace {
+        *lock(&self.place)
     }
 
     fn lock(&self) -> MutexGuard<'_, FreshnessTracker> {
