Soak of the own store: each request is judged by the generation that decided it, and something changes all the time

Cause: the checks read the daemons' status now and then and judged *everywhere* only after the end. Change: an answer's generation stands in the history (kept ones read as before); a daemon in touch may decide no request sent over 2 s after an acceptance by an older configuration (ConfigurationInTime), and goes back in no life of its process (ConfigurationForward). Faults of the store excuse nothing.

--- a/crates/seamhatch-lab/src/client.rs
+++ b/crates/seamhatch-lab/src/client.rs
@@ -40,6 +40,8 @@
     pub reason: String,
     /// `Retry-After` in seconds.
     pub retry_after: Option<u64>,
+    /// `Seamhatch-Generation`: the configuration that decided; 0 when the field is missing.
+    pub generation: u64,
     /// The body is complete and answers this request.
     pub whole: bool,
 }
@@ -52,7 +54,14 @@
     }
 
     pub(crate) fn failed(reason: &str) -> Self {
-        Self { status: 0, outcome: String::new(), reason: reason.to_owned(), retry_after: None, whole: false }
+        Self {
+            status: 0,
+            outcome: String::new(),
+            reason: reason.to_owned(),
+            retry_after: None,
+            generation: 0,
+            whole: false,
+        }
     }
 }
 
@@ -114,6 +123,7 @@
         outcome: text(headers::OUTCOME),
         reason: text(headers::REASON),
         retry_after: text("retry-after").parse().ok(),
+        generation: text(headers::GENERATION).parse().unwrap_or_default(),
         whole,
     }
 }
--- a/crates/seamhatch-lab/src/soak/checks.rs
+++ b/crates/seamhatch-lab/src/soak/checks.rs
@@ -1,11 +1,12 @@
 //! Checks the promises of docs/GUARANTEES.md over a recorded history.
 //!
-//! Each check is a pure function of what callers, back ends and operators saw, so a kept history can be judged again. The three longer
-//! ones are in `contained`, `no_server` and `stops`. The command prints what [`check`] finds; the report shows it.
+//! Each check is a pure function of what callers, back ends and operators saw, so a kept history can be judged again. The longer
+//! ones are in `contained`, `in_time`, `no_server` and `stops`. The command prints what [`check`] finds; the report shows it.
 
 use super::contained::crashes_contained;
 use super::fleet::DaemonIndex;
 use super::history::{HistoryEvent, RequestName, SeenAnswer};
+use super::in_time::{configurations_forward, configurations_in_time};
 use super::load::DEADLY_PREFIX;
 use super::no_server::servers_are_found;
 use super::stops::stops_cut_nothing;
@@ -36,6 +37,8 @@
     StopsCutNothing,
     /// A daemon never goes back to an older configuration.
     ConfigurationForward,
+    /// A daemon in touch decides no request by a configuration that is too old.
+    ConfigurationInTime,
     /// An accepted configuration is in force everywhere.
     ConfigurationEverywhere,
     /// A service with a living server is found.
@@ -61,7 +64,7 @@
 
 type Check = fn(&[HistoryEvent]) -> Vec<Violation>;
 
-const CHECKS: [Check; 12] = [
+const CHECKS: [Check; 14] = [
     retries_bounded,
     answers_whole,
     refusals_true,
@@ -69,6 +72,8 @@
     at_most_once,
     stops_cut_nothing,
     configuration_forward,
+    configurations_forward,
+    configurations_in_time,
     configuration_everywhere,
     servers_are_found,
     crashes_contained,
--- a/crates/seamhatch-lab/src/soak/draw.rs
+++ b/crates/seamhatch-lab/src/soak/draw.rs
@@ -41,6 +41,10 @@
 const DEADLY_MS: u64 = 10_000;
 /// Longest time that a crashed back end is away, in milliseconds.
 const CRASH_MS: u64 = 3_000;
+/// Time between two submissions besides those of the series, in milliseconds: some operator changes something all the time.
+const CHANGE_GAP_MS: Range<u64> = 600..3_000;
+/// Combined with a plan's seed to draw these submissions: `changes!` in ASCII.
+const CHANGE_SEED: u64 = 0x6368_616e_6765_7321;
 /// Combined with a plan's seed to draw the crashes: `crashes!` in ASCII.
 const CRASH_SEED: u64 = 0x6372_6173_6865_7321;
 
@@ -79,6 +83,7 @@
         let beside_a_stop = |crash: &PlannedFault| faults.iter().any(|fault| disturbs_stop(crash, fault));
         let crashes: Vec<PlannedFault> = crashes.into_iter().filter(|crash| !beside_a_stop(crash)).collect();
         faults.extend(crashes);
+        faults.extend(draw_changes(seed, end_ms, fleet));
         faults.sort_by_key(|fault| fault.at_ms);
         let clients = CLIENTS_PER_DAEMON * fleet.daemons();
         Self { seed, seconds, rate: RATE, clients, servers: fleet.servers, faults }
@@ -107,6 +112,19 @@
     faults
 }
 
+/// Submissions throughout, drawn with a generator of their own, so that the other faults of a seed don't depend on them.
+fn draw_changes(seed: u64, end_ms: u64, fleet: SoakFleet) -> Vec<PlannedFault> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ CHANGE_SEED);
+    let mut changes = Vec::new();
+    let mut at_ms = millis(QUIET) + rng.random_range(CHANGE_GAP_MS);
+    while at_ms + LENGTH_MS.start < end_ms {
+        let fault = SoakFault::Configuration { daemon: rng.random_range(0..fleet.daemons()) };
+        changes.push(PlannedFault { at_ms, for_ms: LENGTH_MS.start, fault });
+        at_ms += rng.random_range(CHANGE_GAP_MS);
+    }
+    changes
+}
+
 /// Whether a crash is so close to a planned stop that the answers of the stop can't be judged.
 fn disturbs_stop(crash: &PlannedFault, fault: &PlannedFault) -> bool {
     let apart_ms = millis(APART);
--- a/crates/seamhatch-lab/src/soak/history.rs
+++ b/crates/seamhatch-lab/src/soak/history.rs
@@ -124,6 +124,9 @@
     pub comes_back: bool,
     /// Whether the body is complete and answers this request.
     pub whole: bool,
+    /// `Seamhatch-Generation`: the configuration that decided; 0 where none did, and in histories that were kept without it.
+    #[serde(default)]
+    pub generation: u64,
 }
 
 impl From<&CallerAnswer> for SeenAnswer {
@@ -134,6 +137,7 @@
             reason: answer.reason.clone(),
             comes_back: answer.retry_after.is_some(),
             whole: answer.whole,
+            generation: answer.generation,
         }
     }
 }
--- a/crates/seamhatch-lab/src/soak/mod.rs
+++ b/crates/seamhatch-lab/src/soak/mod.rs
@@ -5,7 +5,7 @@
 //!   the smallest part that still fails.
 //! - A run: [`runner`] starts the deployment, [`load`] sends requests, [`steps`] keeps the plan's times, [`injection`] begins and ends
 //!   faults, [`recorder`] collects the [`history`].
-//! - The verdict: [`checks`] with `no_server` and `stops`, pure functions over a history ([`exchanges`], [`spans`]).
+//! - The verdict: [`checks`] with [`in_time`], `no_server` and `stops`, pure functions over a history ([`exchanges`], [`spans`]).
 //! - `command` is `seamhatch-lab soak`, [`report`] plots a history.
 
 pub mod checks;
@@ -16,6 +16,7 @@
 pub mod fault;
 pub mod fleet;
 pub mod history;
+pub mod in_time;
 pub mod injection;
 pub mod load;
 pub mod no_server;
--- a/crates/seamhatch-lab/tests/soak.rs
+++ b/crates/seamhatch-lab/tests/soak.rs
@@ -21,6 +21,7 @@
         reason: reason.into(),
         comes_back: refused,
         whole: status == 200,
+        generation: 0,
     }
 }
 
@@ -75,6 +76,7 @@
 }
 
 /// A history and the promises that it breaks.
+#[derive(Clone)]
 struct HistoryCase {
     name: &'static str,
     history: Vec<HistoryEvent>,
@@ -316,6 +318,40 @@
     ]
 }
 
+/// A request that a daemon has decided by a configuration.
+fn decided(sent_ms: u64, daemon: usize, generation: u64) -> Vec<HistoryEvent> {
+    let request = format!("g-{sent_ms}-{daemon}");
+    let answer = SeenAnswer { generation, ..good() };
+    vec![sent(sent_ms, &request, daemon, false), answered(sent_ms + 5, &request, answer)]
+}
+
+fn generation_cases() -> Vec<HistoryCase> {
+    let accepted = || vec![HistoryEvent::Accepted { at_ms: 10_000, generation: 2 }];
+    let after = |sent_ms, beside: Vec<HistoryEvent>| [accepted(), beside, decided(sent_ms, 1, 1)].concat();
+    let in_time = |name, history| broken(name, Promise::ConfigurationInTime, history);
+    let pause = |daemon| span(10_000, 11_000, SoakFault::Pause { daemon });
+    let kill = || span(5_000, 6_000, SoakFault::Kill { daemons: vec![1] });
+    vec![
+        kept("decided by the old one in time", after(12_000, Vec::new())),
+        in_time("decided by the old one too late", after(12_001, Vec::new())),
+        kept("too late, and frozen before", after(13_500, pause(1))),
+        in_time("too late, and another one frozen", after(13_500, pause(0))),
+        in_time("too late, frozen long ago", after(14_001, pause(1))),
+        in_time("too late with the store out", after(12_500, span(9_000, 14_000, SoakFault::StoreOut))),
+        kept(
+            "by the new one, and by the old within the slack",
+            [decided(0, 1, 2), decided(255, 1, 1)].concat(),
+        ),
+        broken(
+            "by the new one, and by the old one later",
+            Promise::ConfigurationForward,
+            [decided(0, 1, 2), decided(256, 1, 1)].concat(),
+        ),
+        kept("the old one at another daemon", [decided(0, 1, 2), decided(900, 2, 1)].concat()),
+        kept("the old one in another life", [decided(0, 1, 2), kill(), decided(7_000, 1, 1)].concat()),
+    ]
+}
+
 fn deadly_runs(count: usize) -> Vec<HistoryEvent> {
     // Each copy has a name of its own.
     (0..count).map(|copy| executed(&format!("deadly-1-{copy}"), "GET /claims/deadly-1", "")).collect()
@@ -324,7 +360,7 @@
 #[test]
 fn each_promise_is_found_broken_where_it_is_and_nowhere_else() {
     for case in
-        request_cases().into_iter().chain(deployment_cases()).chain(stop_cases()).chain(no_server_cases())
+        [request_cases(), deployment_cases(), stop_cases(), no_server_cases(), generation_cases()].concat()
     {
         let found: Vec<Promise> =
             check(&case.history).into_iter().map(|violation| violation.promise).collect();
--- a/crates/seamhatch-lab/tests/soak_report.rs
+++ b/crates/seamhatch-lab/tests/soak_report.rs
@@ -7,7 +7,14 @@
 
 fn answer(status: u16, outcome: &str, reason: &str) -> SeenAnswer {
     let whole = status == 200;
-    SeenAnswer { status, outcome: outcome.into(), reason: reason.into(), comes_back: true, whole }
+    SeenAnswer {
+        status,
+        outcome: outcome.into(),
+        reason: reason.into(),
+        comes_back: true,
+        whole,
+        generation: 0,
+    }
 }
 
 /// A request that was sent and answered at these milliseconds.
