A watch that has missed a change is begun anew

Cause: a watch that had fallen silent was waited for to its end, 28 s, also when its daemon had learnt of a change in another way; until then each further change came by the slower ways, too. Change: where a configuration that neither the watch nor its reads have brought has been in force for a second, the watch counts as silent and the key is read and watched again. Log line `store watch silent`. What callers saw: each change during 28 s late by up to 1.3 s. Why it holds: the watch is only ever replaced by a read and a new watch, which a failed one is, too; once for each change it missed.

--- a/crates/seamhatchd/src/control/handle.rs
+++ b/crates/seamhatchd/src/control/handle.rs
@@ -182,6 +182,12 @@
         reported > self.generation_in_force.load(Ordering::Relaxed) && now.since(reported_at) < LONGEST_BEHIND
     }
 
+    /// The generation in force.
+    #[must_use]
+    pub fn generation_in_force(&self) -> Generation {
+        Generation(self.generation_in_force.load(Ordering::Relaxed))
+    }
+
     /// Sets the generation in force; from now on only higher ones are passed on.
     pub fn set_generation(&self, generation: Generation) {
         self.generation_in_force.fetch_max(generation.0, Ordering::Relaxed);
--- a/crates/seamhatchd/src/controllers/follow/configuration.rs
+++ b/crates/seamhatchd/src/controllers/follow/configuration.rs
@@ -8,6 +8,7 @@
 use crate::store::{Change, Item, Revision, StoreError};
 use log::{error, info, warn};
 use seamhatch_core::freshness::FreshnessProof;
+use seamhatch_core::generation::Generation;
 use seamhatch_policy::StoredConfiguration;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,6 +18,8 @@
 const WATCH_WAIT: Duration = Duration::from_secs(25);
 /// A watch that is silent for this much longer is lost: the store acknowledges probes but doesn't answer. Chosen, not measured.
 const WATCH_SLACK: Duration = Duration::from_secs(3);
+/// A watch that has not brought a configuration which has been in force here for this long has fallen silent.
+const OVERTAKEN: Duration = Duration::from_secs(1);
 /// Pause after a change before the next watch, so that changes in quick succession arrive in one answer. Chosen, not measured.
 const GATHER_PAUSE: Duration = Duration::from_millis(250);
 
@@ -28,6 +31,8 @@
     metrics: Arc<Metrics>,
     /// The last call was answered; a loss is logged once.
     reachable: bool,
+    /// The newest configuration that its own calls have brought.
+    newest: Generation,
 }
 
 /// Follows the configuration until the process ends, and offers each one found to the control thread.
@@ -37,7 +42,8 @@
     control: ControlHandle,
     metrics: Arc<Metrics>,
 ) {
-    let mut follower = Follower { followed, documents, control, metrics, reachable: true };
+    let mut follower =
+        Follower { followed, documents, control, metrics, reachable: true, newest: Generation::default() };
     let mut backoff = Backoff::default();
     loop {
         let failure = match follower.read().await {
@@ -48,7 +54,7 @@
             Err(error) => error,
         };
         follower.note_failure(&failure);
-        if !matches!(failure, StoreError::HistoryLost) {
+        if !matches!(failure, StoreError::HistoryLost | StoreError::WatchSilent) {
             backoff.pause().await;
         }
     }
@@ -62,6 +68,7 @@
         let reading = call_store(&self.metrics, reading).await?;
         self.note_answer();
         if let Some(stored) = reading.found.and_then(|item| self.parse(&item)) {
+            self.newest = self.newest.max(stored.generation);
             let proof = FreshnessProof { generation: stored.generation, at: sent };
             self.control.send(ConfigurationEvent::Offered(stored, ConfigurationSource::Store));
             self.control.send(ConfigurationEvent::Proved(proof));
@@ -75,7 +82,12 @@
         loop {
             self.metrics.store_requests.inc();
             let watch = self.followed.store.watch(&self.followed.configuration_key, after, WATCH_WAIT);
-            let changes = match tokio::time::timeout(WATCH_WAIT + WATCH_SLACK, watch).await {
+            let known = self.newest.max(self.control.generation_in_force());
+            let answer = tokio::select! {
+                answer = tokio::time::timeout(WATCH_WAIT + WATCH_SLACK, watch) => answer,
+                () = overtaken(&self.control, known) => return StoreError::WatchSilent,
+            };
+            let changes = match answer {
                 Ok(Ok(changes)) => changes,
                 Ok(Err(error)) => return error,
                 Err(_) => return StoreError::timed_out(),
@@ -84,7 +96,8 @@
             after = changes.at;
             let versions: Vec<StoredConfiguration> =
                 changes.found.iter().filter_map(|change| self.changed(change)).collect();
-            if !versions.is_empty() {
+            if let Some(newest) = versions.iter().map(|version| version.generation).max() {
+                self.newest = self.newest.max(newest);
                 self.control.send(ConfigurationEvent::OfferedSeries(versions, ConfigurationSource::Watch));
                 tokio::time::sleep(GATHER_PAUSE).await;
             }
@@ -123,8 +136,21 @@
         self.metrics.store_failures.inc();
         if matches!(failure, StoreError::HistoryLost) {
             info!(error = failure.to_string().as_str(); "store history lost");
+        } else if matches!(failure, StoreError::WatchSilent) {
+            info!(error = failure.to_string().as_str(); "store watch silent");
         } else if std::mem::replace(&mut self.reachable, false) {
             warn!(error = failure.to_string().as_str(); "store lost");
         }
     }
 }
+
+/// Resolves when a configuration newer than `known` has been in force for [`OVERTAKEN`].
+async fn overtaken(control: &ControlHandle, known: Generation) {
+    loop {
+        let seen = control.generation_in_force();
+        tokio::time::sleep(OVERTAKEN).await;
+        if seen > known {
+            return;
+        }
+    }
+}
--- a/crates/seamhatchd/src/store/error.rs
+++ b/crates/seamhatchd/src/store/error.rs
@@ -26,6 +26,9 @@
     /// The changes that were asked for have been forgotten.
     #[error("the key-value service has forgotten the changes since the last read; the state is read afresh")]
     HistoryLost,
+    /// A watch has not brought a change that this daemon knows of.
+    #[error("a watch of the key-value service has missed a change; it is begun anew")]
+    WatchSilent,
     /// An answer that isn't of the protocol.
     #[error(
         "the key-value service's answer can't be read ({detail}); check that platform.store is its address"
