Where daemons accept configurations, a peer whose answer was lost is asked again after a second

Cause: a peer that had reported a newer generation was asked for it once, and again only after some configuration had arrived: the silence of one answer was taken for "it has nothing". A daemon that no other way reaches would stay behind until the next change. Change: who was asked, and when, is a small type of seamhatch-core; a question counts for as long as its answer may take, a second. Why it holds: pool questions end after 0.8 s, so at most one a peer is under way; each report of a newer generation may ask again. No run with processes shows the fault.

--- a/crates/seamhatch-core/src/generation.rs
+++ b/crates/seamhatch-core/src/generation.rs
@@ -1,14 +1,16 @@
 //! Configuration: which version is in force, and whether a submission has been accepted.
 //!
-//! Decides two things. A daemon adopts an offered version only where it is newer ([`judge_offer`]). A submission goes on until
-//! the store holds it or can't hold it any more ([`submission_step`]); inputs are what the store holds and the newest
-//! generation that is known, read for this step. It protects the promise that an accepted configuration is in force everywhere
+//! Decides three things. A daemon adopts an offered version only where it is newer ([`judge_offer`]). It asks a peer for a newer one
+//! once in the time that an answer may take ([`AskedPeers`]). A submission goes on until the store holds it or can't hold it any
+//! more ([`submission_step`]); inputs are what the store holds and the newest generation that is known, read for this step. It protects the promise that an accepted configuration is in force everywhere
 //! within seconds and never reverts to an older one. Alternatives: docs/DESIGN.md#configuration.
 
-use crate::identity::Fingerprint;
+use crate::clock::{Instant, Microseconds, SECOND};
+use crate::identity::{Address, Fingerprint};
 use crate::wire_number::wire_number;
 use serde::{Deserialize, Serialize};
 use speedy::{Readable, Writable};
+use std::collections::HashMap;
 
 wire_number! {
     /// A version of the configuration. Zero is no configuration.
@@ -81,6 +83,29 @@
     Write,
 }
 
+/// A peer that was asked for a newer configuration is asked again after this time, in microseconds: its answer is lost by then.
+pub const ASK_AGAIN: Microseconds = SECOND;
+
+/// The peers that were asked for a newer configuration, and when.
+#[derive(Debug, Clone, Default)]
+pub struct AskedPeers(HashMap<Address, Instant>);
+
+impl AskedPeers {
+    /// Begins to ask a peer; false while its answer to an earlier question may still come.
+    pub fn begin(&mut self, peer: Address, now: Instant) -> bool {
+        let waits = self.0.get(&peer).is_some_and(|asked| now.since(*asked) < ASK_AGAIN);
+        if !waits {
+            self.0.insert(peer, now);
+        }
+        !waits
+    }
+
+    /// A configuration has arrived: what is still missing is asked for again.
+    pub fn clear(&mut self) {
+        self.0.clear();
+    }
+}
+
 /// What a submission knows when it looks at the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SubmissionView<'a> {
--- a/crates/seamhatchd/src/controllers/control_thread/configuration.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/configuration.rs
@@ -7,12 +7,11 @@
 use crate::controllers::submission::Submission;
 use crate::ports::Backing;
 use log::warn;
-use seamhatch_core::generation::{Generation, Offer};
+use seamhatch_core::generation::{AskedPeers, Generation, Offer};
 use seamhatch_core::identity::Address;
 use seamhatch_core::membership::GossipMessage;
 use seamhatch_policy::{Configuration, StoredConfiguration};
 use seamhatch_wire::{ControlReply, ControlRequest};
-use std::collections::HashSet;
 use tokio::sync::oneshot;
 
 /// Peers that a new configuration or roster is passed on to by each daemon that adopts it. Chosen, not measured; a push to all
@@ -24,8 +23,7 @@
 pub(super) struct ConfigurationExchanges {
     /// Generation that is being registered with the witnesses.
     registering: Option<Generation>,
-    /// Peers that were asked for a newer configuration.
-    asked: HashSet<Address>,
+    asked: AskedPeers,
 }
 
 impl ConfigurationExchanges {
@@ -42,11 +40,6 @@
         self.registering = None;
     }
 
-    /// Begins to ask a peer; false when it was asked since the last configuration arrived.
-    fn begin_to_ask(&mut self, peer: Address) -> bool {
-        self.asked.insert(peer)
-    }
-
     /// A configuration has arrived: what is still missing is asked for again.
     fn end_all(&mut self) {
         self.registering = None;
@@ -160,7 +153,7 @@
             return;
         }
         let peer = peer.or_else(|| self.membership.random_peers(1).first().copied());
-        let Some(peer) = peer.filter(|peer| self.exchanges.begin_to_ask(*peer)) else { return };
+        let Some(peer) = peer.filter(|peer| self.exchanges.asked.begin(*peer, clock::now())) else { return };
         let shared = self.shared.clone();
         tokio::spawn(async move {
             if let Some(ControlReply::Configuration(newer)) = ask_generation(&shared.pool, peer, have).await {
