Weights of a route that sum beyond 32 bits are refused with the range

Cause: the sum was taken in 32 bits: in a debug build the control thread panicked on it, in a release build it wrapped, and a sum of zero would have made each request's draw panic. Change: summed in 64 bits; a typed error names the key and the range. What callers saw: nothing seen; found by reading what counts as valid. Why it holds: the largest sum that is let through is the largest that the draw takes. Measured: the case of errors_name_the_remedy panics before (attempt to add with overflow) and is refused now.

--- a/crates/seamhatch-policy/src/document.rs
+++ b/crates/seamhatch-policy/src/document.rs
@@ -11,6 +11,8 @@
 
 /// Largest document, in bytes. It has to fit into a frame between daemons. Chosen, not measured.
 const LARGEST_DOCUMENT: usize = 256 * 1024;
+/// Largest sum of the weights of a route: a number below it is drawn for each request.
+const LARGEST_WEIGHTS: f64 = u32::MAX as f64;
 
 /// One configuration as written in TOML.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -260,9 +262,9 @@
     }
 
     fn check_targets(&self, route: &RouteSettings) -> Result<(), ConfigurationError> {
-        let mut weights = 0;
+        let mut weights = 0_u64;
         for target in route.targets() {
-            weights += target.weight;
+            weights += u64::from(target.weight);
             if !self.services.contains_key(&target.service) {
                 return Err(ConfigurationError::UnknownService {
                     prefix: route.place(),
@@ -274,7 +276,8 @@
         if both || weights == 0 {
             return Err(ConfigurationError::NoTarget { prefix: route.place() });
         }
-        Ok(())
+        let key = format!("routes.{}.weighted", route.place());
+        check_range(key, weights as f64, 1.0, LARGEST_WEIGHTS, "weights that sum to 1 to 4294967295")
     }
 }
 
--- a/crates/seamhatch-policy/tests/document.rs
+++ b/crates/seamhatch-policy/tests/document.rs
@@ -16,6 +16,7 @@
 #[test]
 fn errors_name_the_remedy() {
     let route = "[[routes]]\nprefix = \"/a\"\nservice = \"b\"";
+    let weights = "[[routes]]\nprefix = \"/a\"\nweighted = [{ service = \"a\", weight = 4294967295 }, { service = \"a\", weight = 1 }]";
     let cases = [
         ("unknown key", document("", "colour = 3")),
         ("no services", "policy = ''".into()),
@@ -24,6 +25,7 @@
         ("range", "policy = ''\n[services.a]\nretry_ratio = 7.5\n".into()),
         ("crash limit", "policy = ''\n[services]\n[crashes]\nlimit = 2\n".into()),
         ("crash pause", "policy = ''\n[services]\n[crashes]\npause_ms = 10\n".into()),
+        ("weights beyond what is drawn", document("", weights)),
         ("does not compile", document("fn classify(request) { if }", "")),
         ("two parameters", document("fn classify(a, b) { \"normal\" }", "")),
         ("nonsense class", document("fn classify(request) { \"urgent\" }", "")),
