A store without history is followed with pauses

Cause: after a watch whose history is gone the key is read and watched again at once; with a store that answers so each time this had no end. Two daemons made 7,336 calls in 2 s, which a store that limits the rate answers with 429, also to others. Change: a watch that ends within a second is followed by the pause of a failure. The read before each watch brings the configuration. What callers saw: nothing seen; found by asking what an answer costs that comes at once.

--- a/crates/seamhatchd/src/controllers/follow/configuration.rs
+++ b/crates/seamhatchd/src/controllers/follow/configuration.rs
@@ -7,6 +7,7 @@
 use crate::ports::{DocumentFormat, FollowedStore};
 use crate::store::{Change, Item, Revision, StoreError};
 use log::{error, info, warn};
+use seamhatch_core::clock::{Microseconds, SECOND};
 use seamhatch_core::freshness::FreshnessProof;
 use seamhatch_core::generation::Generation;
 use seamhatch_policy::StoredConfiguration;
@@ -18,6 +19,8 @@
 const WATCH_WAIT: Duration = Duration::from_secs(25);
 /// A watch that is silent for this much longer is lost: the store acknowledges probes but doesn't answer. Chosen, not measured.
 const WATCH_SLACK: Duration = Duration::from_secs(3);
+/// A watch that ends sooner is followed by a pause in any case, in microseconds.
+const SHORTEST_WATCH: Microseconds = SECOND;
 /// A watch that has not brought a configuration which has been in force here for this long has fallen silent.
 const OVERTAKEN: Duration = Duration::from_secs(1);
 /// Pause after a change before the next watch, so that changes in quick succession arrive in one answer. Chosen, not measured.
@@ -46,6 +49,7 @@
         Follower { followed, documents, control, metrics, reachable: true, newest: Generation::default() };
     let mut backoff = Backoff::default();
     loop {
+        let began = clock::now();
         let failure = match follower.read().await {
             Ok(at) => {
                 backoff.succeeded();
@@ -54,7 +58,9 @@
             Err(error) => error,
         };
         follower.note_failure(&failure);
-        if !matches!(failure, StoreError::HistoryLost | StoreError::WatchSilent) {
+        let is_renewed = matches!(failure, StoreError::HistoryLost | StoreError::WatchSilent);
+        // A store that has no history at all ends each watch at once.
+        if !is_renewed || clock::now().since(began) < SHORTEST_WATCH {
             backoff.pause().await;
         }
     }
