Soak: a planned stop isn't blamed for what a later kill, or two lost witnesses, did; submissions beside it excuse nothing

Change: an exchange during which a fault that breaks requests off runs isn't judged, also where it begins after the stop; one refused for want of witnesses, and not run, isn't within that wait after a kill of several daemons. Stricter: a submission beside a stop counts as no fault, or the submissions that are drawn throughout would leave no stop to judge as alone. What callers saw: as designed.

--- a/crates/seamhatch-lab/src/soak/stops.rs
+++ b/crates/seamhatch-lab/src/soak/stops.rs
@@ -9,14 +9,19 @@
 use super::fleet::DaemonIndex;
 use super::history::{HistoryEvent, RequestName, SeenAnswer, SoakMillis};
 use super::spans::{FaultSpan, fault_spans};
+use seamhatch_core::clock::MILLISECOND;
+use seamhatch_core::outcome::Reason;
+use seamhatch_core::roster::RESTART_WAIT;
 use std::collections::HashSet;
 
 /// Reason that a stopping daemon gives.
 const DRAINING: &str = "draining";
 /// Reasons of answers that broke off: the caller's connection or one between daemons was lost.
 const BROKEN_OFF: [&str; 3] = ["connection-lost", "answer-broken-off", "peer-lost"];
-/// A fault that ended this long before a stop, or longer, is not beside it, in milliseconds. Chosen, not measured.
+/// A fault that ended this long before a stop, or longer, is not beside it, in milliseconds.
 const CALM_BEFORE_MS: SoakMillis = 4_000;
+/// Time in which a shard grants no claim after two of its three witnesses were lost, in milliseconds.
+const RESTART_WAIT_MS: SoakMillis = RESTART_WAIT / MILLISECOND;
 
 /// The other faults around a planned stop.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -38,9 +43,13 @@
 
 /// Requests that a planned stop cut off.
 pub(super) fn stops_cut_nothing(history: &[HistoryEvent]) -> Vec<Violation> {
-    let windows = stop_windows(history);
+    let spans = fault_spans(history);
+    let windows = stop_windows(&spans);
     let ran = executed(history);
     let is_cut = |exchange: &Exchange| {
+        if spans.iter().any(|span| breaks_off(exchange, span)) || may_lack_witnesses(exchange, &spans, &ran) {
+            return false;
+        }
         let mut during = windows.iter().filter(|stop| stop.meets(exchange));
         during.any(|stop| {
             let alone_there = stop.company == StopCompany::Alone && stop.daemon == exchange.daemon;
@@ -75,25 +84,44 @@
     !(good || refused || unclaimed)
 }
 
-fn stop_windows(history: &[HistoryEvent]) -> Vec<StopWindow> {
-    let spans = fault_spans(history);
+/// Whether a fault during the request may have broken it off by itself, also one that began after the stop's end.
+fn breaks_off(exchange: &Exchange, span: &FaultSpan) -> bool {
+    !is_gentle(&span.fault) && span.from_ms <= exchange.answered_ms && span.to_ms >= exchange.sent_ms
+}
+
+/// Whether a request with a key, which has not run, was refused while a shard waits that may have lost two of its witnesses.
+fn may_lack_witnesses(exchange: &Exchange, spans: &[FaultSpan], ran: &HashSet<&RequestName>) -> bool {
+    let answer = exchange.answer;
+    let is_unclaimed = answer.reason == Reason::NoClaimMajority.name() && answer.comes_back;
+    let waits = |span: &FaultSpan| {
+        let several = matches!(&span.fault, SoakFault::Kill { daemons } if daemons.len() > 1);
+        several
+            && span.from_ms <= exchange.answered_ms
+            && span.to_ms.saturating_add(RESTART_WAIT_MS) >= exchange.sent_ms
+    };
+    is_unclaimed && !ran.contains(exchange.request) && spans.iter().any(waits)
+}
+
+fn stop_windows(spans: &[FaultSpan]) -> Vec<StopWindow> {
     let window = |stop: &FaultSpan| {
         // A repeated request to stop is part of the same stop.
         let (SoakFault::PlannedStop { daemon } | SoakFault::HastyStop { daemon, .. }) = stop.fault else {
             return None;
         };
-        let company = company_of(stop, &spans)?;
+        let company = company_of(stop, spans)?;
         Some(StopWindow { daemon, from_ms: stop.from_ms, to_ms: stop.to_ms, company })
     };
     spans.iter().filter_map(window).collect()
 }
 
-/// None when another fault around the stop may break requests off by itself.
+/// None when another fault around the stop may break requests off by itself. A new configuration is no fault, and excuses nothing.
 fn company_of(stop: &FaultSpan, spans: &[FaultSpan]) -> Option<StopCompany> {
     let is_beside = |other: &&FaultSpan| {
         other.from_ms <= stop.to_ms && other.to_ms.saturating_add(CALM_BEFORE_MS) >= stop.from_ms
     };
-    let mut beside = spans.iter().filter(is_beside).filter(|other| *other != stop).peekable();
+    let is_change = |other: &&FaultSpan| matches!(other.fault, SoakFault::Configuration { .. });
+    let others = spans.iter().filter(|other| *other != stop && !is_change(other));
+    let mut beside = others.filter(is_beside).peekable();
     if beside.peek().is_none() {
         return Some(StopCompany::Alone);
     }
--- a/crates/seamhatch-lab/tests/soak.rs
+++ b/crates/seamhatch-lab/tests/soak.rs
@@ -148,6 +148,20 @@
     [vec![begins(10_000, STOP)], exchange.into(), vec![ends(13_000, STOP)]].concat()
 }
 
+/// A request that is in progress when the stop ends, and is lost by what happens a moment later.
+fn lost_by(fault: SoakFault) -> Vec<HistoryEvent> {
+    let lost = answered(13_060, "a", answer(0, "", "connection-lost"));
+    [span(10_000, 13_000, STOP), span(13_050, 13_900, fault), vec![sent(12_900, "a", 5, true), lost]].concat()
+}
+
+fn without_witnesses() -> SeenAnswer {
+    SeenAnswer { comes_back: true, ..answer(503, "unknown", "no-claim-majority") }
+}
+
+fn killed_before(daemons: Vec<usize>) -> Vec<HistoryEvent> {
+    span(4_000, 5_000, SoakFault::Kill { daemons })
+}
+
 fn stop_cases() -> Vec<HistoryCase> {
     let other = || SoakFault::PlannedStop { daemon: 3 };
     let lost = || answer(0, "", "connection-lost");
@@ -159,6 +173,29 @@
         broken("a peer that stops too cuts off", promise, stop_beside(other(), peer_lost())),
         broken("cut off while settings are read", promise, stop_beside(reload, lost())),
         broken("cut off while the store is out", promise, stop_beside(SoakFault::StoreOut, lost())),
+        broken(
+            "cut off while a configuration is submitted",
+            promise,
+            stop_beside(SoakFault::Configuration { daemon: 0 }, answer(502, "answered", "")),
+        ),
+        // Both found with seed 51106.
+        kept(
+            "under way when the stop ends, and lost by a kill after it",
+            lost_by(SoakFault::Kill { daemons: vec![2, 3] }),
+        ),
+        broken("the same, and the kill is a stop", promise, lost_by(other())),
+        kept("two witnesses lost", at_stop(11_000, without_witnesses(), killed_before(vec![4, 5]))),
+        broken("one witness lost", promise, at_stop(11_000, without_witnesses(), killed_before(vec![4]))),
+        broken(
+            "two witnesses lost long ago",
+            promise,
+            [
+                killed_before(vec![4, 5]),
+                span(199_000, 210_000, STOP),
+                vec![sent(200_000, "a", 2, true), answered(200_050, "a", without_witnesses())],
+            ]
+            .concat(),
+        ),
         broken("under way when the stop begins", promise, under_way(9_950, 10_020)),
         kept("over before the stop begins", under_way(9_900, 9_990)),
         broken("sent elsewhere, and run where the stop is", promise, sent_elsewhere(peer_lost())),
