A configuration that can't be used still counts as one that this daemon is behind of

Cause: since such a one is refused whole, its generation was no longer recorded as reported, so for a route that only it may have the daemon said 404 by the earlier one, for good, in place of 503. Change: a refusal records the generation, as a report of a peer does.

--- a/crates/seamhatchd/src/controllers/control_thread/configuration.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/configuration.rs
@@ -84,7 +84,12 @@
 
     /// Adopts a configuration if it is newer than the one held.
     pub(super) fn offer(&mut self, stored: StoredConfiguration, source: ConfigurationSource) -> Offer {
+        let version = stored.version();
         let offer = self.configuration.offer(stored, source);
+        if self.configuration.has_refused(version) {
+            // What it allows isn't known here, so nothing is turned down for good by the earlier one.
+            self.shared.control.record_generation(version.generation, clock::now());
+        }
         if offer != Offer::Adopt {
             return offer;
         }
