--- a/crates/seamhatch-lab/src/soak/stops.rs
+++ b/crates/seamhatch-lab/src/soak/stops.rs
@@ -46,8 +46,10 @@
     let spans = fault_spans(history);
     let windows = stop_windows(&spans);
     let ran = executed(history);
+    let daemons = history.iter().filter(|event| matches!(event, HistoryEvent::Daemon { .. })).count();
     let is_cut = |exchange: &Exchange| {
-        if spans.iter().any(|span| breaks_off(exchange, span)) || may_lack_witnesses(exchange, &spans, &ran) {
+        let breaks_off = spans.iter().any(|span| breaks_off(exchange, span));
+        if breaks_off || may_lack_witnesses(exchange, &spans, daemons, &ran) {
             return false;
         }
         let mut during = windows.iter().filter(|stop| stop.meets(exchange));
@@ -89,13 +91,21 @@
     !is_gentle(&span.fault) && span.from_ms <= exchange.answered_ms && span.to_ms >= exchange.sent_ms
 }
 
-/// Whether a request with a key, which has not run, was refused while a shard waits that may have lost two of its witnesses.
-fn may_lack_witnesses(exchange: &Exchange, spans: &[FaultSpan], ran: &HashSet<&RequestName>) -> bool {
+/// Whether a request with a key, which has not run, was refused while shards wait because one kill took more than half of the
+/// daemons, and with them most shards' majorities of witnesses.
+fn may_lack_witnesses(
+    exchange: &Exchange,
+    spans: &[FaultSpan],
+    daemons: usize,
+    ran: &HashSet<&RequestName>,
+) -> bool {
     let answer = exchange.answer;
     let is_unclaimed = answer.reason == Reason::NoClaimMajority.name() && answer.comes_back;
     let waits = |span: &FaultSpan| {
-        let several = matches!(&span.fault, SoakFault::Kill { daemons } if daemons.len() > 1);
-        several
+        let took_most =
+            matches!(&span.fault, SoakFault::Kill { daemons: killed } if 2 * killed.len() > daemons);
+        daemons > 0
+            && took_most
             && span.from_ms <= exchange.answered_ms
             && span.to_ms.saturating_add(RESTART_WAIT_MS) >= exchange.sent_ms
     };
--- a/crates/seamhatch-lab/tests/soak.rs
+++ b/crates/seamhatch-lab/tests/soak.rs
@@ -158,8 +158,11 @@
     SeenAnswer { comes_back: true, ..answer(503, "unknown", "no-claim-majority") }
 }
 
-fn killed_before(daemons: Vec<usize>) -> Vec<HistoryEvent> {
-    span(4_000, 5_000, SoakFault::Kill { daemons })
+/// All daemons, of which one kill takes so many, long enough before a stop.
+fn killed_before(killed: usize) -> Vec<HistoryEvent> {
+    let known = (0..DAEMONS).map(|daemon| HistoryEvent::Daemon { daemon, service: "settlement".into() });
+    let kill = span(4_000, 5_000, SoakFault::Kill { daemons: (0..killed).collect() });
+    known.chain(kill).collect()
 }
 
 fn stop_cases() -> Vec<HistoryCase> {
@@ -184,13 +187,17 @@
             lost_by(SoakFault::Kill { daemons: vec![2, 3] }),
         ),
         broken("the same, and the kill is a stop", promise, lost_by(other())),
-        kept("two witnesses lost", at_stop(11_000, without_witnesses(), killed_before(vec![4, 5]))),
-        broken("one witness lost", promise, at_stop(11_000, without_witnesses(), killed_before(vec![4]))),
+        kept("after a kill of most daemons", at_stop(11_000, without_witnesses(), killed_before(5))),
         broken(
-            "two witnesses lost long ago",
+            "after a kill of half of them",
+            promise,
+            at_stop(11_000, without_witnesses(), killed_before(4)),
+        ),
+        broken(
+            "long after a kill of most daemons",
             promise,
             [
-                killed_before(vec![4, 5]),
+                killed_before(5),
                 span(199_000, 210_000, STOP),
                 vec![sent(200_000, "a", 2, true), answered(200_050, "a", without_witnesses())],
             ]
