Soak: what planned stops owe callers is a promise of its own (known red: stops in series break it)

Cause: `StopsCutNothing` judges, beside another stop, only answers that broke off. That was meant for requests that find no server while others stop; it also let through a key that found no witnesses, and a 502 while each service had an open server, so that a roll in which 43 answers were 502 and 69 had no claim was called kept.

Change: `StopsKeepServing` (soak/rolls.rs). Where nothing but planned stops and changes can have acted, no request is refused for want of witnesses, and none is 502 while each service has a server that reported itself open a second before the request and has not stopped since. Two killed daemons excuse it for the 120 s that shards wait, one doesn't. Sight for it: status events say whether a daemon takes work, `--keep-all` keeps the files of a soak that kept its promises, and the history has the calls of back ends that failed, from the logs.

The users' plans of stops alone are scenarios (scenarios/soak-rolls), with two of 40 daemons.

--- a/crates/seamhatch-lab/src/soak/checks.rs
+++ b/crates/seamhatch-lab/src/soak/checks.rs
@@ -1,7 +1,7 @@
 //! Checks the promises of docs/GUARANTEES.md over a recorded history.
 //!
 //! Each check is a pure function of what callers, back ends and operators saw, so a kept history can be judged again. The longer
-//! ones are in `contained`, `in_time`, `no_server` and `stops`. The command prints what [`check`] finds; the report shows it.
+//! ones are in `contained`, `in_time`, `no_server`, `rolls` and `stops`. The command prints what [`check`] finds; the report shows it.
 
 use super::contained::crashes_contained;
 use super::fleet::DaemonIndex;
@@ -9,6 +9,7 @@
 use super::in_time::{configurations_forward, configurations_in_time};
 use super::load::DEADLY_PREFIX;
 use super::no_server::servers_are_found;
+use super::rolls::stops_keep_serving;
 use super::stops::stops_cut_nothing;
 use seamhatch_core::outcome::Reason;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
@@ -35,6 +36,9 @@
     AtMostOnce,
     /// A planned stop cuts off no request.
     StopsCutNothing,
+    /// Where nothing happens but planned stops and changes, no request is refused for want of witnesses, or fails although each service has
+    /// an open server.
+    StopsKeepServing,
     /// A daemon never goes back to an older configuration.
     ConfigurationForward,
     /// A daemon in touch decides no request by a configuration that is too old.
@@ -64,13 +68,14 @@
 
 type Check = fn(&[HistoryEvent]) -> Vec<Violation>;
 
-const CHECKS: [Check; 14] = [
+const CHECKS: [Check; 15] = [
     retries_bounded,
     answers_whole,
     refusals_true,
     refusals_advise,
     at_most_once,
     stops_cut_nothing,
+    stops_keep_serving,
     configuration_forward,
     configurations_forward,
     configurations_in_time,
@@ -194,7 +199,7 @@
     let mut newest: HashMap<(DaemonIndex, u32), u64> = HashMap::new();
     let mut violations = Vec::new();
     for event in history {
-        let HistoryEvent::Status { daemon, restarts, generation, at_ms } = event else { continue };
+        let HistoryEvent::Status { daemon, restarts, generation, at_ms, .. } = event else { continue };
         let known = newest.entry((*daemon, *restarts)).or_default();
         if generation < known {
             let detail = format!("generation {generation} in force after {known}, at {at_ms} ms");
--- a/crates/seamhatch-lab/src/soak/command.rs
+++ b/crates/seamhatch-lab/src/soak/command.rs
@@ -18,8 +18,8 @@
 use std::str::FromStr;
 
 const HELP: &str = "\
-seamhatch-lab soak [--seconds N] [--seed S] [--daemons N] [--seeds N] [--shrink] [--keep DIRECTORY] [--plan]
-seamhatch-lab soak --replay FILE [--shrink] [--keep DIRECTORY] [--plan]
+seamhatch-lab soak [--seconds N] [--seed S] [--daemons N] [--seeds N] [--shrink] [--keep DIRECTORY] [--keep-all] [--plan]
+seamhatch-lab soak --replay FILE [--shrink] [--keep DIRECTORY] [--keep-all] [--plan]
 seamhatch-lab soak --check HISTORY
 
 Starts a small claims platform, sends load, injects faults that are drawn from the
@@ -33,6 +33,7 @@
   --shrink           drop faults of a plan that fails while it still fails; the smallest is kept
   --keep DIRECTORY   where plan, history and logs of a soak that fails are kept (soak-SEED);
                      with --seeds, a directory for each seed in it
+  --keep-all         keep them of a soak that kept all promises, too
   --plan             print the plan and end
   --check HISTORY    check a history that was kept
 
@@ -57,6 +58,7 @@
     plans: Vec<SoakPlan>,
     /// Where failures are kept; with several plans, each in a directory named after its seed.
     keep: Option<PathBuf>,
+    keep_all: bool,
     shrink: bool,
     print_only: bool,
 }
@@ -98,12 +100,13 @@
         None => drawn_plans(&mut arguments)?,
     };
     let keep = option(&mut arguments, "--keep")?;
+    let keep_all = arguments.contains("--keep-all");
     let shrink = arguments.contains("--shrink");
     let print_only = arguments.contains("--plan");
     if let Some(unknown) = arguments.finish().first() {
         return Err(format!("unknown argument {unknown:?}"));
     }
-    Ok(SoakOptions { plans, keep, shrink, print_only })
+    Ok(SoakOptions { plans, keep, keep_all, shrink, print_only })
 }
 
 fn drawn_plans(arguments: &mut Arguments) -> Result<Vec<SoakPlan>, String> {
@@ -149,7 +152,7 @@
             Some(directory) => directory.join(name),
             None => PathBuf::from(name),
         };
-        let end = soak(plan, &directory);
+        let end = soak(plan, &directory, options.keep_all);
         if let SoakEnd::Broken(promises) = &end
             && options.shrink
         {
@@ -179,8 +182,8 @@
     Unfinished,
 }
 
-/// Runs a plan and checks its history. The files of a failure go into the directory.
-fn soak(plan: &SoakPlan, directory: &Path) -> SoakEnd {
+/// Runs a plan and checks its history. The files of a failure go into the directory, with `keep_all` those of any soak.
+fn soak(plan: &SoakPlan, directory: &Path, keep_all: bool) -> SoakEnd {
     println!("seed {}, {} s, {} faults:\n{}", plan.seed, plan.seconds, plan.faults.len(), plan.to_text());
     let record = match run_to_end(plan) {
         Ok(record) => record,
@@ -192,13 +195,15 @@
     };
     print_answers(&record.history);
     let violations = check(&record.history);
+    if keep_all || !violations.is_empty() {
+        print_kept(directory, keep_plan(directory, plan).and_then(|()| keep_record(directory, &record)));
+    }
     if violations.is_empty() {
         println!("seed {}: all promises kept", plan.seed);
         return SoakEnd::Kept;
     }
     println!("seed {}: {} violations", plan.seed, violations.len());
     print_violations(&violations);
-    print_kept(directory, keep_plan(directory, plan).and_then(|()| keep_record(directory, &record)));
     SoakEnd::Broken(promises_of(&violations))
 }
 
--- a/crates/seamhatch-lab/src/soak/history.rs
+++ b/crates/seamhatch-lab/src/soak/history.rs
@@ -25,6 +25,9 @@
         daemon: DaemonIndex,
         /// Service of the server beside it.
         service: String,
+        /// Its machine, as [`HistoryEvent::Executed`] names it; empty in histories that were kept without it.
+        #[serde(default)]
+        server: String,
     },
     /// A caller sends a request.
     Sent {
@@ -69,6 +72,15 @@
         #[serde(default)]
         is_deadly: bool,
     },
+    /// A daemon answered a back end's own call with a refusal or a failure, by its log.
+    CallFailed {
+        /// The request that the call belongs to.
+        request: RequestName,
+        /// Service that was called.
+        service: String,
+        /// `Seamhatch-Reason`.
+        reason: String,
+    },
     /// A daemon reported its status.
     Status {
         /// When.
@@ -80,6 +92,9 @@
         restarts: u32,
         /// Generation of the configuration in force there.
         generation: u64,
+        /// Whether it took work; false in histories that were kept without it.
+        #[serde(default)]
+        ready: bool,
     },
     /// A fault begins.
     FaultBegins {
--- a/crates/seamhatch-lab/src/soak/mod.rs
+++ b/crates/seamhatch-lab/src/soak/mod.rs
@@ -5,7 +5,7 @@
 //!   the smallest part that still fails.
 //! - A run: [`runner`] starts the deployment, [`load`] sends requests, [`steps`] keeps the plan's times, [`injection`] begins and ends
 //!   faults, [`recorder`] collects the [`history`].
-//! - The verdict: [`checks`] with [`in_time`], `no_server` and `stops`, pure functions over a history ([`exchanges`], [`spans`]).
+//! - The verdict: [`checks`] with [`in_time`], `no_server`, `rolls` and `stops`, pure functions over a history ([`exchanges`], [`spans`], `paths`).
 //! - `command` is `seamhatch-lab soak`, [`report`] plots a history.
 
 pub mod checks;
@@ -21,9 +21,11 @@
 pub mod load;
 pub mod no_server;
 mod output;
+mod paths;
 pub mod plan;
 pub mod recorder;
 pub mod report;
+mod rolls;
 pub mod runner;
 pub mod shrink;
 pub mod spans;
--- a/crates/seamhatch-lab/src/soak/no_server.rs
+++ b/crates/seamhatch-lab/src/soak/no_server.rs
@@ -84,7 +84,7 @@
         }
         let mut daemons_of: BTreeMap<&str, Vec<DaemonIndex>> = BTreeMap::new();
         for event in history {
-            if let HistoryEvent::Daemon { daemon, service } = event {
+            if let HistoryEvent::Daemon { daemon, service, .. } = event {
                 daemons_of.entry(service).or_default().push(*daemon);
             }
         }
--- a/crates/seamhatch-lab/src/soak/runner.rs
+++ b/crates/seamhatch-lab/src/soak/runner.rs
@@ -8,6 +8,7 @@
 use super::history::HistoryEvent;
 use super::injection::DaemonRestarts;
 use super::load::{self, SoakRequest};
+use super::paths::failed_calls;
 use super::plan::SoakPlan;
 use super::recorder::Recorder;
 use super::steps;
@@ -63,7 +64,11 @@
     let restarts = DaemonRestarts::new(deployment.daemons.len());
     let recorder = Recorder::begin();
     for (daemon, machine) in deployment.machines.iter().enumerate() {
-        recorder.note(HistoryEvent::Daemon { daemon, service: machine.service.clone() });
+        recorder.note(HistoryEvent::Daemon {
+            daemon,
+            service: machine.service.clone(),
+            server: machine.ip.to_string(),
+        });
     }
     let load =
         load::send_load(plan.clone(), deployment.topology.clone(), deployment.ingresses(), recorder.clone());
@@ -85,7 +90,8 @@
     let mut history = recorder.take();
     let executions = deployment.backends.executions().into_iter();
     history.extend(executions.map(|execution| HistoryEvent::executed(execution, recorder.start())));
-    let logs = (0..deployment.daemons.len()).map(|daemon| deployment.log(daemon)).collect();
+    let logs: Vec<String> = (0..deployment.daemons.len()).map(|daemon| deployment.log(daemon)).collect();
+    history.extend(logs.iter().flat_map(|log| failed_calls(log)));
     Ok(SoakRecord { history, logs })
 }
 
@@ -107,12 +113,12 @@
         let asked = tokio::time::timeout(STATUS_INTERVAL, status_of(*admin)).await;
         let Ok(Some(report)) = asked else { continue };
         if restarts.of(daemon) == before {
-            let generation = report.generation;
             recorder.note(HistoryEvent::Status {
                 at_ms: recorder.at_ms(),
                 daemon,
                 restarts: before,
-                generation,
+                generation: report.generation,
+                ready: report.ready && !report.draining,
             });
         }
     }
--- a/crates/seamhatch-lab/src/soak/stops.rs
+++ b/crates/seamhatch-lab/src/soak/stops.rs
@@ -21,7 +21,7 @@
 /// A fault that ended this long before a stop, or longer, is not beside it, in milliseconds.
 const CALM_BEFORE_MS: SoakMillis = 4_000;
 /// Time in which a shard grants no claim after two of its three witnesses were lost, in milliseconds.
-const RESTART_WAIT_MS: SoakMillis = RESTART_WAIT / MILLISECOND;
+pub(super) const RESTART_WAIT_MS: SoakMillis = RESTART_WAIT / MILLISECOND;
 
 /// The other faults around a planned stop.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/seamhatch-lab/tests/soak.rs
+++ b/crates/seamhatch-lab/tests/soak.rs
@@ -1,4 +1,4 @@
-//! The soak's plans and checks, and four tests that run soaks with real processes.
+//! The soak's plans and checks, and five tests that run soaks with real processes.
 
 use seamhatch_lab::soak::checks::{PROBE_PREFIX, Promise, RETRY_TOKENS, check};
 use seamhatch_lab::soak::fault::{CutWay, ReloadLevel, SoakFault};
@@ -7,6 +7,7 @@
 use seamhatch_lab::soak::no_server::NO_SERVER_BOUND_MS;
 use seamhatch_lab::soak::plan::{PlannedFault, SoakPlan, SoakPlanError};
 use std::io::Write;
+use std::path::Path;
 use std::process::{Command, Stdio};
 
 const DAEMONS: usize = 8;
@@ -49,6 +50,11 @@
     }
 }
 
+/// A daemon of a history that does not name the machines.
+fn a_daemon(daemon: usize, service: &str) -> HistoryEvent {
+    HistoryEvent::Daemon { daemon, service: service.into(), server: String::new() }
+}
+
 /// Runs of a request that crashes each server: when, and at which.
 fn deadly_at(runs: &[(u64, &str)]) -> Vec<HistoryEvent> {
     let run = |(at_ms, server): &(u64, &str)| HistoryEvent::Executed {
@@ -64,7 +70,7 @@
 }
 
 fn status(at_ms: u64, daemon: usize, restarts: u32, generation: u64) -> HistoryEvent {
-    HistoryEvent::Status { at_ms, daemon, restarts, generation }
+    HistoryEvent::Status { at_ms, daemon, restarts, generation, ready: true }
 }
 
 fn begins(at_ms: u64, fault: SoakFault) -> HistoryEvent {
@@ -160,7 +166,7 @@
 
 /// All daemons, of which one kill takes so many, long enough before a stop.
 fn killed_before(killed: usize) -> Vec<HistoryEvent> {
-    let known = (0..DAEMONS).map(|daemon| HistoryEvent::Daemon { daemon, service: "settlement".into() });
+    let known = (0..DAEMONS).map(|daemon| a_daemon(daemon, "settlement"));
     let kill = span(4_000, 5_000, SoakFault::Kill { daemons: (0..killed).collect() });
     known.chain(kill).collect()
 }
@@ -193,16 +199,16 @@
             promise,
             at_stop(11_000, without_witnesses(), killed_before(4)),
         ),
-        broken(
-            "long after a kill of most daemons",
-            promise,
-            [
+        HistoryCase {
+            name: "long after a kill of most daemons",
+            history: [
                 killed_before(5),
                 span(199_000, 210_000, STOP),
                 vec![sent(200_000, "a", 2, true), answered(200_050, "a", without_witnesses())],
             ]
             .concat(),
-        ),
+            broken: vec![promise, Promise::StopsKeepServing],
+        },
         broken("under way when the stop begins", promise, under_way(9_950, 10_020)),
         kept("over before the stop begins", under_way(9_900, 9_990)),
         broken("sent elsewhere, and run where the stop is", promise, sent_elsewhere(peer_lost())),
@@ -218,11 +224,7 @@
 
 /// Requests that find no server of a service with daemons 2 and 3, sent one after the other at these times.
 fn not_found(at_ms: &[u64], beside: Vec<HistoryEvent>) -> Vec<HistoryEvent> {
-    let service = || "settlement".to_owned();
-    let mut history = vec![
-        HistoryEvent::Daemon { daemon: 2, service: service() },
-        HistoryEvent::Daemon { daemon: 3, service: service() },
-    ];
+    let mut history = vec![a_daemon(2, "settlement"), a_daemon(3, "settlement")];
     history.extend(beside);
     for (number, at_ms) in at_ms.iter().enumerate() {
         let request = format!("n-{number}");
@@ -282,6 +284,57 @@
     SeenAnswer { comes_back: true, ..answer(503, "unknown", "draining") }
 }
 
+/// A service with daemons 2 and 3. One is asked to stop, the other is open or not, and a request is sent to a daemon of neither.
+fn rolled(answer: SeenAnswer, beside: Vec<HistoryEvent>) -> Vec<HistoryEvent> {
+    let known = [2, 3].map(|daemon| a_daemon(daemon, "settlement"));
+    let reports = [2, 3].map(|daemon| status(9_000, daemon, 0, 1));
+    let stop = span(10_000, 13_000, STOP);
+    let exchange = [sent(11_000, "a", 0, true), answered(11_050, "a", answer)];
+    [known.into(), reports.into(), stop, beside, exchange.into()].concat()
+}
+
+fn roll_cases() -> Vec<HistoryCase> {
+    let promise = Promise::StopsKeepServing;
+    let failed = || answer(502, "answered", "");
+    let other = SoakFault::PlannedStop { daemon: 3 };
+    let kill = |daemons| SoakFault::Kill { daemons };
+    let submitted = SoakFault::Configuration { daemon: 0 };
+    vec![
+        broken("no witnesses while one stops", promise, rolled(without_witnesses(), vec![])),
+        broken(
+            "no witnesses while all of a service stop",
+            promise,
+            rolled(without_witnesses(), span(10_100, 12_000, other.clone())),
+        ),
+        broken(
+            "no witnesses, and something is submitted",
+            promise,
+            rolled(without_witnesses(), span(10_100, 10_200, submitted)),
+        ),
+        broken(
+            "no witnesses long after one daemon was killed",
+            promise,
+            rolled(without_witnesses(), span(2_000, 3_000, kill(vec![5]))),
+        ),
+        kept(
+            "no witnesses after two were killed",
+            rolled(without_witnesses(), span(2_000, 3_000, kill(vec![5, 6]))),
+        ),
+        kept(
+            "no witnesses while the store is out",
+            rolled(without_witnesses(), span(9_500, 10_500, SoakFault::StoreOut)),
+        ),
+        broken("a failure beside an open server", promise, rolled(failed(), vec![])),
+        kept("a failure while both stop", rolled(failed(), span(10_100, 12_000, other.clone()))),
+        kept("a failure before the other is known to be back", rolled(failed(), span(8_000, 9_500, other))),
+        kept(
+            "a failure while a back end fails",
+            rolled(failed(), span(10_100, 12_000, SoakFault::ServerFails { daemon: 3 })),
+        ),
+        kept("a refusal that says not run", rolled(answer(503, "not-run", "no-server"), vec![])),
+    ]
+}
+
 fn deployment_cases() -> Vec<HistoryCase> {
     let healed = |ready| HistoryEvent::Healed { at_ms: 50_000, ready };
     let accepted = |generation| HistoryEvent::Accepted { at_ms: 20_000, generation };
@@ -403,8 +456,15 @@
 
 #[test]
 fn each_promise_is_found_broken_where_it_is_and_nowhere_else() {
-    for case in
-        [request_cases(), deployment_cases(), stop_cases(), no_server_cases(), generation_cases()].concat()
+    for case in [
+        request_cases(),
+        deployment_cases(),
+        stop_cases(),
+        roll_cases(),
+        no_server_cases(),
+        generation_cases(),
+    ]
+    .concat()
     {
         let found: Vec<Promise> =
             check(&case.history).into_iter().map(|violation| violation.promise).collect();
@@ -613,6 +673,16 @@
     }
 }
 
+/// Daemons that stop one after the other, each in order, and nothing else: shards lost their witnesses and granted no claim for two minutes,
+/// and daemons that started waited for witnesses that had left.
+#[test]
+fn planned_stops_in_series_keep_all_promises() {
+    let directory = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../scenarios/soak-rolls");
+    for name in ["stops-in-series.toml", "rolling-quickly-one-of-each-service.toml"] {
+        soak_keeps_all_promises(&SoakPlan::read(&directory.join(name), FLEET.services).expect("is a plan"));
+    }
+}
+
 fn soak_keeps_all_promises(plan: &SoakPlan) {
     let directory = tempfile::tempdir().expect("a directory");
     let path = directory.path().join("plan.toml");
