Soak: a fault excuses a request at a stop only where it touched the request's path

Cause: `breaks_off` excused a request for any fault in the fleet that isn't gentle, also one at a service that it never came to.

Change: the fault has to act on the daemon that the request was sent to, on one where a call of it ran, or, where it has no run at a service that requests of its kind call, on a daemon of that service, as the call may have been lost on its way (soak/paths.rs).

--- a/crates/seamhatch-lab/src/soak/stops.rs
+++ b/crates/seamhatch-lab/src/soak/stops.rs
@@ -8,6 +8,7 @@
 use super::fault::{FaultGroup, SoakFault};
 use super::fleet::DaemonIndex;
 use super::history::{HistoryEvent, RequestName, SeenAnswer, SoakMillis};
+use super::paths::RequestPaths;
 use super::spans::{FaultSpan, fault_spans};
 use seamhatch_core::clock::MILLISECOND;
 use seamhatch_core::outcome::Reason;
@@ -47,9 +48,10 @@
     let windows = stop_windows(&spans);
     let ran = executed(history);
     let daemons = history.iter().filter(|event| matches!(event, HistoryEvent::Daemon { .. })).count();
+    let paths = RequestPaths::of(history);
     let is_cut = |exchange: &Exchange| {
-        let breaks_off = spans.iter().any(|span| breaks_off(exchange, span));
-        if breaks_off || may_lack_witnesses(exchange, &spans, daemons, &ran) {
+        let breaks_off = spans.iter().any(|span| breaks_off(exchange, span, &paths));
+        if breaks_off || may_lack_witnesses(exchange, &spans, daemons, &ran, &paths) {
             return false;
         }
         let mut during = windows.iter().filter(|stop| stop.meets(exchange));
@@ -86,21 +88,25 @@
     !(good || refused || unclaimed)
 }
 
-/// Whether a fault during the request may have broken it off by itself, also one that began after the stop's end.
-fn breaks_off(exchange: &Exchange, span: &FaultSpan) -> bool {
-    !is_gentle(&span.fault) && span.from_ms <= exchange.answered_ms && span.to_ms >= exchange.sent_ms
+/// Whether a fault during the request, at a daemon that it came to, may have broken it off by itself, also one that began after the
+/// stop's end.
+fn breaks_off(exchange: &Exchange, span: &FaultSpan, paths: &RequestPaths) -> bool {
+    let is_beside = span.from_ms <= exchange.answered_ms && span.to_ms >= exchange.sent_ms;
+    !is_gentle(&span.fault) && is_beside && paths.touches(exchange, &span.fault)
 }
 
-/// Whether a request with a key, which has not run, was refused while shards wait because one kill took more than half of the
-/// daemons, and with them most shards' majorities of witnesses.
+/// Whether a request with a key, which has not run, or a call of its back ends was refused while shards wait because one kill took more
+/// than half of the daemons, and with them most shards' majorities of witnesses.
 fn may_lack_witnesses(
     exchange: &Exchange,
     spans: &[FaultSpan],
     daemons: usize,
     ran: &HashSet<&RequestName>,
+    paths: &RequestPaths,
 ) -> bool {
     let answer = exchange.answer;
-    let is_unclaimed = answer.reason == Reason::NoClaimMajority.name() && answer.comes_back;
+    let is_refused = answer.reason == Reason::NoClaimMajority.name() && answer.comes_back;
+    let is_unclaimed = is_refused && !ran.contains(exchange.request) || paths.was_unclaimed(exchange.request);
     let waits = |span: &FaultSpan| {
         let took_most =
             matches!(&span.fault, SoakFault::Kill { daemons: killed } if 2 * killed.len() > daemons);
@@ -109,7 +115,7 @@
             && span.from_ms <= exchange.answered_ms
             && span.to_ms.saturating_add(RESTART_WAIT_MS) >= exchange.sent_ms
     };
-    is_unclaimed && !ran.contains(exchange.request) && spans.iter().any(waits)
+    is_unclaimed && spans.iter().any(waits)
 }
 
 fn stop_windows(spans: &[FaultSpan]) -> Vec<StopWindow> {
--- a/crates/seamhatch-lab/tests/soak.rs
+++ b/crates/seamhatch-lab/tests/soak.rs
@@ -55,6 +55,30 @@
     HistoryEvent::Daemon { daemon, service: service.into(), server: String::new() }
 }
 
+/// Two daemons of each of three services, of which settlement calls records, and status is called by nobody.
+fn named_daemons() -> Vec<HistoryEvent> {
+    let services = ["settlement", "settlement", "records", "records", "status", "status"];
+    let named = |(daemon, service): (usize, &str)| HistoryEvent::Daemon {
+        daemon,
+        service: service.into(),
+        server: format!("machine-{daemon}"),
+    };
+    services.into_iter().enumerate().map(named).collect()
+}
+
+/// A run of a call at the back end beside this daemon.
+fn ran_at(request: &str, service: &str, daemon: usize) -> HistoryEvent {
+    HistoryEvent::Executed {
+        request: request.into(),
+        service: service.into(),
+        call: "GET /x".into(),
+        trail: String::new(),
+        at_ms: 0,
+        server: format!("machine-{daemon}"),
+        is_deadly: false,
+    }
+}
+
 /// Runs of a request that crashes each server: when, and at which.
 fn deadly_at(runs: &[(u64, &str)]) -> Vec<HistoryEvent> {
     let run = |(at_ms, server): &(u64, &str)| HistoryEvent::Executed {
@@ -160,6 +184,33 @@
     [span(10_000, 13_000, STOP), span(13_050, 13_900, fault), vec![sent(12_900, "a", 5, true), lost]].concat()
 }
 
+/// A request to daemon 0 that is lost while daemon 2 stops and, a moment later, others are killed; its calls ran at these daemons.
+fn lost_beside_kill(killed: usize, ran: &[(&str, usize)]) -> Vec<HistoryEvent> {
+    let lost = answered(13_060, "a", answer(502, "unknown", "peer-lost"));
+    let earlier = [sent(1, "b", 0, true), ran_at("b", "settlement", 0), ran_at("b", "records", 2)];
+    let runs = ran.iter().map(|(service, daemon)| ran_at("a", service, *daemon));
+    [
+        named_daemons(),
+        earlier.into(),
+        span(10_000, 13_000, STOP),
+        span(13_050, 13_900, SoakFault::Kill { daemons: vec![killed] }),
+        vec![sent(12_900, "a", 0, true), lost],
+        runs.collect(),
+    ]
+    .concat()
+}
+
+/// A payout beside the stop whose back end got no answer to a call of its own, as the shard of that call's key waited.
+fn call_without_witnesses(killed: usize) -> Vec<HistoryEvent> {
+    let failed = HistoryEvent::CallFailed {
+        request: "a".into(),
+        service: "records".into(),
+        reason: "no-claim-majority".into(),
+    };
+    let ran = executed("a", "POST /payouts/payouts/a", "");
+    [at_stop(11_000, answer(502, "answered", ""), killed_before(killed)), vec![failed, ran]].concat()
+}
+
 fn without_witnesses() -> SeenAnswer {
     SeenAnswer { comes_back: true, ..answer(503, "unknown", "no-claim-majority") }
 }
@@ -209,6 +260,27 @@
             .concat(),
             broken: vec![promise, Promise::StopsKeepServing],
         },
+        kept(
+            "lost by a kill where one of its calls ran",
+            lost_beside_kill(3, &[("settlement", 0), ("records", 3)]),
+        ),
+        kept(
+            "lost by a kill where one of its calls may have been on its way",
+            lost_beside_kill(3, &[("settlement", 0)]),
+        ),
+        kept("lost by a kill of the daemon that it was sent to", lost_beside_kill(0, &[])),
+        broken(
+            "lost beside a kill at a daemon that it did not come to",
+            promise,
+            lost_beside_kill(3, &[("settlement", 0), ("records", 2)]),
+        ),
+        broken(
+            "lost beside a kill at a service that it does not call",
+            promise,
+            lost_beside_kill(5, &[("settlement", 0)]),
+        ),
+        kept("a call without witnesses after a kill of most daemons", call_without_witnesses(5)),
+        broken("a call without witnesses after a kill of half of them", promise, call_without_witnesses(4)),
         broken("under way when the stop begins", promise, under_way(9_950, 10_020)),
         kept("over before the stop begins", under_way(9_900, 9_990)),
         broken("sent elsewhere, and run where the stop is", promise, sent_elsewhere(peer_lost())),
