The coordinator of the witnesses is a daemon that takes work, while there is any

Cause, by reading: the coordinator is chosen among all live members that don't drain, and one that is only starting does nothing until it is ready. In a roll the choice fell on a starting daemon again and again, and the roster stood still meanwhile.

Change: members that take work come first. Several coordinators at once were possible before, too, and are in the models.

--- a/crates/seamhatchd/src/controllers/membership.rs
+++ b/crates/seamhatchd/src/controllers/membership.rs
@@ -85,8 +85,13 @@
         self.is_chosen(WATCHER_SEED, live, WATCHERS_PER_ZONE)
     }
 
-    /// Whether this daemon looks after the roster of witnesses.
+    /// Whether this daemon looks after the roster of witnesses: one that takes work, as long as there is any, since one that is only starting
+    /// can't yet.
     pub fn is_coordinator(&self) -> bool {
+        let is_ready = |record: &&MemberRecord| record.lifecycle == Lifecycle::Ready;
+        if self.candidates().any(|record| is_ready(&record)) {
+            return self.is_chosen(COORDINATOR_SEED, self.candidates().filter(is_ready), 1);
+        }
         self.is_chosen(COORDINATOR_SEED, self.candidates(), 1)
     }
 
