A starting daemon asks the witnesses as soon as it has read the store

Callers saw: in a roll of one stop each 0.7 s, one daemon of each service after the other (rolling-quickly-one-of-each-service.toml), 13 to 30 answers 502 and 10 to 16 `no-server`: the second daemon of a service was stopped 0.2 to 0.7 s before the first took work again.

Cause: the first question to the witnesses came before the store had answered, so there was no roster to ask by; the next came with the next read, 0.5 s later.

Change: the store's answer brings the question with it.

--- a/crates/seamhatchd/src/controllers/control_thread/witnessed.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/witnessed.rs
@@ -4,6 +4,7 @@
 //! older copy in the store is overwritten. Only a few members, the watchers, read the store.
 
 use super::{ControlThread, HOUSEKEEPING_INTERVAL, jittered};
+use crate::base::clock;
 use crate::control::{ConfigurationEvent, ConfigurationSource, RosterEvent};
 use crate::controllers::registration;
 use crate::ports::Backing;
@@ -115,6 +116,10 @@
             self.restore_store(stored.revision);
         }
         self.store_view.update(stored.value);
+        if !self.is_verified() {
+            // Not only with the next read: this one may have brought the roster, and the witnesses answer within milliseconds.
+            self.verify(clock::now());
+        }
         if let (true, Some(found)) = (self.is_verified(), self.store_view.configuration().cloned()) {
             self.register(found);
         }
