A request that ends servers together with the daemons beside them is noted by the daemons that sent it

Cause: a crash is noted by the daemon beside the server. Where that ends too, only the daemon that sent the call is left, and it took the lost connection for a lost answer. Evidence: the test's machines end 0.4 s after each attempt, and no log line of any daemon names the request.

Change: where a connection is lost under calls and nothing listens at its daemon's address any more, although it had not said that it leaves, the calls are evidence against their requests (`peer/loss.rs`, `CrashLedger::report_loss`), told, kept and cleared as a crash is. Runs that were under way together count as one, however many machines are lost: a further loss counts where its run was sent after the one before was known. A request of several crashes isn't sent again in a try that loses a daemon. New log line `a daemon has ended under calls`.

Weighed: to count every lost connection would condemn what a cut or a reset ends; to count each loss gives a popular request three crashes where three machines are killed at once.

Table of cases in seamhatch-core/tests/crashes.rs.

--- a/crates/seamhatch-core/src/crashes/ledger.rs
+++ b/crates/seamhatch-core/src/crashes/ledger.rs
@@ -2,7 +2,7 @@
 //!
 //! Owns the records of all suspects, bounded in number; [`CrashPolicy`] says which evidence is enough.
 
-use super::{CrashPolicy, InstanceDigest, SuspectRecord, SuspectReport};
+use super::{CrashPolicy, InstanceDigest, LostRun, SuspectRecord, SuspectReport};
 use crate::clock::{Instant, Microseconds};
 use crate::identity::RequestDigest;
 use std::collections::HashMap;
@@ -113,6 +113,23 @@
         self.change(request, now, now, |record| record.add(life, on_trial))
     }
 
+    /// Records that a request was at work at a daemon that was lost together with its server, in this run.
+    ///
+    /// Only those that had calls there can tell, and it looks the same where machines are killed or lose power. So runs that were
+    /// under way together count as one, however many machines are lost: a further loss counts where its run was sent after the one before
+    /// was known. A trial run has counted since it began.
+    pub fn report_loss(&mut self, life: InstanceDigest, run: LostRun, now: Instant) -> EvidenceEffect {
+        let LostRun { request, sent, isolated } = run;
+        let counted = self.entries.get(&request).is_some_and(|entry| {
+            let is_open = entry.record.open_crashes() > 0;
+            self.policy.condemns(&entry.record) || (is_open && entry.last_crash >= sent)
+        });
+        if counted {
+            return EvidenceEffect::Known;
+        }
+        self.report(life, request, isolated, now)
+    }
+
     /// Begins the trial run of a condemned request, named by `mark`: false where the request is not condemned. It counts as a
     /// crash from now on, so that no daemon begins another one, and none is forgotten that ends its server together with the
     /// daemon that could tell. A good end clears it.
--- a/crates/seamhatch-core/src/crashes/mod.rs
+++ b/crates/seamhatch-core/src/crashes/mod.rs
@@ -19,9 +19,9 @@
 pub use policy::CrashPolicy;
 pub use quarantine::{ends_try, home_of, runs_isolated};
 pub use record::{CondemnedRecord, CrashMark, MOST_MARKS, SuspectRecord, SuspectReport};
-pub use work::{CrashedWork, GOOD_END, RunEnd, RunMode, Suspect, WorkNumber, WorkTable};
+pub use work::{CrashedWork, GOOD_END, LostRun, RunEnd, RunMode, Suspect, WorkNumber, WorkTable};
 
-use crate::identity::{Incarnation, RequestDigest};
+use crate::identity::{Address, Incarnation, RequestDigest};
 use crate::instance::InstanceId;
 use crate::wire_number::wire_number;
 
@@ -39,6 +39,13 @@
         Self(RequestDigest::of(&[instance.name.as_bytes(), born]).0)
     }
 
+    /// The server beside a daemon that was lost, as the daemons see it that had calls there.
+    #[must_use]
+    pub fn of_lost(daemon: Address, incarnation: Incarnation) -> Self {
+        let daemon = daemon.to_string();
+        Self(RequestDigest::of(&[b"lost", daemon.as_bytes(), &incarnation.0.to_le_bytes()]).0)
+    }
+
     /// A trial run of a condemned request, which counts as one instance that it ends; `number` is drawn for it.
     #[must_use]
     pub fn of_trial(number: u64) -> Self {
--- a/crates/seamhatch-core/src/crashes/quarantine.rs
+++ b/crates/seamhatch-core/src/crashes/quarantine.rs
@@ -24,10 +24,10 @@
     crashes >= CRASHES_TO_ISOLATE
 }
 
-/// Whether a refusal for `reason` ends the try of a request with this many crashes.
+/// Whether a refusal for `reason`, or the loss of the daemon that was asked, ends the try of a request with this many crashes.
 #[must_use]
 pub fn ends_try(reason: Reason, crashes: u32) -> bool {
-    reason == Reason::BackendCrashed && crashes >= CRASHES_PER_TRY
+    matches!(reason, Reason::BackendCrashed | Reason::PeerLost) && crashes >= CRASHES_PER_TRY
 }
 
 /// The server that runs a suspect, the same one at all daemons; `key` names a server the same way everywhere.
--- a/crates/seamhatch-core/src/crashes/work.rs
+++ b/crates/seamhatch-core/src/crashes/work.rs
@@ -55,6 +55,17 @@
     pub suspects: Vec<Suspect>,
 }
 
+/// A call that was under way when the daemon beside its server was lost, as the daemon that sent it knows it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LostRun {
+    /// What is asked.
+    pub request: RequestDigest,
+    /// When it was sent.
+    pub sent: Instant,
+    /// It ran as the only suspect of several crashes.
+    pub isolated: bool,
+}
+
 /// How a run ended, as far as its back end may crash of it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RunEnd {
--- a/crates/seamhatch-core/tests/crashes.rs
+++ b/crates/seamhatch-core/tests/crashes.rs
@@ -1,10 +1,10 @@
 //! Evidence against requests that were at work when servers crashed.
 
 use proptest::prelude::*;
-use seamhatch_core::clock::SECOND;
+use seamhatch_core::clock::{MILLISECOND, SECOND};
 use seamhatch_core::crashes::{
-    CrashLedger, CrashPolicy, EvidenceEffect, InstanceDigest, MOST_MARKS, SuspectRecord, SuspectReport,
-    SuspectStanding, runs_isolated,
+    CrashLedger, CrashPolicy, EvidenceEffect, InstanceDigest, LostRun, MOST_MARKS, SuspectRecord,
+    SuspectReport, SuspectStanding, runs_isolated,
 };
 use seamhatch_core::identity::RequestDigest;
 use seamhatch_core::instance::InstanceId;
@@ -131,20 +131,23 @@
     now
 }
 
+fn standing(ledger: &CrashLedger, now: Instant) -> Standing {
+    match ledger.standing(REQUEST, now) {
+        SuspectStanding::Clear => Standing::Clear,
+        SuspectStanding::Suspect { crashes } => Standing::Suspect(crashes),
+        SuspectStanding::Condemned { crashes, until: Instant::NEVER } => Standing::ForGood(crashes),
+        SuspectStanding::Condemned { crashes, until } => {
+            Standing::Condemned(crashes, until.since(now) / SECOND)
+        }
+    }
+}
+
 #[test]
 fn a_request_is_condemned_by_distinct_crashes_without_a_good_end_between() {
     for case in CASES {
         let mut ledger = CrashLedger::default();
         let now = play(&mut ledger, case.steps);
-        let standing = match ledger.standing(REQUEST, now) {
-            SuspectStanding::Clear => Standing::Clear,
-            SuspectStanding::Suspect { crashes } => Standing::Suspect(crashes),
-            SuspectStanding::Condemned { crashes, until: Instant::NEVER } => Standing::ForGood(crashes),
-            SuspectStanding::Condemned { crashes, until } => {
-                Standing::Condemned(crashes, until.since(now) / SECOND)
-            }
-        };
-        assert_eq!(standing, case.standing, "{}", case.name);
+        assert_eq!(standing(&ledger, now), case.standing, "{}", case.name);
     }
 }
 
@@ -352,3 +355,60 @@
     }
     assert!(broken.is_empty(), "{broken:#?}");
 }
+
+/// Runs of a request that were lost with the daemon beside the server: at which, when each was sent and lost in milliseconds, and whether it
+/// ran alone among its kind.
+struct LossCase {
+    name: &'static str,
+    losses: &'static [(u64, u64, u64, bool)],
+    standing: Standing,
+}
+
+/// A request that takes the daemon along left nobody to tell; machines that are killed or lose power look the same to whoever had calls there.
+#[test]
+fn losses_of_daemons_count_where_one_follows_the_other() {
+    let cases = [
+        LossCase { name: "one", losses: &[(1, 0, 400, false)], standing: Standing::Suspect(1) },
+        LossCase {
+            name: "copies at three that are lost at once",
+            losses: &[(1, 0, 400, false), (2, 10, 401, false), (3, 390, 402, false)],
+            standing: Standing::Suspect(1),
+        },
+        LossCase {
+            name: "one after the other, the last one alone",
+            losses: &[(1, 0, 400, false), (2, 430, 830, false), (3, 860, 1_260, true)],
+            standing: Standing::Condemned(3, 30),
+        },
+        LossCase {
+            name: "one after the other, never alone",
+            losses: &[(1, 0, 400, false), (2, 430, 830, false), (3, 860, 1_260, false)],
+            standing: Standing::Suspect(3),
+        },
+        LossCase {
+            name: "the same daemon told of twice",
+            losses: &[(1, 0, 400, false), (1, 430, 830, false)],
+            standing: Standing::Suspect(1),
+        },
+        LossCase {
+            name: "a trial run, which has counted since it began",
+            losses: &[
+                (1, 0, 400, false),
+                (2, 430, 830, false),
+                (3, 860, 1_260, true),
+                (4, 1_300, 1_700, true),
+            ],
+            standing: Standing::Condemned(3, 29),
+        },
+    ];
+    for case in cases {
+        let mut ledger = CrashLedger::new(CrashPolicy::default());
+        let at = |millis: u64| START.plus(millis * MILLISECOND);
+        let mut now = START;
+        for &(daemon, sent, lost, isolated) in case.losses {
+            now = at(lost);
+            let run = LostRun { request: REQUEST, sent: at(sent), isolated };
+            ledger.report_loss(InstanceDigest(daemon), run, now);
+        }
+        assert_eq!(standing(&ledger, now), case.standing, "{}", case.name);
+    }
+}
--- a/crates/seamhatchd/src/dispatch/mod.rs
+++ b/crates/seamhatchd/src/dispatch/mod.rs
@@ -89,8 +89,12 @@
                 Ok(connection) => connection,
                 Err(no_server) => return self.reject_without_server(no_server),
             };
+            let run = self.new_run();
             let attempt = self.attempt(&connection).await;
             connection.record(call_end(&attempt));
+            if matches!(attempt, Err(AttemptFailure::Lost)) {
+                self.report_lost_daemon(&connection, run).await;
+            }
             match attempt {
                 Ok((head, stream)) => return self.answer(*head, stream, connection.address),
                 Err(failure) => {
@@ -114,7 +118,7 @@
             AttemptFailure::Lost => {
                 self.may_have_run = true;
                 self.last_refusal = None;
-                if self.may_send_again(Reason::PeerLost, true) {
+                if !self.loses_too_much() && self.may_send_again(Reason::PeerLost, true) {
                     return Ok(());
                 }
                 let detail = "the connection to the server's daemon was lost; its result is not known";
--- a/crates/seamhatchd/src/dispatch/suspects.rs
+++ b/crates/seamhatchd/src/dispatch/suspects.rs
@@ -3,11 +3,12 @@
 //! The rules: [`seamhatch_core::crashes`].
 
 use super::Dispatcher;
+use crate::base::clock;
 use crate::filters::Rejection;
 use crate::peer::PeerConnection;
 use crate::snapshot::Server;
 use seamhatch_core::balance::{Candidate, CandidateStanding};
-use seamhatch_core::crashes::{SuspectStanding, ends_try, home_of};
+use seamhatch_core::crashes::{LostRun, SuspectStanding, ends_try, home_of, runs_isolated};
 use seamhatch_core::outcome::Reason;
 use seamhatch_wire::{PeerMessage, Refusal};
 
@@ -33,6 +34,26 @@
         }
     }
 
+    /// An attempt that is about to be sent, as far as the loss of the daemon that gets it is evidence against its request.
+    pub(super) fn new_run(&self) -> LostRun {
+        let crashes = self.shared.suspects.standing(self.digest).crashes();
+        LostRun { request: self.digest, sent: clock::now(), isolated: runs_isolated(crashes) }
+    }
+
+    /// Reports a run as evidence against its request, and those that were lost with it, where the daemon that got them has ended.
+    /// Before the caller is answered, as its next attempt may come at once.
+    pub(super) async fn report_lost_daemon(&self, connection: &PeerConnection, run: LostRun) {
+        let runs = connection.lost_runs(run).await;
+        if !runs.is_empty() {
+            self.shared.crash_context().daemon_lost(connection.address, connection.incarnation, &runs);
+        }
+    }
+
+    /// Whether a lost daemon shows that the request has crashed too many servers to be sent again in this try.
+    pub(super) fn loses_too_much(&self) -> bool {
+        ends_try(Reason::PeerLost, self.shared.suspects.standing(self.digest).crashes())
+    }
+
     /// Whether a refusal shows that the request has crashed too many servers to be sent again in this try.
     pub(super) fn crashes_too_much(&self, refusal: &Refusal) -> bool {
         let known = self.shared.suspects.standing(self.digest).crashes();
--- a/crates/seamhatchd/src/peer/connection.rs
+++ b/crates/seamhatchd/src/peer/connection.rs
@@ -8,6 +8,7 @@
 use crate::base::lock::lock;
 use crate::peer::call::CallStream;
 use crate::peer::link::{LinkClosed, Outbox};
+use crate::peer::loss::ConnectionLoss;
 use crate::peer::outgoing_calls::OutgoingCalls;
 use crate::peer::pending_replies::PendingReplies;
 use crate::peer::view::PeerView;
@@ -27,6 +28,7 @@
     pub(super) calls: Arc<OutgoingCalls>,
     pub(super) claims: PendingReplies<ClaimReply>,
     pub(super) controls: PendingReplies<ControlReply>,
+    pub(super) loss: ConnectionLoss,
     next_exchange: AtomicU64,
     /// When a call or request was last sent, in microseconds of the boot clock.
     last_used: AtomicU64,
@@ -40,6 +42,7 @@
             calls: Arc::default(),
             claims: PendingReplies::default(),
             controls: PendingReplies::default(),
+            loss: ConnectionLoss::default(),
             next_exchange: AtomicU64::new(0),
             last_used: AtomicU64::new(now.0),
         }
--- a/crates/seamhatchd/src/peer/mod.rs
+++ b/crates/seamhatchd/src/peer/mod.rs
@@ -11,6 +11,7 @@
 mod host;
 mod incoming;
 pub(crate) mod link;
+mod loss;
 mod outgoing_calls;
 mod pending_replies;
 mod pool;
--- a/crates/seamhatchd/src/server/crashes/mod.rs
+++ b/crates/seamhatchd/src/server/crashes/mod.rs
@@ -20,8 +20,8 @@
 use crate::control::ControlHandle;
 use crate::server::ServerSide;
 use log::warn;
-use seamhatch_core::crashes::{CrashedWork, InstanceDigest, Suspect, SuspectStanding};
-use seamhatch_core::identity::RequestDigest;
+use seamhatch_core::crashes::{CrashedWork, InstanceDigest, LostRun, SuspectStanding};
+use seamhatch_core::identity::{Address, Incarnation, RequestDigest};
 use seamhatch_core::instance::InstanceId;
 use seamhatch_core::outcome::Reason;
 
@@ -81,6 +81,28 @@
         }
     }
 
+    /// Records that a daemon has ended under these runs, together with the server beside it as far as anybody can tell.
+    pub fn daemon_lost(&self, daemon: Address, incarnation: Incarnation, runs: &[LostRun]) {
+        let news = self.suspects.report_loss(InstanceDigest::of_lost(daemon, incarnation), runs);
+        warn!(
+            peer = daemon.to_string().as_str(),
+            calls = runs.len(),
+            counted = news.len(),
+            crashes_by_digest = self.evidence(news.iter().copied()).as_str();
+            "a daemon has ended under calls"
+        );
+        if !news.is_empty() {
+            self.control.suspects_changed(news.clone());
+            self.control.remember_evidence(news);
+        }
+    }
+
+    /// Requests and the crashes that speak against each, for the log.
+    fn evidence(&self, requests: impl Iterator<Item = RequestDigest>) -> String {
+        let crashes = |request| self.suspects.standing(request).crashes();
+        requests.map(|request| format!("{request}:{}", crashes(request))).collect::<Vec<_>>().join(",")
+    }
+
     /// Records a crash here and has it reported to other daemons.
     fn report(&self, digest: InstanceDigest, instance: Option<&InstanceId>, crashed: &CrashedWork) {
         let suspects = crashed.suspects.as_slice();
@@ -94,15 +116,12 @@
     }
 
     fn log_crash(&self, instance: Option<&InstanceId>, crashed: &CrashedWork) {
-        let evidence = crashed.suspects.iter().map(|Suspect { request, .. }| {
-            let crashes = self.suspects.standing(*request).crashes();
-            format!("{request}:{crashes}")
-        });
+        let evidence = self.evidence(crashed.suspects.iter().map(|suspect| suspect.request));
         warn!(
             instance = instance.map_or("", |instance| instance.name.as_str()),
             calls = crashed.calls,
             at_work = crashed.suspects.len(),
-            crashes_by_digest = evidence.collect::<Vec<_>>().join(",").as_str();
+            crashes_by_digest = evidence.as_str();
             "back end crashed"
         );
     }
--- a/crates/seamhatchd/src/server/crashes/suspects.rs
+++ b/crates/seamhatchd/src/server/crashes/suspects.rs
@@ -10,7 +10,7 @@
 use seamhatch_core::Instant;
 use seamhatch_core::clock::{MILLISECOND, Microseconds};
 use seamhatch_core::crashes::{
-    CrashLedger, CrashPolicy, EvidenceEffect, InstanceDigest, RunMode, Suspect, SuspectReport,
+    CrashLedger, CrashPolicy, EvidenceEffect, InstanceDigest, LostRun, RunMode, Suspect, SuspectReport,
     SuspectStanding, runs_isolated,
 };
 use seamhatch_core::identity::RequestDigest;
@@ -127,6 +127,22 @@
         self.known.store(ledger.len(), Ordering::Release);
     }
 
+    /// Records that a daemon was lost, and its server with it, under these runs. Returns the requests against which there is more than before.
+    pub fn report_loss(&self, life: InstanceDigest, runs: &[LostRun]) -> Vec<RequestDigest> {
+        let now = clock::now();
+        let mut ledger = self.lock();
+        let mut news = Vec::new();
+        for run in runs.iter().copied() {
+            let effect = ledger.report_loss(life, run, now);
+            log_effect(&ledger, run.request, effect, now);
+            if effect != EvidenceEffect::Known {
+                news.push(run.request);
+            }
+        }
+        self.known.store(ledger.len(), Ordering::Release);
+        news
+    }
+
     /// Whether a request ran in several crashes without a good end since.
     #[must_use]
     pub fn is_repeated(&self, request: RequestDigest) -> bool {
