A coordinator that has just started changes no witness that it doesn't know yet

Change: `WitnessHealth::Unknown` until a daemon has run for 5 s; a shard with such a witness isn't changed. A confirmed change or a roster of another coordinator only releases witnesses at once; other changes wait for the next tick (0.1 s), so that two that disagree can't change a shard within the time that a claimant waits.

--- a/crates/seamhatch-core/src/roster.rs
+++ b/crates/seamhatch-core/src/roster.rs
@@ -124,11 +124,14 @@
     Unsure,
     /// Its memory is gone: a later incarnation was seen at its address.
     Ended,
+    /// Nothing is known of it, as this daemon has just started.
+    Unknown,
 }
 
 /// The assignment that should follow `shard`, or none while it is as it should be.
 ///
-/// Live witnesses stay. A leaving one is replaced, and dropped where nobody can take its place, so that it may end. `confirmed` says that
+/// Live witnesses stay. A leaving one is replaced, and dropped where nobody can take its place, so that it may end. Who doesn't know all of
+/// them changes nothing: a daemon that has just started would have itself take the place of all others. `confirmed` says that
 /// the present epoch is known to be installed at a majority, so that earlier ones need no sealing any more.
 #[must_use]
 pub fn plan_change(
@@ -139,6 +142,9 @@
     candidates: &[WitnessCandidate],
 ) -> Option<ShardRoster> {
     let current = &shard.current;
+    if current.witnesses.iter().any(|id| health(id) == WitnessHealth::Unknown) {
+        return None;
+    }
     let live: Vec<WitnessId> =
         current.witnesses.iter().copied().filter(|id| health(id) == WitnessHealth::Live).collect();
     let wanted = WITNESSES.min(candidates.len());
--- a/crates/seamhatch-core/tests/roster.rs
+++ b/crates/seamhatch-core/tests/roster.rs
@@ -20,13 +20,15 @@
     name: &'static str,
     leaving: &'static [u8],
     gone: &'static [u8],
+    unknown: &'static [u8],
     ready: &'static [u8],
     starting: &'static [u8],
     /// Those that follow, in any order; none where nothing is to change.
     next: Option<&'static [u8]>,
 }
 
-/// A daemon that stops in order left its shards without a majority where nobody else took work at that moment.
+/// A daemon that stops in order left its shards without a majority where nobody else took work at that moment. One that had just started
+/// took the witnesses that it did not know yet for gone.
 #[test]
 fn a_witness_that_stops_is_replaced_or_dropped() {
     let cases = [
@@ -34,6 +36,7 @@
             name: "all stay",
             leaving: &[],
             gone: &[],
+            unknown: &[],
             ready: &[1, 2, 3, 4],
             starting: &[],
             next: None,
@@ -42,6 +45,7 @@
             name: "another takes its place",
             leaving: &[1],
             gone: &[],
+            unknown: &[],
             ready: &[2, 3, 4],
             starting: &[],
             next: Some(&[2, 3, 4]),
@@ -50,6 +54,7 @@
             name: "one that takes work goes before one that starts",
             leaving: &[1],
             gone: &[],
+            unknown: &[],
             ready: &[2, 3, 4],
             starting: &[5, 6, 7],
             next: Some(&[2, 3, 4]),
@@ -58,6 +63,7 @@
             name: "only one that starts is left",
             leaving: &[1],
             gone: &[],
+            unknown: &[],
             ready: &[2, 3],
             starting: &[5],
             next: Some(&[2, 3, 5]),
@@ -66,6 +72,7 @@
             name: "nobody can take its place",
             leaving: &[1],
             gone: &[],
+            unknown: &[],
             ready: &[2, 3],
             starting: &[],
             next: Some(&[2, 3]),
@@ -74,6 +81,7 @@
             name: "two stop and one is left",
             leaving: &[1, 2],
             gone: &[],
+            unknown: &[],
             ready: &[3],
             starting: &[],
             next: Some(&[3]),
@@ -82,17 +90,27 @@
             name: "a witness is gone and nobody can take its place",
             leaving: &[],
             gone: &[1],
+            unknown: &[],
             ready: &[2, 3],
             starting: &[],
             next: None,
         },
-        PlanCase { name: "all stop", leaving: &[1, 2, 3], gone: &[], ready: &[], starting: &[], next: None },
+        PlanCase {
+            name: "all stop",
+            leaving: &[1, 2, 3],
+            gone: &[],
+            unknown: &[],
+            ready: &[],
+            starting: &[],
+            next: None,
+        },
     ];
     for case in cases {
         let shard = ShardRoster { current: assignment(1, &[1, 2, 3]), previous: Vec::new() };
         let health = |id: &WitnessId| match id {
             id if case.leaving.iter().any(|number| witness(*number) == *id) => WitnessHealth::Leaving,
             id if case.gone.iter().any(|number| witness(*number) == *id) => WitnessHealth::Unsure,
+            id if case.unknown.iter().any(|number| witness(*number) == *id) => WitnessHealth::Unknown,
             _ => WitnessHealth::Live,
         };
         let candidate = |number: &u8, ready| WitnessCandidate {
--- a/crates/seamhatchd/src/controllers/control_thread/roster.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/roster.rs
@@ -17,6 +17,9 @@
 /// Time between two checks of shards that are as they should be: finds a witness that restarted unnoticed.
 const ROSTER_RECHECK: Microseconds = 30 * SECOND;
 
+/// Time after the start by which a daemon knows all members: a few exchanges of whole lists, one each second.
+const MEMBERS_KNOWN: Microseconds = 5 * SECOND;
+
 /// What the coordinator has under way.
 #[derive(Debug, Default)]
 pub(super) struct RosterUpkeep {
@@ -63,6 +66,9 @@
         if !self.is_ready() || !self.membership.is_coordinator() {
             return;
         }
+        if now.since(self.started) > MEMBERS_KNOWN {
+            self.roster.settle();
+        }
         if now >= self.schedule.roster_recheck {
             self.schedule.roster_recheck = now.plus(ROSTER_RECHECK);
             self.roster.recheck();
@@ -81,6 +87,18 @@
         }
     }
 
+    /// Writes a roster that lists the witnesses no more that are not needed, if there is one and none is being written: they may be waiting for
+    /// it. Other changes come with the next tick, so that two coordinators that know different members change nothing in turn all the time.
+    fn release_witnesses(&mut self) {
+        self.roster_upkeep.member_changes = None;
+        if self.roster_upkeep.writing || !self.is_ready() || !self.membership.is_coordinator() {
+            return;
+        }
+        if let Some(next) = self.roster.plan_releases() {
+            self.write_roster(next);
+        }
+    }
+
     fn start_transitions(&mut self, now: Instant) {
         let members = self.all_members();
         for (shard, target) in self.roster.start_transitions() {
@@ -102,9 +120,8 @@
         for epoch in self.roster.finish_transition(result, now) {
             warn!(shard = result.shard, epoch = epoch.0; "claims may be lost: the shard waits");
         }
-        if result.confirmed && self.is_ready() && self.membership.is_coordinator() {
-            // Earlier witnesses may be waiting to be released.
-            self.plan_roster();
+        if result.confirmed {
+            self.release_witnesses();
         }
     }
 
@@ -152,7 +169,8 @@
         }
         if is_coordinator {
             // No claim is granted in a changed shard until its new witnesses are installed.
-            self.look_after_roster(clock::now());
+            self.start_transitions(clock::now());
+            self.release_witnesses();
         }
     }
 
--- a/crates/seamhatchd/src/controllers/roster.rs
+++ b/crates/seamhatchd/src/controllers/roster.rs
@@ -33,9 +33,16 @@
     /// Machines that were listed and are no longer.
     gone_machines: BTreeSet<IpAddr>,
     listed_machines: BTreeSet<IpAddr>,
+    /// This daemon has run for long enough to know all members.
+    settled: bool,
 }
 
 impl RosterController {
+    /// From now on, a witness of which nothing is known is one that has gone.
+    pub fn settle(&mut self) {
+        self.settled = true;
+    }
+
     /// The newest roster that was seen.
     pub fn roster(&self) -> &Arc<Roster> {
         &self.roster
@@ -108,6 +115,23 @@
         changed.then(|| Roster { version: self.roster.version + 1, shards })
     }
 
+    /// The roster without the assignments that need no sealing any more, as their successors are confirmed; none where there are none.
+    pub fn plan_releases(&self) -> Option<Roster> {
+        let shards = self.roster.shards.iter().enumerate();
+        let released = shards.map(|(index, shard)| self.without_previous(index, shard));
+        if released.clone().all(|shard| shard.is_none()) {
+            return None;
+        }
+        let shards =
+            released.zip(&self.roster.shards).map(|(released, shard)| released.unwrap_or(shard.clone()));
+        Some(Roster { version: self.roster.version + 1, shards: shards.collect() })
+    }
+
+    fn without_previous(&self, index: usize, shard: &ShardRoster) -> Option<ShardRoster> {
+        let is_over = self.is_confirmed(index, shard) && !shard.previous.is_empty();
+        is_over.then(|| ShardRoster { previous: Vec::new(), ..shard.clone() })
+    }
+
     /// What one shard should become. Only a shard that this coordinator has checked is changed: a coordinator
     /// that was just chosen does not know yet whether the present epoch was installed, and would seal
     /// epochs again that ended long ago.
@@ -124,8 +148,7 @@
         let confirmed = self.is_confirmed(index, shard);
         let health = |id: &WitnessId| self.health(id, members);
         let change = plan_change(index, shard, confirmed, health, candidates);
-        let over = confirmed && !shard.previous.is_empty();
-        change.or_else(|| over.then(|| ShardRoster { previous: Vec::new(), ..shard.clone() }))
+        change.or_else(|| self.without_previous(index, shard))
     }
 
     /// Shards whose present epoch isn't yet installed at all its witnesses and that have no transition in progress;
@@ -192,7 +215,11 @@
     fn health(&self, id: &WitnessId, members: &[MemberRecord]) -> WitnessHealth {
         let gone = self.gone_machines.contains(&id.daemon.ip);
         let Some(record) = members.iter().find(|record| record.info.peer == id.daemon) else {
-            return if gone { WitnessHealth::Ended } else { WitnessHealth::Unsure };
+            return match (gone, self.settled) {
+                (true, _) => WitnessHealth::Ended,
+                (false, true) => WitnessHealth::Unsure,
+                (false, false) => WitnessHealth::Unknown,
+            };
         };
         let restarted = record.incarnation > id.incarnation;
         let dead = record.liveness == Liveness::Dead;
