--- a/crates/seamhatch-lab/src/soak/command.rs
+++ b/crates/seamhatch-lab/src/soak/command.rs
@@ -50,7 +50,7 @@
 const MOST_SERVERS: u8 = 20;
 /// Largest seed: numbers of a plan file have a sign.
 const MOST_SEED: u64 = i64::MAX as u64;
-/// Most plans that are tried to shrink one; each takes as long as the whole plan. Chosen, not measured.
+/// Most plans that are tried to shrink one; each takes as long as the whole plan.
 const MOST_TRIES: usize = 40;
 const EXIT_ARGUMENTS: u8 = 2;
 
--- a/crates/seamhatch-lab/src/soak/runner.rs
+++ b/crates/seamhatch-lab/src/soak/runner.rs
@@ -22,15 +22,15 @@
 use std::time::Duration;
 
 /// Longest wait for all daemons to be ready when the faults are over: what a shard waits that has lost a majority of its
-/// witnesses, and half as much again for a busy machine. The half is chosen, not measured.
+/// witnesses, and half as much again for a busy machine.
 const RECOVERY_TIMEOUT: Duration = Duration::from_micros(RESTART_WAIT * 3 / 2);
-/// Time between two rounds of status reports. Chosen, not measured.
+/// Time between two rounds of status reports.
 const STATUS_INTERVAL: Duration = Duration::from_millis(400);
-/// Requests that must be served when everything is over: five for each of eight daemons. Chosen, not measured.
+/// Requests that must be served when everything is over: five for each of eight daemons.
 const PROBES: usize = 40;
-/// Wait for calls that may still be on their way, before the executions are read. Chosen, not measured.
+/// Wait for calls that may still be on their way, before the executions are read.
 const SETTLING: Duration = Duration::from_millis(500);
-/// Pause between two checks whether back ends are idle. Chosen, not measured.
+/// Pause between two checks whether back ends are idle.
 const POLL: Duration = Duration::from_millis(20);
 
 /// What a soak deploys: the claims platform with this many servers for each service.
--- a/crates/seamhatchd/src/claims/claimant.rs
+++ b/crates/seamhatchd/src/claims/claimant.rs
@@ -20,12 +20,12 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-/// Longest wait for a witness, the connection to it included. Chosen, not measured.
+/// Longest wait for a witness, the connection to it included.
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Rounds that are tried while a shard changes its witnesses. With the pauses between them a claim lasts through 0.36 s
-/// of that. Chosen, not measured.
+/// of that.
 const MOST_ROUNDS: u32 = 4;
-/// Pause after the first round; after the second it is twice as long, and so on. Chosen, not measured.
+/// Pause after the first round; after the second it is twice as long, and so on.
 const ROUND_PAUSE: Duration = Duration::from_millis(60);
 
 /// Why a call may not be dispatched.
--- a/crates/seamhatchd/src/controllers/membership.rs
+++ b/crates/seamhatchd/src/controllers/membership.rs
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 use tokio::net::UdpSocket;
 
-/// Watchers of the store and of the list of machines in each zone: two, so that one may be lost unnoticed. Chosen, not measured.
+/// Watchers of the store and of the list of machines in each zone: two, so that one may be lost unnoticed.
 const WATCHERS_PER_ZONE: usize = 2;
 /// Seed of the choice of watchers. Any number will do that differs from the other seeds of rendezvous
 /// hashing, so that one daemon isn't chosen for everything.
--- a/crates/seamhatchd/src/peer/mod.rs
+++ b/crates/seamhatchd/src/peer/mod.rs
@@ -26,8 +26,8 @@
 pub use pool::{PeerPool, PeerUnreachable};
 pub use view::PeerView;
 
-/// Bytes of a body that may be sent before its receiver gives credit. Chosen, not measured.
+/// Bytes of a body that may be sent before its receiver gives credit.
 pub const BODY_WINDOW: usize = 256 * 1024;
 
-/// Largest piece of a body in one message, in bytes. Chosen, not measured.
+/// Largest piece of a body in one message, in bytes.
 pub const BODY_PIECE: usize = 32 * 1024;
--- a/crates/seamhatchd/src/stop.rs
+++ b/crates/seamhatchd/src/stop.rs
@@ -19,8 +19,7 @@
 /// Longest time for callers and daemons to learn that this one leaves, where the daemon sees no evidence that they have.
 const LONGEST_TO_LEARN: Duration = Duration::from_millis(2300);
 /// Readiness checks in a row after which load balancers commonly take a daemon out of use. Once so many were answered with "not ready", its
-/// callers have learned that it leaves, and other daemons long before, by heartbeat. Measured on an idle daemon that is checked each
-/// 0.3 s: a stop takes 0.9 s, against 2.4 s without this evidence.
+/// callers have learned that it leaves, and other daemons long before, by heartbeat.
 const NOT_READY_ANSWERS_TO_LEARN: usize = 2;
 /// Longest wait for requests in progress where the settings have no grace period.
 const LONGEST_DRAIN: Duration = Duration::from_secs(300);
@@ -30,8 +29,7 @@
 const HANDOVER_POLL: Duration = Duration::from_millis(50);
 /// Pause between two checks of what is in progress.
 const DRAIN_POLL: Duration = Duration::from_millis(10);
-/// The process ends once nothing was in progress for this long. Measured over rolling stops: with it, 0 of 1,936 requests were cut off,
-/// against 31 of 2,058 with the graceful stop of the listeners' library; 100 ms was not compared with other figures.
+/// The process ends once nothing was in progress for this long.
 const QUIET_TO_STOP: Duration = Duration::from_millis(100);
 
 /// Waits for a signal to stop, then drains the daemon.
