--- a/crates/seamhatchd/src/dispatch/mod.rs
+++ b/crates/seamhatchd/src/dispatch/mod.rs
@@ -118,7 +118,7 @@
             AttemptFailure::Lost => {
                 self.may_have_run = true;
                 self.last_refusal = None;
-                if !self.loses_too_much() && self.may_send_again(Reason::PeerLost, true) {
+                if !self.loss_ends_try() && self.may_send_again(Reason::PeerLost, true) {
                     return Ok(());
                 }
                 let detail = "the connection to the server's daemon was lost; its result is not known";
--- a/crates/seamhatchd/src/dispatch/suspects.rs
+++ b/crates/seamhatchd/src/dispatch/suspects.rs
@@ -50,7 +50,7 @@
     }
 
     /// Whether a lost daemon shows that the request has crashed too many servers to be sent again in this try.
-    pub(super) fn loses_too_much(&self) -> bool {
+    pub(super) fn loss_ends_try(&self) -> bool {
         ends_try(Reason::PeerLost, self.shared.suspects.standing(self.digest).crashes())
     }
 
--- a/crates/seamhatchd/src/peer/loss.rs
+++ b/crates/seamhatchd/src/peer/loss.rs
@@ -17,7 +17,7 @@
 
 /// Looks for a daemon whose connection was lost: the first may meet its listener while the process ends.
 const PROBES: usize = 4;
-/// Pause between two looks, and longest wait for a connection.
+/// Pause between two looks.
 const PROBE_PAUSE: Duration = Duration::from_millis(2);
 /// Longest wait for the answer to one look: a machine that answers neither way may only be cut off.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(50);
--- a/crates/seamhatchd/src/stop.rs
+++ b/crates/seamhatchd/src/stop.rs
@@ -1,8 +1,8 @@
 //! A planned stop: drains the daemon when a signal asks for it, and returns when the process may end.
 //!
 //! First callers and other daemons learn that this daemon leaves, while it serves on, and others take over what it remembers as a witness;
-//! then it closes, so that no work is accepted at the very end and cut off. The states are those of [`crate::lifecycle::DaemonLifecycle`]; the control thread announces them. Called by
-//! [`crate::startup`].
+//! then it closes, so that no work is accepted at the very end and cut off. The states are those of
+//! [`crate::lifecycle::DaemonLifecycle`]; the control thread announces them. Called by [`crate::startup`].
 
 use crate::base::clock;
 use crate::control::DrainTarget;
@@ -23,7 +23,7 @@
 const NOT_READY_ANSWERS_TO_LEARN: usize = 2;
 /// Longest wait for requests in progress where the settings have no grace period.
 const LONGEST_DRAIN: Duration = Duration::from_secs(300);
-/// Longest time from the request to stop for others to take over this daemon's shards, where the settings have no grace period.
+/// Longest time from the request to stop for others to take over this daemon's shards; the grace period may end before.
 const LONGEST_HANDOVER: Duration = Duration::from_secs(30);
 /// Pause between two checks whether they have.
 const HANDOVER_POLL: Duration = Duration::from_millis(50);
@@ -69,12 +69,14 @@
         not_ready_answers >= NOT_READY_ANSWERS_TO_LEARN || passed_since(started) >= LONGEST_TO_LEARN
     };
     let longest_handover = longest.min(LONGEST_HANDOVER);
-    tokio::join!(
+    let ((), handed_over) = tokio::join!(
         until_quiet(shared, started, have_learned, longest),
         until_handed_over(shared, started, longest_handover)
     );
-    // A change of witnesses that was under way when the stop began may have chosen this daemon.
-    until_handed_over(shared, started, longest_handover).await;
+    if handed_over {
+        // A change of witnesses that was under way when the stop began may have chosen this daemon.
+        until_handed_over(shared, started, longest_handover).await;
+    }
     listeners.refuse_callers();
     shared.lifecycle.start_closing();
     until_quiet(shared, started, || true, longest).await;
@@ -99,8 +101,8 @@
 }
 
 /// Waits until others have taken over the shards that this daemon witnesses, for at most `longest` since `started`: two daemons that end
-/// with what they remember leave a shard that grants nothing until no request of before lives any more.
-async fn until_handed_over(shared: &Shared, started: Instant, longest: Duration) {
+/// with what they remember leave a shard that grants nothing until no request of before lives any more. False when they have not.
+async fn until_handed_over(shared: &Shared, started: Instant, longest: Duration) -> bool {
     let mut held = 0;
     loop {
         let why = match shared.control.witness_duty().await {
@@ -109,7 +111,7 @@
                     let after_ms = passed_since(started).as_millis();
                     info!(shards = held, after_ms = after_ms; "others have taken over this daemon's shards");
                 }
-                return;
+                return true;
             }
             Some(WitnessDuty::Held { shards }) if passed_since(started) < longest => {
                 held = held.max(shards);
@@ -125,7 +127,7 @@
             None => "the control thread is held up".to_owned(),
         };
         warn!(why = why.as_str(); "the daemon ends before others have taken over its shards");
-        return;
+        return false;
     }
 }
 
