--- a/crates/seamhatch-lab/src/soak/steps.rs
+++ b/crates/seamhatch-lab/src/soak/steps.rs
@@ -24,8 +24,15 @@
 
 enum Step {
     Begin(PlannedFault),
-    Again(DaemonIndex),
-    End { begun: BegunFault, planned_ms: SoakMillis },
+    /// The second request of a hasty stop, to a daemon that had been started again so often when the first one came.
+    Again {
+        daemon: DaemonIndex,
+        restarts: u32,
+    },
+    End {
+        begun: BegunFault,
+        planned_ms: SoakMillis,
+    },
 }
 
 /// The steps to come, by their time and then in the order in which they were added.
@@ -84,8 +91,11 @@
     fn run(&mut self, step: Step) -> std::io::Result<()> {
         match step {
             Step::Begin(planned) => self.begin(planned),
-            Step::Again(daemon) => {
-                injection::ask_to_stop(self.deployment, daemon);
+            Step::Again { daemon, restarts } => {
+                // Another fault may have ended and started it since: a request would stop a daemon that nobody starts again.
+                if self.restarts.of(daemon) == restarts {
+                    injection::ask_to_stop(self.deployment, daemon);
+                }
                 Ok(())
             }
             Step::End { begun, planned_ms } => self.end(begun, planned_ms),
@@ -100,7 +110,8 @@
         self.recorder.note(begins);
         match fault {
             SoakFault::HastyStop { daemon, again_ms } => {
-                self.queue.add(at_ms + again_ms, Step::Again(daemon));
+                let restarts = self.restarts.of(daemon);
+                self.queue.add(at_ms + again_ms, Step::Again { daemon, restarts });
             }
             SoakFault::Configuration { daemon } => {
                 self.submissions.push(submit(self.deployment, daemon, self.recorder));
