A starting daemon is ready only once another has told it the members

Callers saw: 502, for up to a second after a daemon had come back, from requests that its server ran: the server's own calls found no server.

Cause, from a daemon's log: ready 25 ms after its start; it had asked one seed, drawn at random, which was stopped, and asked the next one a second later.

--- a/crates/seamhatch-core/src/membership/exchange.rs
+++ b/crates/seamhatch-core/src/membership/exchange.rs
@@ -1,15 +1,15 @@
 //! What goes out: exchanges of whole lists, and news that travels with every message.
 
 use super::{
-    EARLY_SYNC_INTERVAL, GossipBody, GossipMessage, Member, MemberRecord, Membership, NEWS_PER_MESSAGE,
-    Outgoing, SETTLING_TIME,
+    EARLY_SYNC_INTERVAL, FIRST_ASKED, FIRST_SYNC_INTERVAL, GossipBody, GossipMessage, Member, MemberRecord,
+    Membership, NEWS_PER_MESSAGE, Outgoing, SETTLING_TIME,
 };
-use crate::clock::Instant;
+use crate::clock::{Instant, Microseconds};
 use crate::identity::Address;
 
 impl Membership {
     /// Exchanges whole lists with one live member, and asks one seed that is not
-    /// a live member: groups that formed apart find each other through seeds.
+    /// a live member: groups that formed apart find each other through seeds. Until a list has come, several are asked.
     pub(super) fn start_sync(
         &mut self,
         now: Instant,
@@ -17,20 +17,32 @@
         outgoing: &mut Vec<Outgoing>,
     ) {
         let started = *self.started.get_or_insert(now);
-        let settled = now.since(started) > SETTLING_TIME;
-        self.next_sync = now.plus(if settled { self.policy.sync_interval } else { EARLY_SYNC_INTERVAL });
+        self.next_sync = now.plus(self.sync_interval(now.since(started)));
+        let asked = if self.heard_list { 1 } else { FIRST_ASKED };
         let live = self.live_addresses();
         let own = self.me.info.gossip;
         let strangers: Vec<Address> =
             self.seeds.iter().copied().filter(|seed| *seed != own && !live.contains(seed)).collect();
-        for pool in [live, strangers] {
-            if let Some(&target) = pool.get(random(pool.len().max(1))) {
+        for mut pool in [live, strangers] {
+            for _ in 0..asked.min(pool.len()) {
+                let target = pool.swap_remove(random(pool.len()));
                 let request = GossipBody::SyncRequest { digest: self.digest() };
                 outgoing.push((target, self.message_with(request, vec![self.me.clone()])));
             }
         }
     }
 
+    /// Time until the next exchange of a member that has run for this long.
+    fn sync_interval(&self, running: Microseconds) -> Microseconds {
+        if running > SETTLING_TIME {
+            self.policy.sync_interval
+        } else if self.heard_list {
+            EARLY_SYNC_INTERVAL
+        } else {
+            FIRST_SYNC_INTERVAL
+        }
+    }
+
     pub(super) fn sync_pages(&mut self, to: Address, digest: u64) -> Vec<Outgoing> {
         if digest == self.digest() {
             return Vec::new();
--- a/crates/seamhatch-core/src/membership/mod.rs
+++ b/crates/seamhatch-core/src/membership/mod.rs
@@ -17,18 +17,22 @@
 pub use policy::MembershipPolicy;
 pub use record::{Lifecycle, Liveness, MemberInfo, MemberRecord};
 
-use crate::clock::{Instant, Microseconds, SECOND};
+use crate::clock::{Instant, MILLISECOND, Microseconds, SECOND};
 use crate::generation::Generation;
 use crate::identity::{Address, Incarnation};
 use std::collections::BTreeMap;
 
-/// For how long after its start a member exchanges lists more often. Chosen, not measured.
+/// For how long after its start a member exchanges lists more often.
 const SETTLING_TIME: Microseconds = 20 * SECOND;
-/// Time between two exchanges in that time. Chosen, not measured.
+/// Time between two exchanges in that time.
 const EARLY_SYNC_INTERVAL: Microseconds = SECOND;
-/// How long the answer to a probe for another member is waited for. Chosen, not measured.
+/// Time between two exchanges until a member has sent its list: some of those that are asked may be away.
+const FIRST_SYNC_INTERVAL: Microseconds = 200 * MILLISECOND;
+/// Members that are asked at once until one has sent its list.
+const FIRST_ASKED: usize = 3;
+/// How long the answer to a probe for another member is waited for.
 const RELAY_LIFETIME: Microseconds = SECOND;
-/// Times that a news record is sent on, for each doubling of the number of members. Chosen, not measured.
+/// Times that a news record is sent on, for each doubling of the number of members.
 const TRANSMISSIONS_PER_DOUBLING: u32 = 4;
 
 #[derive(Debug, Clone)]
@@ -73,6 +77,8 @@
     next_probe: Instant,
     next_sync: Instant,
     started: Option<Instant>,
+    /// A member has sent its list.
+    heard_list: bool,
     changes: u64,
 }
 
@@ -107,6 +113,7 @@
             next_probe: Instant::default(),
             next_sync: Instant::default(),
             started: None,
+            heard_list: false,
             changes: 0,
         }
     }
@@ -122,6 +129,12 @@
         self.members.values().map(|member| &member.record)
     }
 
+    /// Whether another member has sent its list: until then this one may know nobody.
+    #[must_use]
+    pub fn has_heard_list(&self) -> bool {
+        self.heard_list
+    }
+
     /// Grows whenever a record changes.
     #[must_use]
     pub fn changes(&self) -> u64 {
@@ -236,7 +249,11 @@
                 vec![(target, self.message(ping))]
             }
             GossipBody::SyncRequest { digest } => self.sync_pages(message.from, digest),
-            GossipBody::SyncPage | GossipBody::News | GossipBody::Suspects(_) => Vec::new(),
+            GossipBody::SyncPage => {
+                self.heard_list = true;
+                Vec::new()
+            }
+            GossipBody::News | GossipBody::Suspects(_) => Vec::new(),
         }
     }
 
--- a/crates/seamhatch-core/tests/membership.rs
+++ b/crates/seamhatch-core/tests/membership.rs
@@ -54,7 +54,11 @@
     }
 
     fn run(&mut self, seconds: u64) {
-        for _ in 0..seconds * SECOND / TICK {
+        self.run_ticks(seconds * SECOND / TICK);
+    }
+
+    fn run_ticks(&mut self, ticks: u64) {
+        for _ in 0..ticks {
             self.now = self.now.plus(TICK);
             for number in 0..self.members.len() {
                 let mut random = self.random;
@@ -240,3 +244,22 @@
         assert_eq!((told.len(), outgoing.len()), (case.told, case.told), "{}", case.name);
     }
 }
+
+/// A member whose only seed that was asked was away knew nobody for a second.
+#[test]
+fn a_member_that_starts_asks_again_soon_until_it_has_a_list() {
+    let seeds = [1, 2, 3, 4, 5];
+    for alive in seeds {
+        let mut members: Vec<Membership> = (0..6).map(|number| member(number, 1, &[alive])).collect();
+        members[0] = member(0, 1, &seeds);
+        let mut network = Network::new(members);
+        network.cut_off = seeds.into_iter().filter(|seed| *seed != alive).collect();
+        let mut ticks = 0;
+        while !network.members[0].has_heard_list() {
+            network.run_ticks(1);
+            ticks += 1;
+            assert!(ticks <= 20, "nothing of seed {alive} in {ticks} ticks");
+        }
+        assert!(network.members[0].member(address(alive)).is_some());
+    }
+}
--- a/crates/seamhatch-lab/tests/planned_stop.rs
+++ b/crates/seamhatch-lab/tests/planned_stop.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{LONG, assert_ready, executions_by_request, request, start, until_answered};
+use common::{LONG, assert_ready, eventually, executions_by_request, request, start, until_answered};
 use rustix::process::Signal;
 use seamhatch_lab::client::{Caller, CallerAnswer};
 use seamhatch_lab::topology::{Topology, call, endpoint, service};
@@ -113,3 +113,28 @@
         assert_eq!(count, 1, "{request}");
     }
 }
+
+/// Restarts of the daemon, of whose three seeds two are gone.
+const RESTARTS: usize = 5;
+
+/// A daemon that was ready before it knew another member had its server run calls, and refused that server's own calls for want of a server.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_that_starts_while_its_seeds_are_away_is_ready_when_it_knows_servers() {
+    let (mut deployment, _turn) = start(Topology::harvest().in_small(2), false).await;
+    let caller = Caller::default();
+    for seed in [0, 2] {
+        deployment.daemons[seed].signal(Signal::TERM).expect("runs");
+        let stopping = &mut deployment.daemons[seed];
+        assert!(tokio::task::block_in_place(|| stopping.wait(LONG)).is_some(), "ends by itself");
+    }
+    for restart in 0..RESTARTS {
+        deployment.restart(1).expect("starts");
+        eventually("the daemon is ready", async || {
+            deployment.status(1).await.is_some_and(|status| status.ready)
+        })
+        .await;
+        let lookup = request("GET", "/status/lookup", &format!("started-{restart}"), false);
+        let answer = caller.send(deployment.daemons[1].machine.ingress(), &lookup).await;
+        assert!(answer.is_good(), "restart {restart}: {answer:?}");
+    }
+}
--- a/crates/seamhatchd/src/controllers/control_thread/verification.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/verification.rs
@@ -4,12 +4,13 @@
 //! that is verified stays so: from then on it learns of each newer configuration as all daemons do.
 
 use super::ControlThread;
+use crate::base::clock;
 use crate::control::{ConfigurationEvent, ConfigurationSource};
 use crate::controllers::registration::{Held, ask_held, newer, register};
 use crate::shared::Shared;
 use log::info;
 use seamhatch_core::Instant;
-use seamhatch_core::clock::{Microseconds, SECOND};
+use seamhatch_core::clock::{MILLISECOND, Microseconds, SECOND};
 use seamhatch_core::generation::Generation;
 use seamhatch_policy::StoredConfiguration;
 use std::sync::Arc;
@@ -17,6 +18,10 @@
 /// How long a starting daemon asks the witnesses before the store alone is enough.
 const WITNESS_PATIENCE: Microseconds = 10 * SECOND;
 
+/// How long a starting daemon waits for another's list of members: without one, its back end's calls find no server. In a deployment of
+/// one there is none.
+const MEMBERS_PATIENCE: Microseconds = 600 * MILLISECOND;
+
 /// How far this daemon has verified that it knows the newest accepted configuration.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(super) enum Verification {
@@ -78,10 +83,17 @@
         self.shared.lifecycle.is_ready()
     }
 
-    /// Lets work in once the newest configuration is known and can be used.
+    /// Whether another daemon has sent its list of members, or none does. A followed store has the daemons' records.
+    fn knows_members(&self) -> bool {
+        let waited = clock::now().since(self.started) >= MEMBERS_PATIENCE;
+        self.followed().is_some() || self.membership.state.has_heard_list() || waited
+    }
+
+    /// Lets work in once the newest configuration is known and can be used, and other members are known.
     pub(super) fn become_ready_if_verified(&mut self) {
         let has_configuration = self.configuration.in_force().is_some();
-        if self.is_ready() || !self.is_verified() || !has_configuration || self.shared.is_draining() {
+        let may_begin = self.is_verified() && has_configuration && self.knows_members();
+        if self.is_ready() || !may_begin || self.shared.is_draining() {
             return;
         }
         info!(generation = self.configuration.generation().0; "ready");
