Soak: a call without witnesses excuses only a failure that the back end answered

The trace shows requests that ran and whose back end answered 502 as its own call was refused; the check excused every answer of such a request, also a lost connection, and a refusal of one that ran, which was broken before. Two cases in the table; both fail on the check as it was.

--- a/crates/seamhatch-lab/src/soak/checks.rs
+++ b/crates/seamhatch-lab/src/soak/checks.rs
@@ -18,6 +18,10 @@
 pub const RETRY_TOKENS: usize = 3;
 /// Outcome of a request that was not run.
 pub(crate) const NOT_RUN: &str = "not-run";
+/// Outcome of a request that a back end answered.
+pub(crate) const ANSWERED: &str = "answered";
+/// Status of an answer that is neither a success nor a refusal.
+pub(crate) const FAILED: u16 = 502;
 /// Name prefix of the requests that are sent when everything is over.
 pub const PROBE_PREFIX: &str = "probe-";
 
--- a/crates/seamhatch-lab/src/soak/rolls.rs
+++ b/crates/seamhatch-lab/src/soak/rolls.rs
@@ -4,7 +4,7 @@
 //! key finds a majority of witnesses, and none fails (502) while each service has an open server. What is refused as not run may come
 //! back; how long a service may be without a server is judged in `no_server`.
 
-use super::checks::{Promise, Violation, violation};
+use super::checks::{FAILED, Promise, Violation, violation};
 use super::exchanges::{Exchange, exchanges};
 use super::fault::FaultGroup;
 use super::fleet::DaemonIndex;
@@ -18,8 +18,6 @@
 const CALM_AFTER_MS: SoakMillis = 4_000;
 /// Time in which the others learn that a daemon is ready, in milliseconds.
 const LEARNT_MS: SoakMillis = 1_000;
-/// Status of an answer that is neither a success nor a refusal.
-const FAILED: u16 = 502;
 
 /// Requests that were owed an answer while daemons were only stopped in order.
 pub(super) fn stops_keep_serving(history: &[HistoryEvent]) -> Vec<Violation> {
--- a/crates/seamhatch-lab/src/soak/stops.rs
+++ b/crates/seamhatch-lab/src/soak/stops.rs
@@ -3,7 +3,7 @@
 //! What may be judged depends on the other faults around the stop: with none, each answer of the stopping daemon; with
 //! those that leave requests in progress alone, only answers that broke off; with any other, nothing.
 
-use super::checks::{NOT_RUN, Promise, Violation, executed, violation};
+use super::checks::{ANSWERED, FAILED, NOT_RUN, Promise, Violation, executed, violation};
 use super::exchanges::{Exchange, exchanges};
 use super::fault::{FaultGroup, SoakFault};
 use super::fleet::DaemonIndex;
@@ -95,8 +95,8 @@
     !is_gentle(&span.fault) && is_beside && paths.touches(exchange, &span.fault)
 }
 
-/// Whether a request with a key, which has not run, or a call of its back ends was refused while shards wait because one kill took more
-/// than half of the daemons, and with them most shards' majorities of witnesses.
+/// Whether a request with a key, which has not run, was refused while shards wait because one kill took more than half of the daemons, and with
+/// them most shards' majorities of witnesses; or failed as a call of its back end was refused so.
 fn may_lack_witnesses(
     exchange: &Exchange,
     spans: &[FaultSpan],
@@ -106,7 +106,9 @@
 ) -> bool {
     let answer = exchange.answer;
     let is_refused = answer.reason == Reason::NoClaimMajority.name() && answer.comes_back;
-    let is_unclaimed = is_refused && !ran.contains(exchange.request) || paths.was_unclaimed(exchange.request);
+    let has_failed = answer.status == FAILED && answer.outcome == ANSWERED;
+    let is_unclaimed =
+        is_refused && !ran.contains(exchange.request) || has_failed && paths.was_unclaimed(exchange.request);
     let waits = |span: &FaultSpan| {
         let took_most =
             matches!(&span.fault, SoakFault::Kill { daemons: killed } if 2 * killed.len() > daemons);
--- a/crates/seamhatch-lab/tests/soak.rs
+++ b/crates/seamhatch-lab/tests/soak.rs
@@ -201,14 +201,14 @@
 }
 
 /// A payout beside the stop whose back end got no answer to a call of its own, as the shard of that call's key waited.
-fn call_without_witnesses(killed: usize) -> Vec<HistoryEvent> {
+fn call_without_witnesses(killed: usize, told: SeenAnswer) -> Vec<HistoryEvent> {
     let failed = HistoryEvent::CallFailed {
         request: "a".into(),
         service: "records".into(),
         reason: "no-claim-majority".into(),
     };
     let ran = executed("a", "POST /payouts/payouts/a", "");
-    [at_stop(11_000, answer(502, "answered", ""), killed_before(killed)), vec![failed, ran]].concat()
+    [at_stop(11_000, told, killed_before(killed)), vec![failed, ran]].concat()
 }
 
 fn without_witnesses() -> SeenAnswer {
@@ -226,6 +226,7 @@
     let other = || SoakFault::PlannedStop { daemon: 3 };
     let lost = || answer(0, "", "connection-lost");
     let peer_lost = || answer(502, "unknown", "peer-lost");
+    let failed = || answer(502, "answered", "");
     let promise = Promise::StopsCutNothing;
     let reload = SoakFault::Reload { daemon: 2, log_level: ReloadLevel::Debug, more_slots: 1 };
     vec![
@@ -279,8 +280,18 @@
             promise,
             lost_beside_kill(5, &[("settlement", 0)]),
         ),
-        kept("a call without witnesses after a kill of most daemons", call_without_witnesses(5)),
-        broken("a call without witnesses after a kill of half of them", promise, call_without_witnesses(4)),
+        kept("a call without witnesses after a kill of most daemons", call_without_witnesses(5, failed())),
+        broken(
+            "a call without witnesses after a kill of half of them",
+            promise,
+            call_without_witnesses(4, failed()),
+        ),
+        broken("a call without witnesses, and cut off", promise, call_without_witnesses(5, lost())),
+        broken(
+            "a call without witnesses, and refused after it ran",
+            promise,
+            call_without_witnesses(5, without_witnesses()),
+        ),
         broken("under way when the stop begins", promise, under_way(9_950, 10_020)),
         kept("over before the stop begins", under_way(9_900, 9_990)),
         broken("sent elsewhere, and run where the stop is", promise, sent_elsewhere(peer_lost())),
