Tests of stops with nobody left to take over, and with the store out

What OPERATIONS says of both (a warning, an end at once or after 30 s) had no run behind it. All daemons of a deployment asked to stop at once end without waiting for each other; a witness that is asked to stop while the store is out ends within the bound. Both say what they leave.

--- a/crates/seamhatch-lab/tests/planned_stop.rs
+++ b/crates/seamhatch-lab/tests/planned_stop.rs
@@ -8,7 +8,7 @@
 use seamhatch_lab::topology::{Topology, call, endpoint, service};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::task::JoinSet;
 
 /// Slow requests that call onward, and large answers.
@@ -138,3 +138,42 @@
         assert!(answer.is_good(), "restart {restart}: {answer:?}");
     }
 }
+
+/// Longest wait of a stopping daemon for others to take over its shards, where its settings have no grace period.
+const LONGEST_HANDOVER: Duration = Duration::from_secs(30);
+const NOT_HANDED_OVER: &str = "the daemon ends before others have taken over its shards";
+
+/// Daemons that all stop have nobody to hand their shards over to: they would wait for each other.
+#[tokio::test(flavor = "multi_thread")]
+async fn daemons_that_all_stop_at_once_do_not_wait_for_each_other() {
+    let (mut deployment, _turn) = start(Topology::harvest().in_small(2), false).await;
+    let asked = Instant::now();
+    deployment.daemons.iter().for_each(|daemon| daemon.signal(Signal::TERM).expect("runs"));
+    for stopping in &mut deployment.daemons {
+        let status = tokio::task::block_in_place(|| stopping.wait(LONG)).expect("ends by itself");
+        assert_eq!(status.code(), Some(0));
+    }
+    assert!(asked.elapsed() < LONGEST_HANDOVER / 2, "{:?}", asked.elapsed());
+    let logs: String = (0..deployment.daemons.len()).map(|daemon| deployment.log(daemon)).collect();
+    assert!(logs.contains(NOT_HANDED_OVER), "no daemon says so");
+}
+
+/// Without the store nobody can take over: a stop that waited for that had no end.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_while_the_store_is_out_ends_and_says_what_it_leaves() {
+    let (mut deployment, _turn) = start(Topology::harvest().in_small(2), false).await;
+    // Each shard has its witnesses by then.
+    let caller = Caller::default();
+    let payout = request("POST", "/payouts/payouts", "before", true);
+    assert!(until_answered(&deployment, &caller, &payout, &[2, 3]).await.is_good());
+    let report = deployment.status(0).await.expect("answers");
+    let witness = report.shards[0].witnesses[0].clone();
+    let is_witness = |daemon: &usize| deployment.daemons[*daemon].machine.peer().to_string() == witness;
+    let witness = (0..deployment.daemons.len()).find(is_witness).expect("is one of the daemons");
+    deployment.platform.set_faults(|faults| faults.store_out = true);
+    deployment.daemons[witness].signal(Signal::TERM).expect("runs");
+    let stopping = &mut deployment.daemons[witness];
+    let status = tokio::task::block_in_place(|| stopping.wait(LONG)).expect("ends by itself");
+    assert_eq!(status.code(), Some(0));
+    assert!(deployment.log(witness).contains(NOT_HANDED_OVER), "it does not say so");
+}
