Roster, model and soak as a newcomer reads them

- The next roster is made in one place (`next_roster`), for changes and for releases; that a daemon is too new to know all members is passed to the plan, not kept as a flag; who is told of a written roster is said in one expression.

--- a/crates/seamhatch-lab/src/soak/paths.rs
+++ b/crates/seamhatch-lab/src/soak/paths.rs
@@ -15,10 +15,13 @@
 const NOT_ANSWERED: &str = "request not answered";
 
 /// The paths of all requests of a history.
+#[derive(Default)]
 pub(super) struct RequestPaths<'a> {
     services: HashMap<DaemonIndex, &'a str>,
-    /// None where the history does not name the machines.
-    daemons: Option<HashMap<&'a str, DaemonIndex>>,
+    /// By machine; empty where the history does not name the machines.
+    daemons: HashMap<&'a str, DaemonIndex>,
+    /// Services that requests were sent to.
+    entries: HashMap<&'a RequestName, &'a str>,
     ran_at: HashMap<&'a RequestName, BTreeSet<DaemonIndex>>,
     ran_in: HashMap<&'a RequestName, BTreeSet<&'a str>>,
     /// Services that requests to a service pass.
@@ -30,46 +33,43 @@
 
 impl<'a> RequestPaths<'a> {
     pub(super) fn of(history: &'a [HistoryEvent]) -> Self {
-        let mut paths = Self {
-            services: HashMap::new(),
-            daemons: None,
-            ran_at: HashMap::new(),
-            ran_in: HashMap::new(),
-            chains: HashMap::new(),
-            crashed: BTreeSet::new(),
-            unclaimed: HashSet::new(),
-        };
-        let mut entries: HashMap<&RequestName, &str> = HashMap::new();
+        let mut paths = Self::default();
+        history.iter().for_each(|event| paths.note(event));
+        // They refer to daemons and requests, wherever these stand.
         for event in history {
-            match event {
-                HistoryEvent::Daemon { daemon, service, server } => {
-                    paths.services.insert(*daemon, service);
-                    if !server.is_empty() {
-                        paths.daemons.get_or_insert_default().insert(server, *daemon);
-                    }
-                }
-                HistoryEvent::Sent { request, service, .. } => {
-                    entries.insert(request, service);
-                }
-                HistoryEvent::CallFailed { request, reason, .. }
-                    if *reason == Reason::NoClaimMajority.name() =>
-                {
-                    paths.unclaimed.insert(request);
-                }
-                _ => {}
+            if let HistoryEvent::Executed { request, service, server, is_deadly, .. } = event {
+                paths.note_run(request, service, server, *is_deadly);
             }
         }
-        for event in history {
-            let HistoryEvent::Executed { request, service, server, is_deadly, .. } = event else { continue };
-            paths.ran_in.entry(request).or_default().insert(service);
-            if let Some(entry) = entries.get(request) {
-                paths.chains.entry(entry).or_default().insert(service);
+        paths
+    }
+
+    fn note(&mut self, event: &'a HistoryEvent) {
+        match event {
+            HistoryEvent::Daemon { daemon, service, server } => {
+                self.services.insert(*daemon, service);
+                if !server.is_empty() {
+                    self.daemons.insert(server, *daemon);
+                }
+            }
+            HistoryEvent::Sent { request, service, .. } => {
+                self.entries.insert(request, service);
             }
-            let daemon = paths.daemons.as_ref().and_then(|daemons| daemons.get(server.as_str())).copied();
-            paths.ran_at.entry(request).or_default().extend(daemon);
-            paths.crashed.extend(daemon.filter(|_| *is_deadly));
+            HistoryEvent::CallFailed { request, reason, .. } if *reason == Reason::NoClaimMajority.name() => {
+                self.unclaimed.insert(request);
+            }
+            _ => {}
         }
-        paths
+    }
+
+    fn note_run(&mut self, request: &'a RequestName, service: &'a str, server: &str, is_deadly: bool) {
+        self.ran_in.entry(request).or_default().insert(service);
+        if let Some(entry) = self.entries.get(request) {
+            self.chains.entry(entry).or_default().insert(service);
+        }
+        let daemon = self.daemons.get(server).copied();
+        self.ran_at.entry(request).or_default().extend(daemon);
+        self.crashed.extend(daemon.filter(|_| is_deadly));
     }
 
     /// Whether a fault can have acted on the request: at the daemon that it was sent to, or at one that its calls came to.
@@ -78,7 +78,7 @@
             FaultGroup::Callers => self.crashed.iter().copied().collect(),
             _ => fault.daemons(),
         };
-        self.daemons.is_none() || hit.into_iter().any(|daemon| self.touches_daemon(exchange, daemon))
+        self.daemons.is_empty() || hit.into_iter().any(|daemon| self.touches_daemon(exchange, daemon))
     }
 
     fn touches_daemon(&self, exchange: &Exchange, daemon: DaemonIndex) -> bool {
--- a/crates/seamhatchd/src/controllers/control_thread/roster.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/roster.rs
@@ -13,6 +13,7 @@
 use seamhatch_core::identity::Address;
 use seamhatch_core::roster::{Roster, WitnessDuty, WitnessId};
 use seamhatch_wire::{ControlReply, ControlRequest};
+use std::collections::BTreeSet;
 
 /// Time between two checks of shards that are as they should be: finds a witness that restarted unnoticed.
 const ROSTER_RECHECK: Microseconds = 30 * SECOND;
@@ -66,25 +67,17 @@
         if !self.is_ready() || !self.membership.is_coordinator() {
             return;
         }
-        if now.since(self.started) > MEMBERS_KNOWN {
-            self.roster.settle();
-        }
         if now >= self.schedule.roster_recheck {
             self.schedule.roster_recheck = now.plus(ROSTER_RECHECK);
             self.roster.recheck();
         }
-        self.plan_roster();
-        self.start_transitions(now);
-    }
-
-    /// Writes the roster that should follow, if there is one and none is being written.
-    fn plan_roster(&mut self) {
-        if self.roster_upkeep.writing {
-            return;
-        }
-        if let Some(next) = self.roster.plan(&self.all_members()) {
+        let knows_all = now.since(self.started) > MEMBERS_KNOWN;
+        if !self.roster_upkeep.writing
+            && let Some(next) = self.roster.plan(&self.all_members(), knows_all)
+        {
             self.write_roster(next);
         }
+        self.start_transitions(now);
     }
 
     /// Writes a roster that lists the witnesses no more that are not needed, if there is one and none is being written: they may be waiting for
@@ -147,7 +140,7 @@
 
     /// Adopts a roster if it is newer, and spreads it.
     pub(super) fn offer_roster(&mut self, roster: Roster) {
-        let mut told = self.roster.witnesses();
+        let earlier_witnesses = self.roster.witnesses();
         if !self.roster.offer(roster) {
             return;
         }
@@ -155,14 +148,12 @@
         self.membership.state.set_roster_version(version);
         self.publish();
         let is_coordinator = self.is_ready() && self.membership.is_coordinator();
+        let mut told: BTreeSet<Address> = self.membership.random_peers(FANOUT).into_iter().collect();
         if is_coordinator {
-            // Witnesses that were released wait for nothing else.
-            told.extend(self.roster.witnesses());
-        } else {
-            told.clear();
+            // New witnesses are about to be installed, and those that were released wait for nothing else.
+            told.extend(self.roster.witnesses().into_iter().chain(earlier_witnesses));
+            told.remove(&self.shared.settings.advertise.peer);
         }
-        told.extend(self.membership.random_peers(FANOUT));
-        told.remove(&self.shared.settings.advertise.peer);
         let request = ControlRequest::PutRoster(Roster::clone(self.roster.roster()));
         for peer in told {
             self.send_to_peer(peer, request.clone());
--- a/crates/seamhatchd/src/controllers/roster.rs
+++ b/crates/seamhatchd/src/controllers/roster.rs
@@ -33,16 +33,9 @@
     /// Machines that were listed and are no longer.
     gone_machines: BTreeSet<IpAddr>,
     listed_machines: BTreeSet<IpAddr>,
-    /// This daemon has run for long enough to know all members.
-    settled: bool,
 }
 
 impl RosterController {
-    /// From now on, a witness of which nothing is known is one that has gone.
-    pub fn settle(&mut self) {
-        self.settled = true;
-    }
-
     /// The newest roster that was seen.
     pub fn roster(&self) -> &Arc<Roster> {
         &self.roster
@@ -92,8 +85,9 @@
         self.listed_machines = listed;
     }
 
-    /// The roster that should follow, or none while all shards are as they should be.
-    pub fn plan(&self, members: &[MemberRecord]) -> Option<Roster> {
+    /// The roster that should follow, or none while all shards are as they should be. `knows_all` says that a witness without a record in
+    /// `members` is one that has gone.
+    pub fn plan(&self, members: &[MemberRecord], knows_all: bool) -> Option<Roster> {
         let candidates = candidates(members);
         if candidates.is_empty() {
             return None;
@@ -101,30 +95,31 @@
         if self.roster.shards.is_empty() {
             return Some(first_roster(&candidates));
         }
-        let mut changed = false;
-        let shards = self.roster.shards.iter().enumerate().map(|(index, shard)| {
-            match self.plan_shard(index, shard, members, &candidates) {
-                Some(next) => {
-                    changed = true;
-                    next
-                }
-                None => shard.clone(),
-            }
-        });
-        let shards = shards.collect();
-        changed.then(|| Roster { version: self.roster.version + 1, shards })
+        let is_unknown =
+            |id: &WitnessId| !knows_all && members.iter().all(|record| record.info.peer != id.daemon);
+        let health = |id: &WitnessId| match self.health(id, members) {
+            WitnessHealth::Unsure if is_unknown(id) => WitnessHealth::Unknown,
+            health => health,
+        };
+        self.next_roster(|index, shard| self.plan_shard(index, shard, health, &candidates))
     }
 
     /// The roster without the assignments that need no sealing any more, as their successors are confirmed; none where there are none.
     pub fn plan_releases(&self) -> Option<Roster> {
-        let shards = self.roster.shards.iter().enumerate();
-        let released = shards.map(|(index, shard)| self.without_previous(index, shard));
-        if released.clone().all(|shard| shard.is_none()) {
-            return None;
+        self.next_roster(|index, shard| self.without_previous(index, shard))
+    }
+
+    /// The roster with some shards changed; none where no shard is.
+    fn next_roster(&self, change: impl Fn(usize, &ShardRoster) -> Option<ShardRoster>) -> Option<Roster> {
+        let mut shards = self.roster.shards.clone();
+        let mut changed = false;
+        for (index, shard) in shards.iter_mut().enumerate() {
+            if let Some(next) = change(index, shard) {
+                *shard = next;
+                changed = true;
+            }
         }
-        let shards =
-            released.zip(&self.roster.shards).map(|(released, shard)| released.unwrap_or(shard.clone()));
-        Some(Roster { version: self.roster.version + 1, shards: shards.collect() })
+        changed.then(|| Roster { version: self.roster.version + 1, shards })
     }
 
     fn without_previous(&self, index: usize, shard: &ShardRoster) -> Option<ShardRoster> {
@@ -139,14 +134,13 @@
         &self,
         index: usize,
         shard: &ShardRoster,
-        members: &[MemberRecord],
+        health: impl Fn(&WitnessId) -> WitnessHealth,
         candidates: &[WitnessCandidate],
     ) -> Option<ShardRoster> {
         if self.checked.get(&index) != Some(&shard.current.epoch) {
             return None;
         }
         let confirmed = self.is_confirmed(index, shard);
-        let health = |id: &WitnessId| self.health(id, members);
         let change = plan_change(index, shard, confirmed, health, candidates);
         change.or_else(|| self.without_previous(index, shard))
     }
@@ -215,11 +209,7 @@
     fn health(&self, id: &WitnessId, members: &[MemberRecord]) -> WitnessHealth {
         let gone = self.gone_machines.contains(&id.daemon.ip);
         let Some(record) = members.iter().find(|record| record.info.peer == id.daemon) else {
-            return match (gone, self.settled) {
-                (true, _) => WitnessHealth::Ended,
-                (false, true) => WitnessHealth::Unsure,
-                (false, false) => WitnessHealth::Unknown,
-            };
+            return if gone { WitnessHealth::Ended } else { WitnessHealth::Unsure };
         };
         let restarted = record.incarnation > id.incarnation;
         let dead = record.liveness == Liveness::Dead;
