--- a/crates/seamhatch-core/src/admission/floor.rs
+++ b/crates/seamhatch-core/src/admission/floor.rs
@@ -135,10 +135,10 @@
         }
     }
 
-    /// Moves the floor; `limit` is the concurrency limit in slots.
-    pub(super) fn tick(&mut self, pressure: Pressure, shares: &ClassShares, limit: u32) {
+    /// Moves the floor; `slots` is how many calls can run at once.
+    pub(super) fn tick(&mut self, pressure: Pressure, shares: &ClassShares, slots: f64) {
         for class in PriorityClass::ALL {
-            self.kept.fit(class, self.level, shares.used(class), limit);
+            self.kept.fit(class, self.level, shares.used(class), slots);
             if pressure.crowded[class.rank()] {
                 self.kept.shrink(class);
             }
--- a/crates/seamhatch-core/src/admission/kept.rs
+++ b/crates/seamhatch-core/src/admission/kept.rs
@@ -44,14 +44,14 @@
         self.0[class.rank()] as u8
     }
 
-    /// Moves the kept buckets of `class` towards as many as fill its share of `limit` slots: those admitted now, by the
+    /// Moves the kept buckets of `class` towards as many as fill its share of the `slots`: those admitted now, by the
     /// floor's `level` or as kept ones, have `used` so many slots.
-    pub(super) fn fit(&mut self, class: PriorityClass, level: u16, used: f64, limit: u32) {
+    pub(super) fn fit(&mut self, class: PriorityClass, level: u16, used: f64, slots: f64) {
         let most = f64::from(BUCKETS);
         let kept = &mut self.0[class.rank()];
         let by_level = f64::from(level) - class.rank() as f64 * most;
         let admitted = kept.max(by_level.min(most));
-        let share = share_of(class) * f64::from(limit);
+        let share = share_of(class) * slots;
         let fitting = if used > 0.0 { admitted * share / used } else { most };
         let moved = fitting.clamp(*kept * KEPT_SHRINKAGE, *kept * KEPT_GROWTH);
         *kept = moved.clamp(FEWEST_KEPT, most);
--- a/crates/seamhatch-core/src/admission/knee/mod.rs
+++ b/crates/seamhatch-core/src/admission/knee/mod.rs
@@ -22,27 +22,26 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default)]
 pub struct CallKind(pub u32);
 
-/// Parts of the slots by which two limits differ at least. Chosen, not measured.
+/// Parts of the slots by which two limits differ at least.
 const STEPS: u32 = 20;
 
-/// Distances of the probes of each round below the limit in use, in steps. Chosen, not measured.
+/// Distances of the probes of each round below the limit in use, in steps.
 const NEAR: [u32; 2] = [1, 2];
 
-/// Greater distances, one a round: a far knee doesn't show one step down, and looking for it costs most. Chosen, not
-/// measured.
+/// Greater distances, one a round: a far knee doesn't show one step down, and looking for it costs most.
 const FAR: [u32; 3] = [7, 5, 3];
 
-/// Slots below which nothing is probed: one slot fewer would be too much of the whole. Chosen, not measured.
+/// Slots below which nothing is probed: one slot fewer would be too much of the whole.
 const FEWEST_SLOTS: u32 = 8;
 
-/// Share of the slots below which no limit is probed. Chosen, not measured.
+/// Share of the slots below which no limit is probed.
 const LOWEST_SHARE: f64 = 0.5;
 
 /// Rest after all limits around the one in use were probed; doubled while nothing changes, up to [`LONGEST_REST`]. A probe
-/// of a worse limit costs capacity while it lasts (less than a second at a busy server). Chosen, not measured.
+/// of a worse limit costs capacity while it lasts (less than a second at a busy server).
 const FIRST_REST: Microseconds = 2 * SECOND;
 
-/// Longest rest. Chosen, not measured: a surge lasts seconds, and a knee may move with the back end's load.
+/// Longest rest: a surge lasts seconds, and a knee may move with the back end's load.
 const LONGEST_REST: Microseconds = 16 * SECOND;
 
 /// Finds the number of concurrent calls at which a back end finishes most.
@@ -115,6 +114,11 @@
         Some(mark)
     }
 
+    /// Ends a probe in progress without a verdict, as what comes now can't be compared with what came before.
+    pub fn give_up_probe(&mut self) {
+        self.probe = None;
+    }
+
     /// A call of a probe has ended.
     pub fn observe(&mut self, mark: ProbeMark, service_time: Microseconds) {
         if mark.probe == self.number {
--- a/crates/seamhatch-core/src/admission/limit.rs
+++ b/crates/seamhatch-core/src/admission/limit.rs
@@ -8,14 +8,14 @@
 use super::AdmissionPolicy;
 use crate::clock::{MILLISECOND, Microseconds};
 
-/// Weight of a new sample in the average service time. Chosen, not measured.
+/// Weight of a new sample in the average service time.
 const AVERAGE_WEIGHT: f64 = 0.05;
 
-/// Service time that is assumed before the first sample. Chosen, not measured.
+/// Service time that is assumed before the first sample.
 const ASSUMED_SERVICE_TIME: Microseconds = 5 * MILLISECOND;
 
 /// The number of calls a back end should run at once.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct ConcurrencyLimit {
     slots: f64,
     current: f64,
@@ -53,6 +53,12 @@
         self.average.map_or(ASSUMED_SERVICE_TIME, |average| average as u64)
     }
 
+    /// Whether a call has succeeded yet.
+    #[must_use]
+    pub fn has_samples(&self) -> bool {
+        self.average.is_some()
+    }
+
     /// Records the service time of a call that succeeded.
     pub fn observe(&mut self, service_time: Microseconds) {
         let sample = (service_time as f64).max(1.0);
--- a/crates/seamhatch-core/src/admission/mod.rs
+++ b/crates/seamhatch-core/src/admission/mod.rs
@@ -10,6 +10,7 @@
 //! | [`ClassShares`] | which class goes first |
 //! | `slots` | which calls hold a slot, and which have lost their answer |
 //! | `waiting` | who waits, in which order |
+//! | `held` | at which rate calls begin, where the back end names one |
 //! | `service_times` | how long a call of a kind usually takes |
 //! | `floor` | the level of the admission floor that the server publishes |
 //! | `kept` | the buckets of each class that are admitted whatever the level |
@@ -18,6 +19,7 @@
 //! from waiting for a turn that comes too late. Alternatives: docs/DESIGN.md#queue-and-slots.
 
 mod floor;
+mod held;
 mod kept;
 mod knee;
 mod limit;
--- a/crates/seamhatch-core/src/admission/queue.rs
+++ b/crates/seamhatch-core/src/admission/queue.rs
@@ -3,9 +3,11 @@
 //! A call runs at once where a slot is free and none waits. Else it waits while its turn can come in time, and is refused
 //! where it can't or where the queue is full of more important calls. A class that has used less than its share of the
 //! slots goes first, then the most important one that waits; within a class calls are ordered by bucket, so that every
-//! server of a chain prefers the same requests, and then by the age of the whole request.
+//! server of a chain prefers the same requests, and then by the age of the whole request. A back end that names a rate gets calls at that
+//! rate, in the same order; what it shows then is not remembered.
 
 use super::floor::{FloorController, HIGH_FILL, Pressure};
+use super::held::{HeldBackEnd, LearntTimes};
 use super::service_times::ServiceTimes;
 use super::slots::SlotTable;
 use super::waiting::WaitingLines;
@@ -13,9 +15,10 @@
     Admission, AdmissionPolicy, AdmissionRequest, BackEndLoad, ConcurrencyLimit, Dequeued, KneeFinder,
     Ticket, share_of,
 };
-use crate::clock::{Instant, Microseconds};
+use crate::clock::{Instant, Microseconds, SECOND};
 use crate::outcome::Reason;
 use crate::priority::{AdmissionFloor, Priority, PriorityClass};
+use crate::rate::RequestRate;
 use crate::return_time;
 
 /// Decides which calls run at one server, which wait and which are refused.
@@ -28,6 +31,8 @@
     waiting: WaitingLines,
     floor: FloorController,
     service_times: ServiceTimes,
+    /// Set while the back end names a rate, and for a while after.
+    held: Option<HeldBackEnd>,
 }
 
 impl AdmissionQueue {
@@ -42,9 +47,63 @@
             waiting: WaitingLines::default(),
             floor: FloorController::default(),
             service_times: ServiceTimes::default(),
+            held: None,
         }
     }
 
+    /// Holds calls to a rate that the back end names.
+    pub fn hold_to(&mut self, rate: RequestRate, now: Instant) {
+        let learnt = || LearntTimes { limit: self.limit.clone(), service_times: self.service_times.clone() };
+        match &mut self.held {
+            Some(held) => held.set_rate(rate, learnt, now),
+            None => self.held = Some(HeldBackEnd::new(rate, learnt(), now)),
+        }
+        self.knee.give_up_probe();
+    }
+
+    /// The back end names no rate any more: calls come faster from now on, but not all at once.
+    pub fn lift_rate(&mut self, now: Instant) {
+        let full = self.full_rate();
+        let Some(before) = self.held.as_mut().and_then(|held| held.lift(full, now)) else { return };
+        if before.limit.has_samples() {
+            self.limit = before.limit;
+            self.service_times = before.service_times;
+        }
+    }
+
+    /// Lets the rate rise after its end; to be called at a steady pace (every 100 ms).
+    pub fn raise_rate(&mut self, now: Instant) {
+        let full = self.full_rate();
+        if self.held.as_mut().is_some_and(|held| held.rise(full, now)) {
+            self.held = None;
+        }
+    }
+
+    /// The rate that calls are held to.
+    #[must_use]
+    pub fn rate(&self) -> Option<RequestRate> {
+        Some(self.held.as_ref()?.limiter().rate())
+    }
+
+    /// Time until the turn of a call that comes now, as far as the rate decides it; none where there is no rate.
+    #[must_use]
+    pub fn turn_in(&self, now: Instant) -> Option<Microseconds> {
+        Some(self.held.as_ref()?.limiter().turn_in(self.waiting.len(), now))
+    }
+
+    /// When the first call that waits may begin, as far as the rate decides it; none where no call waits for that.
+    #[must_use]
+    pub fn next_turn(&self, now: Instant) -> Option<Instant> {
+        let held = self.held.as_ref().filter(|_| !self.waiting.is_empty())?;
+        (!held.limiter().is_due(now)).then(|| held.limiter().next_at())
+    }
+
+    /// Why a call is refused whose turn would come too late.
+    #[must_use]
+    pub fn late_reason(&self) -> Reason {
+        if self.held.is_some() { Reason::BackendRate } else { Reason::DeadlineExceeded }
+    }
+
     /// Sets how many calls may wait for each slot; calls that wait already stay.
     pub fn set_queue_per_slot(&mut self, queue_per_slot: u32) {
         self.policy.queue_per_slot = queue_per_slot;
@@ -86,10 +145,16 @@
         self.floor.floor()
     }
 
+    /// Slots that calls can use at once, as other daemons see it: fewer where a rate keeps them from being used.
+    #[must_use]
+    pub fn reported_limit(&self) -> u32 {
+        (self.usable_slots().ceil() as u32).clamp(1, self.limit().max(1))
+    }
+
     /// How long a refused caller should stay away, before jitter.
     #[must_use]
-    pub fn retry_after(&self) -> Microseconds {
-        return_time::after_queue(self.estimated_wait(self.waiting.len() + 1))
+    pub fn retry_after(&self, now: Instant) -> Microseconds {
+        return_time::after_queue(self.estimated_wait(self.waiting.len() + 1, now))
     }
 
     /// The latest instant at which a call may start: its kind's usual service time before the end of its objective, and
@@ -121,14 +186,14 @@
         if request.expiry <= now {
             return Admission::Refuse(Reason::DeadlineExceeded);
         }
-        if self.waiting.is_empty() && self.has_free_slot() {
+        if self.waiting.is_empty() && self.may_start(now) {
             self.start(&request, now);
             return Admission::Run;
         }
         let ahead = self.ahead_of(request.priority.class, self.waiting.ahead_in_class(&request));
-        if now.plus(self.estimated_wait(ahead)) >= self.latest_start(&request) {
+        if now.plus(self.estimated_wait(ahead, now)) >= self.latest_start(&request) {
             self.floor.count_refused(request.priority);
-            return Admission::Refuse(Reason::DeadlineExceeded);
+            return Admission::Refuse(self.late_reason());
         }
         let evicted = match self.make_room(&request) {
             Ok(evicted) => evicted,
@@ -148,7 +213,7 @@
             self.expire(request.ticket);
             return Some(Dequeued::Expired(request.ticket));
         }
-        if !self.has_free_slot() {
+        if !self.may_start(now) {
             return None;
         }
         self.waiting.remove(request.ticket);
@@ -201,6 +266,14 @@
         }
     }
 
+    /// Frees the slot of a call that was never sent to the back end, and gives its turn to another one.
+    pub fn withdraw(&mut self, ticket: Ticket, now: Instant) {
+        if let Some(held) = self.held.as_mut().filter(|_| self.slots.has_turn(ticket)) {
+            held.limiter_mut().give_back();
+        }
+        self.finish(ticket, now, false);
+    }
+
     /// Records the load that the back end reports beside an answer. Calls that are overdue and that it doesn't work on
     /// hold no slot from now on.
     pub fn note_back_end_load(&mut self, load: BackEndLoad, now: Instant) {
@@ -215,7 +288,7 @@
     /// Moves the floor; to be called at a steady pace (every 100 ms).
     pub fn tick(&mut self) {
         let healthy = (f64::from(self.capacity()) * HIGH_FILL) as usize;
-        let taken = self.running() as f64 / f64::from(self.limit().max(1));
+        let taken = self.running() as f64 / self.usable_slots().max(1.0);
         let level = self.floor().level;
         let kept = PriorityClass::ALL.map(|class| self.waiting.count_from_level(class, level));
         let passing = self.waiting.len() - kept.iter().sum::<usize>();
@@ -225,12 +298,28 @@
             first_in_excess: self.waiting.level_at(healthy),
             free: (1.0 - taken).max(0.0),
         };
-        self.floor.tick(pressure, self.slots.shares(), self.limit());
+        self.floor.tick(pressure, self.slots.shares(), self.usable_slots());
     }
 
     /// Places in the queue.
     fn capacity(&self) -> u32 {
-        self.policy.slots * self.policy.queue_per_slot
+        match self.held {
+            None => self.policy.slots * self.policy.queue_per_slot,
+            Some(_) => (self.usable_slots().max(1.0) * f64::from(self.policy.queue_per_slot)).ceil() as u32,
+        }
+    }
+
+    /// Slots that calls can use at once at present, on average.
+    fn usable_slots(&self) -> f64 {
+        let limit = f64::from(self.limit());
+        let service_time = self.limit.typical_service_time();
+        self.held.as_ref().map_or(limit, |held| held.concurrency(service_time).min(limit))
+    }
+
+    /// The rate that the slots of the back end can do.
+    fn full_rate(&self) -> RequestRate {
+        let seconds = self.limit.typical_service_time().max(1) as f64 / SECOND as f64;
+        RequestRate::per_second(f64::from(self.limit()) / seconds).unwrap_or_default()
     }
 
     /// Places in the queue that a class owns.
@@ -238,17 +327,25 @@
         (f64::from(self.capacity()) * share_of(class)) as usize
     }
 
-    fn has_free_slot(&self) -> bool {
-        self.running() < self.limit() as usize
+    /// Whether a slot is free, and the rate lets a call begin.
+    fn may_start(&self, now: Instant) -> bool {
+        let is_due = self.held.as_ref().is_none_or(|held| held.limiter().is_due(now));
+        self.running() < self.limit() as usize && is_due
     }
 
     fn start(&mut self, request: &AdmissionRequest, now: Instant) {
-        let mark = self.knee.begin(self.running() as u32 + 1, request.kind, now);
-        self.slots.start(request, mark, now);
+        let mark = match &mut self.held {
+            None => self.knee.begin(self.running() as u32 + 1, request.kind, now),
+            Some(held) => {
+                held.limiter_mut().take(now);
+                None
+            }
+        };
+        self.slots.start(request, mark, self.held.is_some(), now);
     }
 
     fn below_share(&self, class: PriorityClass) -> bool {
-        self.slots.shares().below_share(class, self.limit())
+        self.slots.shares().below_share(class, self.usable_slots())
     }
 
     /// The class whose turn it is: one below its share, else the most important that waits.
@@ -262,8 +359,8 @@
     /// neither in the order of importance nor on its class's own share of the slots does it come sooner.
     fn comes_too_late(&self, request: &AdmissionRequest, in_line: usize, now: Instant) -> bool {
         let class = request.priority.class;
-        let in_turn = self.estimated_wait(self.ahead_of(class, in_line));
-        let on_share = self.estimated_wait(in_line) as f64 / share_of(class);
+        let in_turn = self.estimated_wait(self.ahead_of(class, in_line), now);
+        let on_share = self.estimated_wait(in_line, now) as f64 / share_of(class);
         now.plus(in_turn.min(on_share as Microseconds)) >= self.latest_start(request)
     }
 
@@ -273,9 +370,11 @@
         before + in_line
     }
 
-    fn estimated_wait(&self, ahead: usize) -> Microseconds {
+    fn estimated_wait(&self, ahead: usize, now: Instant) -> Microseconds {
         let service_time = self.limit.typical_service_time();
-        service_time * (ahead as u64 + 1) / u64::from(self.limit().max(1))
+        let for_slot = service_time * (ahead as u64 + 1) / u64::from(self.limit().max(1));
+        let for_turn = self.held.as_ref().map_or(0, |held| held.limiter().turn_in(ahead, now));
+        for_slot.max(for_turn)
     }
 
     /// Finds a place for `request` in the queue; the call that lost its place, if one did.
@@ -283,7 +382,8 @@
         if self.waiting.len() < self.capacity() as usize {
             return Ok(None);
         }
-        let victim = self.victim(request.priority).ok_or(Reason::QueueFull)?;
+        let full = if self.held.is_some() { Reason::BackendRate } else { Reason::QueueFull };
+        let victim = self.victim(request.priority).ok_or(full)?;
         self.expire(victim);
         Ok(Some(victim))
     }
--- a/crates/seamhatch-core/src/admission/service_times.rs
+++ b/crates/seamhatch-core/src/admission/service_times.rs
@@ -7,16 +7,16 @@
 use crate::running_quantile::RunningQuantile;
 use std::collections::HashMap;
 
-/// Kinds that are remembered at most; all are forgotten when there are more. Chosen, not measured: kinds are classes at
-/// depths of a chain, so far fewer come.
+/// Kinds that are remembered at most; all are forgotten when there are more: kinds are classes at depths of a chain, so far
+/// fewer come.
 const MOST_KINDS: usize = 256;
 
-/// Share of calls that end within the usual service time: the median is what a call takes as likely as not. Chosen, not
-/// measured: a mean would follow the few that take many times as long.
+/// Share of calls that end within the usual service time: the median is what a call takes as likely as not. A mean would
+/// follow the few that take many times as long.
 const USUAL_SHARE: f64 = 0.5;
 
 /// Running medians of service times, by kind of call.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct ServiceTimes {
     medians: HashMap<CallKind, RunningQuantile>,
 }
--- a/crates/seamhatch-core/src/admission/shares.rs
+++ b/crates/seamhatch-core/src/admission/shares.rs
@@ -8,15 +8,11 @@
 use crate::clock::{Instant, Microseconds, SECOND};
 use crate::priority::PriorityClass;
 
-/// Time constant of the slot time that is remembered. Chosen, not measured.
+/// Time constant of the slot time that is remembered.
 const MEMORY: Microseconds = SECOND;
 
 /// The share of a server's slot time that a class owns, 0 to 1. The most important class goes first anyway and owns none;
 /// the shares leave it more than half of the server.
-///
-/// The figures are chosen; that there are shares was measured on a day that lost two thirds of its deepest service: worth
-/// 0.197 without and 0.443 with them, and 0.538 and 0.931 of the requests of a cheap class between two that filled the
-/// server.
 #[must_use]
 pub fn share_of(class: PriorityClass) -> f64 {
     match class {
@@ -56,13 +52,13 @@
         self.used[class.rank()]
     }
 
-    /// Whether `class` has less than its share of `limit` slots, now and recently.
+    /// Whether `class` has less than its share of `slots`, now and recently.
     ///
     /// Recent use alone would let a class that was idle take every slot for a while; present use alone would give it half
     /// of a server of two slots.
     #[must_use]
-    pub fn below_share(&self, class: PriorityClass, limit: u32) -> bool {
-        let share = share_of(class) * f64::from(limit);
+    pub fn below_share(&self, class: PriorityClass, slots: f64) -> bool {
+        let share = share_of(class) * slots;
         f64::from(self.running[class.rank()]) < share.ceil() && self.used(class) < share
     }
 
--- a/crates/seamhatch-core/src/admission/slots.rs
+++ b/crates/seamhatch-core/src/admission/slots.rs
@@ -17,6 +17,8 @@
     started: Instant,
     /// Set while it is part of a limit probe.
     mark: Option<ProbeMark>,
+    /// It has taken a turn of a rate that the back end names.
+    has_turn: bool,
     /// Its answer seems to be lost; it holds no slot any more.
     lost: bool,
 }
@@ -56,13 +58,24 @@
     }
 
     /// A call gets a slot.
-    pub(super) fn start(&mut self, request: &AdmissionRequest, mark: Option<ProbeMark>, now: Instant) {
+    pub(super) fn start(
+        &mut self,
+        request: &AdmissionRequest,
+        mark: Option<ProbeMark>,
+        has_turn: bool,
+        now: Instant,
+    ) {
         let class = request.priority.class;
-        let slot = RunningSlot { class, kind: request.kind, started: now, mark, lost: false };
+        let slot = RunningSlot { class, kind: request.kind, started: now, mark, has_turn, lost: false };
         self.running.insert(request.ticket, slot);
         self.shares.start(class, now);
     }
 
+    /// Whether a running call has taken a turn.
+    pub(super) fn has_turn(&self, ticket: Ticket) -> bool {
+        self.running.get(&ticket).is_some_and(|slot| slot.has_turn)
+    }
+
     /// A call has ended; none where it held no slot.
     pub(super) fn finish(&mut self, ticket: Ticket, now: Instant) -> Option<FinishedCall> {
         let slot = self.running.remove(&ticket)?;
--- a/crates/seamhatch-core/src/balance/mod.rs
+++ b/crates/seamhatch-core/src/balance/mod.rs
@@ -11,11 +11,13 @@
 
 mod outlier;
 mod silence;
+mod turn;
 
 pub use outlier::{CallEnd, Ejection, SuccessRate};
 pub use silence::{silent_at, standing};
+pub use turn::{NextTurn, SenderRound, TurnReport};
 
-use crate::clock::Microseconds;
+use crate::clock::{MILLISECOND, Microseconds};
 
 /// Whether a candidate is used while others are there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -41,34 +43,37 @@
     pub reported_load: u32,
     /// Share of its answers that arrived recently, 0 to 1.
     pub success: f64,
+    /// Time until its turn for a call, where it names a rate.
+    pub turn_in: Option<Microseconds>,
     /// Whether it is used while others are there.
     pub standing: CandidateStanding,
 }
 
 /// Calls of one request that usually go to one service, one after the other; the request fails with any of them, so a
-/// server's success counts to this power. The figure is chosen; with a power of 0, a server that lost part of its answers
-/// got 107 of 216 calls, half of them.
+/// server's success counts to this power.
 const CALLS_AT_STAKE: i32 = 4;
 
-/// Success below this makes no further difference. Chosen, not measured.
+/// Success below this makes no further difference.
 const LEAST_SUCCESS: f64 = 0.05;
 
-/// Load over slots below which a server starts a call about at once. Chosen, not measured; a fixed 1.6 for servers of the
-/// own zone gained 0.008 of a day's worth, less than [`ZONE_SPILL_MARGIN`].
+/// Load over slots below which a server starts a call about at once.
 const SPILL_COST: f64 = 0.8;
 
 /// How much more load over slots a server in the own zone may have than one in another zone: about the part of a service
 /// time that a call waits longer so that its bytes stay in the zone. Without it all calls are spread over all zones as
-/// soon as a service is full everywhere. The figure is chosen; five days with trouble earned 0.550 of their worth on average
-/// with it, 0.531 without.
+/// soon as a service is full everywhere.
 const ZONE_SPILL_MARGIN: f64 = 0.5;
 
+/// Wait for its turn that makes a server which names a rate as costly as one whose slots are all taken. Its turns go unused otherwise,
+/// so it is preferred while it has one.
+const COSTLY_TURN: Microseconds = 100 * MILLISECOND;
+
 impl Candidate {
-    /// Load over slots, divided by the chance that all calls of a request are answered.
+    /// Load over slots, or the wait where the server names a rate, divided by the chance that all calls of a request are answered.
     fn cost(&self) -> f64 {
-        let load = f64::from(self.in_flight.max(self.reported_load) + 1);
         let success = self.success.max(LEAST_SUCCESS).powi(CALLS_AT_STAKE);
-        load / f64::from(self.slots.max(1)) / success
+        let load = f64::from(self.in_flight.max(self.reported_load) + 1) / f64::from(self.slots.max(1));
+        self.turn_in.map_or(load, |wait| wait as f64 / COSTLY_TURN as f64) / success
     }
 
     /// Whether no other server would do better for a call.
--- a/crates/seamhatch-core/src/lib.rs
+++ b/crates/seamhatch-core/src/lib.rs
@@ -17,7 +17,7 @@
 //! | Has another attempt with its idempotency key run? | [`claims`], by the witnesses of [`roster`] |
 //! | May it be sent again, and who pays for that? | [`retry`] |
 //! | To which server does it go? | [`balance`] |
-//! | Does it run there, wait or get refused? | [`admission`] |
+//! | Does it run there, wait or get refused? | [`admission`], at a [`rate`] where the back end names one |
 //! | What does a refusal prove, and what is the caller told? | [`refusal`] |
 //! | When should a refused caller return? | [`return_time`] |
 //!
@@ -26,6 +26,7 @@
 //! | question | module |
 //! | --- | --- |
 //! | Which instance of the back end takes calls? | [`instance`], [`departure`] |
+//! | What does the back end say of itself in its answers? | [`notice`] |
 //! | Which daemons are there? | [`membership`] |
 //! | Which configuration is in force, and has a submission been accepted? | [`generation`] |
 //!
@@ -44,9 +45,11 @@
 pub mod identity;
 pub mod instance;
 pub mod membership;
+pub mod notice;
 pub mod outcome;
 pub mod priority;
 pub mod quota;
+pub mod rate;
 pub mod refusal;
 pub mod rendezvous;
 pub mod retry;
--- a/crates/seamhatch-core/src/outcome.rs
+++ b/crates/seamhatch-core/src/outcome.rs
@@ -104,6 +104,8 @@
     OverQuota,
     /// Nobody can tell what is left of the tenant's limit.
     NoQuotaShard,
+    /// The back end has named a rate, and the call's turn would come too late.
+    BackendRate,
 }
 
 impl Reason {
@@ -143,6 +145,7 @@
             Self::NoProof => "no-proof",
             Self::OverQuota => "over-quota",
             Self::NoQuotaShard => "no-quota-shard",
+            Self::BackendRate => "backend-rate",
         }
     }
 }
--- a/crates/seamhatch-core/src/refusal.rs
+++ b/crates/seamhatch-core/src/refusal.rs
@@ -210,7 +210,7 @@
             Self::OtherService | Self::NoInstance => other_server(SERVER, NotRun),
             Self::BackendUnreachable => lost(other_server(SERVER, NotRun)),
             // The gate of a server, or a deadline that passed with the call under way.
-            Self::QueueFull | Self::Evicted => pressure(SERVER, NotRun),
+            Self::QueueFull | Self::Evicted | Self::BackendRate => pressure(SERVER, NotRun),
             Self::DeadlineExceeded => RefusalRule {
                 entry: Statuses { not_run: 503, unknown: 504 },
                 peer: Statuses { not_run: 503, unknown: 504 },
--- a/crates/seamhatch-core/src/return_time.rs
+++ b/crates/seamhatch-core/src/return_time.rs
@@ -73,6 +73,12 @@
     wait.clamp(SHORTEST_QUEUE_RETURN, LONGEST_QUEUE_RETURN)
 }
 
+/// After a refusal of the back end that states this span itself.
+#[must_use]
+pub fn as_stated(span: Microseconds) -> Microseconds {
+    after_queue(span)
+}
+
 /// For a tenant at its limit: `room_in` is the time until a shard may be asked again, none where none is waited for.
 #[must_use]
 pub fn at_limit(room_in: Option<Microseconds>) -> Microseconds {
--- a/crates/seamhatch-core/tests/decisions.rs
+++ b/crates/seamhatch-core/tests/decisions.rs
@@ -122,7 +122,7 @@
 
 fn server(in_flight: u32, same_zone: bool, ejected: bool) -> Candidate {
     let standing = if ejected { CandidateStanding::Ejected } else { CandidateStanding::Usual };
-    Candidate { same_zone, slots: 10, in_flight, reported_load: 0, success: 1.0, standing }
+    Candidate { same_zone, slots: 10, in_flight, reported_load: 0, success: 1.0, turn_in: None, standing }
 }
 
 #[test]
--- a/crates/seamhatch-core/tests/refusals.rs
+++ b/crates/seamhatch-core/tests/refusals.rs
@@ -5,7 +5,7 @@
 use seamhatch_core::refusal::{Elsewhere, Proof, ReturnTime, Speaker, VerdictSource};
 use std::collections::BTreeSet;
 
-const REASONS: [Reason; 32] = [
+const REASONS: [Reason; 33] = [
     Reason::BadRequest,
     Reason::NoRoute,
     Reason::BadContext,
@@ -38,6 +38,7 @@
     Reason::NoProof,
     Reason::OverQuota,
     Reason::NoQuotaShard,
+    Reason::BackendRate,
 ];
 
 fn reasons_that(keep: impl Fn(Reason) -> bool) -> BTreeSet<Reason> {
@@ -72,7 +73,7 @@
         SetCase {
             name: "a few other servers may have room",
             has: Reason::is_pressure,
-            reasons: &[Reason::QueueFull, Reason::Evicted, Reason::DeadlineExceeded],
+            reasons: &[Reason::QueueFull, Reason::Evicted, Reason::DeadlineExceeded, Reason::BackendRate],
         },
         SetCase {
             name: "the back end may have seen the call",
@@ -117,7 +118,7 @@
         SetCase {
             name: "a server tells the drain time of its queue",
             has: |reason| reason.rule().return_time == ReturnTime::AfterQueue,
-            reasons: &[Reason::QueueFull, Reason::Evicted, Reason::DeadlineExceeded],
+            reasons: &[Reason::QueueFull, Reason::Evicted, Reason::DeadlineExceeded, Reason::BackendRate],
         },
     ];
     for case in cases {
--- a/crates/seamhatch-lab/src/conventions.rs
+++ b/crates/seamhatch-lab/src/conventions.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Response, StatusCode};
 use seamhatch_core::admission::BackEndLoad;
+use seamhatch_core::notice::AnswerNotice;
 use seamhatch_wire::HeaderField;
 use seamhatchd::conventions::{
     AnswerMark, AnswerVerdict, BackEndCall, CallerTerms, HttpConventions, OwnAnswer, OwnConventions,
@@ -59,6 +60,10 @@
         OwnConventions.judge(call, status, headers)
     }
 
+    fn notice(&self, verdict: &AnswerVerdict, headers: &HeaderMap) -> AnswerNotice {
+        OwnConventions.notice(verdict, headers)
+    }
+
     fn back_end_load(&self, headers: &HeaderMap) -> Option<BackEndLoad> {
         OwnConventions.back_end_load(headers)
     }
--- a/crates/seamhatch-wire/src/lib.rs
+++ b/crates/seamhatch-wire/src/lib.rs
@@ -21,3 +21,10 @@
 
 /// Version of the messages. Daemons of another version refuse the connection and ignore the datagram.
 pub const PROTOCOL_VERSION: u16 = 8;
+
+/// Additions to the messages of this version that this daemon reads. An addition is a field at the end of a message, which daemons that
+/// don't read it pass over and which is empty where they send none, so that releases can run side by side.
+pub const ADDITIONS: u16 = 1;
+
+/// The additions from which on [`seamhatch_core::outcome::Reason::BackendRate`] is read.
+pub const READS_BACKEND_RATE: u16 = 1;
--- a/crates/seamhatch-wire/src/message/answer.rs
+++ b/crates/seamhatch-wire/src/message/answer.rs
@@ -1,8 +1,10 @@
 //! What comes back for a call: an answer in pieces, or a refusal.
 
 use super::{HeaderField, ServerReport};
+use seamhatch_core::balance::TurnReport;
 use seamhatch_core::clock::Microseconds;
 use seamhatch_core::identity::CallId;
+use seamhatch_core::notice::BackEndNotice;
 use seamhatch_core::outcome::{Outcome, Reason};
 use seamhatch_core::priority::AdmissionFloor;
 use speedy::{Readable, Writable};
@@ -22,6 +24,9 @@
     pub crashes: u32,
     /// State of the server.
     pub server: ServerReport,
+    /// When the server has a turn for the sender of the call, where it names a rate.
+    #[speedy(default_on_eof)]
+    pub turn: Option<TurnReport>,
 }
 
 /// An admission floor below [`AdmissionFloor::OPEN`], and the service whose server reported it.
@@ -55,6 +60,12 @@
     /// Lowest floor of the services that its calls went to; none where all were open. The caller knows the floor of the
     /// answering service itself from the reports of all its servers.
     pub chain_floor: Option<ChainFloor>,
+    /// When the server has a turn for the sender of the call, where it names a rate.
+    #[speedy(default_on_eof)]
+    pub turn: Option<TurnReport>,
+    /// What the server says of itself, for the sender of the call to hand back.
+    #[speedy(default_on_eof)]
+    pub notice: Option<BackEndNotice>,
 }
 
 /// The end of an answer.
--- a/crates/seamhatch-wire/src/message/link.rs
+++ b/crates/seamhatch-wire/src/message/link.rs
@@ -1,10 +1,12 @@
 //! What a daemon reports of itself on a connection: who it is, and with each heartbeat the state of the server beside it.
 
+use seamhatch_core::balance::TurnReport;
 use seamhatch_core::clock::Instant;
 use seamhatch_core::drain::CallIntake;
 use seamhatch_core::freshness::FreshnessProof;
 use seamhatch_core::generation::Generation;
 use seamhatch_core::identity::{Address, Incarnation};
+use seamhatch_core::notice::BackEndNotice;
 use seamhatch_core::priority::AdmissionFloor;
 use speedy::{Readable, Writable};
 
@@ -24,10 +26,16 @@
     pub service: String,
     /// The sender's boot clock.
     pub clock: Instant,
+    /// Additions to the messages that the sender reads; see [`crate::ADDITIONS`].
+    #[speedy(default_on_eof)]
+    pub additions: u16,
+    /// What the sender knows of the back end beside the receiver, which may have forgotten it in a restart.
+    #[speedy(default_on_eof)]
+    pub handed_back: Option<BackEndNotice>,
 }
 
 /// A heartbeat on an open connection.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Readable, Writable)]
+#[derive(Debug, Clone, PartialEq, Eq, Readable, Writable)]
 pub struct Pulse {
     /// The sender's boot clock.
     pub clock: Instant,
@@ -40,6 +48,12 @@
     /// Its proof that its configuration is the newest, translated into the receiver's boot clock so that it
     /// errs early.
     pub proof: Option<FreshnessProof>,
+    /// When its server has a turn for the receiver, where that names a rate.
+    #[speedy(default_on_eof)]
+    pub turn: Option<TurnReport>,
+    /// What its server says of itself, for the receiver to hand back.
+    #[speedy(default_on_eof)]
+    pub notice: Option<BackEndNotice>,
 }
 
 /// The state of a server, as the daemon beside it reports with every answer and heartbeat.
--- a/crates/seamhatch-wire/tests/codec.rs
+++ b/crates/seamhatch-wire/tests/codec.rs
@@ -73,6 +73,8 @@
         incarnation: Incarnation(1),
         service: "s".into(),
         clock: Instant(5),
+        additions: 0,
+        handed_back: None,
     });
     let chunk = PeerMessage::AnswerChunk { call: CallId(4), bytes: vec![1; 70_000] };
     let mut bytes = Vec::new();
--- a/crates/seamhatch-wire/tests/hostile.rs
+++ b/crates/seamhatch-wire/tests/hostile.rs
@@ -3,13 +3,17 @@
 
 use proptest::prelude::*;
 use seamhatch_core::Instant;
+use seamhatch_core::balance::TurnReport;
 use seamhatch_core::crashes::{InstanceDigest, MOST_MARKS, SuspectRecord, SuspectReport};
 use seamhatch_core::freshness::FreshnessProof;
 use seamhatch_core::generation::Generation;
 use seamhatch_core::identity::{Address, CallId, Incarnation, RequestDigest, RootId};
+use seamhatch_core::instance::InstanceId;
 use seamhatch_core::membership::{GossipBody, GossipMessage, SUSPECTS_PER_MESSAGE};
+use seamhatch_core::notice::BackEndNotice;
 use seamhatch_core::outcome::{Outcome, Reason};
 use seamhatch_core::priority::{AdmissionFloor, Priority, PriorityClass};
+use seamhatch_core::rate::RequestRate;
 use seamhatch_wire::{
     AnswerHead, AnswerTail, CallContext, CallHead, CallIntake, ControlReply, ControlRequest, FrameReader,
     HeaderField, Hello, LARGEST_DATAGRAM, PROTOCOL_VERSION, PeerMessage, Pulse, Refusal, ServerReport,
@@ -64,6 +68,18 @@
     }))
 }
 
+fn turn() -> TurnReport {
+    TurnReport { turn_in: 3, round: 4 }
+}
+
+fn notice() -> BackEndNotice {
+    BackEndNotice {
+        instance: Some(InstanceId::named("i")),
+        rate: RequestRate::per_second(1.5),
+        leaving: true,
+    }
+}
+
 /// One message of each kind that holds more than a number.
 fn messages() -> Vec<PeerMessage> {
     let refusal = Refusal {
@@ -73,6 +89,7 @@
         unspent_tokens: 1,
         crashes: 2,
         server: report(),
+        turn: Some(turn()),
     };
     let head = AnswerHead {
         call: CallId(2),
@@ -80,6 +97,8 @@
         headers: vec![field()],
         server: report(),
         chain_floor: None,
+        turn: None,
+        notice: Some(notice()),
     };
     let pulse = Pulse {
         clock: Instant(1),
@@ -87,6 +106,8 @@
         intake: CallIntake::FallbackOnly { left: 5 },
         server: report(),
         proof: Some(FreshnessProof { generation: Generation(1), at: Instant(2) }),
+        turn: Some(turn()),
+        notice: Some(notice()),
     };
     let hello = Hello {
         cluster: "c".into(),
@@ -95,6 +116,8 @@
         incarnation: Incarnation(1),
         service: "s".into(),
         clock: Instant(5),
+        additions: 1,
+        handed_back: Some(notice()),
     };
     let request = ControlRequest::GetDepartures { member: address() };
     vec![
--- a/crates/seamhatch-wire/tests/wire_format.rs
+++ b/crates/seamhatch-wire/tests/wire_format.rs
@@ -1,7 +1,9 @@
 //! The bytes of every message between daemons. Daemons of two releases run side by side during an upgrade, so a
-//! change here needs a new `PROTOCOL_VERSION`, whatever the types are called in Rust.
+//! change here needs a new `PROTOCOL_VERSION`, whatever the types are called in Rust; a field that is added at the end of a message, and that
+//! either release may lack, raises `ADDITIONS` instead.
 
 use seamhatch_core::Instant;
+use seamhatch_core::balance::TurnReport;
 use seamhatch_core::claims::{Claim, ClaimHolder, ClaimKey, ClaimReply, Epoch};
 use seamhatch_core::crashes::{InstanceDigest, SuspectRecord, SuspectReport};
 use seamhatch_core::freshness::FreshnessProof;
@@ -9,8 +11,10 @@
 use seamhatch_core::identity::{Address, CallId, Fingerprint, Incarnation, RequestDigest, RootId};
 use seamhatch_core::instance::InstanceId;
 use seamhatch_core::membership::{GossipBody, GossipMessage, Lifecycle, Liveness, MemberInfo, MemberRecord};
+use seamhatch_core::notice::BackEndNotice;
 use seamhatch_core::outcome::{Outcome, Reason};
 use seamhatch_core::priority::{AdmissionFloor, Priority, PriorityClass};
+use seamhatch_core::rate::RequestRate;
 use seamhatch_core::roster::{Assignment, Roster, ShardRoster, WitnessId};
 use seamhatch_policy::{StoredConfiguration, SubmissionRecord};
 use seamhatch_wire::{
@@ -18,7 +22,7 @@
     HeaderField, Hello, PROTOCOL_VERSION, PeerMessage, Pulse, RecordedAnswer, RecordedState, Refusal,
     ServerReport, encode_datagram, encode_frame, write_preface,
 };
-use speedy::Writable;
+use speedy::{Readable, Writable};
 
 fn hex(bytes: &[u8]) -> String {
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
@@ -96,9 +100,23 @@
         intake,
         server: server(),
         proof,
+        turn: None,
+        notice: None,
     })
 }
 
+fn turn() -> TurnReport {
+    TurnReport { turn_in: 58, round: 59 }
+}
+
+fn notice() -> BackEndNotice {
+    BackEndNotice {
+        instance: Some(InstanceId::named("i")),
+        rate: RequestRate::per_second(1.5),
+        leaving: true,
+    }
+}
+
 fn call_messages() -> Vec<(&'static str, PeerMessage)> {
     let call = CallId(0x1011);
     let context = CallContext {
@@ -130,6 +148,7 @@
         unspent_tokens: 26,
         crashes: 27,
         server: server(),
+        turn: Some(turn()),
     };
     let answer = AnswerHead {
         call,
@@ -137,6 +156,8 @@
         headers: fields(),
         server: server(),
         chain_floor: Some(ChainFloor { floor: floor(), service: "desk".into() }),
+        turn: Some(turn()),
+        notice: Some(notice()),
     };
     vec![
         ("call", PeerMessage::Call(Box::new(head))),
@@ -160,6 +181,8 @@
         incarnation: Incarnation(30),
         service: "desk".into(),
         clock: Instant(31),
+        additions: 1,
+        handed_back: Some(notice()),
     };
     let proof = FreshnessProof { generation: Generation(32), at: Instant(33) };
     vec![
@@ -264,7 +287,7 @@
 }
 
 /// In the order of their numbers on the wire.
-const REASONS: [Reason; 32] = [
+const REASONS: [Reason; 33] = [
     Reason::BadRequest,
     Reason::NoRoute,
     Reason::BadContext,
@@ -297,6 +320,7 @@
     Reason::NoProof,
     Reason::OverQuota,
     Reason::NoQuotaShard,
+    Reason::BackendRate,
 ];
 
 #[test]
@@ -309,6 +333,71 @@
     }));
 }
 
+/// Bytes that a message of this kind ends with, which earlier releases neither send nor read.
+struct AdditionCase {
+    name: &'static str,
+    message: PeerMessage,
+    added: usize,
+}
+
+/// Guards against daemons of two releases that end each other's connections during an upgrade.
+#[test]
+fn what_was_added_to_a_message_may_be_missing_or_longer() {
+    let added_to_hello = PeerMessage::Hello(Hello {
+        cluster: "cluster".into(),
+        peer: v4(),
+        gossip: v6(),
+        incarnation: Incarnation(30),
+        service: "desk".into(),
+        clock: Instant(31),
+        additions: 0,
+        handed_back: None,
+    });
+    let head = AnswerHead {
+        call: CallId(1),
+        status: 200,
+        headers: fields(),
+        server: server(),
+        chain_floor: None,
+        turn: None,
+        notice: None,
+    };
+    let refusal = Refusal {
+        outcome: Outcome::NotRun,
+        reason: Reason::QueueFull,
+        retry_after: 25,
+        unspent_tokens: 26,
+        crashes: 27,
+        server: server(),
+        turn: None,
+    };
+    let cases = [
+        AdditionCase { name: "hello", message: added_to_hello, added: 3 },
+        AdditionCase { name: "pulse", message: pulse(CallIntake::Open, None), added: 2 },
+        AdditionCase { name: "answer head", message: PeerMessage::AnswerHead(Box::new(head)), added: 2 },
+        AdditionCase {
+            name: "refused",
+            message: PeerMessage::Refused { call: CallId(1), refusal },
+            added: 1,
+        },
+    ];
+    for AdditionCase { name, message, added } in cases {
+        let mut bytes = message.write_to_vec().expect("encodes");
+        let earlier = &bytes[..bytes.len() - added];
+        assert_eq!(
+            PeerMessage::read_from_buffer(earlier).expect(name),
+            message,
+            "{name}: sent by an earlier release"
+        );
+        bytes.extend([7; 5]);
+        assert_eq!(
+            PeerMessage::read_from_buffer(&bytes).expect(name),
+            message,
+            "{name}: sent by a later one"
+        );
+    }
+}
+
 #[test]
 fn control_messages_keep_their_bytes() {
     let exchange = 57;
--- a/crates/seamhatch/src/output.rs
+++ b/crates/seamhatch/src/output.rs
@@ -46,9 +46,17 @@
     let seen = format!("{:?}", member.liveness).to_lowercase();
     let generation = member.generation.map_or_else(|| "-".to_owned(), |generation| generation.to_string());
     let leaving = if member.leaving { " leaving" } else { "" };
+    let rate = member.rate_millis.map(|millis| format!(" takes {} a second", millis as f64 / 1e3));
     format!(
-        "{:<22} {:<14} {:<10} {:>5} {:<9} {:<8} {:>10}{leaving}\n",
-        member.member, member.service, member.zone, member.slots, state, seen, generation
+        "{:<22} {:<14} {:<10} {:>5} {:<9} {:<8} {:>10}{leaving}{}\n",
+        member.member,
+        member.service,
+        member.zone,
+        member.slots,
+        state,
+        seen,
+        generation,
+        rate.unwrap_or_default()
     )
 }
 
--- a/crates/seamhatch/src/trace/meaning.rs
+++ b/crates/seamhatch/src/trace/meaning.rs
@@ -3,7 +3,7 @@
 use super::{CALL_REFUSED, TraceLine};
 
 /// Meanings that need no figures of the line. `docs/OPERATIONS.md` has the same reasons.
-const MEANINGS: [(&str, &str); 23] = [
+const MEANINGS: [(&str, &str); 24] = [
     ("deadline-exceeded", "its time was over: follow its calls to the one that ran longest"),
     ("admission-floor", "a service on its way sheds requests of this priority: see `admission_floor`"),
     ("retry-ratio", "it would have had to be repeated, and no retry was left"),
@@ -32,6 +32,10 @@
         "no-proof",
         "the daemon could not show that its keys are the newest: see the store, and `tenants.revocation_ms`",
     ),
+    (
+        "backend-rate",
+        "the server has named how many calls a second it takes, and no turn came in time: see `seamhatch status`",
+    ),
     ("no-quota-shard", "no daemon that hands out the tenants' limits answered: see the store"),
 ];
 /// Meaning of the reasons for too large a request.
--- a/crates/seamhatchd/src/base/metrics.rs
+++ b/crates/seamhatchd/src/base/metrics.rs
@@ -61,6 +61,8 @@
     Policy,
     /// A late or unknown answer from a peer.
     LateAnswer,
+    /// A field of a back end's answer.
+    Answer,
 }
 
 impl BadInput {
@@ -73,6 +75,7 @@
             Self::Context => "context",
             Self::Policy => "policy",
             Self::LateAnswer => "late-answer",
+            Self::Answer => "answer",
         }
     }
 }
@@ -82,6 +85,9 @@
     Histogram::new(exponential_buckets(0.0005, 2.0, 14))
 }
 
+/// Stands for no rate in [`Metrics::named_rate`].
+pub const NO_NAMED_RATE: i64 = -1;
+
 /// A span in the unit that histograms use.
 #[must_use]
 pub fn seconds(span: Microseconds) -> f64 {
@@ -119,6 +125,8 @@
     pub waiting: Gauge,
     /// Calls that may run at once.
     pub limit: Gauge,
+    /// Rate that the back end names, in thousandths of a call a second; -1 where it names none.
+    pub named_rate: Gauge,
     /// Calls whose answer seems to be lost, and that hold no slot.
     pub lost: Gauge,
     /// First refused priority level.
@@ -163,6 +171,13 @@
     register(registry, name, help, Gauge::default())
 }
 
+fn named_rate(registry: &mut Registry) -> Gauge {
+    let help = "Rate the back end names, in thousandths of a call a second; -1 for none";
+    let rate = gauge(registry, "named_rate_millis", help);
+    rate.set(NO_NAMED_RATE);
+    rate
+}
+
 fn latency(registry: &mut Registry, name: &str, help: &str) -> Histogram {
     register(registry, name, help, latency_histogram())
 }
@@ -202,6 +217,7 @@
             lost: gauge(to, "lost_calls", "Calls whose answer seems to be lost"),
             limit: gauge(to, "limit_calls", "Calls that may run at once"),
             floor: gauge(to, "admission_floor", "First refused priority level"),
+            named_rate: named_rate(to),
             generation: gauge(to, "generation", "Configuration in force"),
             newest_generation: gauge(to, "newest_generation", "Newest configuration held"),
             members: gauge(to, "live_members", "Live members, this one included"),
--- a/crates/seamhatchd/src/control/events.rs
+++ b/crates/seamhatchd/src/control/events.rs
@@ -65,6 +65,10 @@
     Heartbeat(Heartbeat, oneshot::Sender<InstanceAnswer>),
     /// It said goodbye.
     Departs(InstanceId, oneshot::Sender<InstanceAnswer>),
+    /// It has said in an answer that it leaves; none for one without a name.
+    SaysLeaving(Option<InstanceId>),
+    /// It has no name, has said that it leaves, and has ended.
+    LeftUnnamed,
     /// It could not be reached, or another one answered in its place.
     Lost(InstanceId, Reason),
     /// The store or another daemon remembers that it departed.
--- a/crates/seamhatchd/src/control/handle.rs
+++ b/crates/seamhatchd/src/control/handle.rs
@@ -109,6 +109,11 @@
         self.send(InstanceEvent::Lost(instance, reason));
     }
 
+    /// The back end has said in an answer that it leaves; none for one without a name.
+    pub fn says_leaving(&self, instance: Option<InstanceId>) {
+        self.send(InstanceEvent::SaysLeaving(instance));
+    }
+
     /// The evidence about these suspects has changed here.
     pub fn suspects_changed(&self, requests: Vec<RequestDigest>) {
         self.send(SuspectEvent::Changed(requests));
--- a/crates/seamhatchd/src/control/status.rs
+++ b/crates/seamhatchd/src/control/status.rs
@@ -22,6 +22,10 @@
     pub leaving: bool,
     /// Configuration in force there; none when it did not answer.
     pub generation: Option<u64>,
+    /// Rate that the server beside it names, in thousandths of a call a second; none where it names none, as far as the reporting daemon
+    /// knows.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rate_millis: Option<u64>,
 }
 
 /// The witnesses of one shard.
--- a/crates/seamhatchd/src/controllers/control_thread/instances.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/instances.rs
@@ -9,20 +9,28 @@
 use crate::server::instances::OpenInstance;
 use log::{info, warn};
 use seamhatch_core::Instant;
+use seamhatch_core::clock::{Microseconds, SECOND};
 use seamhatch_core::instance::{
     HEARTBEAT_SILENCE, Heartbeat, HeartbeatVerdict, InstanceId, InstanceState, Refutation,
 };
 use seamhatch_core::outcome::Reason;
+use std::time::Duration;
 use tokio::sync::oneshot;
 
-/// A cold back end starts with its slots divided by this. Chosen, not measured.
+/// A cold back end starts with its slots divided by this.
 const COLD_DIVISOR: u32 = 2;
+/// Pause between two looks whether a back end without a name, which leaves, has ended.
+const LEAVING_PAUSE: Duration = Duration::from_millis(100);
+/// After this time, one that still listens gets calls again, and says itself whether it leaves.
+const LONGEST_LEAVING: Microseconds = 60 * SECOND;
 
 impl ControlThread {
     pub(super) fn handle_instance(&mut self, event: InstanceEvent) {
         match event {
             InstanceEvent::Heartbeat(heartbeat, reply) => self.heartbeat(heartbeat, reply),
             InstanceEvent::Departs(instance, reply) => self.instance_departs(instance, reply),
+            InstanceEvent::SaysLeaving(instance) => self.says_leaving(instance),
+            InstanceEvent::LeftUnnamed => self.left_unnamed(),
             InstanceEvent::Lost(instance, Reason::OtherInstance) => self.refute_instance(&instance),
             InstanceEvent::Lost(instance, reason) => self.lost_instance(&instance, reason.name()),
             InstanceEvent::DepartureRemembered(instance) => self.departure_remembered(instance),
@@ -53,7 +61,8 @@
     pub(super) fn take_heartbeat(&mut self, heartbeat: Heartbeat) {
         let (instance, sequence, now) = (heartbeat.instance.name.clone(), heartbeat.sequence, clock::now());
         let before = self.shared.server.instances.current();
-        match self.shared.server.instances.heartbeat(heartbeat, now) {
+        let opened = |instance: &InstanceId| self.shared.server.notices.open(Some(instance));
+        match self.shared.server.instances.heartbeat(heartbeat, now, opened) {
             HeartbeatVerdict::Opened => {
                 info!(instance = instance.as_str(), sequence = sequence; "instance opened");
                 self.shared.server.backend.forget_connections();
@@ -95,7 +104,7 @@
     fn warm_up(&mut self, now: Instant) {
         if let Some((slots, warm_at)) = self.shared.server.instances.capacity()
             && warm_at <= now
-            && self.shared.server.gate.report().limit < slots
+            && self.shared.server.gate.limit() < slots
         {
             self.shared.server.gate.set_slots(slots, slots);
         }
@@ -110,6 +119,38 @@
         self.remember(instance, reply);
     }
 
+    /// The back end has said in an answer that it leaves, and is closed already. Nobody waits for this to be remembered; the store is
+    /// asked until it does.
+    fn says_leaving(&mut self, instance: Option<InstanceId>) {
+        let name = instance.as_ref().map_or("", |instance| instance.name.as_str());
+        info!(instance = name; "instance closed: its answers say that it leaves");
+        self.work_changed();
+        match instance {
+            Some(instance) => self.remember(instance, oneshot::channel().0),
+            None => self.watch_unnamed(),
+        }
+    }
+
+    /// Waits for the end of a back end without a name, which may be followed by another one. One that stays is asked again.
+    fn watch_unnamed(&self) {
+        let shared = self.shared.clone();
+        tokio::spawn(async move {
+            let longest = clock::now().plus(LONGEST_LEAVING);
+            while clock::now() < longest && !shared.server.backend.is_gone().await {
+                tokio::time::sleep(LEAVING_PAUSE).await;
+            }
+            shared.control.send(InstanceEvent::LeftUnnamed);
+        });
+    }
+
+    fn left_unnamed(&mut self) {
+        if self.shared.server.instances.set_leaving(false) {
+            info!("the back end that was leaving has ended");
+            self.shared.server.backend.forget_connections();
+            self.work_changed();
+        }
+    }
+
     /// The instance that says goodbye. Where neither it nor the registered one gives a time of birth, every one of its name that has started
     /// by now is meant: a heartbeat of it may still arrive, and a later instance may have its name.
     fn departing_instance(&self, instance: InstanceId) -> InstanceId {
@@ -121,7 +162,8 @@
 
     /// The back end answered as another instance than the registered one.
     fn refute_instance(&mut self, instance: &InstanceId) {
-        let refutation = self.shared.server.instances.refute(instance, clock::now());
+        let opened = |instance: &InstanceId| self.shared.server.notices.open(Some(instance));
+        let refutation = self.shared.server.instances.refute(instance, clock::now(), opened);
         if refutation == Refutation::Known {
             return;
         }
--- a/crates/seamhatchd/src/controllers/status.rs
+++ b/crates/seamhatchd/src/controllers/status.rs
@@ -11,6 +11,7 @@
 use seamhatch_core::generation::Generation;
 use seamhatch_core::membership::MemberRecord;
 use seamhatch_core::priority::AdmissionFloor;
+use seamhatch_core::rate::RequestRate;
 use seamhatch_core::roster::{Roster, ShardRoster};
 use seamhatch_wire::{ControlReply, ControlRequest};
 use std::sync::Arc;
@@ -32,7 +33,10 @@
 
 /// Makes the report. Each live member is asked for its generation, and each witness for its epoch.
 pub async fn report(shared: Arc<Shared>, input: StatusInput) -> StatusReport {
-    let own = member_status(&input.me, Some(input.generation.0));
+    let own = MemberStatus {
+        rate_millis: shared.server.notices.named_rate().map(RequestRate::as_millis),
+        ..member_status(&input.me, Some(input.generation.0))
+    };
     let asking = input.others.into_iter().map(|record| ask_member(shared.clone(), record));
     let mut members: Vec<MemberStatus> = stream::iter(asking).buffer_unordered(ASKED_AT_ONCE).collect().await;
     members.push(own);
@@ -61,7 +65,11 @@
         Some(ControlReply::Generation(generation)) => Some(generation.0),
         _ => None,
     };
-    member_status(&record, generation)
+    let notice = shared.limits.peer_notices.of(record.info.peer);
+    MemberStatus {
+        rate_millis: notice.and_then(|notice| notice.rate).map(RequestRate::as_millis),
+        ..member_status(&record, generation)
+    }
 }
 
 fn member_status(record: &MemberRecord, generation: Option<u64>) -> MemberStatus {
@@ -74,6 +82,7 @@
         liveness: record.liveness,
         leaving: record.leaving,
         generation,
+        rate_millis: None,
     }
 }
 
--- a/crates/seamhatchd/src/conventions/headers.rs
+++ b/crates/seamhatchd/src/conventions/headers.rs
@@ -19,6 +19,10 @@
 pub const REQUEST_ID: &str = "seamhatch-request-id";
 /// Name of the tenant that sent the request from outside.
 pub const TENANT: &str = "seamhatch-tenant";
+/// In a back end's answer: how many calls a second it takes, from all daemons together, for as long as it says so.
+pub const BACKEND_RATE: &str = "backend-rate";
+/// In a back end's answer: it leaves, and takes no new calls.
+pub const BACKEND_LEAVING: &str = "backend-leaving";
 /// Marks repeats of one request.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 
--- a/crates/seamhatchd/src/conventions/mod.rs
+++ b/crates/seamhatchd/src/conventions/mod.rs
@@ -10,14 +10,16 @@
 pub use own::OwnConventions;
 
 use bytes::Bytes;
-use http::header::AUTHORIZATION;
+use http::header::{AUTHORIZATION, RETRY_AFTER};
 use http::{HeaderMap, Response, StatusCode};
 use seamhatch_core::admission::BackEndLoad;
-use seamhatch_core::clock::Microseconds;
+use seamhatch_core::clock::{Microseconds, SECOND};
 use seamhatch_core::generation::Generation;
 use seamhatch_core::identity::RootId;
 use seamhatch_core::instance::InstanceId;
+use seamhatch_core::notice::{AnswerNotice, NamedRate};
 use seamhatch_core::outcome::{Outcome, Reason};
+use seamhatch_core::rate::RequestRate;
 use seamhatch_policy::KeyDigest;
 use seamhatch_wire::HeaderField;
 use std::fmt;
@@ -151,6 +153,9 @@
     /// What the head of a back end's answer says: an answer to the call, a refusal, or neither.
     fn judge(&self, call: &BackEndCall<'_>, status: StatusCode, headers: &HeaderMap) -> AnswerVerdict;
 
+    /// What an answer that was judged so says of its back end. One that is not to this call says nothing.
+    fn notice(&self, verdict: &AnswerVerdict, headers: &HeaderMap) -> AnswerNotice;
+
     /// The load that a back end reports beside an answer; none where it reports nothing that can be read.
     fn back_end_load(&self, headers: &HeaderMap) -> Option<BackEndLoad>;
 
@@ -167,6 +172,42 @@
     headers.get(name)?.to_str().ok()
 }
 
+/// The rate in a field: one plain decimal number of requests a second.
+#[must_use]
+pub fn named_rate(headers: &HeaderMap, name: &str) -> NamedRate {
+    if !headers.contains_key(name) {
+        return NamedRate::NotNamed;
+    }
+    let rate = plain_number(headers, name).and_then(RequestRate::per_second);
+    rate.map_or(NamedRate::Unreadable, NamedRate::Named)
+}
+
+/// The span in `Retry-After`, in seconds, fractions too; none where there is none, or a date.
+#[must_use]
+pub fn stated_return(headers: &HeaderMap) -> Option<Microseconds> {
+    let seconds = plain_number(headers, RETRY_AFTER.as_str())?;
+    // The conversion saturates.
+    Some((seconds * SECOND as f64) as Microseconds)
+}
+
+/// The number in a field that stands once, without sign or exponent.
+fn plain_number(headers: &HeaderMap, name: &str) -> Option<f64> {
+    let mut values = headers.get_all(name).iter();
+    let text = values.next()?.to_str().ok()?.trim();
+    let is_plain = text.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
+    if values.next().is_some() || !is_plain {
+        return None;
+    }
+    text.parse().ok()
+}
+
+/// Whether a field says yes: a single `1`.
+#[must_use]
+pub fn says_yes(headers: &HeaderMap, name: &str) -> bool {
+    let mut values = headers.get_all(name).iter();
+    values.next().is_some_and(|value| value.as_bytes().trim_ascii() == b"1") && values.next().is_none()
+}
+
 /// The value of a field that passes through; none where there is none or it is no text.
 #[must_use]
 pub fn field_text<'a>(fields: &'a [HeaderField], name: &str) -> Option<&'a str> {
--- a/crates/seamhatchd/src/conventions/own.rs
+++ b/crates/seamhatchd/src/conventions/own.rs
@@ -2,7 +2,7 @@
 
 use super::{
     AnswerMark, AnswerVerdict, BackEndCall, CallerCredential, CallerTerms, HttpConventions, OwnAnswer, field,
-    text,
+    named_rate, says_yes, text,
 };
 use crate::conventions::headers;
 use bytes::Bytes;
@@ -10,6 +10,7 @@
 use http::{HeaderMap, HeaderValue, Response, StatusCode};
 use seamhatch_core::admission::BackEndLoad;
 use seamhatch_core::clock::SECOND;
+use seamhatch_core::notice::AnswerNotice;
 use seamhatch_wire::HeaderField;
 use serde::Serialize;
 
@@ -62,6 +63,16 @@
         AnswerVerdict::Answer
     }
 
+    fn notice(&self, _verdict: &AnswerVerdict, headers: &HeaderMap) -> AnswerNotice {
+        AnswerNotice {
+            rate: named_rate(headers, headers::BACKEND_RATE),
+            leaving: says_yes(headers, headers::BACKEND_LEAVING),
+            proven: true,
+            // Its own refusals are answers here, which go on to the caller as they are.
+            return_after: None,
+        }
+    }
+
     fn back_end_load(&self, _headers: &HeaderMap) -> Option<BackEndLoad> {
         None
     }
--- a/crates/seamhatchd/src/dispatch/attempt.rs
+++ b/crates/seamhatchd/src/dispatch/attempt.rs
@@ -131,5 +131,6 @@
         unspent_tokens: tokens,
         crashes: 0,
         server: ServerReport { load: 0, limit: 0, floor: AdmissionFloor::OPEN },
+        turn: None,
     }
 }
--- a/crates/seamhatchd/src/dispatch/candidates.rs
+++ b/crates/seamhatchd/src/dispatch/candidates.rs
@@ -60,6 +60,7 @@
             in_flight: 0,
             reported_load: 0,
             success: 1.0,
+            turn_in: None,
             standing: if failing { CandidateStanding::Ejected } else { standing_by_record(server) },
         };
     };
@@ -70,6 +71,7 @@
         in_flight: connection.in_flight(),
         reported_load: view.server.map_or(0, |report| report.load),
         success: view.success(now),
+        turn_in: view.turn_in(now),
         standing: view.standing(now),
     }
 }
--- a/crates/seamhatchd/src/limits/mod.rs
+++ b/crates/seamhatchd/src/limits/mod.rs
@@ -5,11 +5,13 @@
 
 pub mod entry_floors;
 pub mod freshness;
+pub mod peer_notices;
 pub mod quota;
 pub mod retry_budget;
 pub mod service_floors;
 
 use freshness::Freshness;
+use peer_notices::PeerNotices;
 use quota::Quota;
 use retry_budget::RetryBudget;
 use service_floors::ServiceFloors;
@@ -21,6 +23,8 @@
     pub retry_budget: RetryBudget,
     /// What the services admit that this daemon calls.
     pub service_floors: ServiceFloors,
+    /// What the back ends beside other daemons have said of themselves.
+    pub peer_notices: PeerNotices,
     /// Whether the configuration in force is known to be the newest.
     pub freshness: Freshness,
     /// What is left of the tenants' limits.
--- a/crates/seamhatchd/src/link_host.rs
+++ b/crates/seamhatchd/src/link_host.rs
@@ -6,12 +6,13 @@
 use crate::shared::Shared;
 use seamhatch_core::crashes::SuspectReport;
 use seamhatch_core::identity::Address;
-use seamhatch_wire::{CallIntake, Hello, Pulse, ServerReport};
+use seamhatch_core::notice::BackEndNotice;
+use seamhatch_wire::{ADDITIONS, CallIntake, Hello, Pulse, ServerReport};
 use std::net::IpAddr;
 use tokio::sync::futures::Notified;
 
 impl LinkHost for Shared {
-    fn hello(&self) -> Hello {
+    fn hello(&self, callee: Option<Address>) -> Hello {
         Hello {
             cluster: self.settings.cluster.clone(),
             peer: self.settings.advertise.peer,
@@ -19,6 +20,8 @@
             incarnation: self.incarnation,
             service: self.settings.service.clone(),
             clock: clock::now(),
+            additions: ADDITIONS,
+            handed_back: callee.and_then(|callee| self.limits.peer_notices.of(callee)),
         }
     }
 
@@ -26,12 +29,14 @@
         self.settings.listen.peer.ip
     }
 
-    fn local_state(&self) -> LocalState {
+    fn local_state(&self, peer: Address) -> LocalState {
         LocalState {
             generation: self.snapshot().generation(),
             intake: self.intake(),
             server: self.server.gate.report(),
             proof: self.limits.freshness.proof(),
+            turn: self.server.notices.turn_of(peer),
+            notice: self.server.notices.to_tell(),
         }
     }
 
@@ -54,6 +59,10 @@
         self.limits.service_floors.note(service, peer, report, clock::now());
     }
 
+    fn back_end_notice(&self, peer: Address, notice: Option<&BackEndNotice>) {
+        self.limits.peer_notices.note(peer, notice);
+    }
+
     fn connection_ended(&self, service: &str, peer: Address) {
         self.limits.service_floors.forget(service, peer);
     }
--- a/crates/seamhatchd/src/peer/connection.rs
+++ b/crates/seamhatchd/src/peer/connection.rs
@@ -89,6 +89,7 @@
     /// [`LinkClosed`] when nothing was written.
     pub fn start_call(&self, head: CallHead) -> Result<CallStream, LinkClosed> {
         self.state.note_used();
+        self.state.view().note_sent(clock::now());
         let call = head.call;
         let (events, window) = self.state.calls.add(call);
         let sent = self.outbox.send(PeerMessage::Call(Box::new(head)));
--- a/crates/seamhatchd/src/peer/handshake.rs
+++ b/crates/seamhatchd/src/peer/handshake.rs
@@ -43,7 +43,7 @@
     let (outbox, messages) = Outbox::new();
     let (mut reader, writer) = stream.into_split();
     // It carries the clock, so it is made right before it is sent.
-    let own = host.hello();
+    let own = host.hello(Some(address));
     let cluster = own.cluster.clone();
     // The outbox was made just now and can't be closed.
     let _ = outbox.send(PeerMessage::Hello(own));
--- a/crates/seamhatchd/src/peer/incoming.rs
+++ b/crates/seamhatchd/src/peer/incoming.rs
@@ -9,6 +9,7 @@
 use crate::peer::connection::PeerConnection;
 use crate::peer::host::LinkHost;
 use bytes::Bytes;
+use seamhatch_core::balance::TurnReport;
 use seamhatch_core::identity::CallId;
 use seamhatch_wire::{CallIntake, FrameReader, PeerMessage, Pulse, ServerReport, WireError};
 use tokio::net::tcp::OwnedReadHalf;
@@ -32,11 +33,12 @@
             PeerMessage::Pulse(pulse) => self.handle_pulse(host, &pulse),
             PeerMessage::Suspects(reports) => host.suspects_reported(&reports),
             PeerMessage::Refused { call, refusal } => {
-                self.note_report(host, refusal.server);
+                self.note_report(host, refusal.server, refusal.turn);
                 self.deliver(host, call, CallEvent::Refused(refusal));
             }
             PeerMessage::AnswerHead(head) => {
-                self.note_report(host, head.server);
+                self.note_report(host, head.server, head.turn);
+                host.back_end_notice(self.address, head.notice.as_ref());
                 self.deliver(host, head.call, CallEvent::Head(head));
             }
             PeerMessage::AnswerChunk { call, bytes } => {
@@ -53,14 +55,16 @@
     fn handle_pulse(&self, host: &dyn LinkHost, pulse: &Pulse) {
         self.state.view().apply_pulse(pulse);
         host.peer_pulse(&self.service, self.address, pulse);
+        host.back_end_notice(self.address, pulse.notice.as_ref());
     }
 
     /// Records what the peer reports of its server beside an answer. A server that takes no more calls doesn't count
     /// for the admission floor of its service.
-    fn note_report(&self, host: &dyn LinkHost, report: ServerReport) {
+    fn note_report(&self, host: &dyn LinkHost, report: ServerReport, turn: Option<TurnReport>) {
         let intake = {
             let mut view = self.state.view();
             view.server = Some(report);
+            view.note_turn(turn, clock::now());
             view.intake
         };
         if intake != CallIntake::Closed {
--- a/crates/seamhatchd/src/peer/link.rs
+++ b/crates/seamhatchd/src/peer/link.rs
@@ -8,6 +8,7 @@
 use log::debug;
 use seamhatch_core::Instant;
 use seamhatch_core::freshness::FreshnessProof;
+use seamhatch_core::identity::Address;
 use seamhatch_wire::{Hello, PeerMessage, Pulse, WireError, encode_frame};
 use std::time::Duration;
 use tokio::io::{AsyncWrite, AsyncWriteExt};
@@ -80,6 +81,7 @@
 /// local instant into the peer's clock, erring early.
 pub async fn send_pulses(
     host: &dyn LinkHost,
+    peer: Address,
     outbox: Outbox,
     is_busy: impl Fn() -> bool,
     to_peer_clock: impl Fn(Instant) -> Instant,
@@ -89,7 +91,7 @@
         let changed = host.intake_changed();
         tokio::pin!(changed);
         changed.as_mut().enable();
-        if outbox.send(PeerMessage::Pulse(pulse(host, &to_peer_clock))).is_err() {
+        if outbox.send(PeerMessage::Pulse(pulse(host, peer, &to_peer_clock))).is_err() {
             return;
         }
         tokio::select! {
@@ -112,10 +114,10 @@
 }
 
 /// The present heartbeat.
-fn pulse(host: &dyn LinkHost, to_peer_clock: &impl Fn(Instant) -> Instant) -> Pulse {
-    let LocalState { generation, intake, server, proof } = host.local_state();
+fn pulse(host: &dyn LinkHost, peer: Address, to_peer_clock: &impl Fn(Instant) -> Instant) -> Pulse {
+    let LocalState { generation, intake, server, proof, turn, notice } = host.local_state(peer);
     let proof = proof.map(|proof| FreshnessProof { at: to_peer_clock(proof.at), ..proof });
-    Pulse { clock: clock::now(), generation, intake, server, proof }
+    Pulse { clock: clock::now(), generation, intake, server, proof, turn, notice }
 }
 
 /// Takes the peer's first message for its `Hello`.
--- a/crates/seamhatchd/src/peer/upkeep.rs
+++ b/crates/seamhatchd/src/peer/upkeep.rs
@@ -50,7 +50,7 @@
         let to_peer_clock = |instant| self.to_peer_clock(instant);
         let result = tokio::select! {
             result = self.read(host, frames) => result,
-            _ = link::send_pulses(host, self.outbox.clone(), || false, to_peer_clock) => Ok(()),
+            _ = link::send_pulses(host, self.address, self.outbox.clone(), || false, to_peer_clock) => Ok(()),
             () = self.until_silent_or_idle(pool) => Ok(()),
             result = &mut writing => result.unwrap_or(Ok(())),
         };
--- a/crates/seamhatchd/src/peer/view.rs
+++ b/crates/seamhatchd/src/peer/view.rs
@@ -4,8 +4,10 @@
 
 use crate::base::clock;
 use seamhatch_core::Instant;
-use seamhatch_core::balance::{self, CallEnd, CandidateStanding, Ejection, SuccessRate};
-use seamhatch_core::clock::PeerClock;
+use seamhatch_core::balance::{
+    self, CallEnd, CandidateStanding, Ejection, NextTurn, SuccessRate, TurnReport,
+};
+use seamhatch_core::clock::{Microseconds, PeerClock};
 use seamhatch_wire::{CallIntake, ServerReport};
 
 /// What is known of the peer from its messages.
@@ -19,6 +21,8 @@
     pub server: Option<ServerReport>,
     /// When its process ends, while it drains.
     leaves_at: Instant,
+    /// When its server has a turn for a call of this daemon, where that names a rate.
+    turn: Option<NextTurn>,
     clock: PeerClock,
     ejection: Ejection,
     success: SuccessRate,
@@ -36,6 +40,7 @@
             intake: CallIntake::Open,
             server: None,
             leaves_at: now,
+            turn: None,
             clock,
             ejection: Ejection::default(),
             success: SuccessRate::default(),
@@ -50,6 +55,24 @@
         self.clock.to_peer(instant).unwrap_or(instant)
     }
 
+    /// Time until its server has a turn for a call of this daemon; none where that names no rate.
+    #[must_use]
+    pub fn turn_in(&self, now: Instant) -> Option<Microseconds> {
+        self.turn.map(|turn| turn.wait(now))
+    }
+
+    /// Records what it reports of this daemon's next turn.
+    pub(super) fn note_turn(&mut self, turn: Option<TurnReport>, now: Instant) {
+        self.turn = turn.map(|turn| NextTurn::reported(turn, now));
+    }
+
+    /// A call is sent to it.
+    pub(super) fn note_sent(&mut self, now: Instant) {
+        if let Some(turn) = &mut self.turn {
+            turn.note_sent(now);
+        }
+    }
+
     /// Records how a call to it ended.
     pub fn record(&mut self, end: CallEnd, now: Instant) {
         self.ejection.record(end, now);
@@ -101,5 +124,6 @@
             self.leaves_at = clock::now().plus(left);
         }
         self.server = Some(pulse.server);
+        self.note_turn(pulse.turn, clock::now());
     }
 }
--- a/crates/seamhatchd/src/peer_server/call/answer.rs
+++ b/crates/seamhatchd/src/peer_server/call/answer.rs
@@ -60,6 +60,8 @@
             headers: headers::passing_fields(&answer.headers, |name| conventions.passes_through(name)),
             server: self.shared.server.gate.report(),
             chain_floor: running.chain_floor(),
+            turn: self.shared.server.notices.turn_of(self.from),
+            notice: self.shared.server.notices.to_tell(),
         }
     }
 
--- a/crates/seamhatchd/src/peer_server/call/execute.rs
+++ b/crates/seamhatchd/src/peer_server/call/execute.rs
@@ -19,6 +19,7 @@
 use seamhatch_core::crashes::{GOOD_END, RunEnd, RunMode};
 use seamhatch_core::instance::InstanceId;
 use seamhatch_core::outcome::{Outcome, Reason};
+use seamhatch_core::return_time;
 use std::sync::Arc;
 
 /// A call that has been written to the back end, or is about to be.
@@ -36,18 +37,18 @@
     pub(super) async fn execute(
         &self,
         running: &Arc<RunningCall>,
-        permit: Permit,
+        mut permit: Permit,
         trial: Option<&TrialRun>,
         body: backend::RequestBody,
     ) {
         let registration = self.shared.server.running.register(running.clone(), self.request_name());
         let instance = match self.check_before_run(running) {
             Ok(OpenInstance { id }) => id,
-            Err(reason) => return self.refuse(running, Outcome::NotRun, reason, ""),
+            Err(reason) => return self.refuse_unsent(running, permit, reason),
         };
         let mode = match self.begin_run(trial) {
             Ok(mode) => mode,
-            Err(reason) => return self.refuse(running, Outcome::NotRun, reason, ""),
+            Err(reason) => return self.refuse_unsent(running, permit, reason),
         };
         self.shared.metrics.execution(running.priority.class);
         let work = self.shared.server.crashes.begin(instance.as_ref(), self.head.request, mode);
@@ -58,7 +59,26 @@
         };
         match exchanged {
             Ok((answer, start)) => self.finish(running, &run, permit, answer, start).await,
-            Err(error) => self.fail(running, &run, error).await,
+            Err(error) => self.fail(running, &run, &mut permit, error).await,
+        }
+    }
+
+    /// Refuses a call whose turn at the back end another one can have.
+    fn refuse_unsent(&self, running: &RunningCall, mut permit: Permit, reason: Reason) {
+        permit.mark_unsent();
+        self.refuse(running, Outcome::NotRun, reason, "");
+    }
+
+    /// Records what the back end says of itself, before anybody else hears its answer.
+    fn hear(&self, run: &BackendRun, answered: &Result<BackendAnswer, BackendError>) {
+        let notice = match answered {
+            Ok(answer) => answer.notice,
+            Err(BackendError::NotRun { notice, .. }) => *notice,
+            Err(BackendError::Failed { .. }) => return,
+        };
+        self.shared.server.notices.hear(run.instance.as_ref(), notice, run.started);
+        if notice.leaving {
+            self.shared.note_leaving(run.instance.as_ref());
         }
     }
 
@@ -102,7 +122,9 @@
             expiry: running.expiry,
             instance: run.instance.as_ref(),
         };
-        let mut answer = self.shared.server.backend.send(&request, body).await?;
+        let answered = self.shared.server.backend.send(&request, body).await;
+        self.hear(run, &answered);
+        let mut answer = answered?;
         let start = AnswerStart::read(&mut answer).await?;
         Ok((answer, start))
     }
@@ -153,15 +175,20 @@
     }
 
     /// Refuses a call that the back end did not answer.
-    async fn fail(&self, running: &RunningCall, run: &BackendRun, error: BackendError) {
+    async fn fail(&self, running: &RunningCall, run: &BackendRun, permit: &mut Permit, error: BackendError) {
         match error {
-            BackendError::NotRun { reason, detail } => {
+            BackendError::NotRun { reason, detail, notice } => {
+                if reason == Reason::BackendUnreachable {
+                    permit.mark_unsent();
+                }
                 let lost = matches!(reason, Reason::BackendUnreachable | Reason::OtherInstance);
                 if let Some(instance) = run.instance.as_ref().filter(|_| lost) {
                     self.shared.control.lost_instance(instance.clone(), reason);
                 }
                 self.take_back(run);
-                self.refuse(running, Outcome::NotRun, reason, &detail);
+                let stated = notice.return_after.map(return_time::as_stated);
+                let retry_after = stated.unwrap_or_else(|| self.retry_after(reason));
+                self.refuse_until(running, Outcome::NotRun, reason, &detail, retry_after);
                 if reason == Reason::BackendUnreachable {
                     // Whatever ran last may have crashed it.
                     self.has_crashed(run).await;
--- a/crates/seamhatchd/src/peer_server/call/mod.rs
+++ b/crates/seamhatchd/src/peer_server/call/mod.rs
@@ -41,6 +41,8 @@
     pub(super) head: CallHead,
     /// Peer address of the daemon that sent it.
     pub(super) from: Address,
+    /// Additions to the messages that it reads.
+    pub(super) additions: u16,
     pub(super) arrived: Instant,
 }
 
@@ -54,6 +56,7 @@
     /// Follows the call from its arrival to its end and sends its answer or its refusal.
     pub(super) async fn run(self, body: backend::RequestBody) {
         self.shared.control.note_call_generation(self.head.generation);
+        self.shared.server.notices.note_sender(self.from);
         let running = Arc::new(self.running_call());
         match self.admit(&running).await {
             Ok((permit, trial)) => self.execute(&running, permit, trial.as_ref(), body).await,
--- a/crates/seamhatchd/src/peer_server/call/refusal.rs
+++ b/crates/seamhatchd/src/peer_server/call/refusal.rs
@@ -8,11 +8,23 @@
 use seamhatch_core::outcome::{Outcome, Reason};
 use seamhatch_core::refusal::ReturnTime;
 use seamhatch_core::return_time::SERVER_RETURN;
-use seamhatch_wire::{PeerMessage, Refusal, ServerReport};
+use seamhatch_wire::{PeerMessage, READS_BACKEND_RATE, Refusal, ServerReport};
 
 impl ServerCall {
     /// Refuses the call and gives back its retry tokens. `detail` is what the back end did, where it is the cause.
     pub(super) fn refuse(&self, running: &RunningCall, outcome: Outcome, reason: Reason, detail: &str) {
+        self.refuse_until(running, outcome, reason, detail, self.retry_after(reason));
+    }
+
+    /// Refuses the call with this time after which the caller should come back, before jitter.
+    pub(super) fn refuse_until(
+        &self,
+        running: &RunningCall,
+        outcome: Outcome,
+        reason: Reason,
+        detail: &str,
+        retry_after: Microseconds,
+    ) {
         self.shared.metrics.refusal(outcome, reason, running.priority.class);
         let server = self.shared.server.gate.report();
         self.log_refusal(running, outcome, reason, detail, server);
@@ -23,17 +35,26 @@
         }
         let refusal = Refusal {
             outcome,
-            reason,
-            retry_after: self.retry_after(reason),
+            reason: self.readable(reason),
+            retry_after,
             unspent_tokens: running.ledger().close(),
             crashes: self.shared.suspects.standing(self.head.request).crashes(),
             server,
+            turn: self.shared.server.notices.turn_of(self.from),
         };
         self.send(PeerMessage::Refused { call: self.head.call, refusal });
     }
 
+    /// The reason as the sender can read it.
+    fn readable(&self, reason: Reason) -> Reason {
+        match reason {
+            Reason::BackendRate if self.additions < READS_BACKEND_RATE => Reason::QueueFull,
+            reason => reason,
+        }
+    }
+
     /// When the caller should come back, before jitter.
-    fn retry_after(&self, reason: Reason) -> Microseconds {
+    pub(super) fn retry_after(&self, reason: Reason) -> Microseconds {
         match reason.rule().return_time {
             ReturnTime::AfterQueue => self.shared.server.gate.retry_after(),
             ReturnTime::UntilTrial => self.shared.suspects.pause_left(self.head.request),
--- a/crates/seamhatchd/src/peer_server/mod.rs
+++ b/crates/seamhatchd/src/peer_server/mod.rs
@@ -13,6 +13,7 @@
 use crate::peer_server::session::{SenderClock, Session};
 use crate::shared::Shared;
 use log::warn;
+use seamhatch_core::identity::Address;
 use seamhatch_wire::{FrameReader, PeerMessage, WireError, read_preface, write_preface};
 use std::sync::Arc;
 use std::time::Duration;
@@ -58,12 +59,16 @@
     let first = tokio::time::timeout(HELLO_TIMEOUT, frames.next()).await.map_err(timed_out)??;
     let hello = link::first_hello(first, &shared.settings.cluster)?;
     shared.control.daemon_connected(hello.gossip);
+    // Before any call on this connection, and before anything is told on it.
+    if let Some(notice) = &hello.handed_back {
+        shared.take_back(notice);
+    }
     let (outbox, messages) = Outbox::new();
     // The outbox was made just now and can't be closed.
-    let _ = outbox.send(PeerMessage::Hello(shared.hello()));
+    let _ = outbox.send(PeerMessage::Hello(shared.hello(None)));
     let writing = AbortOnDrop(tokio::spawn(link::write_messages(writer, messages)));
     let (calls, peer_clock) = (IncomingCalls::default(), SenderClock::new(hello.clock));
-    let pulses = spawn_pulses(shared, &outbox, &calls, &peer_clock);
+    let pulses = spawn_pulses(shared, hello.peer, &outbox, &calls, &peer_clock);
     let session = Session { shared: shared.clone(), outbox, hello, calls, peer_clock };
     let result = session.run(frames).await;
     drop((writing, pulses));
@@ -72,6 +77,7 @@
 
 fn spawn_pulses(
     shared: &Arc<Shared>,
+    peer: Address,
     outbox: &Outbox,
     calls: &IncomingCalls,
     peer_clock: &SenderClock,
@@ -80,7 +86,7 @@
     let (calls, peer_clock) = (calls.clone(), peer_clock.clone());
     AbortOnDrop(tokio::spawn(async move {
         let is_busy = || !calls.is_empty();
-        link::send_pulses(&*shared, outbox, is_busy, |instant| peer_clock.translate(instant)).await;
+        link::send_pulses(&*shared, peer, outbox, is_busy, |instant| peer_clock.translate(instant)).await;
     }))
 }
 
--- a/crates/seamhatchd/src/peer_server/session.rs
+++ b/crates/seamhatchd/src/peer_server/session.rs
@@ -130,6 +130,7 @@
             cancelled,
             head,
             from: self.hello.peer,
+            additions: self.hello.additions,
             arrived: clock::now(),
         };
         tokio::spawn(async move { server_call.run(body).await });
--- a/crates/seamhatchd/src/server/backend/answer.rs
+++ b/crates/seamhatchd/src/server/backend/answer.rs
@@ -7,6 +7,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use seamhatch_core::clock::Microseconds;
+use seamhatch_core::notice::AnswerNotice;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
@@ -17,6 +18,8 @@
     pub status: StatusCode,
     /// Header fields.
     pub headers: HeaderMap,
+    /// What it says of its back end.
+    pub notice: AnswerNotice,
     pub(super) body: Incoming,
     pub(super) connection: Connection,
     pub(super) request_written: Arc<AtomicBool>,
--- a/crates/seamhatchd/src/server/backend/error.rs
+++ b/crates/seamhatchd/src/server/backend/error.rs
@@ -1,5 +1,6 @@
 //! Why the back end gave no answer.
 
+use seamhatch_core::notice::AnswerNotice;
 use seamhatch_core::outcome::Reason;
 use thiserror::Error;
 
@@ -15,6 +16,8 @@
         reason: Reason,
         /// Why.
         detail: String,
+        /// What it says of itself beside.
+        notice: AnswerNotice,
     },
     /// It may have begun to work.
     #[error("the back end broke off: {detail}; its own log tells why")]
@@ -30,7 +33,12 @@
     }
 
     pub(super) fn unreachable(detail: impl Into<String>) -> Self {
-        Self::NotRun { reason: Reason::BackendUnreachable, detail: detail.into() }
+        Self::not_sent(Reason::BackendUnreachable, detail)
+    }
+
+    /// Nothing was written.
+    pub(super) fn not_sent(reason: Reason, detail: impl Into<String>) -> Self {
+        Self::NotRun { reason, detail: detail.into(), notice: AnswerNotice::default() }
     }
 
     /// A failure of a request on a connection: one that was not written at all can be sent again.
--- a/crates/seamhatchd/src/server/backend/mod.rs
+++ b/crates/seamhatchd/src/server/backend/mod.rs
@@ -72,10 +72,9 @@
             remaining: request.expiry.since(clock::now()),
             instance: request.instance,
         };
-        let message =
-            request.message(&call, &*self.conventions, self.address, body.http).map_err(|error| {
-                BackendError::NotRun { reason: Reason::BadRequest, detail: error.to_string() }
-            })?;
+        let message = request
+            .message(&call, &*self.conventions, self.address, body.http)
+            .map_err(|error| BackendError::not_sent(Reason::BadRequest, error.to_string()))?;
         let (connection, response) = self.exchange(message).await?;
         self.judge(&call, connection, response, body.written).await
     }
@@ -89,8 +88,11 @@
         request_written: Arc<AtomicBool>,
     ) -> Result<BackendAnswer, BackendError> {
         let (parts, body) = response.into_parts();
-        match self.conventions.judge(call, parts.status, &parts.headers) {
+        let verdict = self.conventions.judge(call, parts.status, &parts.headers);
+        let notice = self.conventions.notice(&verdict, &parts.headers);
+        match verdict {
             AnswerVerdict::Answer => Ok(BackendAnswer {
+                notice,
                 idle_span: idle_span(&parts.headers),
                 status: parts.status,
                 headers: parts.headers,
@@ -101,7 +103,7 @@
             AnswerVerdict::NotRun(reason) => {
                 let detail = format!("status {}", parts.status);
                 self.discard(connection, body, &parts.headers, &request_written).await;
-                Err(BackendError::NotRun { reason, detail })
+                Err(BackendError::NotRun { reason, detail, notice })
             }
             AnswerVerdict::Unusable(why) => Err(BackendError::failed(why)),
         }
--- a/crates/seamhatchd/src/server/gate.rs
+++ b/crates/seamhatchd/src/server/gate.rs
@@ -14,10 +14,12 @@
 use seamhatch_core::clock::Microseconds;
 use seamhatch_core::outcome::Reason;
 use seamhatch_core::priority::Priority;
+use seamhatch_core::rate::RequestRate;
 use seamhatch_wire::ServerReport;
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, Weak};
+use tokio::runtime::Handle;
 use tokio::sync::oneshot;
 
 /// A call that asks for a slot.
@@ -41,6 +43,8 @@
     waiters: HashMap<Ticket, oneshot::Sender<Result<(), Reason>>>,
     /// Slots worth using, as last logged.
     logged_slots: u32,
+    /// When a task looks for the turn of a waiting call, where the back end is held to a rate.
+    wake_at: Option<Instant>,
 }
 
 impl State {
@@ -68,6 +72,8 @@
     state: Mutex<State>,
     next_ticket: AtomicU64,
     metrics: Arc<Metrics>,
+    /// The gate itself, for that task.
+    this: Weak<Self>,
 }
 
 /// A slot; dropping it frees the slot.
@@ -75,13 +81,29 @@
 pub struct Permit {
     gate: Arc<AdmissionGate>,
     ticket: Ticket,
-    succeeded: bool,
+    end: PermitEnd,
+}
+
+/// What becomes of a call with a slot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum PermitEnd {
+    /// It ran, and its service time says nothing.
+    Ran,
+    /// Its service time is a fair sample.
+    Succeeded,
+    /// It was never sent to the back end.
+    Unsent,
 }
 
 impl Permit {
     /// The call's service time is a fair sample.
     pub fn mark_succeeded(&mut self) {
-        self.succeeded = true;
+        self.end = PermitEnd::Succeeded;
+    }
+
+    /// Nothing of the call was sent to the back end, so that its turn goes to another one.
+    pub fn mark_unsent(&mut self) {
+        self.end = PermitEnd::Unsent;
     }
 
     /// Records the load that the back end reports beside the call's answer.
@@ -99,7 +121,7 @@
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        self.gate.finish(self.ticket, self.succeeded);
+        self.gate.finish(self.ticket, self.end);
     }
 }
 
@@ -123,7 +145,7 @@
         let waited =
             if self.expired { state.queue.expire(self.ticket) } else { state.queue.cancel(self.ticket) };
         if !waited {
-            state.queue.finish(self.ticket, clock::now(), false);
+            state.queue.withdraw(self.ticket, clock::now());
             self.gate.pump(&mut state);
         }
     }
@@ -135,8 +157,13 @@
     pub fn new(policy: AdmissionPolicy, metrics: Arc<Metrics>) -> Arc<Self> {
         let queue = AdmissionQueue::new(policy);
         let logged_slots = queue.worthwhile_slots();
-        let state = State { queue, waiters: HashMap::new(), logged_slots };
-        Arc::new(Self { state: Mutex::new(state), next_ticket: AtomicU64::new(0), metrics })
+        let state = State { queue, waiters: HashMap::new(), logged_slots, wake_at: None };
+        Arc::new_cyclic(|this| Self {
+            state: Mutex::new(state),
+            next_ticket: AtomicU64::new(0),
+            metrics,
+            this: this.clone(),
+        })
     }
 
     /// Waits for a slot.
@@ -170,7 +197,7 @@
             Some(Ok(Err(reason))) => Err(reason),
             Some(Err(_)) | None => {
                 guard.expired = true;
-                Err(Reason::DeadlineExceeded)
+                Err(self.lock().queue.late_reason())
             }
         }
     }
@@ -187,6 +214,33 @@
         self.pump(&mut state);
     }
 
+    /// Holds calls to a rate that the back end names.
+    pub fn hold_to(&self, rate: RequestRate) {
+        let mut state = self.lock();
+        state.queue.hold_to(rate, clock::now());
+        self.pump(&mut state);
+    }
+
+    /// The back end names no rate any more.
+    pub fn lift_rate(&self) {
+        let mut state = self.lock();
+        state.queue.lift_rate(clock::now());
+        self.pump(&mut state);
+    }
+
+    /// The rate that calls are held to, and the time until the turn of one that comes now; none where there is no rate.
+    #[must_use]
+    pub fn turn_in(&self) -> Option<(RequestRate, Microseconds)> {
+        let state = self.lock();
+        state.queue.rate().zip(state.queue.turn_in(clock::now()))
+    }
+
+    /// Calls that may run at once at present, whatever the rate.
+    #[must_use]
+    pub fn limit(&self) -> u32 {
+        self.lock().queue.limit()
+    }
+
     /// Refuses all waiting calls, as the back end takes no more.
     pub fn close(&self) {
         let mut state = self.lock();
@@ -201,7 +255,7 @@
         let state = self.lock();
         ServerReport {
             load: (state.queue.running() + state.queue.waiting()) as u32,
-            limit: state.queue.limit(),
+            limit: state.queue.reported_limit(),
             floor: state.queue.floor(),
         }
     }
@@ -209,7 +263,7 @@
     /// When a refused caller should return, in microseconds before jitter.
     #[must_use]
     pub fn retry_after(&self) -> Microseconds {
-        self.lock().queue.retry_after()
+        self.lock().queue.retry_after(clock::now())
     }
 
     /// Calls that run or wait, those included whose answer seems to be lost.
@@ -222,9 +276,11 @@
     /// Refuses the calls that wait for a turn that comes too late, and moves the admission floor; to be called every 100 ms.
     pub fn tick(&self) {
         let mut state = self.lock();
-        for ticket in state.queue.give_up_late(clock::now()) {
-            state.refuse_waiting(ticket, Reason::DeadlineExceeded);
+        let (now, late_reason) = (clock::now(), state.queue.late_reason());
+        for ticket in state.queue.give_up_late(now) {
+            state.refuse_waiting(ticket, late_reason);
         }
+        state.queue.raise_rate(now);
         state.queue.tick();
         state.log_slots();
         self.pump(&mut state);
@@ -236,7 +292,7 @@
     }
 
     fn permit(self: &Arc<Self>, ticket: Ticket) -> Permit {
-        Permit { gate: self.clone(), ticket, succeeded: false }
+        Permit { gate: self.clone(), ticket, end: PermitEnd::Ran }
     }
 
     fn offer(
@@ -254,14 +310,21 @@
                 }
                 let (sender, receiver) = oneshot::channel();
                 state.waiters.insert(offered.ticket, sender);
+                self.wake_at_next_turn(&mut state, now);
                 Ok(Some(receiver))
             }
         }
     }
 
-    fn finish(&self, ticket: Ticket, succeeded: bool) {
+    fn finish(&self, ticket: Ticket, end: PermitEnd) {
         let mut state = self.lock();
-        state.queue.finish(ticket, clock::now(), succeeded);
+        let now = clock::now();
+        match end {
+            PermitEnd::Unsent => state.queue.withdraw(ticket, now),
+            PermitEnd::Ran | PermitEnd::Succeeded => {
+                state.queue.finish(ticket, now, end == PermitEnd::Succeeded);
+            }
+        }
         self.pump(&mut state);
     }
 
@@ -270,13 +333,37 @@
         while let Some(dequeued) = state.queue.next(now) {
             let (ticket, decision) = match dequeued {
                 Dequeued::Run(ticket) => (ticket, Ok(())),
-                Dequeued::Expired(ticket) => (ticket, Err(Reason::DeadlineExceeded)),
+                Dequeued::Expired(ticket) => (ticket, Err(state.queue.late_reason())),
             };
             let delivered = state.waiters.remove(&ticket).is_some_and(|waiter| waiter.send(decision).is_ok());
             if !delivered && decision.is_ok() {
-                state.queue.finish(ticket, now, false);
+                state.queue.withdraw(ticket, now);
             }
         }
+        self.wake_at_next_turn(state, now);
+    }
+
+    /// Has a task look for the next call when the rate gives it its turn. Without a runtime the next tick does.
+    fn wake_at_next_turn(&self, state: &mut State, now: Instant) {
+        let Some(turn) = state.queue.next_turn(now) else { return };
+        if state.wake_at.is_some_and(|wake_at| wake_at <= turn) {
+            return;
+        }
+        let Ok(runtime) = Handle::try_current() else { return };
+        state.wake_at = Some(turn);
+        let gate = self.this.clone();
+        runtime.spawn(async move {
+            clock::sleep_until(turn).await;
+            if let Some(gate) = gate.upgrade() {
+                gate.wake(turn);
+            }
+        });
+    }
+
+    fn wake(&self, turn: Instant) {
+        let mut state = self.lock();
+        state.wake_at = state.wake_at.filter(|wake_at| *wake_at != turn);
+        self.pump(&mut state);
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
--- a/crates/seamhatchd/src/server/instances.rs
+++ b/crates/seamhatchd/src/server/instances.rs
@@ -7,12 +7,16 @@
 use seamhatch_core::Instant;
 use seamhatch_core::instance::{Heartbeat, HeartbeatVerdict, InstanceId, InstanceRegistry, Refutation};
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 /// Whether the back end takes calls, and under which name.
 #[derive(Debug)]
 pub enum Instances {
-    /// The back end is always there; it has no name.
-    Fixed,
+    /// The back end has no name; it is there unless it has said that it leaves.
+    Fixed {
+        /// It has said so, and has not ended yet.
+        leaving: AtomicBool,
+    },
     /// It registers with heartbeats.
     Registered(Mutex<InstanceRegistry>),
 }
@@ -31,11 +35,25 @@
         Self::Registered(Mutex::default())
     }
 
+    /// A back end without a name.
+    #[must_use]
+    pub fn fixed() -> Self {
+        Self::Fixed { leaving: AtomicBool::new(false) }
+    }
+
+    /// Records that a back end without a name leaves, or that this one has ended. True when that is news.
+    pub fn set_leaving(&self, is_leaving: bool) -> bool {
+        match self {
+            Self::Fixed { leaving } => leaving.swap(is_leaving, Ordering::AcqRel) != is_leaving,
+            Self::Registered(_) => false,
+        }
+    }
+
     /// The instance that takes calls, if there is one.
     #[must_use]
     pub fn open(&self) -> Option<OpenInstance> {
         match self {
-            Self::Fixed => Some(OpenInstance { id: None }),
+            Self::Fixed { .. } => self.is_open().then_some(OpenInstance { id: None }),
             Self::Registered(registry) => {
                 let id = lock(registry).open()?.id.clone();
                 Some(OpenInstance { id: Some(id) })
@@ -47,7 +65,7 @@
     #[must_use]
     pub fn is_open(&self) -> bool {
         match self {
-            Self::Fixed => true,
+            Self::Fixed { leaving } => !leaving.load(Ordering::Acquire),
             Self::Registered(registry) => lock(registry).open().is_some(),
         }
     }
@@ -62,7 +80,7 @@
     #[must_use]
     pub fn capacity(&self) -> Option<(u32, Instant)> {
         match self {
-            Self::Fixed => None,
+            Self::Fixed { .. } => None,
             Self::Registered(registry) => lock(registry).open().map(|open| (open.slots, open.warm_at)),
         }
     }
@@ -71,16 +89,30 @@
     #[must_use]
     pub fn heard(&self) -> Option<Instant> {
         match self {
-            Self::Fixed => None,
+            Self::Fixed { .. } => None,
             Self::Registered(registry) => lock(registry).registered().map(|known| known.heard),
         }
     }
 
-    /// Records a heartbeat; stale where instances don't register.
-    pub fn heartbeat(&self, heartbeat: Heartbeat, now: Instant) -> HeartbeatVerdict {
+    /// Records a heartbeat; stale where instances don't register. An instance that it opens is given to `opened` before it gets a call.
+    pub fn heartbeat(
+        &self,
+        heartbeat: Heartbeat,
+        now: Instant,
+        opened: impl FnOnce(&InstanceId),
+    ) -> HeartbeatVerdict {
         match self {
-            Self::Fixed => HeartbeatVerdict::Stale,
-            Self::Registered(registry) => lock(registry).heartbeat(heartbeat, now),
+            Self::Fixed { .. } => HeartbeatVerdict::Stale,
+            Self::Registered(registry) => {
+                let mut registry = lock(registry);
+                let verdict = registry.heartbeat(heartbeat, now);
+                if verdict == HeartbeatVerdict::Opened
+                    && let Some(open) = registry.open()
+                {
+                    opened(&open.id);
+                }
+                verdict
+            }
         }
     }
 
@@ -88,7 +120,7 @@
     #[must_use]
     pub fn resolve(&self, instance: InstanceId) -> InstanceId {
         match self {
-            Self::Fixed => instance,
+            Self::Fixed { .. } => instance,
             Self::Registered(registry) => lock(registry).resolve(instance),
         }
     }
@@ -96,7 +128,7 @@
     /// Records departures. True when that closes the registered instance.
     pub fn depart<'a>(&self, departed: impl IntoIterator<Item = &'a InstanceId>) -> bool {
         match self {
-            Self::Fixed => false,
+            Self::Fixed { .. } => false,
             Self::Registered(registry) => {
                 let mut registry = lock(registry);
                 let closed = departed.into_iter().filter(|instance| registry.depart(instance));
@@ -108,16 +140,31 @@
     /// Sends an instance no calls until its next heartbeat. True when that closes it.
     pub fn suspend(&self, instance: &InstanceId) -> bool {
         match self {
-            Self::Fixed => false,
+            Self::Fixed { .. } => false,
             Self::Registered(registry) => lock(registry).suspend(instance),
         }
     }
 
-    /// Records that the back end answered a call for this instance as another one.
-    pub fn refute(&self, instance: &InstanceId, now: Instant) -> Refutation {
+    /// Records that the back end answered a call for this instance as another one. An instance that this opens is given to `opened` before
+    /// it gets a call.
+    pub fn refute(
+        &self,
+        instance: &InstanceId,
+        now: Instant,
+        opened: impl FnOnce(&InstanceId),
+    ) -> Refutation {
         match self {
-            Self::Fixed => Refutation::Known,
-            Self::Registered(registry) => lock(registry).refute(instance, now),
+            Self::Fixed { .. } => Refutation::Known,
+            Self::Registered(registry) => {
+                let mut registry = lock(registry);
+                let refutation = registry.refute(instance, now);
+                if refutation == Refutation::Replaced
+                    && let Some(open) = registry.open()
+                {
+                    opened(&open.id);
+                }
+                refutation
+            }
         }
     }
 
@@ -125,7 +172,7 @@
     #[must_use]
     pub fn has_departed(&self, instance: &InstanceId) -> bool {
         match self {
-            Self::Fixed => false,
+            Self::Fixed { .. } => false,
             Self::Registered(registry) => lock(registry).has_departed(instance),
         }
     }
@@ -134,7 +181,7 @@
     #[must_use]
     pub fn current(&self) -> Option<InstanceId> {
         match self {
-            Self::Fixed => None,
+            Self::Fixed { .. } => None,
             Self::Registered(registry) => lock(registry).registered().map(|known| known.id.clone()),
         }
     }
@@ -143,7 +190,7 @@
     #[must_use]
     pub fn is_leaving(&self, instance: &InstanceId) -> bool {
         match self {
-            Self::Fixed => false,
+            Self::Fixed { .. } => false,
             Self::Registered(registry) => lock(registry).is_leaving(instance),
         }
     }
@@ -152,7 +199,7 @@
     #[must_use]
     pub fn departed(&self) -> Vec<InstanceId> {
         match self {
-            Self::Fixed => Vec::new(),
+            Self::Fixed { .. } => Vec::new(),
             Self::Registered(registry) => lock(registry).departed().cloned().collect(),
         }
     }
--- a/crates/seamhatchd/src/server/mod.rs
+++ b/crates/seamhatchd/src/server/mod.rs
@@ -7,12 +7,14 @@
 pub mod crashes;
 pub mod gate;
 pub mod instances;
+pub mod notices;
 pub mod running;
 
 use backend::Backend;
 use crashes::CrashWatch;
 use gate::AdmissionGate;
 use instances::Instances;
+use notices::BackEndNotices;
 use running::RunningCalls;
 use std::sync::Arc;
 
@@ -21,6 +23,8 @@
 pub struct ServerSide {
     /// Its slots, and the calls that wait for one.
     pub gate: Arc<AdmissionGate>,
+    /// What it says of itself in its answers.
+    pub notices: BackEndNotices,
     /// Calls that run there.
     pub running: Arc<RunningCalls>,
     /// The connections to it.
--- a/crates/seamhatchd/src/shared.rs
+++ b/crates/seamhatchd/src/shared.rs
@@ -22,6 +22,8 @@
 use seamhatch_core::Instant;
 use seamhatch_core::drain::{BackEndState, CallIntake};
 use seamhatch_core::identity::{CallId, Incarnation};
+use seamhatch_core::instance::InstanceId;
+use seamhatch_core::notice::BackEndNotice;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 
@@ -113,6 +115,35 @@
         self.lifecycle.stop_state().intake(self.lifecycle.is_ready(), back_end)
     }
 
+    /// The back end has said in an answer that it leaves: it gets nothing more from now on.
+    pub fn note_leaving(&self, instance: Option<&InstanceId>) {
+        let instances = &self.server.instances;
+        let is_news = match instance {
+            Some(instance) => {
+                self.server.notices.note_leaving(instance);
+                !instances.has_departed(instance) && {
+                    instances.depart([instance]);
+                    true
+                }
+            }
+            None => instances.set_leaving(true),
+        };
+        if is_news {
+            self.control.says_leaving(instance.cloned());
+        }
+    }
+
+    /// Another daemon hands back what the back end said before this process started.
+    pub fn take_back(&self, notice: &BackEndNotice) {
+        if let Some(rate) = notice.rate {
+            self.server.notices.hand_back_rate(notice.instance.as_ref(), rate);
+        }
+        // One without a name may be another one by now.
+        if let Some(instance) = notice.instance.as_ref().filter(|_| notice.leaving) {
+            self.note_leaving(Some(instance));
+        }
+    }
+
     /// Whether a call that starts now can end before the process does.
     #[must_use]
     pub fn can_finish(&self, expiry: Instant) -> bool {
--- a/crates/seamhatchd/src/startup.rs
+++ b/crates/seamhatchd/src/startup.rs
@@ -12,6 +12,7 @@
 use crate::limits::SharedLimits;
 use crate::limits::entry_floors::EntryFloors;
 use crate::limits::freshness::Freshness;
+use crate::limits::peer_notices::PeerNotices;
 use crate::limits::quota::Quota;
 use crate::limits::retry_budget::RetryBudget;
 use crate::limits::service_floors::ServiceFloors;
@@ -25,6 +26,7 @@
 use crate::server::crashes::CrashWatch;
 use crate::server::gate::AdmissionGate;
 use crate::server::instances::Instances;
+use crate::server::notices::BackEndNotices;
 use crate::server::running::RunningCalls;
 use crate::settings::{self, Invocation, Settings, SettingsError};
 use crate::shared::Shared;
@@ -191,11 +193,13 @@
     conventions: &Arc<dyn HttpConventions>,
 ) -> ServerSide {
     let registers = settings.listen.registry.is_some();
+    let gate = AdmissionGate::new(AdmissionPolicy::for_slots(settings.slots), metrics.clone());
     ServerSide {
-        gate: AdmissionGate::new(AdmissionPolicy::for_slots(settings.slots), metrics.clone()),
+        notices: BackEndNotices::new(gate.clone(), metrics.clone()),
+        gate,
         running: RunningCalls::new(incarnation),
         backend: Backend::new(settings.backend, conventions.clone()),
-        instances: if registers { Instances::registered() } else { Instances::Fixed },
+        instances: if registers { Instances::registered() } else { Instances::fixed() },
         crashes: CrashWatch::new(incarnation),
     }
 }
@@ -205,6 +209,7 @@
     SharedLimits {
         retry_budget: RetryBudget::new(settings.retries),
         service_floors: ServiceFloors::default(),
+        peer_notices: PeerNotices::default(),
         freshness: Freshness::new(settings.revocation),
         quota: Quota::new(settings.quota),
     }
--- a/crates/seamhatchd/tests/operator_interface.rs
+++ b/crates/seamhatchd/tests/operator_interface.rs
@@ -132,6 +132,7 @@
         liveness: Liveness::Alive,
         leaving: true,
         generation: Some(2),
+        rate_millis: Some(1_500),
     };
     let shard = ShardStatus { shard: 3, epoch: 4, witnesses: vec!["10.1.2.3:7001".into()], serving: 5 };
     let status = StatusReport {
@@ -166,6 +167,8 @@
         headers::GENERATION,
         headers::REQUEST_ID,
         headers::TENANT,
+        headers::BACKEND_RATE,
+        headers::BACKEND_LEAVING,
         headers::IDEMPOTENCY_KEY,
     ];
     let call =
--- a/crates/seamhatchd/tests/rejections.rs
+++ b/crates/seamhatchd/tests/rejections.rs
@@ -26,7 +26,7 @@
     StatusCase { reason, entry: (503, 503), peer: (503, 502) }
 }
 
-const CASES: [StatusCase; 32] = [
+const CASES: [StatusCase; 33] = [
     blames_caller(Reason::BadRequest, 400),
     blames_caller(Reason::BadContext, 403),
     blames_caller(Reason::NoRoute, 404),
@@ -59,6 +59,7 @@
     blames_nobody(Reason::NoProof, 503, 502),
     blames_nobody(Reason::OverQuota, 429, 502),
     blames_nobody(Reason::NoQuotaShard, 503, 502),
+    blames_nobody(Reason::BackendRate, 503, 502),
 ];
 
 fn refusal(outcome: Outcome, reason: Reason) -> Refusal {
@@ -69,6 +70,7 @@
         unspent_tokens: 0,
         crashes: 0,
         server: ServerReport { load: 0, limit: 0, floor: AdmissionFloor::OPEN },
+        turn: None,
     }
 }
 
