Emulator and soak: back ends that name a rate, or say that they leave, judged by what they see

The emulator's back ends say so in the product's own fields; the soak draws both with a generator of their own, so that the other faults of a seed stay as they are, and judges two more promises (RatesKept, LeavingRests) by the runs that back ends saw: 4 s of the rate and 3 runs in any 4 s, the users' bound (half as much again and 5) where the daemon beside was ended or held up, nothing where all who were told may have ended with it. Promise and Violation have a file below the checks, which no longer need each other in a circle of six.

--- a/crates/seamhatch-lab/src/backends/server.rs
+++ b/crates/seamhatch-lab/src/backends/server.rs
@@ -70,7 +70,11 @@
     let (parts, _) = request.into_parts();
     let host = header(&parts, "host").unwrap_or_default();
     match state.by_host.get(&host) {
-        Some(backend) => backend.run(&state, Incoming::of(parts)).await,
+        Some(backend) => {
+            let mut response = backend.run(&state, Incoming::of(parts)).await;
+            backend.behaviour.add_notices(response.headers_mut());
+            response
+        }
         None => status(StatusCode::MISDIRECTED_REQUEST),
     }
 }
--- a/crates/seamhatch-lab/src/soak/checks.rs
+++ b/crates/seamhatch-lab/src/soak/checks.rs
@@ -1,14 +1,17 @@
 //! Checks the promises of docs/GUARANTEES.md over a recorded history.
 //!
 //! Each check is a pure function of what callers, back ends and operators saw, so a kept history can be judged again. The longer
-//! ones are in `contained`, `in_time`, `no_server`, `rolls` and `stops`. The command prints what [`check`] finds; the report shows it.
+//! ones are in `contained`, `in_time`, `no_server`, `notices`, `rolls` and `stops`. The command prints what [`check`] finds; the report shows it.
 
 use super::contained::crashes_contained;
 use super::fleet::DaemonIndex;
-use super::history::{HistoryEvent, RequestName, SeenAnswer};
+use super::history::{HistoryEvent, NOT_RUN, RequestName, SeenAnswer, executed};
 use super::in_time::{configurations_forward, configurations_in_time};
 use super::load::DEADLY_PREFIX;
 use super::no_server::servers_are_found;
+use super::notices::{leaving_back_ends_rest, rates_kept};
+use super::promise::violation;
+pub use super::promise::{Promise, Violation};
 use super::rolls::stops_keep_serving;
 use super::stops::stops_cut_nothing;
 use seamhatch_core::outcome::Reason;
@@ -16,63 +19,12 @@
 
 /// Retry tokens of a request: what `retries` in documents/harvest.toml returns.
 pub const RETRY_TOKENS: usize = 3;
-/// Outcome of a request that was not run.
-pub(crate) const NOT_RUN: &str = "not-run";
-/// Outcome of a request that a back end answered.
-pub(crate) const ANSWERED: &str = "answered";
-/// Status of an answer that is neither a success nor a refusal.
-pub(crate) const FAILED: u16 = 502;
 /// Name prefix of the requests that are sent when everything is over.
 pub const PROBE_PREFIX: &str = "probe-";
 
-/// What a deployment promises its callers and operators.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Promise {
-    /// Retries of a request stay within its total.
-    RetriesBounded,
-    /// Each caller gets the complete answer to its own request.
-    AnswersWhole,
-    /// A request that is refused as not run was not run anywhere.
-    RefusalsTrue,
-    /// A refusal has a `Retry-After`.
-    RefusalsAdvise,
-    /// A request that may not be repeated runs at most once.
-    AtMostOnce,
-    /// A planned stop cuts off no request.
-    StopsCutNothing,
-    /// Where nothing happens but planned stops and changes, no request is refused for want of witnesses, or fails although each service has
-    /// an open server.
-    StopsKeepServing,
-    /// A daemon never goes back to an older configuration.
-    ConfigurationForward,
-    /// A daemon in touch decides no request by a configuration that is too old.
-    ConfigurationInTime,
-    /// An accepted configuration is in force everywhere.
-    ConfigurationEverywhere,
-    /// A service with a living server is found.
-    ServersFound,
-    /// A request that crashes servers crashes few of them.
-    CrashesContained,
-    /// No other request is refused for crashes.
-    HarmlessServed,
-    /// After the faults all requests are served again.
-    Recovers,
-}
-
-/// One case in which a promise was broken.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Violation {
-    /// The promise.
-    pub promise: Promise,
-    /// The request or daemon that shows it.
-    pub subject: String,
-    /// What was seen.
-    pub detail: String,
-}
-
 type Check = fn(&[HistoryEvent]) -> Vec<Violation>;
 
-const CHECKS: [Check; 15] = [
+const CHECKS: [Check; 17] = [
     retries_bounded,
     answers_whole,
     refusals_true,
@@ -86,6 +38,8 @@
     configuration_everywhere,
     servers_are_found,
     crashes_contained,
+    rates_kept,
+    leaving_back_ends_rest,
     harmless_served,
     recovers,
 ];
@@ -96,10 +50,6 @@
     CHECKS.iter().flat_map(|check| check(history)).collect()
 }
 
-pub(super) fn violation(promise: Promise, subject: impl ToString, detail: String) -> Violation {
-    Violation { promise, subject: subject.to_string(), detail }
-}
-
 pub(super) fn answers(history: &[HistoryEvent]) -> impl Iterator<Item = (&RequestName, &SeenAnswer)> {
     history.iter().filter_map(|event| match event {
         HistoryEvent::Answered { request, answer, .. } => Some((request, answer)),
@@ -107,15 +57,6 @@
     })
 }
 
-/// Requests of which a back end has run at least one call.
-pub(super) fn executed(history: &[HistoryEvent]) -> HashSet<&RequestName> {
-    let runs = history.iter().filter_map(|event| match event {
-        HistoryEvent::Executed { request, .. } => Some(request),
-        _ => None,
-    });
-    runs.collect()
-}
-
 fn retries_bounded(history: &[HistoryEvent]) -> Vec<Violation> {
     let mut runs: BTreeMap<&RequestName, (usize, BTreeSet<&str>)> = BTreeMap::new();
     for event in history {
--- a/crates/seamhatch-lab/src/soak/command.rs
+++ b/crates/seamhatch-lab/src/soak/command.rs
@@ -1,12 +1,13 @@
 //! The command `seamhatch-lab soak`: reads its arguments, runs one plan after the other, and decides the exit code.
 
-use super::checks::{Promise, Violation, check};
+use super::checks::check;
 use super::fleet::{SERVERS, SoakFleet};
 use super::history;
 use super::output::{
     PLAN_FILE, SMALLEST_FILE, keep_plan, keep_record, print_answers, print_kept, print_violations,
 };
 use super::plan::SoakPlan;
+use super::promise::{Promise, Violation};
 use super::runner::{self, SoakRecord, fleet};
 use super::shrink;
 use pico_args::Arguments;
--- a/crates/seamhatch-lab/src/soak/contained.rs
+++ b/crates/seamhatch-lab/src/soak/contained.rs
@@ -3,8 +3,8 @@
 //! Counts the runs of one request over all its copies: in all, and those that began when every daemon must have known of its third
 //! crash. Called by `checks`.
 
-use super::checks::{Promise, Violation, violation};
 use super::history::{HistoryEvent, SoakMillis};
+use super::promise::{Promise, Violation, violation};
 use crate::backends::{AWAY, DEADLY_PATH};
 use std::collections::{BTreeMap, HashMap};
 
--- a/crates/seamhatch-lab/src/soak/draw.rs
+++ b/crates/seamhatch-lab/src/soak/draw.rs
@@ -43,6 +43,14 @@
 const CRASH_MS: u64 = 3_000;
 /// Time between two submissions besides those of the series, in milliseconds: some operator changes something all the time.
 const CHANGE_GAP_MS: Range<u64> = 600..3_000;
+/// Time between two back ends that say something of themselves, in milliseconds.
+const NOTICE_GAP_MS: Range<u64> = 1_000..6_000;
+/// How long they say so, in milliseconds: longer than a rate is judged over.
+const NOTICE_MS: Range<u64> = 5_000..10_000;
+/// Rates that they name, in thousandths of a call a second.
+const RATES_MILLIS: [u32; 5] = [200, 1_500, 5_000, 10_000, 30_000];
+/// Combined with a plan's seed to draw these: `notices!` in ASCII.
+const NOTICE_SEED: u64 = 0x6e6f_7469_6365_7321;
 /// Combined with a plan's seed to draw these submissions: `changes!` in ASCII.
 const CHANGE_SEED: u64 = 0x6368_616e_6765_7321;
 /// Combined with a plan's seed to draw the crashes: `crashes!` in ASCII.
@@ -79,10 +87,10 @@
             faults.extend(added);
             at_ms += pause_ms;
         }
-        let crashes = draw_crashes(seed, end_ms, fleet);
-        let beside_a_stop = |crash: &PlannedFault| faults.iter().any(|fault| disturbs_stop(crash, fault));
-        let crashes: Vec<PlannedFault> = crashes.into_iter().filter(|crash| !beside_a_stop(crash)).collect();
-        faults.extend(crashes);
+        let beside = [draw_crashes(seed, end_ms, fleet), draw_notices(seed, end_ms, fleet)].concat();
+        let beside_a_stop = |added: &PlannedFault| faults.iter().any(|fault| disturbs_stop(added, fault));
+        let beside: Vec<PlannedFault> = beside.into_iter().filter(|added| !beside_a_stop(added)).collect();
+        faults.extend(beside);
         faults.extend(draw_changes(seed, end_ms, fleet));
         faults.sort_by_key(|fault| fault.at_ms);
         let clients = CLIENTS_PER_DAEMON * fleet.daemons();
@@ -112,6 +120,27 @@
     faults
 }
 
+/// Back ends that name a rate or leave, one after the other, drawn with a generator of their own, so that the other faults of a seed don't
+/// depend on them.
+fn draw_notices(seed: u64, end_ms: u64, fleet: SoakFleet) -> Vec<PlannedFault> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ NOTICE_SEED);
+    let mut faults = Vec::new();
+    let mut at_ms = millis(QUIET) + rng.random_range(NOTICE_GAP_MS);
+    while at_ms + NOTICE_MS.end < end_ms {
+        let daemon = rng.random_range(0..fleet.daemons());
+        let fault = if rng.random_bool(0.7) {
+            let rate_millis = RATES_MILLIS[rng.random_range(0..RATES_MILLIS.len())];
+            SoakFault::ServerNamesRate { daemon, rate_millis }
+        } else {
+            SoakFault::ServerLeaves { daemon }
+        };
+        let for_ms = rng.random_range(NOTICE_MS);
+        faults.push(PlannedFault { at_ms, for_ms, fault });
+        at_ms += for_ms + rng.random_range(NOTICE_GAP_MS);
+    }
+    faults
+}
+
 /// Submissions throughout, drawn with a generator of their own, so that the other faults of a seed don't depend on them.
 fn draw_changes(seed: u64, end_ms: u64, fleet: SoakFleet) -> Vec<PlannedFault> {
     let mut rng = SmallRng::seed_from_u64(seed ^ CHANGE_SEED);
@@ -125,11 +154,11 @@
     changes
 }
 
-/// Whether a crash is so close to a planned stop that the answers of the stop can't be judged.
-fn disturbs_stop(crash: &PlannedFault, fault: &PlannedFault) -> bool {
+/// Whether a crash or a notice is so close to a planned stop that the answers of the stop can't be judged.
+fn disturbs_stop(added: &PlannedFault, fault: &PlannedFault) -> bool {
     let apart_ms = millis(APART);
     let is_stop = fault.fault.group() == FaultGroup::Stop;
-    is_stop && crash.at_ms < fault.end_ms() + apart_ms && fault.at_ms < crash.end_ms() + apart_ms
+    is_stop && added.at_ms < fault.end_ms() + apart_ms && fault.at_ms < added.end_ms() + apart_ms
 }
 
 /// The faults with their times, and the time in milliseconds until the next may begin.
--- a/crates/seamhatch-lab/src/soak/fault.rs
+++ b/crates/seamhatch-lab/src/soak/fault.rs
@@ -100,6 +100,18 @@
         /// The daemon beside it.
         daemon: DaemonIndex,
     },
+    /// A back end names the rate at which it takes calls.
+    ServerNamesRate {
+        /// The daemon beside it.
+        daemon: DaemonIndex,
+        /// In thousandths of a call a second.
+        rate_millis: u32,
+    },
+    /// A back end says that it leaves; at the end it is gone, and another one comes.
+    ServerLeaves {
+        /// The daemon beside it.
+        daemon: DaemonIndex,
+    },
     /// A back end crashes, and comes back at the end.
     ServerCrash {
         /// The daemon beside it.
@@ -190,6 +202,8 @@
             | Self::ServerFails { daemon }
             | Self::ServerCuts { daemon }
             | Self::ServerForges { daemon }
+            | Self::ServerNamesRate { daemon, .. }
+            | Self::ServerLeaves { daemon }
             | Self::ServerCrash { daemon }
             | Self::Configuration { daemon } => vec![*daemon],
             Self::StoreOut
@@ -215,6 +229,8 @@
             | Self::ServerFails { .. }
             | Self::ServerCuts { .. }
             | Self::ServerForges { .. }
+            | Self::ServerNamesRate { .. }
+            | Self::ServerLeaves { .. }
             | Self::ServerCrash { .. } => FaultGroup::RequestPath,
             Self::StoreOut
             | Self::StoreSlow { .. }
--- a/crates/seamhatch-lab/src/soak/history.rs
+++ b/crates/seamhatch-lab/src/soak/history.rs
@@ -8,8 +8,16 @@
 use crate::backends::Execution;
 use crate::client::CallerAnswer;
 use serde::{Deserialize, Serialize};
+use std::collections::HashSet;
 use std::time::Instant;
 
+/// Outcome of a request that was not run.
+pub(crate) const NOT_RUN: &str = "not-run";
+/// Outcome of a request that a back end answered.
+pub(crate) const ANSWERED: &str = "answered";
+/// Status of an answer that is neither a success nor a refusal.
+pub(crate) const FAILED: u16 = 502;
+
 /// The caller's name of a request.
 pub type RequestName = String;
 /// Milliseconds since the beginning of the load.
@@ -201,3 +209,12 @@
         |(index, line)| serde_json::from_str(line).map_err(|source| HistoryError { line: index + 1, source });
     lines.map(event).collect()
 }
+
+/// Requests of which a back end has run at least one call.
+pub(super) fn executed(history: &[HistoryEvent]) -> HashSet<&RequestName> {
+    let runs = history.iter().filter_map(|event| match event {
+        HistoryEvent::Executed { request, .. } => Some(request),
+        _ => None,
+    });
+    runs.collect()
+}
--- a/crates/seamhatch-lab/src/soak/in_time.rs
+++ b/crates/seamhatch-lab/src/soak/in_time.rs
@@ -4,11 +4,11 @@
 //! [`IN_FORCE_MS`] after the acceptance of a configuration by an older one, and in one life of its process it never goes back. Called by
 //! `checks`.
 
-use super::checks::{Promise, Violation, violation};
 use super::exchanges::{Exchange, exchanges};
 use super::fault::{FaultGroup, SoakFault};
 use super::fleet::DaemonIndex;
 use super::history::{HistoryEvent, SoakMillis};
+use super::promise::{Promise, Violation, violation};
 use super::spans::{FaultSpan, fault_spans};
 use std::collections::BTreeMap;
 
--- a/crates/seamhatch-lab/src/soak/injection.rs
+++ b/crates/seamhatch-lab/src/soak/injection.rs
@@ -5,7 +5,7 @@
 
 use super::fault::{CutWay, ReloadLevel, SoakFault};
 use super::fleet::DaemonIndex;
-use crate::backends::Behaviour;
+use crate::backends::{AWAY, Behaviour, NO_RATE};
 use crate::deployment::Deployment;
 use crate::fault_proxy::Rule;
 use crate::platform::PlatformFaults;
@@ -105,6 +105,12 @@
         | SoakFault::ServerFails { daemon }
         | SoakFault::ServerCuts { daemon }
         | SoakFault::ServerForges { daemon } => misbehave(&behaviour(deployment, *daemon), fault),
+        SoakFault::ServerNamesRate { daemon, rate_millis } => {
+            behaviour(deployment, *daemon).rate_millis.store((*rate_millis).into(), Ordering::Relaxed);
+        }
+        SoakFault::ServerLeaves { daemon } => {
+            behaviour(deployment, *daemon).leaving.store(true, Ordering::Relaxed);
+        }
         SoakFault::ServerCrash { daemon } => deployment.relays().crash(deployment.machines[*daemon].ip),
         // `steps` submits or sends these and records the outcome.
         SoakFault::Configuration { .. } | SoakFault::DeadlyRequest { .. } => {}
@@ -146,6 +152,13 @@
         | SoakFault::ServerFails { daemon }
         | SoakFault::ServerCuts { daemon }
         | SoakFault::ServerForges { daemon } => restore(&behaviour(deployment, *daemon)),
+        SoakFault::ServerNamesRate { daemon, .. } => {
+            behaviour(deployment, *daemon).rate_millis.store(NO_RATE, Ordering::Relaxed);
+        }
+        SoakFault::ServerLeaves { daemon } => {
+            behaviour(deployment, *daemon).leaving.store(false, Ordering::Relaxed);
+            deployment.relays().crash_for(deployment.machines[*daemon].ip, AWAY);
+        }
         SoakFault::ServerCrash { daemon } => deployment.relays().revive(deployment.machines[*daemon].ip),
         SoakFault::Configuration { .. } | SoakFault::DeadlyRequest { .. } => {}
     }
--- a/crates/seamhatch-lab/src/soak/mod.rs
+++ b/crates/seamhatch-lab/src/soak/mod.rs
@@ -5,7 +5,8 @@
 //!   the smallest part that still fails.
 //! - A run: [`runner`] starts the deployment, [`load`] sends requests, [`steps`] keeps the plan's times, [`injection`] begins and ends
 //!   faults, [`recorder`] collects the [`history`].
-//! - The verdict: [`checks`] with [`in_time`], `no_server`, `rolls` and `stops`, pure functions over a history ([`exchanges`], [`spans`], `paths`).
+//! - The verdict: [`checks`] with [`in_time`], `no_server`, `notices`, `rolls` and `stops`, pure functions over a history ([`exchanges`],
+//!   [`spans`], `paths`) that find a [`promise`] broken.
 //! - `command` is `seamhatch-lab soak`, [`report`] plots a history.
 
 pub mod checks;
@@ -20,9 +21,11 @@
 pub mod injection;
 pub mod load;
 pub mod no_server;
+mod notices;
 mod output;
 mod paths;
 pub mod plan;
+pub mod promise;
 pub mod recorder;
 pub mod report;
 mod rolls;
--- a/crates/seamhatch-lab/src/soak/no_server.rs
+++ b/crates/seamhatch-lab/src/soak/no_server.rs
@@ -2,11 +2,11 @@
 //!
 //! Time during which the daemon that was asked, or all daemons of the service, were disturbed by a fault is left out (`Outages`).
 
-use super::checks::{Promise, Violation, violation};
 use super::exchanges::{Exchange, exchanges};
 use super::fault::FaultGroup;
 use super::fleet::DaemonIndex;
 use super::history::{HistoryEvent, SoakMillis};
+use super::promise::{Promise, Violation, violation};
 use super::spans::{FaultSpan, fault_spans};
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/crates/seamhatch-lab/src/soak/output.rs
+++ b/crates/seamhatch-lab/src/soak/output.rs
@@ -1,8 +1,8 @@
 //! What a soak prints, and the files that it keeps of a failure: the plan, its smallest failing part, the history and the daemons' logs.
 
-use super::checks::Violation;
 use super::history::{HistoryEvent, to_lines};
 use super::plan::SoakPlan;
+use super::promise::Violation;
 use super::runner::SoakRecord;
 use std::collections::BTreeMap;
 use std::path::Path;
--- a/crates/seamhatch-lab/src/soak/report/series.rs
+++ b/crates/seamhatch-lab/src/soak/report/series.rs
@@ -1,7 +1,7 @@
 //! Counts, for each second of a soak, what became of the requests that were sent in it.
 
-use crate::soak::checks::NOT_RUN;
 use crate::soak::exchanges::exchanges;
+use crate::soak::history::NOT_RUN;
 use crate::soak::history::{HistoryEvent, SeenAnswer};
 use std::collections::BTreeMap;
 
--- a/crates/seamhatch-lab/src/soak/rolls.rs
+++ b/crates/seamhatch-lab/src/soak/rolls.rs
@@ -4,11 +4,11 @@
 //! key finds a majority of witnesses, and none fails (502) while each service has an open server. What is refused as not run may come
 //! back; how long a service may be without a server is judged in `no_server`.
 
-use super::checks::{FAILED, Promise, Violation, violation};
 use super::exchanges::{Exchange, exchanges};
 use super::fault::FaultGroup;
 use super::fleet::DaemonIndex;
-use super::history::{HistoryEvent, SoakMillis};
+use super::history::{FAILED, HistoryEvent, SoakMillis};
+use super::promise::{Promise, Violation, violation};
 use super::spans::{FaultSpan, fault_spans};
 use super::stops::RESTART_WAIT_MS;
 use seamhatch_core::outcome::Reason;
--- a/crates/seamhatch-lab/src/soak/stops.rs
+++ b/crates/seamhatch-lab/src/soak/stops.rs
@@ -3,12 +3,14 @@
 //! What may be judged depends on the other faults around the stop: with none, each answer of the stopping daemon; with
 //! those that leave requests in progress alone, only answers that broke off; with any other, nothing.
 
-use super::checks::{ANSWERED, FAILED, NOT_RUN, Promise, Violation, executed, violation};
 use super::exchanges::{Exchange, exchanges};
 use super::fault::{FaultGroup, SoakFault};
 use super::fleet::DaemonIndex;
-use super::history::{HistoryEvent, RequestName, SeenAnswer, SoakMillis};
+use super::history::{
+    ANSWERED, FAILED, HistoryEvent, NOT_RUN, RequestName, SeenAnswer, SoakMillis, executed,
+};
 use super::paths::RequestPaths;
+use super::promise::{Promise, Violation, violation};
 use super::spans::{FaultSpan, fault_spans};
 use seamhatch_core::clock::MILLISECOND;
 use seamhatch_core::outcome::Reason;
--- a/crates/seamhatch-lab/tests/soak_checks.rs
+++ b/crates/seamhatch-lab/tests/soak_checks.rs
@@ -556,3 +556,126 @@
     let text = to_lines(&[sent(0, "a", 0, false)]) + "{\"event\":\"heard\"}\n";
     assert_eq!(from_lines(&text).expect_err("the second line is none").line, 2);
 }
+
+/// Runs at the back end beside daemon 2 at these times.
+fn runs_at(times: impl IntoIterator<Item = u64>) -> Vec<HistoryEvent> {
+    let at = |at_ms| match ran_at("r", "records", 2) {
+        HistoryEvent::Executed { request, service, call, trail, server, is_deadly, .. } => {
+            HistoryEvent::Executed { request, service, call, trail, at_ms, server, is_deadly }
+        }
+        event => event,
+    };
+    times.into_iter().map(at).collect()
+}
+
+/// A fault from 1 s to 12 s, beside others, and runs at the back end beside daemon 2.
+struct NoticeCase {
+    name: &'static str,
+    fault: SoakFault,
+    beside: Option<(SoakFault, u64, u64)>,
+    runs: Vec<u64>,
+    broken: Option<Promise>,
+}
+
+#[test]
+fn what_a_back_end_says_of_itself_is_judged_by_its_runs() {
+    let named = SoakFault::ServerNamesRate { daemon: 2, rate_millis: 1_000 };
+    let leaves = SoakFault::ServerLeaves { daemon: 2 };
+    let evenly = |from: u64, pause: usize| (from..12_000).step_by(pause).collect::<Vec<u64>>();
+    let kill = |daemons: &[usize]| Some((SoakFault::Kill { daemons: daemons.to_vec() }, 5_000, 6_000));
+    let rates = Some(Promise::RatesKept);
+    let cases = [
+        NoticeCase {
+            name: "at the rate",
+            fault: named.clone(),
+            beside: None,
+            runs: evenly(1_000, 1_000),
+            broken: None,
+        },
+        NoticeCase {
+            name: "twice the rate",
+            fault: named.clone(),
+            beside: None,
+            runs: evenly(1_000, 500),
+            broken: rates,
+        },
+        NoticeCase {
+            name: "before it is known",
+            fault: named.clone(),
+            beside: None,
+            runs: (1_000..3_000).step_by(20).chain(evenly(3_000, 1_000)).collect(),
+            broken: None,
+        },
+        NoticeCase {
+            name: "by half more beside a kill",
+            fault: named.clone(),
+            beside: kill(&[2]),
+            runs: [
+                (1_000..5_000).step_by(1_000).collect(),
+                (5_000..8_000).step_by(450).collect(),
+                evenly(8_000, 1_000),
+            ]
+            .concat(),
+            broken: None,
+        },
+        NoticeCase {
+            name: "far more beside a kill",
+            fault: named.clone(),
+            beside: kill(&[2]),
+            runs: evenly(1_000, 200),
+            broken: rates,
+        },
+        NoticeCase {
+            name: "far more beside a kill elsewhere",
+            fault: named.clone(),
+            beside: kill(&[3]),
+            runs: evenly(1_000, 450),
+            broken: rates,
+        },
+        NoticeCase {
+            name: "nobody is left who was told",
+            fault: named,
+            beside: Some((SoakFault::Kill { daemons: (0..6).collect() }, 2_000, 11_000)),
+            runs: evenly(1_000, 100),
+            broken: None,
+        },
+        NoticeCase {
+            name: "it rests",
+            fault: leaves.clone(),
+            beside: None,
+            runs: vec![1_100, 1_200],
+            broken: None,
+        },
+        NoticeCase {
+            name: "it doesn't rest",
+            fault: leaves.clone(),
+            beside: None,
+            runs: vec![1_100, 6_000],
+            broken: Some(Promise::LeavingRests),
+        },
+        NoticeCase {
+            name: "a forgotten word",
+            fault: leaves,
+            beside: kill(&[2]),
+            runs: vec![1_100, 6_000],
+            broken: None,
+        },
+    ];
+    for NoticeCase { name, fault, beside, runs, broken } in cases {
+        let mut history = named_daemons();
+        history.push(HistoryEvent::FaultBegins { at_ms: 1_000, fault: fault.clone() });
+        history.push(HistoryEvent::FaultEnds { at_ms: 12_000, fault });
+        for (fault, from_ms, to_ms) in beside {
+            history.push(HistoryEvent::FaultBegins { at_ms: from_ms, fault: fault.clone() });
+            history.push(HistoryEvent::FaultEnds { at_ms: to_ms, fault });
+        }
+        history.extend(runs_at(runs));
+        let found = check(&history);
+        let promises: Vec<Promise> = found
+            .iter()
+            .map(|violation| violation.promise)
+            .filter(|promise| matches!(promise, Promise::RatesKept | Promise::LeavingRests))
+            .collect();
+        assert_eq!(promises, Vec::from_iter(broken), "{name}: {found:?}");
+    }
+}
