--- a/crates/seamhatch-core/src/admission/queue.rs
+++ b/crates/seamhatch-core/src/admission/queue.rs
@@ -85,10 +85,12 @@
         Some(self.held.as_ref()?.limiter().rate())
     }
 
-    /// Time until the turn of a call that comes now, as far as the rate decides it; none where there is no rate.
+    /// Time until the turn of a call that comes now; none where there is no rate.
     #[must_use]
     pub fn turn_in(&self, now: Instant) -> Option<Microseconds> {
-        Some(self.held.as_ref()?.limiter().turn_in(self.waiting.len(), now))
+        let turn = self.held.as_ref()?.limiter().turn_in(self.waiting.len(), now);
+        let is_full = self.running() >= self.limit() as usize;
+        Some(if is_full { turn.max(self.estimated_wait(self.waiting.len(), now)) } else { turn })
     }
 
     /// When the first call that waits may begin, as far as the rate decides it; none where no call waits for that.
--- a/crates/seamhatchd/src/peer/connection.rs
+++ b/crates/seamhatchd/src/peer/connection.rs
@@ -15,8 +15,9 @@
 use seamhatch_core::Instant;
 use seamhatch_core::balance::CallEnd;
 use seamhatch_core::claims::{Claim, ClaimReply, Epoch};
+use seamhatch_core::crashes::LostRun;
 use seamhatch_core::identity::{Address, Incarnation};
-use seamhatch_wire::{CallHead, ControlReply, ControlRequest, PeerMessage};
+use seamhatch_wire::{CallHead, CallIntake, ControlReply, ControlRequest, PeerMessage};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -167,6 +168,16 @@
         self.state.view().record(end, clock::now());
     }
 
+    /// Records a call that was lost with this connection. Returns all that were lost so far and that nobody has reported, where the
+    /// daemon has ended without having said that it leaves.
+    pub async fn lost_runs(&self, run: LostRun) -> Vec<LostRun> {
+        let leaves = self.view().intake != CallIntake::Open;
+        if self.is_open() || leaves {
+            return Vec::new();
+        }
+        self.state.loss.record(run, self.address.into()).await
+    }
+
     /// What is known of the peer.
     #[must_use]
     pub fn view(&self) -> PeerView {
--- a/crates/seamhatchd/src/peer/loss.rs
+++ b/crates/seamhatchd/src/peer/loss.rs
@@ -5,9 +5,7 @@
 //! dispatch.
 
 use crate::base::lock::lock;
-use crate::peer::connection::PeerConnection;
 use seamhatch_core::crashes::LostRun;
-use seamhatch_wire::CallIntake;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Mutex;
@@ -29,21 +27,16 @@
     has_ended: OnceCell<bool>,
 }
 
-impl PeerConnection {
-    /// Records a call that was lost with this connection. Returns all that were lost so far and that nobody has reported, where the
-    /// daemon has ended without having said that it leaves.
-    pub async fn lost_runs(&self, run: LostRun) -> Vec<LostRun> {
-        let leaves = self.view().intake != CallIntake::Open;
-        if self.is_open() || leaves {
-            return Vec::new();
-        }
-        let loss = &self.state.loss;
-        lock(&loss.runs).push(run);
+impl ConnectionLoss {
+    /// Records a call that was lost with the connection to this daemon. Returns all that were lost so far and that nobody has reported,
+    /// where the daemon has ended.
+    pub(super) async fn record(&self, run: LostRun, daemon: SocketAddr) -> Vec<LostRun> {
+        lock(&self.runs).push(run);
         // All calls of a connection are lost in one moment: one look answers for them, and the first to hear reports all.
-        if !*loss.has_ended.get_or_init(|| has_ended(self.address.into())).await {
+        if !*self.has_ended.get_or_init(|| has_ended(daemon)).await {
             return Vec::new();
         }
-        std::mem::take(&mut *lock(&loss.runs))
+        std::mem::take(&mut *lock(&self.runs))
     }
 }
 
