--- a/crates/seamhatch-core/src/admission/floor.rs
+++ b/crates/seamhatch-core/src/admission/floor.rs
@@ -14,14 +14,14 @@
 use super::shares::{ClassShares, share_of};
 use crate::priority::{AdmissionFloor, BUCKETS, Priority, PriorityClass};
 
-/// Share of the counts that is kept from one tick to the next: they last about a third of a second. Chosen, not measured.
+/// Share of the counts that is kept from one tick to the next: they last about a third of a second.
 const COUNT_DECAY: f32 = 0.7;
 
 /// The same for the counts that show whether a class is in use: they last about ten seconds, as the few calls that are
-/// kept of each class are rare. Chosen, not measured.
+/// kept of each class are rare.
 const SEEN_DECAY: f32 = 0.99;
 
-/// Count of a class's calls from which on it is in use. Chosen, not measured.
+/// Count of a class's calls from which on it is in use.
 const FEWEST_SEEN: f32 = 0.5;
 
 /// Part of the served calls that is admitted under pressure. Measured on five days with trouble: mean worth 0.563, with
@@ -38,7 +38,7 @@
 /// 0.924 of 24 with steady steps.
 const STEP_GROWTH: f64 = 1.5;
 
-/// Most levels that the floor rises in one tick: a quarter of a class. Chosen, not measured.
+/// Most levels that the floor rises in one tick: a quarter of a class.
 const LONGEST_STEP: f64 = BUCKETS as f64 / 4.0;
 
 /// Levels that it rises in one tick more at a server with nothing to do, fewer the busier it is: an idle server's first
@@ -46,17 +46,16 @@
 const FLOOR_STEP_IDLE: f64 = LONGEST_STEP - FIRST_STEP;
 
 /// Refused calls over served calls above which the floor falls however short the queue is: calls may not wait long enough
-/// to fill it. Chosen, not measured.
+/// to fill it.
 const REFUSED_SHARE: f32 = 0.03;
 
-/// Refused calls that may be chance. Chosen; with half of this and a third of [`REFUSED_SHARE`] in urgent classes, one
-/// day gained (worth 0.190 to 0.207) and a class of another fell below its floor (0.447 to 0.432).
+/// Refused calls that may be chance.
 const REFUSED_BY_CHANCE: f32 = 3.0;
 
-/// Queue fill at which the floor falls, and the healthy part of the queue. Chosen, not measured.
+/// Queue fill at which the floor falls, and the healthy part of the queue.
 pub(super) const HIGH_FILL: f64 = 0.4;
 
-/// Queue fill below which the floor rises. Chosen, not measured.
+/// Queue fill below which the floor rises.
 const LOW_FILL: f64 = 0.2;
 
 /// Moves the published admission floor with the pressure on the queue.
--- a/crates/seamhatch-core/src/admission/kept.rs
+++ b/crates/seamhatch-core/src/admission/kept.rs
@@ -9,15 +9,15 @@
 use crate::priority::{AdmissionFloor, BUCKETS, PriorityClass};
 
 /// Most that the kept buckets of a class grow in one tick, as a factor: calls of newly admitted buckets arrive some time
-/// later. Chosen, not measured.
+/// later.
 const KEPT_GROWTH: f64 = 1.1;
 
-/// Most that they shrink in one tick, as a factor. Chosen, not measured.
+/// Most that they shrink in one tick, as a factor.
 const KEPT_SHRINKAGE: f64 = 0.5;
 
 /// What is left of them after a tick in which more of their calls wait than the class has places. The queue holds a class
 /// that waits to its share, so the slots that it uses can't show that too many are admitted. Undoes two ticks of
-/// [`KEPT_GROWTH`]; the figure is chosen.
+/// [`KEPT_GROWTH`].
 const CROWDED_SHRINKAGE: f64 = 0.8;
 
 /// Buckets of a class that are kept at least: one in 128 of its requests, as less than a bucket can't be kept.
--- a/crates/seamhatch-core/src/admission/queue.rs
+++ b/crates/seamhatch-core/src/admission/queue/mod.rs
@@ -6,8 +6,11 @@
 //! server of a chain prefers the same requests, and then by the age of the whole request. A back end that names a rate gets calls at that
 //! rate, in the same order; what it shows then is not remembered.
 
+mod held;
+mod lateness;
+
 use super::floor::{FloorController, HIGH_FILL, Pressure};
-use super::held::{HeldBackEnd, LearntTimes};
+use super::held::HeldBackEnd;
 use super::service_times::ServiceTimes;
 use super::slots::SlotTable;
 use super::waiting::WaitingLines;
@@ -15,10 +18,9 @@
     Admission, AdmissionPolicy, AdmissionRequest, BackEndLoad, ConcurrencyLimit, Dequeued, KneeFinder,
     Ticket, share_of,
 };
-use crate::clock::{Instant, Microseconds, SECOND};
+use crate::clock::{Instant, Microseconds};
 use crate::outcome::Reason;
 use crate::priority::{AdmissionFloor, Priority, PriorityClass};
-use crate::rate::RequestRate;
 use crate::return_time;
 
 /// Decides which calls run at one server, which wait and which are refused.
@@ -51,61 +53,6 @@
         }
     }
 
-    /// Holds calls to a rate that the back end names.
-    pub fn hold_to(&mut self, rate: RequestRate, now: Instant) {
-        let learnt = || LearntTimes { limit: self.limit.clone(), service_times: self.service_times.clone() };
-        match &mut self.held {
-            Some(held) => held.set_rate(rate, learnt, now),
-            None => self.held = Some(HeldBackEnd::new(rate, learnt(), now)),
-        }
-        self.knee.give_up_probe();
-    }
-
-    /// The back end names no rate any more: calls come faster from now on, but not all at once.
-    pub fn lift_rate(&mut self, now: Instant) {
-        let full = self.full_rate();
-        let Some(before) = self.held.as_mut().and_then(|held| held.lift(full, now)) else { return };
-        if before.limit.has_samples() {
-            self.limit = before.limit;
-            self.service_times = before.service_times;
-        }
-    }
-
-    /// Lets the rate rise after its end; to be called at a steady pace (every 100 ms).
-    pub fn raise_rate(&mut self, now: Instant) {
-        let full = self.full_rate();
-        if self.held.as_mut().is_some_and(|held| held.rise(full, now)) {
-            self.held = None;
-        }
-    }
-
-    /// The rate that calls are held to.
-    #[must_use]
-    pub fn rate(&self) -> Option<RequestRate> {
-        Some(self.held.as_ref()?.limiter().rate())
-    }
-
-    /// Time until the turn of a call that comes now; none where there is no rate.
-    #[must_use]
-    pub fn turn_in(&self, now: Instant) -> Option<Microseconds> {
-        let turn = self.held.as_ref()?.limiter().turn_in(self.waiting.len(), now);
-        let is_full = self.running() >= self.limit() as usize;
-        Some(if is_full { turn.max(self.estimated_wait(self.waiting.len(), now)) } else { turn })
-    }
-
-    /// When the first call that waits may begin, as far as the rate decides it; none where no call waits for that.
-    #[must_use]
-    pub fn next_turn(&self, now: Instant) -> Option<Instant> {
-        let held = self.held.as_ref().filter(|_| !self.waiting.is_empty())?;
-        (!held.limiter().is_due(now)).then(|| held.limiter().next_at())
-    }
-
-    /// Why a call is refused whose turn would come too late.
-    #[must_use]
-    pub fn late_reason(&self) -> Reason {
-        if self.held.is_some() { Reason::BackendRate } else { Reason::DeadlineExceeded }
-    }
-
     /// Sets how many calls may wait for each slot; calls that wait already stay.
     pub fn set_queue_per_slot(&mut self, queue_per_slot: u32) {
         self.policy.queue_per_slot = queue_per_slot;
@@ -147,27 +94,12 @@
         self.floor.floor()
     }
 
-    /// Slots that calls can use at once, as other daemons see it: fewer where a rate keeps them from being used.
-    #[must_use]
-    pub fn reported_limit(&self) -> u32 {
-        (self.usable_slots().ceil() as u32).clamp(1, self.limit().max(1))
-    }
-
     /// How long a refused caller should stay away, before jitter.
     #[must_use]
     pub fn retry_after(&self, now: Instant) -> Microseconds {
         return_time::after_queue(self.estimated_wait(self.waiting.len() + 1, now))
     }
 
-    /// The latest instant at which a call may start: its kind's usual service time before the end of its objective, and
-    /// at least half of the typical service time before its expiry, since some calls are faster.
-    #[must_use]
-    pub fn latest_start(&self, request: &AdmissionRequest) -> Instant {
-        let typical = self.limit.typical_service_time();
-        let usual = self.service_times.usual(request.kind).unwrap_or(typical);
-        request.expiry.minus(typical / 2).min(request.objective_end.minus(usual))
-    }
-
     /// Adopts what an instance of the back end reports: its slots, and how many of them to start with. What the last
     /// instance's limit had grown to counts for nothing.
     pub fn set_slots(&mut self, slots: u32, initial_slots: u32) {
@@ -235,28 +167,6 @@
         self.waiting.remove(ticket).is_some()
     }
 
-    /// Removes the waiting calls whose turn comes too late at the pace at which the queue drains now: their callers do
-    /// better elsewhere than held until the last moment. Calls without an objective of their own stay: they are part of
-    /// requests that have begun, and all that was done for those would be lost by an estimate that may err.
-    pub fn give_up_late(&mut self, now: Instant) -> Vec<Ticket> {
-        let mut late = Vec::new();
-        for class in PriorityClass::ALL {
-            let mut in_line = 0;
-            for request in self.waiting.line(class) {
-                let has_objective = request.objective_end != Instant::NEVER;
-                if has_objective && self.comes_too_late(request, in_line, now) {
-                    late.push(request.ticket);
-                } else {
-                    in_line += 1;
-                }
-            }
-        }
-        for ticket in &late {
-            self.expire(*ticket);
-        }
-        late
-    }
-
     /// Frees the slot of a call that ran; `succeeded` says that its service time is a fair sample.
     pub fn finish(&mut self, ticket: Ticket, now: Instant, succeeded: bool) {
         let Some(finished) = self.slots.finish(ticket, now) else { return };
@@ -268,14 +178,6 @@
         }
     }
 
-    /// Frees the slot of a call that was never sent to the back end, and gives its turn to another one.
-    pub fn withdraw(&mut self, ticket: Ticket, now: Instant) {
-        if let Some(held) = self.held.as_mut().filter(|_| self.slots.has_turn(ticket)) {
-            held.limiter_mut().give_back();
-        }
-        self.finish(ticket, now, false);
-    }
-
     /// Records the load that the back end reports beside an answer. Calls that are overdue and that it doesn't work on
     /// hold no slot from now on.
     pub fn note_back_end_load(&mut self, load: BackEndLoad, now: Instant) {
@@ -311,30 +213,11 @@
         }
     }
 
-    /// Slots that calls can use at once at present, on average.
-    fn usable_slots(&self) -> f64 {
-        let limit = f64::from(self.limit());
-        let service_time = self.limit.typical_service_time();
-        self.held.as_ref().map_or(limit, |held| held.concurrency(service_time).min(limit))
-    }
-
-    /// The rate that the slots of the back end can do.
-    fn full_rate(&self) -> RequestRate {
-        let seconds = self.limit.typical_service_time().max(1) as f64 / SECOND as f64;
-        RequestRate::per_second(f64::from(self.limit()) / seconds).unwrap_or_default()
-    }
-
     /// Places in the queue that a class owns.
     fn queue_share(&self, class: PriorityClass) -> usize {
         (f64::from(self.capacity()) * share_of(class)) as usize
     }
 
-    /// Whether a slot is free, and the rate lets a call begin.
-    fn may_start(&self, now: Instant) -> bool {
-        let is_due = self.held.as_ref().is_none_or(|held| held.limiter().is_due(now));
-        self.running() < self.limit() as usize && is_due
-    }
-
     fn start(&mut self, request: &AdmissionRequest, now: Instant) {
         let mark = match &mut self.held {
             None => self.knee.begin(self.running() as u32 + 1, request.kind, now),
@@ -357,28 +240,6 @@
         below.or_else(|| PriorityClass::ALL.into_iter().find(waits))
     }
 
-    /// Whether the turn of a waiting call, behind `in_line` others of its class, comes after its latest start:
-    /// neither in the order of importance nor on its class's own share of the slots does it come sooner.
-    fn comes_too_late(&self, request: &AdmissionRequest, in_line: usize, now: Instant) -> bool {
-        let class = request.priority.class;
-        let in_turn = self.estimated_wait(self.ahead_of(class, in_line), now);
-        let on_share = self.estimated_wait(in_line, now) as f64 / share_of(class);
-        now.plus(in_turn.min(on_share as Microseconds)) >= self.latest_start(request)
-    }
-
-    /// Calls that go before one of `class` behind `in_line` others of it, as it looks now.
-    fn ahead_of(&self, class: PriorityClass, in_line: usize) -> usize {
-        let before = if self.below_share(class) { 0 } else { self.waiting.more_important(class) };
-        before + in_line
-    }
-
-    fn estimated_wait(&self, ahead: usize, now: Instant) -> Microseconds {
-        let service_time = self.limit.typical_service_time();
-        let for_slot = service_time * (ahead as u64 + 1) / u64::from(self.limit().max(1));
-        let for_turn = self.held.as_ref().map_or(0, |held| held.limiter().turn_in(ahead, now));
-        for_slot.max(for_turn)
-    }
-
     /// Finds a place for `request` in the queue; the call that lost its place, if one did.
     fn make_room(&mut self, request: &AdmissionRequest) -> Result<Option<Ticket>, Reason> {
         if self.waiting.len() < self.capacity() as usize {
--- a/crates/seamhatch-core/src/return_time.rs
+++ b/crates/seamhatch-core/src/return_time.rs
@@ -11,38 +11,37 @@
 
 use crate::clock::{MILLISECOND, Microseconds, SECOND};
 
-/// Sent by the daemon that took the request where the reason has nothing to do with load. Chosen, not measured.
+/// Sent by the daemon that took the request where the reason has nothing to do with load.
 pub const USUAL_RETURN: Microseconds = 500 * MILLISECOND;
 
-/// Shortest span that is sent: sooner, little will have changed. Chosen, not measured.
+/// Shortest span that is sent: sooner, little will have changed.
 pub const SHORTEST_RETURN: Microseconds = 200 * MILLISECOND;
 
 /// Longest span after a refusal at the entry: callers have a few seconds in all, and an overload may end at any
-/// moment. Chosen, not measured.
+/// moment.
 pub const LONGEST_RETURN: Microseconds = 2 * SECOND;
 
 /// Sent by the daemon beside the server where the reason has nothing to do with load.
 pub const SERVER_RETURN: Microseconds = SHORTEST_RETURN;
 
-/// Sent where no daemon that holds a shard of the tenant's limit answers. Chosen, not measured: a lost shard is taken
+/// Sent where no daemon that holds a shard of the tenant's limit answers: a lost shard is taken
 /// over by another daemon within seconds.
 pub const SHARD_RETURN: Microseconds = 500 * MILLISECOND;
 
-/// Sent where the daemon can't prove that its keys are the newest. Chosen, not measured: it asks the store again
+/// Sent where the daemon can't prove that its keys are the newest: it asks the store again
 /// within about this time.
 pub const PROOF_RETURN: Microseconds = 500 * MILLISECOND;
 
-/// Sent near the end of a planned stop. Chosen, not measured: a restarted daemon usually serves again by then.
+/// Sent near the end of a planned stop: a restarted daemon usually serves again by then.
 pub const RESTART_RETURN: Microseconds = 800 * MILLISECOND;
 
-/// Shortest span that the gate of a server sends. Chosen, not measured.
+/// Shortest span that the gate of a server sends.
 const SHORTEST_QUEUE_RETURN: Microseconds = 100 * MILLISECOND;
 
-/// Longest span that the gate of a server sends. Chosen, not measured.
+/// Longest span that the gate of a server sends.
 const LONGEST_QUEUE_RETURN: Microseconds = 10 * SECOND;
 
-/// Part of the span that is added at random at most, so that callers refused together come back apart. Chosen, not
-/// measured.
+/// Part of the span that is added at random at most, so that callers refused together come back apart.
 const RETURN_JITTER: f64 = 0.5;
 
 /// Share of the callers coming back at the last moment that are to be answered within their objective. Measured on a
--- a/crates/seamhatch-lab/src/backends/mod.rs
+++ b/crates/seamhatch-lab/src/backends/mod.rs
@@ -33,7 +33,7 @@
 pub const DEADLY_PATH: &str = "/deadly-";
 /// A path with this part crashes each back end that runs a call of the request which makes no calls itself.
 pub const DEEP_DEADLY_PATH: &str = "/deep-deadly-";
-/// Threads that serve all back ends of a deployment. Chosen, not measured.
+/// Threads that serve all back ends of a deployment.
 const THREADS: usize = 2;
 
 /// One run of a request in a back end.
--- a/crates/seamhatch-lab/src/backends/server.rs
+++ b/crates/seamhatch-lab/src/backends/server.rs
@@ -26,7 +26,7 @@
 const TIME_TO_CRASH: Duration = Duration::from_millis(10);
 /// How long a crashed back end is away.
 pub(crate) const AWAY: Duration = Duration::from_millis(600);
-/// Longest wait for a call of a back end without any overload control. Chosen, not measured.
+/// Longest wait for a call of a back end without any overload control.
 const DIRECT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// One back end.
--- a/crates/seamhatch-lab/src/soak/draw.rs
+++ b/crates/seamhatch-lab/src/soak/draw.rs
@@ -3,6 +3,7 @@
 //! The same seed always gives the same plan; failing seeds are kept. The order in which numbers are drawn must therefore not
 //! change.
 
+use super::draw_back_ends::{draw_crashes, draw_notices};
 use super::fault::{CutWay, FaultGroup, ReloadLevel, SoakFault};
 use super::fleet::{DaemonIndex, SoakFleet};
 use super::plan::{PlannedFault, SoakPlan};
@@ -35,26 +36,10 @@
 const SUBMISSION_GAP_MS: Range<u64> = 5..200;
 /// Most daemons that one series stops, unless it stops all daemons of a service.
 const MOST_STOPPED: usize = 4;
-/// Time between two crashes, or requests that cause them, in milliseconds.
-const CRASH_GAP_MS: Range<u64> = 3_000..12_000;
-/// How long callers repeat a request that crashes back ends, in milliseconds: longer than it takes until all daemons know it.
-const DEADLY_MS: u64 = 10_000;
-/// Longest time that a crashed back end is away, in milliseconds.
-const CRASH_MS: u64 = 3_000;
 /// Time between two submissions besides those of the series, in milliseconds: some operator changes something all the time.
 const CHANGE_GAP_MS: Range<u64> = 600..3_000;
-/// Time between two back ends that say something of themselves, in milliseconds.
-const NOTICE_GAP_MS: Range<u64> = 1_000..6_000;
-/// How long they say so, in milliseconds: longer than a rate is judged over.
-const NOTICE_MS: Range<u64> = 5_000..10_000;
-/// Rates that they name, in thousandths of a call a second.
-const RATES_MILLIS: [u32; 5] = [200, 1_500, 5_000, 10_000, 30_000];
-/// Combined with a plan's seed to draw these: `notices!` in ASCII.
-const NOTICE_SEED: u64 = 0x6e6f_7469_6365_7321;
 /// Combined with a plan's seed to draw these submissions: `changes!` in ASCII.
 const CHANGE_SEED: u64 = 0x6368_616e_6765_7321;
-/// Combined with a plan's seed to draw the crashes: `crashes!` in ASCII.
-const CRASH_SEED: u64 = 0x6372_6173_6865_7321;
 
 /// What comes next in a plan.
 enum Drawn {
@@ -87,7 +72,11 @@
             faults.extend(added);
             at_ms += pause_ms;
         }
-        let beside = [draw_crashes(seed, end_ms, fleet), draw_notices(seed, end_ms, fleet)].concat();
+        let beside = [
+            draw_crashes(seed, millis(QUIET), end_ms, fleet),
+            draw_notices(seed, millis(QUIET), end_ms, fleet),
+        ]
+        .concat();
         let beside_a_stop = |added: &PlannedFault| faults.iter().any(|fault| disturbs_stop(added, fault));
         let beside: Vec<PlannedFault> = beside.into_iter().filter(|added| !beside_a_stop(added)).collect();
         faults.extend(beside);
@@ -98,49 +87,6 @@
     }
 }
 
-/// Crashes of back ends and requests that cause them. They are drawn with a generator of their own, so that the other faults
-/// of a seed don't depend on them.
-fn draw_crashes(seed: u64, end_ms: u64, fleet: SoakFleet) -> Vec<PlannedFault> {
-    let mut rng = SmallRng::seed_from_u64(seed ^ CRASH_SEED);
-    let mut faults = Vec::new();
-    let mut at_ms = millis(QUIET) + rng.random_range(CRASH_GAP_MS);
-    while at_ms + DEADLY_MS < end_ms {
-        let fault = if rng.random_bool(0.5) {
-            SoakFault::DeadlyRequest { number: rng.random::<u32>().into(), deep: rng.random_bool(0.3) }
-        } else {
-            SoakFault::ServerCrash { daemon: rng.random_range(0..fleet.daemons()) }
-        };
-        let for_ms = match fault {
-            SoakFault::DeadlyRequest { .. } => DEADLY_MS,
-            _ => rng.random_range(LENGTH_MS.start..CRASH_MS),
-        };
-        faults.push(PlannedFault { at_ms, for_ms, fault });
-        at_ms += rng.random_range(CRASH_GAP_MS);
-    }
-    faults
-}
-
-/// Back ends that name a rate or leave, one after the other, drawn with a generator of their own, so that the other faults of a seed don't
-/// depend on them.
-fn draw_notices(seed: u64, end_ms: u64, fleet: SoakFleet) -> Vec<PlannedFault> {
-    let mut rng = SmallRng::seed_from_u64(seed ^ NOTICE_SEED);
-    let mut faults = Vec::new();
-    let mut at_ms = millis(QUIET) + rng.random_range(NOTICE_GAP_MS);
-    while at_ms + NOTICE_MS.end < end_ms {
-        let daemon = rng.random_range(0..fleet.daemons());
-        let fault = if rng.random_bool(0.7) {
-            let rate_millis = RATES_MILLIS[rng.random_range(0..RATES_MILLIS.len())];
-            SoakFault::ServerNamesRate { daemon, rate_millis }
-        } else {
-            SoakFault::ServerLeaves { daemon }
-        };
-        let for_ms = rng.random_range(NOTICE_MS);
-        faults.push(PlannedFault { at_ms, for_ms, fault });
-        at_ms += for_ms + rng.random_range(NOTICE_GAP_MS);
-    }
-    faults
-}
-
 /// Submissions throughout, drawn with a generator of their own, so that the other faults of a seed don't depend on them.
 fn draw_changes(seed: u64, end_ms: u64, fleet: SoakFleet) -> Vec<PlannedFault> {
     let mut rng = SmallRng::seed_from_u64(seed ^ CHANGE_SEED);
--- a/crates/seamhatch-lab/src/soak/mod.rs
+++ b/crates/seamhatch-lab/src/soak/mod.rs
@@ -1,7 +1,7 @@
 //! A randomized soak: real daemon processes under load, faults at times drawn from a seed, and the promises of docs/GUARANTEES.md
 //! checked over what callers, back ends and operators saw.
 //!
-//! - A plan: [`fleet`] and [`fault`] are its words, [`draw`] makes one from a seed, [`plan`] reads and writes files, [`shrink`] finds
+//! - A plan: [`fleet`] and [`fault`] are its words, [`draw`] with `draw_back_ends` makes one from a seed, [`plan`] reads and writes files, [`shrink`] finds
 //!   the smallest part that still fails.
 //! - A run: [`runner`] starts the deployment, [`load`] sends requests, [`steps`] keeps the plan's times, [`injection`] begins and ends
 //!   faults, [`recorder`] collects the [`history`].
@@ -13,6 +13,7 @@
 mod command;
 mod contained;
 pub mod draw;
+mod draw_back_ends;
 pub mod exchanges;
 pub mod fault;
 pub mod fleet;
--- a/crates/seamhatch-lab/src/soak/no_server.rs
+++ b/crates/seamhatch-lab/src/soak/no_server.rs
@@ -13,8 +13,7 @@
 /// Longest time for which a service with a living server may be answered `no-server`, in milliseconds: what a started daemon waits
 /// for the store and other daemons (1.3 s) and for the silence of one that is gone (0.75 s), twice, for a busy machine.
 pub const NO_SERVER_BOUND_MS: SoakMillis = 4_000;
-/// Time after a fault of a daemon, its links or its server in which the daemon still counts as disturbed, in milliseconds. Chosen, not
-/// measured.
+/// Time after a fault of a daemon, its links or its server in which the daemon still counts as disturbed, in milliseconds.
 const CALM_AFTER_MS: SoakMillis = 4_000;
 /// Time for which a daemon that starts waits for the configuration's witnesses, in milliseconds, if two of the three may be lost
 /// (docs/GUARANTEES.md, assumptions).
--- a/crates/seamhatchd/src/controllers/status.rs
+++ b/crates/seamhatchd/src/controllers/status.rs
@@ -16,7 +16,7 @@
 use seamhatch_wire::{ControlReply, ControlRequest};
 use std::sync::Arc;
 
-/// Members that are asked at the same time. Chosen, not measured.
+/// Members that are asked at the same time.
 const ASKED_AT_ONCE: usize = 32;
 
 /// What the control thread knows for the report.
--- a/crates/seamhatchd/src/dispatch/attempt.rs
+++ b/crates/seamhatchd/src/dispatch/attempt.rs
@@ -11,7 +11,7 @@
 use seamhatch_core::priority::AdmissionFloor;
 use seamhatch_wire::{AnswerHead, CallContext, CallHead, Refusal, ServerReport};
 
-/// The receiver's deadline is this much earlier, so that its refusal arrives in time. Chosen, not measured.
+/// The receiver's deadline is this much earlier, so that its refusal arrives in time.
 const EXPIRY_MARGIN: Microseconds = 5 * MILLISECOND;
 
 /// Why an attempt at one server brought no answer.
--- a/crates/seamhatchd/src/peer/handshake.rs
+++ b/crates/seamhatchd/src/peer/handshake.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 use tokio::net::{TcpSocket, TcpStream};
 
-/// Longest wait for the TCP connection and the peer's first message. Chosen, not measured.
+/// Longest wait for the TCP connection and the peer's first message.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Connects to a daemon and exchanges first messages.
--- a/crates/seamhatchd/src/peer/link.rs
+++ b/crates/seamhatchd/src/peer/link.rs
@@ -21,7 +21,7 @@
 /// answers will come. Measured together with [`PULSE_INTERVAL`].
 pub const BUSY_PULSE_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Bytes that are gathered for one write. Chosen, not measured.
+/// Bytes that are gathered for one write.
 const WRITE_BATCH: usize = 64 * 1024;
 
 /// Messages that wait to be written to the peer. Cheap to clone.
--- a/crates/seamhatchd/src/peer/upkeep.rs
+++ b/crates/seamhatchd/src/peer/upkeep.rs
@@ -16,15 +16,14 @@
 use tokio::task::JoinHandle;
 
 /// A connection on which nothing was sent for this long is closed, so that random exchanges between controllers
-/// don't add up to a full mesh. Chosen, not measured.
+/// don't add up to a full mesh.
 const IDLE_TO_CLOSE: Microseconds = 10 * SECOND;
-/// The connection of a peer that was silent for this long is closed, and the calls on it are lost. Chosen, not measured.
+/// The connection of a peer that was silent for this long is closed, and the calls on it are lost.
 const SILENCE_TO_CLOSE: Microseconds = 20 * SECOND;
 /// Pause after the first attempt to reach a silent peer on a new connection, doubled after each further attempt.
-/// The first attempt comes at once and costs a handshake. Chosen, not measured.
+/// The first attempt comes at once and costs a handshake.
 const FIRST_RENEWAL_PAUSE: Microseconds = SECOND;
 /// Longest pause between two such attempts: a peer that is frozen or cut off costs one handshake in this time.
-/// Chosen, not measured.
 const LONGEST_RENEWAL_PAUSE: Microseconds = 4 * SECOND;
 
 /// Starts the task of a connection whose handshake is done.
--- a/crates/seamhatchd/src/peer_server/call/answer.rs
+++ b/crates/seamhatchd/src/peer_server/call/answer.rs
@@ -9,7 +9,7 @@
 use seamhatch_wire::{AnswerHead, AnswerTail, PeerMessage};
 
 /// Part of an answer that is read before its head is passed on, in bytes. Where the whole answer fits, one that breaks
-/// off is refused as a whole, so that the call can be repeated and no caller gets half an answer. Chosen, not measured.
+/// off is refused as a whole, so that the call can be repeated and no caller gets half an answer.
 const ANSWER_START: usize = 64 * 1024;
 
 /// The start of an answer's body.
--- a/crates/seamhatchd/src/peer_server/mod.rs
+++ b/crates/seamhatchd/src/peer_server/mod.rs
@@ -19,9 +19,9 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 
-/// Longest wait for the preface of a new connection, and again for its first message. Chosen, not measured.
+/// Longest wait for the preface of a new connection, and again for its first message.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
-/// Wait after a failed accept, so that a lack of file descriptors doesn't spin. Chosen, not measured.
+/// Wait after a failed accept, so that a lack of file descriptors doesn't spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Accepts connections of other daemons forever.
--- a/crates/seamhatchd/src/peer_server/session.rs
+++ b/crates/seamhatchd/src/peer_server/session.rs
@@ -26,7 +26,7 @@
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::sync::Notify;
 
-/// A peer that was silent for this long is gone. The same as at the other end of a connection; chosen, not measured.
+/// A peer that was silent for this long is gone. The same as at the other end of a connection.
 const SILENCE_TO_CLOSE: Duration = Duration::from_secs(20);
 
 /// The boot clock of the daemon that sends calls. Cheap to clone.
--- a/crates/seamhatchd/src/server/backend/mod.rs
+++ b/crates/seamhatchd/src/server/backend/mod.rs
@@ -32,13 +32,13 @@
 use std::time::Duration;
 
 /// Connections in a row that must be refused, or closed at once, before the back end counts as gone, as one may still be
-/// established while the process is ending. Chosen, not measured.
+/// established while the process is ending.
 const PROBES: u32 = 2;
 /// How long each of them is watched: a process closes its connections one after the other, its listener among them, and a back
 /// end that has no room for connections takes others a moment later. Without the wait some crashes were reported 1.3 s late.
-/// Calls that broke off wait for it; the figure itself is chosen, not measured.
+/// Calls that broke off wait for it.
 const PROBE_PAUSE: Duration = Duration::from_millis(8);
-/// Longest body of a refusal that is read so that its connection can be kept, in bytes. Chosen, not measured.
+/// Longest body of a refusal that is read so that its connection can be kept, in bytes.
 const LONGEST_REFUSAL: usize = 4 * 1024;
 
 /// The back end beside the daemon.
--- a/crates/seamhatchd/src/server/gate.rs
+++ b/crates/seamhatchd/src/server/gate/mod.rs
@@ -3,23 +3,27 @@
 //! Locks [`seamhatch_core::admission::AdmissionQueue`], which decides, and owns the channels on which waiting calls get its
 //! verdicts. Each call to the back end holds a [`Permit`]; the control thread calls [`AdmissionGate::tick`].
 
+mod permit;
+mod turns;
+
+pub use permit::Permit;
+
 use crate::base::clock;
 use crate::base::lock::lock;
 use crate::base::metrics::{Metrics, seconds};
 use log::info;
+use permit::{PermitEnd, WaitGuard};
 use seamhatch_core::Instant;
 use seamhatch_core::admission::{
-    Admission, AdmissionPolicy, AdmissionQueue, AdmissionRequest, BackEndLoad, CallKind, Dequeued, Ticket,
+    Admission, AdmissionPolicy, AdmissionQueue, AdmissionRequest, CallKind, Dequeued, Ticket,
 };
 use seamhatch_core::clock::Microseconds;
 use seamhatch_core::outcome::Reason;
 use seamhatch_core::priority::Priority;
-use seamhatch_core::rate::RequestRate;
 use seamhatch_wire::ServerReport;
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, Weak};
-use tokio::runtime::Handle;
 use tokio::sync::oneshot;
 
 /// A call that asks for a slot.
@@ -76,81 +80,6 @@
     this: Weak<Self>,
 }
 
-/// A slot; dropping it frees the slot.
-#[derive(Debug)]
-pub struct Permit {
-    gate: Arc<AdmissionGate>,
-    ticket: Ticket,
-    end: PermitEnd,
-}
-
-/// What becomes of a call with a slot.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum PermitEnd {
-    /// It ran, and its service time says nothing.
-    Ran,
-    /// Its service time is a fair sample.
-    Succeeded,
-    /// It was never sent to the back end.
-    Unsent,
-}
-
-impl Permit {
-    /// The call's service time is a fair sample.
-    pub fn mark_succeeded(&mut self) {
-        self.end = PermitEnd::Succeeded;
-    }
-
-    /// Nothing of the call was sent to the back end, so that its turn goes to another one.
-    pub fn mark_unsent(&mut self) {
-        self.end = PermitEnd::Unsent;
-    }
-
-    /// Records the load that the back end reports beside the call's answer.
-    pub fn note_load(&self, load: BackEndLoad) {
-        let mut state = self.gate.lock();
-        state.queue.note_back_end_load(load, clock::now());
-        self.gate.pump(&mut state);
-    }
-
-    /// The call has made calls of its own, so that its service time depends on other back ends too.
-    pub fn mark_calls_made(&mut self) {
-        self.gate.lock().queue.makes_calls(self.ticket);
-    }
-}
-
-impl Drop for Permit {
-    fn drop(&mut self) {
-        self.gate.finish(self.ticket, self.end);
-    }
-}
-
-/// Removes a waiting call from the queue when its future is dropped. A slot that was granted at that very moment is given
-/// back.
-struct WaitGuard<'a> {
-    gate: &'a AdmissionGate,
-    ticket: Ticket,
-    armed: bool,
-    /// It has waited as long as it could.
-    expired: bool,
-}
-
-impl Drop for WaitGuard<'_> {
-    fn drop(&mut self) {
-        if !self.armed {
-            return;
-        }
-        let mut state = self.gate.lock();
-        state.waiters.remove(&self.ticket);
-        let waited =
-            if self.expired { state.queue.expire(self.ticket) } else { state.queue.cancel(self.ticket) };
-        if !waited {
-            state.queue.withdraw(self.ticket, clock::now());
-            self.gate.pump(&mut state);
-        }
-    }
-}
-
 impl AdmissionGate {
     /// The gate of a cold server.
     #[must_use]
@@ -214,33 +143,6 @@
         self.pump(&mut state);
     }
 
-    /// Holds calls to a rate that the back end names.
-    pub fn hold_to(&self, rate: RequestRate) {
-        let mut state = self.lock();
-        state.queue.hold_to(rate, clock::now());
-        self.pump(&mut state);
-    }
-
-    /// The back end names no rate any more.
-    pub fn lift_rate(&self) {
-        let mut state = self.lock();
-        state.queue.lift_rate(clock::now());
-        self.pump(&mut state);
-    }
-
-    /// The rate that calls are held to, and the time until the turn of one that comes now; none where there is no rate.
-    #[must_use]
-    pub fn turn_in(&self) -> Option<(RequestRate, Microseconds)> {
-        let state = self.lock();
-        state.queue.rate().zip(state.queue.turn_in(clock::now()))
-    }
-
-    /// Calls that may run at once at present, whatever the rate.
-    #[must_use]
-    pub fn limit(&self) -> u32 {
-        self.lock().queue.limit()
-    }
-
     /// Refuses all waiting calls, as the back end takes no more.
     pub fn close(&self) {
         let mut state = self.lock();
@@ -343,29 +245,6 @@
         self.wake_at_next_turn(state, now);
     }
 
-    /// Has a task look for the next call when the rate gives it its turn. Without a runtime the next tick does.
-    fn wake_at_next_turn(&self, state: &mut State, now: Instant) {
-        let Some(turn) = state.queue.next_turn(now) else { return };
-        if state.wake_at.is_some_and(|wake_at| wake_at <= turn) {
-            return;
-        }
-        let Ok(runtime) = Handle::try_current() else { return };
-        state.wake_at = Some(turn);
-        let gate = self.this.clone();
-        runtime.spawn(async move {
-            clock::sleep_until(turn).await;
-            if let Some(gate) = gate.upgrade() {
-                gate.wake(turn);
-            }
-        });
-    }
-
-    fn wake(&self, turn: Instant) {
-        let mut state = self.lock();
-        state.wake_at = state.wake_at.filter(|wake_at| *wake_at != turn);
-        self.pump(&mut state);
-    }
-
     fn lock(&self) -> MutexGuard<'_, State> {
         lock(&self.state)
     }
--- a/crates/seamhatchd/src/server/instances.rs
+++ b/crates/seamhatchd/src/server/instances.rs
@@ -106,10 +106,8 @@
             Self::Registered(registry) => {
                 let mut registry = lock(registry);
                 let verdict = registry.heartbeat(heartbeat, now);
-                if verdict == HeartbeatVerdict::Opened
-                    && let Some(open) = registry.open()
-                {
-                    opened(&open.id);
+                if verdict == HeartbeatVerdict::Opened {
+                    give_open(&registry, opened);
                 }
                 verdict
             }
@@ -158,10 +156,8 @@
             Self::Registered(registry) => {
                 let mut registry = lock(registry);
                 let refutation = registry.refute(instance, now);
-                if refutation == Refutation::Replaced
-                    && let Some(open) = registry.open()
-                {
-                    opened(&open.id);
+                if refutation == Refutation::Replaced {
+                    give_open(&registry, opened);
                 }
                 refutation
             }
@@ -204,3 +200,10 @@
         }
     }
 }
+
+/// Gives the instance that takes calls now to `opened`.
+fn give_open(registry: &InstanceRegistry, opened: impl FnOnce(&InstanceId)) {
+    if let Some(open) = registry.open() {
+        opened(&open.id);
+    }
+}
