Server choice: a server that names a rate costs its load or the wait for its turn, whichever is more

Found by reading: with its turn alone, one that named a rate above its share cost nothing and would have been given all of that rate, more than before it was in need. Its load counts by all its slots now, beside its turn.

--- a/crates/seamhatch-core/src/balance/mod.rs
+++ b/crates/seamhatch-core/src/balance/mod.rs
@@ -35,7 +35,7 @@
 pub struct Candidate {
     /// It is in the caller's zone.
     pub same_zone: bool,
-    /// Concurrency limit that the server reports.
+    /// Concurrency limit that the server reports; all its slots where it names a rate, which `turn_in` stands for.
     pub slots: u32,
     /// Calls that this daemon has in flight there.
     pub in_flight: u32,
@@ -64,16 +64,16 @@
 /// soon as a service is full everywhere.
 const ZONE_SPILL_MARGIN: f64 = 0.5;
 
-/// Wait for its turn that makes a server which names a rate as costly as one whose slots are all taken. Its turns go unused otherwise,
-/// so it is preferred while it has one.
+/// Wait for its turn that makes a server which names a rate as costly as one whose slots are all taken.
 const COSTLY_TURN: Microseconds = 100 * MILLISECOND;
 
 impl Candidate {
-    /// Load over slots, or the wait where the server names a rate, divided by the chance that all calls of a request are answered.
+    /// Load over slots, or the wait for its turn where that is worse, divided by the chance that all calls of a request are answered.
     fn cost(&self) -> f64 {
+        let load = f64::from(self.in_flight.max(self.reported_load) + 1);
+        let turn = self.turn_in.unwrap_or_default() as f64 / COSTLY_TURN as f64;
         let success = self.success.max(LEAST_SUCCESS).powi(CALLS_AT_STAKE);
-        let load = f64::from(self.in_flight.max(self.reported_load) + 1) / f64::from(self.slots.max(1));
-        self.turn_in.map_or(load, |wait| wait as f64 / COSTLY_TURN as f64) / success
+        (load / f64::from(self.slots.max(1))).max(turn) / success
     }
 
     /// Whether no other server would do better for a call.
--- a/crates/seamhatch-core/src/balance/turn.rs
+++ b/crates/seamhatch-core/src/balance/turn.rs
@@ -3,14 +3,14 @@
 //! A server that is held to a rate has little running, so by its load it would look idle and get every call. The daemon beside it gives
 //! each daemon that sends there a turn of its own: it goes round among them, the one that sent last comes last.
 
-use crate::clock::{Instant, Microseconds};
+use crate::clock::{Instant, Microseconds, SECOND};
 use crate::identity::Address;
 use crate::rate::RequestRate;
 use speedy::{Readable, Writable};
 use std::collections::HashMap;
 
 /// A daemon that has sent nothing for this long has no place in the round.
-const SENDER_LIFETIME: Microseconds = 2 * crate::clock::SECOND;
+const SENDER_LIFETIME: Microseconds = 2 * SECOND;
 
 /// What the daemon beside a server that names a rate reports to a daemon that sends calls there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Readable, Writable)]
--- a/crates/seamhatch-core/tests/held_admission.rs
+++ b/crates/seamhatch-core/tests/held_admission.rs
@@ -228,13 +228,16 @@
     }
 }
 
-/// Guards against a server that is held back drawing all calls, as nothing runs there, and against its turns going unused.
+/// Guards against a server that is held back drawing all calls, as nothing runs there, against its turns going unused, and against one whose
+/// rate is far above its share being given more than the others.
 #[test]
 fn a_held_server_is_chosen_for_its_turns_and_not_for_its_load() {
     let busy = candidate(12, None);
-    let cases = [(0, 0), (10 * MILLISECOND, 0), (200 * MILLISECOND, 1), (5 * SECOND, 1)];
-    for (turn_in, chosen) in cases {
-        let candidates = [candidate(0, Some(turn_in)), busy];
-        assert_eq!(pick(&candidates, |_| 0), Some(chosen), "its turn comes in {turn_in} us");
+    // Its load, the time until its turn, and the place of the one that is chosen.
+    let cases =
+        [(0, 0, 0), (0, 10 * MILLISECOND, 0), (0, 200 * MILLISECOND, 1), (0, 5 * SECOND, 1), (15, 0, 1)];
+    for (load, turn_in, chosen) in cases {
+        let candidates = [candidate(load, Some(turn_in)), busy];
+        assert_eq!(pick(&candidates, |_| 0), Some(chosen), "load {load}, its turn comes in {turn_in} us");
     }
 }
--- a/crates/seamhatchd/src/dispatch/candidates.rs
+++ b/crates/seamhatchd/src/dispatch/candidates.rs
@@ -65,13 +65,15 @@
         };
     };
     let view = connection.view();
+    let turn_in = view.turn_in(now);
+    let reported = view.server.filter(|_| turn_in.is_none());
     Candidate {
         same_zone,
-        slots: view.server.map_or(server.slots, |report| report.limit),
+        slots: reported.map_or(server.slots, |report| report.limit),
         in_flight: connection.in_flight(),
         reported_load: view.server.map_or(0, |report| report.load),
         success: view.success(now),
-        turn_in: view.turn_in(now),
+        turn_in,
         standing: view.standing(now),
     }
 }
