Soak: every other plan has back ends that say something of themselves

Notices were left out wherever a stop was near, as crashes are, and lasted too long for plans of 20 s. Plans of odd seeds have them throughout now (which leaves most answers of their stops unjudged), those of even seeds none; a test counts them.

--- a/crates/seamhatch-lab/src/soak/draw.rs
+++ b/crates/seamhatch-lab/src/soak/draw.rs
@@ -72,14 +72,13 @@
             faults.extend(added);
             at_ms += pause_ms;
         }
-        let beside = [
-            draw_crashes(seed, millis(QUIET), end_ms, fleet),
-            draw_notices(seed, millis(QUIET), end_ms, fleet),
-        ]
-        .concat();
-        let beside_a_stop = |added: &PlannedFault| faults.iter().any(|fault| disturbs_stop(added, fault));
-        let beside: Vec<PlannedFault> = beside.into_iter().filter(|added| !beside_a_stop(added)).collect();
-        faults.extend(beside);
+        let crashes = draw_crashes(seed, millis(QUIET), end_ms, fleet);
+        let beside_a_stop = |crash: &PlannedFault| faults.iter().any(|fault| disturbs_stop(crash, fault));
+        let crashes: Vec<PlannedFault> = crashes.into_iter().filter(|crash| !beside_a_stop(crash)).collect();
+        faults.extend(crashes);
+        if has_notices(seed) {
+            faults.extend(draw_notices(seed, millis(QUIET), end_ms, fleet));
+        }
         faults.extend(draw_changes(seed, end_ms, fleet));
         faults.sort_by_key(|fault| fault.at_ms);
         let clients = CLIENTS_PER_DAEMON * fleet.daemons();
@@ -100,11 +99,16 @@
     changes
 }
 
-/// Whether a crash or a notice is so close to a planned stop that the answers of the stop can't be judged.
-fn disturbs_stop(added: &PlannedFault, fault: &PlannedFault) -> bool {
+/// Whether back ends name rates or leave throughout: in every other plan, as most answers of its stops can't be judged then.
+fn has_notices(seed: u64) -> bool {
+    seed % 2 == 1
+}
+
+/// Whether a crash is so close to a planned stop that the answers of the stop can't be judged.
+fn disturbs_stop(crash: &PlannedFault, fault: &PlannedFault) -> bool {
     let apart_ms = millis(APART);
     let is_stop = fault.fault.group() == FaultGroup::Stop;
-    is_stop && added.at_ms < fault.end_ms() + apart_ms && fault.at_ms < added.end_ms() + apart_ms
+    is_stop && crash.at_ms < fault.end_ms() + apart_ms && fault.at_ms < crash.end_ms() + apart_ms
 }
 
 /// The faults with their times, and the time in milliseconds until the next may begin.
--- a/crates/seamhatch-lab/src/soak/draw_back_ends.rs
+++ b/crates/seamhatch-lab/src/soak/draw_back_ends.rs
@@ -18,7 +18,7 @@
 /// Time between two back ends that say something of themselves, in milliseconds.
 const NOTICE_GAP_MS: Range<u64> = 1_000..6_000;
 /// How long they say so, in milliseconds: longer than a rate is judged over.
-const NOTICE_MS: Range<u64> = 5_000..10_000;
+const NOTICE_MS: Range<u64> = 5_000..8_000;
 /// Rates that they name, in thousandths of a call a second.
 const RATES_MILLIS: [u32; 5] = [200, 1_500, 5_000, 10_000, 30_000];
 /// Combined with a plan's seed to draw these: `notices!` in ASCII.
--- a/crates/seamhatch-lab/tests/soak.rs
+++ b/crates/seamhatch-lab/tests/soak.rs
@@ -23,6 +23,17 @@
     assert_ne!(SoakPlan::draw(1, 60, FLEET), SoakPlan::draw(2, 60, FLEET));
 }
 
+/// Guards against a soak that says it draws back ends in need and hardly ever does.
+#[test]
+fn every_other_short_plan_has_a_back_end_that_says_something_of_itself() {
+    let says = |fault: &PlannedFault| {
+        matches!(fault.fault, SoakFault::ServerNamesRate { .. } | SoakFault::ServerLeaves { .. })
+    };
+    let plans = (0..200).map(|seed| SoakPlan::draw(seed, 20, FLEET));
+    let with = plans.filter(|plan| plan.faults.iter().any(says)).count();
+    assert_eq!(with, 100);
+}
+
 /// A plan that can't be used, and the error that names the reason.
 struct PlanCase {
     plan: SoakPlan,
