Stops: a line and a counter for each request that the end of a stop cuts off, and the stop's phases

Change: RequestIntake holds each request from its head to the last written byte (the connection reports its flushes), and each call of another daemon. What is left at the end is logged one line each (name, where it came in, waiting, sent, answering or refused, which server, how old) and counted in cut_requests; the stop's phases say when callers were shut out, when the daemon closed, what was in progress at both borders, and how many it refused. No decision is changed. What callers see: nothing.

--- a/crates/seamhatchd/src/base/metrics.rs
+++ b/crates/seamhatchd/src/base/metrics.rs
@@ -117,6 +117,8 @@
     pub crashed_calls: Counter,
     /// Requests that end here without an answer because a back end crashed under them.
     pub crash_losses: Counter,
+    /// Requests in progress here that the end of a stop cut off.
+    pub cut_requests: Counter,
     /// Requests that are refused because they crash servers.
     pub condemned: Gauge,
     /// Calls that the back end works on.
@@ -211,6 +213,7 @@
                 "crash_losses",
                 "Requests not answered as a back end crashed under them",
             ),
+            cut_requests: counter(to, "cut_requests", "Requests cut off by the end of a stop"),
             condemned: gauge(to, "condemned_requests", "Requests turned away as they crash servers"),
             running: gauge(to, "running_calls", "Calls the back end works on"),
             waiting: gauge(to, "waiting_calls", "Calls that wait for a slot"),
--- a/crates/seamhatchd/src/dispatch/attempt.rs
+++ b/crates/seamhatchd/src/dispatch/attempt.rs
@@ -4,6 +4,7 @@
 use super::replay::next_of_rest;
 use crate::base::clock;
 use crate::filters::Rejection;
+use crate::intake::RequestStage;
 use crate::peer::{CallEvent, CallStream, PeerConnection};
 use seamhatch_core::balance::CallEnd;
 use seamhatch_core::clock::{MILLISECOND, Microseconds};
@@ -47,6 +48,7 @@
             // Closed between the choice and here: nothing was written.
             return Err(AttemptFailure::Refused(not_sent(self.ledger_entry.handed_over)));
         };
+        self.request.progress.reach(RequestStage::Sent(connection.address));
         for piece in &self.body.prefix {
             stream.send_piece(piece);
         }
--- a/crates/seamhatchd/src/filters/readiness.rs
+++ b/crates/seamhatchd/src/filters/readiness.rs
@@ -38,6 +38,7 @@
         if request.parent.is_some() || !shared.is_too_late_for_callers() {
             return Ok(());
         }
+        shared.intake.note_refused();
         let detail = "this daemon is about to end; use another one, or come back after Retry-After";
         Err(Rejection::not_run(Reason::Draining, detail).retry_after(RESTART_RETURN))
     }
--- a/crates/seamhatchd/src/filters/request.rs
+++ b/crates/seamhatchd/src/filters/request.rs
@@ -3,6 +3,7 @@
 use crate::base::clock;
 use crate::conventions::CallerTerms;
 use crate::filters::Rejection;
+use crate::intake::{RequestEntry, RequestProgress};
 use crate::server::running::RunningCall;
 use seamhatch_core::Instant;
 use seamhatch_core::clock::Microseconds;
@@ -90,6 +91,8 @@
     pub objective: Microseconds,
     /// What it is claimed by, where it is not repeatable.
     pub claim_text: Option<ClaimText>,
+    /// How far it has come, for whoever waits for its end.
+    pub progress: Arc<RequestProgress>,
 }
 
 impl RequestState {
@@ -118,6 +121,7 @@
             objective_left: Microseconds::MAX,
             objective: Microseconds::MAX,
             claim_text: None,
+            progress: Arc::new(RequestProgress::begin(RequestEntry::Listener)),
         }
     }
 
--- a/crates/seamhatchd/src/lib.rs
+++ b/crates/seamhatchd/src/lib.rs
@@ -9,7 +9,8 @@
 //!
 //! 1. [`settings`], and [`base`]: clock, HTTP clients, logs, metrics
 //! 2. [`conventions`], [`store`], [`ports`]: what a platform plugs in
-//! 3. [`lifecycle`], [`snapshot`], [`control`]: the state of the process, what the control thread publishes, how it is reached
+//! 3. [`lifecycle`], [`intake`], [`snapshot`], [`control`]: the state of the process, the requests that it has taken, what the control thread
+//!    publishes, how it is reached
 //! 4. [`server`]: the back end beside this daemon
 //! 5. [`peer`]: connections on which this daemon calls others
 //! 6. [`limits`] and [`claims`]: what daemons decide together
@@ -25,6 +26,7 @@
 pub mod conventions;
 pub mod dispatch;
 pub mod filters;
+pub mod intake;
 pub mod lifecycle;
 pub mod limits;
 mod link_host;
--- a/crates/seamhatchd/src/link_host.rs
+++ b/crates/seamhatchd/src/link_host.rs
@@ -32,7 +32,7 @@
     fn local_state(&self, peer: Address) -> LocalState {
         LocalState {
             generation: self.snapshot().generation(),
-            intake: self.intake(),
+            intake: self.call_intake(),
             server: self.server.gate.report(),
             proof: self.limits.freshness.proof(),
             turn: self.server.notices.turn_of(peer),
--- a/crates/seamhatchd/src/listeners/body.rs
+++ b/crates/seamhatchd/src/listeners/body.rs
@@ -2,6 +2,7 @@
 
 use crate::dispatch::Answer;
 use crate::filters::Rejection;
+use crate::intake::TakenRequest;
 use bytes::Bytes;
 use futures_util::stream;
 use http_body_util::combinators::UnsyncBoxBody;
@@ -25,19 +26,27 @@
 
 /// Counts an HTTP request as open until it is dropped.
 #[derive(Debug)]
-pub struct OpenRequest(Arc<AtomicUsize>);
+pub struct OpenRequest {
+    counter: Arc<AtomicUsize>,
+    taken: TakenRequest,
+}
 
 impl OpenRequest {
     /// Counts one more.
-    pub fn new(counter: &Arc<AtomicUsize>) -> Self {
+    pub fn new(counter: &Arc<AtomicUsize>, taken: TakenRequest) -> Self {
         counter.fetch_add(1, Ordering::AcqRel);
-        Self(counter.clone())
+        Self { counter: counter.clone(), taken }
+    }
+
+    /// The request.
+    pub fn taken(&self) -> &TakenRequest {
+        &self.taken
     }
 }
 
 impl Drop for OpenRequest {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::AcqRel);
+        self.counter.fetch_sub(1, Ordering::AcqRel);
     }
 }
 
@@ -63,6 +72,8 @@
 /// recorded for repeats of the same request.
 pub fn recorded(mut answer: Answer, open: OpenRequest) -> CallerBody {
     let (sender, pieces) = mpsc::channel(RECORDED_AHEAD);
+    // What waits in the channel is not written yet.
+    let taken = open.taken().clone();
     tokio::spawn(async move {
         let _open = open;
         loop {
@@ -78,6 +89,8 @@
             }
         }
     });
-    let pieces = stream::unfold(pieces, |mut pieces| async { Some((pieces.recv().await?, pieces)) });
+    let pieces = stream::unfold((pieces, taken), |(mut pieces, taken)| async {
+        Some((pieces.recv().await?, (pieces, taken)))
+    });
     StreamBody::new(pieces).boxed_unsync()
 }
--- a/crates/seamhatchd/src/listeners/callers.rs
+++ b/crates/seamhatchd/src/listeners/callers.rs
@@ -4,6 +4,7 @@
 //! within milliseconds, and with it the call, down to the connection to the back end. Bounds are those of the configuration
 //! in force when a connection opens.
 
+use crate::listeners::connection::{CallerConnection, WatchedStream};
 use crate::listeners::proxy::RequestHandler;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -81,9 +82,11 @@
     let longest_wait =
         Duration::from_millis(limits.idle_timeout_ms.saturating_add(limits.head_timeout_ms)) + IDLE_MARGIN;
     let head_buffer = limits.head_bytes.saturating_mul(HEAD_OVERHEAD).max(HEAD_BUFFER);
+    let requests = Arc::new(CallerConnection::default());
+    let stream = WatchedStream::new(stream, requests.clone());
     let service = service_fn(move |request| {
-        let handler = handler.clone();
-        async move { handler.handle(request).await }
+        let (handler, requests) = (handler.clone(), requests.clone());
+        async move { handler.handle(request, &requests).await }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/crates/seamhatchd/src/listeners/mod.rs
+++ b/crates/seamhatchd/src/listeners/mod.rs
@@ -8,6 +8,7 @@
 mod answers;
 mod body;
 mod callers;
+mod connection;
 mod proxy;
 mod registry;
 mod responses;
--- a/crates/seamhatchd/src/listeners/proxy.rs
+++ b/crates/seamhatchd/src/listeners/proxy.rs
@@ -8,7 +8,9 @@
 use crate::conventions::headers;
 use crate::dispatch::{self, Answer, CallResult, ReplayBody};
 use crate::filters::{self, Entry, FilterChain, RequestState};
+use crate::intake::RequestEntry;
 use crate::listeners::body::{self, CallerBody, OpenRequest};
+use crate::listeners::connection::CallerConnection;
 use crate::shared::Shared;
 use bytes::Bytes;
 use http::header::{CONNECTION, CONTENT_LENGTH, HOST};
@@ -66,9 +68,14 @@
     pub async fn handle(
         self: Arc<Self>,
         request: Request<Incoming>,
+        connection: &CallerConnection,
     ) -> Result<Response<CallerBody>, Infallible> {
-        let open = OpenRequest::new(&self.shared.open_requests);
+        let taken = self.shared.intake.take(RequestEntry::Listener);
+        connection.hold(taken.clone());
         let (mut request, body) = self.request_state(request);
+        request.progress = taken.progress().clone();
+        request.progress.set_name(request.log_name());
+        let open = OpenRequest::new(&self.shared.open_requests, taken);
         let mut response = match filters::run_chain(&self.chain, &self.shared, &mut request) {
             Err(rejection) => self.reject(&request, &rejection),
             Ok(()) if request.claim_text.is_some() => self.clone().answer_detached(request, body, open).await,
--- a/crates/seamhatchd/src/listeners/responses.rs
+++ b/crates/seamhatchd/src/listeners/responses.rs
@@ -10,6 +10,7 @@
 use crate::conventions::{AnswerMark, OwnAnswer};
 use crate::dispatch::Answer;
 use crate::filters::{Rejection, RequestState};
+use crate::intake::RequestStage;
 use bytes::Bytes;
 use http::header::CONTENT_LENGTH;
 use http::{Response, StatusCode};
@@ -27,6 +28,7 @@
         answer: Answer,
         open: OpenRequest,
     ) -> Response<CallerBody> {
+        request.progress.reach(RequestStage::Answering(answer.server));
         let took = clock::now().since(request.arrived);
         self.shared.metrics.request_ended(Outcome::Answered, request.class, took);
         info!(
@@ -77,6 +79,7 @@
 
     /// The daemon's own answer to a request that no back end answers.
     pub(super) fn reject(&self, request: &RequestState, rejection: &Rejection) -> Response<CallerBody> {
+        request.progress.reach(RequestStage::Refused);
         let took = clock::now().since(request.arrived);
         self.shared.metrics.refusal(rejection.outcome, rejection.reason, request.class);
         self.shared.metrics.request_ended(rejection.outcome, request.class, took);
--- a/crates/seamhatchd/src/peer_server/call/execute.rs
+++ b/crates/seamhatchd/src/peer_server/call/execute.rs
@@ -8,6 +8,7 @@
 use super::answer::AnswerStart;
 use crate::base::clock;
 use crate::base::metrics::seconds;
+use crate::intake::RequestStage;
 use crate::server::backend::{self, BackendAnswer, BackendError, BackendRequest};
 use crate::server::crashes::{CallAtWork, TrialRun};
 use crate::server::gate::Permit;
@@ -17,6 +18,7 @@
 use seamhatch_core::Instant;
 use seamhatch_core::clock::MILLISECOND;
 use seamhatch_core::crashes::{GOOD_END, RunEnd, RunMode};
+use seamhatch_core::identity::Address;
 use seamhatch_core::instance::InstanceId;
 use seamhatch_core::outcome::{Outcome, Reason};
 use seamhatch_core::return_time;
@@ -52,6 +54,7 @@
         };
         self.shared.metrics.execution(running.priority.class);
         let work = self.shared.server.crashes.begin(instance.as_ref(), self.head.request, mode);
+        self.reach(RequestStage::Sent);
         let run = BackendRun { instance, work, mode, started: clock::now() };
         let exchanged = tokio::select! {
             exchanged = self.exchange(running, &run, registration.header(), body) => exchanged,
@@ -63,6 +66,11 @@
         }
     }
 
+    /// Records how far the call has come at the back end beside this daemon.
+    fn reach(&self, stage: impl FnOnce(Address) -> RequestStage) {
+        self.taken.progress().reach(stage(self.shared.settings.advertise.peer));
+    }
+
     /// Refuses a call whose turn at the back end another one can have.
     fn refuse_unsent(&self, running: &RunningCall, mut permit: Permit, reason: Reason) {
         permit.mark_unsent();
@@ -150,6 +158,7 @@
         if let Some(load) = self.shared.conventions.back_end_load(&answer.headers) {
             permit.note_load(load);
         }
+        self.reach(RequestStage::Answering);
         let status = answer.status.as_u16();
         let passed = tokio::select! {
             complete = self.pass_answer(running, answer, start) => Some(complete),
--- a/crates/seamhatchd/src/peer_server/call/mod.rs
+++ b/crates/seamhatchd/src/peer_server/call/mod.rs
@@ -11,6 +11,7 @@
 
 use crate::base::clock;
 use crate::conventions::field_text;
+use crate::intake::TakenRequest;
 use crate::peer::CreditWindow;
 use crate::peer::Outbox;
 use crate::peer_server::incoming_calls::IncomingCalls;
@@ -44,6 +45,8 @@
     /// Additions to the messages that it reads.
     pub(super) additions: u16,
     pub(super) arrived: Instant,
+    /// Its entry among the requests in progress.
+    pub(super) taken: TakenRequest,
 }
 
 impl Drop for ServerCall {
@@ -55,6 +58,7 @@
 impl ServerCall {
     /// Follows the call from its arrival to its end and sends its answer or its refusal.
     pub(super) async fn run(self, body: backend::RequestBody) {
+        self.taken.progress().set_name(self.log_name());
         self.shared.control.note_call_generation(self.head.generation);
         self.shared.server.notices.note_sender(self.from);
         let running = Arc::new(self.running_call());
@@ -115,7 +119,7 @@
             // The route exists; the sender's record of this server is out of date.
             return Err(Reason::OtherService);
         }
-        match self.shared.intake() {
+        match self.shared.call_intake() {
             CallIntake::Open => Ok(()),
             CallIntake::FallbackOnly { .. } if self.shared.can_finish(running.expiry) => Ok(()),
             CallIntake::Closed if self.shared.serves_callers() => Err(Reason::NoInstance),
--- a/crates/seamhatchd/src/peer_server/session.rs
+++ b/crates/seamhatchd/src/peer_server/session.rs
@@ -6,6 +6,7 @@
 use crate::base::clock;
 use crate::base::lock::lock;
 use crate::base::metrics::BadInput;
+use crate::intake::RequestEntry;
 use crate::limits::quota;
 use crate::peer::CreditWindow;
 use crate::peer::Outbox;
@@ -132,6 +133,7 @@
             from: self.hello.peer,
             additions: self.hello.additions,
             arrived: clock::now(),
+            taken: self.shared.intake.take(RequestEntry::Peer),
         };
         tokio::spawn(async move { server_call.run(body).await });
     }
--- a/crates/seamhatchd/src/shared.rs
+++ b/crates/seamhatchd/src/shared.rs
@@ -9,6 +9,7 @@
 use crate::claims::{ClaimState, Claimant};
 use crate::control::ControlHandle;
 use crate::conventions::HttpConventions;
+use crate::intake::RequestIntake;
 use crate::lifecycle::DaemonLifecycle;
 use crate::limits::SharedLimits;
 use crate::limits::entry_floors::EntryFloors;
@@ -58,6 +59,8 @@
     pub published: Arc<ArcSwap<Snapshot>>,
     /// Whether this process is ready, draining or about to end.
     pub lifecycle: DaemonLifecycle,
+    /// The requests in progress.
+    pub intake: Arc<RequestIntake>,
     /// HTTP requests in progress at the listeners.
     pub open_requests: Arc<AtomicUsize>,
     /// Source of call numbers.
@@ -108,7 +111,7 @@
 
     /// Which calls the back end beside this daemon gets.
     #[must_use]
-    pub fn intake(&self) -> CallIntake {
+    pub fn call_intake(&self) -> CallIntake {
         let instances = &self.server.instances;
         let back_end =
             BackEndState { open: instances.is_open(), reports_departure: instances.report_departures() };
--- a/crates/seamhatchd/src/startup.rs
+++ b/crates/seamhatchd/src/startup.rs
@@ -178,6 +178,7 @@
         control,
         published,
         lifecycle: DaemonLifecycle::starting(settings.grace),
+        intake: Arc::default(),
         open_requests: Arc::default(),
         next_call: AtomicU64::new(1),
         metrics,
--- a/crates/seamhatchd/src/stop.rs
+++ b/crates/seamhatchd/src/stop.rs
@@ -6,10 +6,12 @@
 
 use crate::base::clock;
 use crate::control::DrainTarget;
+use crate::intake::RequestProgress;
 use crate::listeners::Listeners;
 use crate::shared::Shared;
 use log::{info, warn};
 use seamhatch_core::Instant;
+use seamhatch_core::clock::MILLISECOND;
 use seamhatch_core::drain::END_MARGIN;
 use seamhatch_core::roster::WitnessDuty;
 use std::sync::Arc;
@@ -77,12 +79,35 @@
         // A change of witnesses that was under way when the stop began may have chosen this daemon.
         until_handed_over(shared, started, longest_handover).await;
     }
+    let (served, at_close) = (passed_since(started), shared.intake.count());
     listeners.refuse_callers();
     shared.lifecycle.start_closing();
     until_quiet(shared, started, || true, longest).await;
-    if shared.in_flight() > 0 {
-        warn!(in_flight = shared.in_flight(); "work is still in progress after the longest drain");
-    }
+    let unfinished = shared.intake.unfinished();
+    info!(
+        served_ms = served.as_millis(),
+        at_close = at_close,
+        closed_ms = passed_since(started).as_millis(),
+        at_end = unfinished.len(),
+        refused = shared.intake.refused();
+        "the stop's phases"
+    );
+    unfinished.iter().for_each(|request| log_cut(shared, request));
+}
+
+/// Counts and logs a request that the end of the process cuts off.
+fn log_cut(shared: &Shared, request: &RequestProgress) {
+    shared.metrics.cut_requests.inc();
+    let stage = request.stage();
+    let server = stage.server().map(|server| server.to_string()).unwrap_or_default();
+    warn!(
+        request = request.name(),
+        entry = request.entry.name(),
+        stage = stage.name(),
+        server = server.as_str(),
+        age_ms = clock::now().since(request.since) / MILLISECOND;
+        "request cut off by the end of the stop"
+    );
 }
 
 /// Waits until others `have_learned` that the daemon leaves and nothing was in progress for [`QUIET_TO_STOP`], for at most
--- a/crates/seamhatchd/tests/layers.rs
+++ b/crates/seamhatchd/tests/layers.rs
@@ -4,13 +4,14 @@
 use std::path::{Path, PathBuf};
 
 /// The modules at the top of the crate, from the bottom up; lib.rs says what each layer is for.
-const ORDER: [&str; 22] = [
+const ORDER: [&str; 23] = [
     "settings",
     "base",
     "conventions",
     "store",
     "ports",
     "lifecycle",
+    "intake",
     "snapshot",
     "control",
     "server",
