A request counts as in progress until its answer is written, not until the HTTP library has it

Cause: a request left the count with the last piece of its body handed over (streamed), put in a channel of four (recorded), or with the head of an own answer; the bytes could still wait for a slow reader, and 0.1 s later the process was gone. Callers got the beginning of an answer. Change: what a stop waits for is the intake's table; an entry stays until the connection has flushed. Calls of other daemons count from their arrival to the end of their task, also while they wait as suspects. Why it holds: the library flushes its stream only when it holds nothing more; an entry leaves at a flush only if neither handler nor body has it any more.

--- a/crates/seamhatchd/src/controllers/status.rs
+++ b/crates/seamhatchd/src/controllers/status.rs
@@ -48,7 +48,7 @@
         member: input.me.info.gossip.to_string(),
         ready: shared.takes_work(),
         draining: shared.is_draining(),
-        in_flight: shared.in_flight(),
+        in_flight: shared.intake.count(),
         generation: input.generation.0,
         floor: floor.level,
         members,
--- a/crates/seamhatchd/src/listeners/body.rs
+++ b/crates/seamhatchd/src/listeners/body.rs
@@ -1,4 +1,4 @@
-//! Bodies of answers on their way to an HTTP caller, and the count of requests that are still open.
+//! Bodies of answers on their way to an HTTP caller. They keep their requests in progress.
 
 use crate::dispatch::Answer;
 use crate::filters::Rejection;
@@ -8,8 +8,6 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::Frame;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use thiserror::Error;
 use tokio::sync::mpsc;
 
@@ -24,43 +22,17 @@
 /// Pieces of an answer that may wait for a slow caller while the answer is recorded. Chosen, not measured.
 const RECORDED_AHEAD: usize = 4;
 
-/// Counts an HTTP request as open until it is dropped.
-#[derive(Debug)]
-pub struct OpenRequest {
-    counter: Arc<AtomicUsize>,
-    taken: TakenRequest,
-}
-
-impl OpenRequest {
-    /// Counts one more.
-    pub fn new(counter: &Arc<AtomicUsize>, taken: TakenRequest) -> Self {
-        counter.fetch_add(1, Ordering::AcqRel);
-        Self { counter: counter.clone(), taken }
-    }
-
-    /// The request.
-    pub fn taken(&self) -> &TakenRequest {
-        &self.taken
-    }
-}
-
-impl Drop for OpenRequest {
-    fn drop(&mut self) {
-        self.counter.fetch_sub(1, Ordering::AcqRel);
-    }
-}
-
 /// A body whose bytes are all known.
 pub fn whole(bytes: Bytes) -> CallerBody {
     Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
 }
 
 /// The body of an answer; an error when it breaks off. Dropping it cancels the call.
-pub fn streamed(answer: Answer, open: OpenRequest) -> CallerBody {
-    let pieces = stream::unfold(Some((answer, open)), |state| async {
-        let (mut answer, open) = state?;
+pub fn streamed(answer: Answer, taken: TakenRequest) -> CallerBody {
+    let pieces = stream::unfold(Some((answer, taken)), |state| async {
+        let (mut answer, taken) = state?;
         match answer.next().await {
-            Ok(Some(piece)) => Some((Ok(Frame::data(piece)), Some((answer, open)))),
+            Ok(Some(piece)) => Some((Ok(Frame::data(piece)), Some((answer, taken)))),
             Ok(None) => None,
             Err(Rejection { detail, .. }) => Some((Err(BrokenBody(detail)), None)),
         }
@@ -70,12 +42,11 @@
 
 /// The body of an answer that is read to its end whether or not its caller stays, so that it can be
 /// recorded for repeats of the same request.
-pub fn recorded(mut answer: Answer, open: OpenRequest) -> CallerBody {
+pub fn recorded(mut answer: Answer, taken: TakenRequest) -> CallerBody {
     let (sender, pieces) = mpsc::channel(RECORDED_AHEAD);
-    // What waits in the channel is not written yet.
-    let taken = open.taken().clone();
+    let unwritten = taken.clone();
     tokio::spawn(async move {
-        let _open = open;
+        let _taken = taken;
         loop {
             let (piece, last) = match answer.next().await {
                 Ok(Some(piece)) => (Ok(Frame::data(piece)), false),
@@ -89,8 +60,8 @@
             }
         }
     });
-    let pieces = stream::unfold((pieces, taken), |(mut pieces, taken)| async {
-        Some((pieces.recv().await?, (pieces, taken)))
+    let pieces = stream::unfold((pieces, unwritten), |(mut pieces, unwritten)| async {
+        Some((pieces.recv().await?, (pieces, unwritten)))
     });
     StreamBody::new(pieces).boxed_unsync()
 }
--- a/crates/seamhatchd/src/listeners/proxy.rs
+++ b/crates/seamhatchd/src/listeners/proxy.rs
@@ -8,8 +8,8 @@
 use crate::conventions::headers;
 use crate::dispatch::{self, Answer, CallResult, ReplayBody};
 use crate::filters::{self, Entry, FilterChain, RequestState};
-use crate::intake::RequestEntry;
-use crate::listeners::body::{self, CallerBody, OpenRequest};
+use crate::intake::{RequestEntry, TakenRequest};
+use crate::listeners::body::{self, CallerBody};
 use crate::listeners::connection::CallerConnection;
 use crate::shared::Shared;
 use bytes::Bytes;
@@ -75,11 +75,12 @@
         let (mut request, body) = self.request_state(request);
         request.progress = taken.progress().clone();
         request.progress.set_name(request.log_name());
-        let open = OpenRequest::new(&self.shared.open_requests, taken);
         let mut response = match filters::run_chain(&self.chain, &self.shared, &mut request) {
             Err(rejection) => self.reject(&request, &rejection),
-            Ok(()) if request.claim_text.is_some() => self.clone().answer_detached(request, body, open).await,
-            Ok(()) => self.answer(request, body, open).await,
+            Ok(()) if request.claim_text.is_some() => {
+                self.clone().answer_detached(request, body, taken).await
+            }
+            Ok(()) => self.answer(request, body, taken).await,
         };
         if self.shared.is_draining() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -107,11 +108,11 @@
         self: Arc<Self>,
         request: RequestState,
         body: Incoming,
-        open: OpenRequest,
+        taken: TakenRequest,
     ) -> Response<CallerBody> {
         let root = request.root;
         let handler = self.clone();
-        let answering = tokio::spawn(async move { handler.answer(request, body, open).await });
+        let answering = tokio::spawn(async move { handler.answer(request, body, taken).await });
         answering.await.unwrap_or_else(|error| {
             log::error!(root = root.to_string().as_str(), error = error.to_string().as_str(); "a request's task failed");
             let mut response = Response::new(body::whole(Bytes::new()));
@@ -121,7 +122,12 @@
     }
 
     /// Charges a request to its tenant and answers it; gives back the charge of one that was not run.
-    async fn answer(&self, request: RequestState, body: Incoming, open: OpenRequest) -> Response<CallerBody> {
+    async fn answer(
+        &self,
+        request: RequestState,
+        body: Incoming,
+        taken: TakenRequest,
+    ) -> Response<CallerBody> {
         let permit = match self.shared.quota_context().admit(request.tenant.as_ref()).await {
             Ok(permit) => permit,
             Err(refusal) => return self.reject(&request, &refusal.into()),
@@ -135,7 +141,7 @@
         match result {
             CallResult::Answered(answer) => {
                 self.learn_answer_time(&request, &answer);
-                self.pass(&request, *answer, open)
+                self.pass(&request, *answer, taken)
             }
             CallResult::Recorded(recorded) => self.repeat(&request, recorded),
             CallResult::Rejected(rejection) => {
--- a/crates/seamhatchd/src/listeners/responses.rs
+++ b/crates/seamhatchd/src/listeners/responses.rs
@@ -3,14 +3,14 @@
 //! Each ended request is counted and logged here, once. Header fields that say what became of the request are the
 //! conventions'.
 
-use super::body::{self, CallerBody, OpenRequest};
+use super::body::{self, CallerBody};
 use super::proxy::RequestHandler;
 use crate::base::clock;
 use crate::conventions::headers;
 use crate::conventions::{AnswerMark, OwnAnswer};
 use crate::dispatch::Answer;
 use crate::filters::{Rejection, RequestState};
-use crate::intake::RequestStage;
+use crate::intake::{RequestStage, TakenRequest};
 use bytes::Bytes;
 use http::header::CONTENT_LENGTH;
 use http::{Response, StatusCode};
@@ -26,7 +26,7 @@
         &self,
         request: &RequestState,
         answer: Answer,
-        open: OpenRequest,
+        taken: TakenRequest,
     ) -> Response<CallerBody> {
         request.progress.reach(RequestStage::Answering(answer.server));
         let took = clock::now().since(request.arrived);
@@ -44,9 +44,9 @@
         );
         let (status, fields) = (answer.head.status, answer.head.headers.clone());
         let body = if request.claim_text.is_some() {
-            body::recorded(answer, open)
+            body::recorded(answer, taken)
         } else {
-            body::streamed(answer, open)
+            body::streamed(answer, taken)
         };
         self.response(request, status, &fields, Outcome::Answered, body)
     }
--- a/crates/seamhatchd/src/shared.rs
+++ b/crates/seamhatchd/src/shared.rs
@@ -26,7 +26,7 @@
 use seamhatch_core::instance::InstanceId;
 use seamhatch_core::notice::BackEndNotice;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 
 /// The parts of a daemon that its threads share.
 #[derive(Debug)]
@@ -61,8 +61,6 @@
     pub lifecycle: DaemonLifecycle,
     /// The requests in progress.
     pub intake: Arc<RequestIntake>,
-    /// HTTP requests in progress at the listeners.
-    pub open_requests: Arc<AtomicUsize>,
     /// Source of call numbers.
     pub next_call: AtomicU64,
 }
@@ -153,13 +151,6 @@
         self.lifecycle.stop_state().can_finish(expiry, clock::now())
     }
 
-    /// Calls and HTTP requests in progress here.
-    #[must_use]
-    pub fn in_flight(&self) -> usize {
-        self.server.gate.in_flight().max(self.server.running.count())
-            + self.open_requests.load(Ordering::Acquire)
-    }
-
     /// Whether the server beside this daemon takes new work.
     #[must_use]
     pub fn takes_work(&self) -> bool {
--- a/crates/seamhatchd/src/startup.rs
+++ b/crates/seamhatchd/src/startup.rs
@@ -179,7 +179,6 @@
         published,
         lifecycle: DaemonLifecycle::starting(settings.grace),
         intake: Arc::default(),
-        open_requests: Arc::default(),
         next_call: AtomicU64::new(1),
         metrics,
         settings,
--- a/crates/seamhatchd/src/stop.rs
+++ b/crates/seamhatchd/src/stop.rs
@@ -115,7 +115,7 @@
 async fn until_quiet(shared: &Shared, started: Instant, have_learned: impl Fn() -> bool, longest: Duration) {
     let mut busy_until = clock::now();
     while passed_since(started) < longest {
-        if shared.in_flight() > 0 {
+        if shared.intake.count() > 0 {
             busy_until = clock::now();
         }
         if have_learned() && passed_since(busy_until) >= QUIET_TO_STOP {
