One owner of the intake: a request is counted before the last border of a stop, or refused after it

Cause: between the last look at what is in progress and the end of the process, while the daemon said goodbye to the members, requests on open connections were still read and passed on, and nothing refused them: a border crossed by time. Change: core::intake::IntakeGate counts and decides in one step, open -> calls only -> closed; RequestIntake locks it with the table. A stop closes it when nothing is in progress, in the same step; what is read afterwards is refused at once as not run, with a time to return. Connections then end by themselves, idle ones at once, others when they have written, and the goodbye comes before the process's end, not after the last look. When the time is up before, what is in progress is given up with an answer (502, or 503 where no server had it), logged and counted. Callers are refused, no longer met by a closed port, while calls of running requests are awaited. The table of core/tests/drain.rs has two cases for one: closed to callers (stricter: callers are refused; calls that were taken may end) and closed.

--- a/crates/seamhatch-core/src/drain.rs
+++ b/crates/seamhatch-core/src/drain.rs
@@ -10,6 +10,7 @@
 //! docs/DESIGN.md#planned-stops. The daemon keeps the state in `seamhatchd::shared` and acts in its listeners.
 
 use crate::clock::{Instant, Microseconds};
+use crate::intake::IntakePhase;
 use speedy::{Readable, Writable};
 use std::time::Duration;
 
@@ -48,8 +49,8 @@
 /// How far the stop of a daemon has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StopState {
-    /// It has fallen quiet while it stops, and accepts nothing more.
-    pub closing: bool,
+    /// Which requests it takes.
+    pub phase: IntakePhase,
     /// How long the daemon has been draining, in microseconds; none while it isn't.
     pub draining_for: Option<Microseconds>,
     /// Time between the stop request and the end of the process at the latest; none where nothing bounds it.
@@ -60,7 +61,7 @@
     /// Which calls the server beside this daemon gets; `ready` says that the daemon has a configuration.
     #[must_use]
     pub fn intake(&self, ready: bool, back_end: BackEndState) -> CallIntake {
-        if !ready || self.closing || !back_end.open {
+        if !ready || self.phase != IntakePhase::Open || !back_end.open {
             return CallIntake::Closed;
         }
         if self.draining_for.is_none() {
@@ -72,23 +73,28 @@
         }
     }
 
-    /// Whether a call with this deadline that starts at `now` can end before the process does.
+    /// Whether a call with this deadline that has been taken, and starts at `now`, can end before the process does.
     #[must_use]
     pub fn can_finish(&self, expiry: Instant, now: Instant) -> bool {
-        if self.closing {
+        if self.phase == IntakePhase::Closed {
             return false;
         }
         if self.draining_for.is_none() {
             return true;
         }
         let ends = self.time_left().map(|left| now.plus(left));
-        ends.is_some_and(|ends| expiry <= ends) || !self.is_too_late_for_callers()
+        ends.is_some_and(|ends| expiry <= ends) || !self.is_late()
     }
 
-    /// Whether callers that arrive now could be cut off by the end of the process. Until then they are served, as they
-    /// may not know yet that the daemon stops.
+    /// Whether callers that arrive now are refused: the daemon has closed to them, or the end of the process could cut them off. Until then they are
+    /// served, as they may not know yet that the daemon stops.
     #[must_use]
     pub fn is_too_late_for_callers(&self) -> bool {
+        self.phase != IntakePhase::Open || self.is_late()
+    }
+
+    /// Whether so much of the grace period has passed that what is taken now could outlast it.
+    fn is_late(&self) -> bool {
         let (Some(draining_for), Some(grace)) = (self.draining_for, self.grace) else { return false };
         Duration::from_micros(draining_for) > grace.mul_f64(SERVED_SHARE_OF_GRACE)
     }
--- a/crates/seamhatch-core/src/lib.rs
+++ b/crates/seamhatch-core/src/lib.rs
@@ -8,7 +8,7 @@
 //!
 //! | question | module |
 //! | --- | --- |
-//! | Does this daemon still serve callers, and may its back end get calls? | [`drain`] |
+//! | Does this daemon still serve callers, and may its back end get calls? | [`drain`], [`intake`] |
 //! | May the tenant's key be trusted, or may the configuration be out of date? | [`freshness`] |
 //! | How important is the request? | [`priority`] |
 //! | Would a service further down refuse it? | [`entry`], from what [`service_floor`] reports |
@@ -44,6 +44,7 @@
 pub mod generation;
 pub mod identity;
 pub mod instance;
+pub mod intake;
 pub mod membership;
 pub mod notice;
 pub mod outcome;
--- a/crates/seamhatch-core/tests/drain.rs
+++ b/crates/seamhatch-core/tests/drain.rs
@@ -3,13 +3,14 @@
 use seamhatch_core::Instant;
 use seamhatch_core::clock::{MILLISECOND, Microseconds, SECOND};
 use seamhatch_core::drain::{BackEndState, CallIntake, StopState};
+use seamhatch_core::intake::{IntakeClosed, IntakeGate, IntakePhase};
 use std::time::Duration;
 
 const NOW: Instant = Instant(100 * SECOND);
 
 /// Serves, with ten seconds of grace.
 const SERVING: StopState =
-    StopState { closing: false, draining_for: None, grace: Some(Duration::from_secs(10)) };
+    StopState { phase: IntakePhase::Open, draining_for: None, grace: Some(Duration::from_secs(10)) };
 
 const OPEN: BackEndState = BackEndState { open: true, reports_departure: true };
 
@@ -17,6 +18,11 @@
     StopState { draining_for: Some(span), ..SERVING }
 }
 
+/// Drains for a second, with its intake in this phase.
+fn in_phase(phase: IntakePhase) -> StopState {
+    StopState { phase, ..draining(SECOND) }
+}
+
 /// A state, and which calls its server gets.
 struct IntakeCase {
     name: &'static str,
@@ -36,7 +42,8 @@
         case("drains", draining(4 * SECOND), left(5300 * MILLISECOND)),
         case("has no time left", draining(9300 * MILLISECOND), CallIntake::Closed),
         case("is over time", draining(60 * SECOND), CallIntake::Closed),
-        case("has fallen quiet", StopState { closing: true, ..draining(SECOND) }, CallIntake::Closed),
+        case("is closed to callers", in_phase(IntakePhase::CallsOnly), CallIntake::Closed),
+        case("is closed", in_phase(IntakePhase::Closed), CallIntake::Closed),
         case("nothing bounds its stop", StopState { grace: None, ..draining(SECOND) }, CallIntake::Closed),
         IntakeCase { ready: false, ..case("not ready", SERVING, CallIntake::Closed) },
         IntakeCase {
@@ -107,9 +114,16 @@
             long_call: false,
         },
         FinishCase {
-            name: "has fallen quiet",
-            state: StopState { closing: true, ..draining(SECOND) },
-            callers: true,
+            name: "is closed to callers, the calls have been taken",
+            state: in_phase(IntakePhase::CallsOnly),
+            callers: false,
+            short_call: true,
+            long_call: true,
+        },
+        FinishCase {
+            name: "is closed",
+            state: in_phase(IntakePhase::Closed),
+            callers: false,
             short_call: false,
             long_call: false,
         },
@@ -127,3 +141,25 @@
         assert_eq!(accepted, [case.short_call, case.long_call], "{}", case.name);
     }
 }
+
+/// A request that is neither counted before the border nor refused after it would be passed on and cut off.
+#[test]
+fn the_intake_closes_only_where_nothing_is_in_progress_or_by_force() {
+    let mut gate = IntakeGate::default();
+    assert_eq!(gate.take(), Ok(()));
+    gate.close_to_callers();
+    assert_eq!((gate.phase(), gate.take()), (IntakePhase::CallsOnly, Ok(())));
+    gate.end();
+    assert!(!gate.close_if_idle());
+    assert_eq!((gate.phase(), gate.in_progress()), (IntakePhase::CallsOnly, 1));
+    gate.end();
+    assert!(gate.close_if_idle());
+    assert_eq!((gate.take(), gate.in_progress()), (Err(IntakeClosed), 0));
+    gate.close_to_callers();
+    assert_eq!(gate.phase(), IntakePhase::Closed, "a border is not crossed back");
+
+    let mut gate = IntakeGate::default();
+    assert_eq!(gate.take(), Ok(()));
+    gate.close();
+    assert_eq!((gate.take(), gate.in_progress()), (Err(IntakeClosed), 1));
+}
--- a/crates/seamhatchd/src/filters/readiness.rs
+++ b/crates/seamhatchd/src/filters/readiness.rs
@@ -21,11 +21,7 @@
         } else {
             return Ok(());
         };
-        if request.header(headers::IDEMPOTENCY_KEY).is_some() {
-            // An earlier attempt with this key may have run; this daemon can't find out now.
-            return Err(Rejection::unknown(reason, detail));
-        }
-        Err(Rejection::not_run(reason, detail))
+        Err(leaving(request, reason, detail))
     }
 }
 
@@ -39,8 +35,21 @@
             return Ok(());
         }
         shared.intake.note_refused();
-        let detail = "this daemon is about to end; use another one, or come back after Retry-After";
-        Err(Rejection::not_run(Reason::Draining, detail).retry_after(RESTART_RETURN))
+        Err(about_to_end(request))
+    }
+}
+
+/// What the caller is told of a request that a daemon about to end doesn't take.
+pub fn about_to_end(request: &RequestState) -> Rejection {
+    let detail = "this daemon is about to end; use another one, or come back after Retry-After";
+    leaving(request, Reason::Draining, detail).retry_after(RESTART_RETURN)
+}
+
+/// Says that this daemon has not run the request. Of one with an idempotency key an earlier attempt may have run, which it can't find out now.
+fn leaving(request: &RequestState, reason: Reason, detail: &str) -> Rejection {
+    match request.header(headers::IDEMPOTENCY_KEY) {
+        Some(_) => Rejection::unknown(reason, detail),
+        None => Rejection::not_run(reason, detail),
     }
 }
 
--- a/crates/seamhatchd/src/intake/progress.rs
+++ b/crates/seamhatchd/src/intake/progress.rs
@@ -72,6 +72,12 @@
     stage: Mutex<RequestStage>,
 }
 
+impl Default for RequestProgress {
+    fn default() -> Self {
+        Self::begin(RequestEntry::Peer)
+    }
+}
+
 impl RequestProgress {
     /// A request that was taken just now.
     #[must_use]
--- a/crates/seamhatchd/src/lifecycle.rs
+++ b/crates/seamhatchd/src/lifecycle.rs
@@ -1,12 +1,13 @@
-//! How far the process has come between its start and its end: ready, draining, closing.
+//! How far the process has come between its start and its end: ready, draining. What it takes meanwhile is [`crate::intake`]'s.
 //!
 //! [`DaemonLifecycle`] owns these states; each is entered once and never left. The control thread makes the daemon ready and begins a
-//! drain; the stop sequence in `startup` closes it. The request path, the links and the listeners only read.
+//! drain. The request path, the links and the listeners only read.
 //! What follows for calls and callers is decided by [`seamhatch_core::drain`].
 
 use crate::base::clock;
 use seamhatch_core::Instant;
 use seamhatch_core::drain::StopState;
+use seamhatch_core::intake::IntakePhase;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -21,8 +22,6 @@
     ready: AtomicBool,
     /// Leaves: new work only where no other daemon can take it.
     draining: AtomicBool,
-    /// Is about to end: its server gets nothing more.
-    closing: AtomicBool,
     /// When a stop was first requested, in microseconds of the boot clock; zero for never.
     stop_requested_at: AtomicU64,
     /// Readiness checks that were answered with "not ready" during a drain.
@@ -39,7 +38,6 @@
             grace,
             ready: AtomicBool::new(false),
             draining: AtomicBool::new(false),
-            closing: AtomicBool::new(false),
             stop_requested_at: AtomicU64::new(0),
             not_ready_answers: AtomicUsize::new(0),
             work_changed: Notify::new(),
@@ -58,12 +56,6 @@
         self.draining.load(Ordering::Acquire)
     }
 
-    /// Whether the daemon is about to end.
-    #[must_use]
-    pub fn is_closing(&self) -> bool {
-        self.closing.load(Ordering::Acquire)
-    }
-
     /// Whether callers are welcome at this daemon.
     #[must_use]
     pub fn serves_callers(&self) -> bool {
@@ -88,12 +80,6 @@
         self.notify_peers();
     }
 
-    /// Gives the server nothing more, so that all work in progress at the end of the process is known.
-    pub fn start_closing(&self) {
-        self.closing.store(true, Ordering::Release);
-        self.notify_peers();
-    }
-
     /// Sends a heartbeat on every link at once: the server started or stopped taking work.
     pub fn notify_peers(&self) {
         self.work_changed.notify_waiters();
@@ -104,15 +90,15 @@
         self.work_changed.notified()
     }
 
-    /// How far the stop of this daemon has come.
+    /// How far the stop of this daemon has come, whose intake is in this phase.
     #[must_use]
-    pub fn stop_state(&self) -> StopState {
+    pub fn stop_state(&self, phase: IntakePhase) -> StopState {
         // Read in this order: the moment is recorded before the drain begins.
         let draining_for = self.is_draining().then(|| {
             let requested_at = Instant(self.stop_requested_at.load(Ordering::Acquire));
             clock::now().since(requested_at)
         });
-        StopState { closing: self.is_closing(), draining_for, grace: self.grace }
+        StopState { phase, draining_for, grace: self.grace }
     }
 
     /// Counts a readiness check that was answered with "not ready" during a drain: the load balancer that asked has learned
--- a/crates/seamhatchd/src/listeners/callers.rs
+++ b/crates/seamhatchd/src/listeners/callers.rs
@@ -14,7 +14,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::oneshot;
+use tokio::sync::watch;
 
 /// Smallest buffer for a request head in bytes. It is larger where the configuration allows larger heads, so that the filters
 /// refuse what is too large and not the library. Chosen, not measured.
@@ -34,35 +34,35 @@
 /// Wait after a failed accept, so that a lack of file descriptors doesn't spin. Chosen, not measured.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// A running listener for requests; dropping it refuses new connections, while open ones go on.
-#[derive(Debug)]
-pub struct CallerListener(
-    #[expect(dead_code, reason = "its end is what the acceptor waits for")] oneshot::Sender<()>,
-);
+/// Tells listeners and their connections when to end, and knows when they have: each of them holds a receiver until then.
+pub type ClosingSignal = watch::Sender<bool>;
 
-/// Binds an address and serves requests there.
+/// Binds an address and serves requests there until `closing`.
 ///
 /// # Errors
 /// The address can't be bound.
-pub async fn listen(address: SocketAddr, handler: RequestHandler) -> std::io::Result<CallerListener> {
+pub async fn listen(
+    address: SocketAddr,
+    handler: RequestHandler,
+    closing: &ClosingSignal,
+) -> std::io::Result<()> {
     let listener = TcpListener::bind(address).await?;
-    let (open, closed) = oneshot::channel();
-    tokio::spawn(accept(listener, Arc::new(handler), closed));
-    Ok(CallerListener(open))
+    tokio::spawn(accept(listener, Arc::new(handler), closing.subscribe()));
+    Ok(())
 }
 
-async fn accept(listener: TcpListener, handler: Arc<RequestHandler>, mut closed: oneshot::Receiver<()>) {
+async fn accept(listener: TcpListener, handler: Arc<RequestHandler>, mut closing: watch::Receiver<bool>) {
     handler.until_decidable(START_PATIENCE).await;
     loop {
         let accepted = tokio::select! {
             // Connections that are already established are served before the listener ends.
             biased;
             accepted = listener.accept() => accepted,
-            _ = &mut closed => return,
+            () = until_closing(&mut closing) => return,
         };
         match accepted {
             Ok((stream, _)) => {
-                tokio::spawn(serve(stream, handler.clone()));
+                tokio::spawn(serve(stream, handler.clone(), closing.clone()));
             }
             Err(error) => {
                 warn!(error = error.to_string().as_str(); "accepting a connection failed");
@@ -72,7 +72,12 @@
     }
 }
 
-async fn serve(stream: TcpStream, handler: Arc<RequestHandler>) {
+async fn until_closing(closing: &mut watch::Receiver<bool>) {
+    // Without a sender the process has ended.
+    let _ = closing.wait_for(|closing| *closing).await;
+}
+
+async fn serve(stream: TcpStream, handler: Arc<RequestHandler>, mut closing: watch::Receiver<bool>) {
     if let Err(error) = stream.set_nodelay(true) {
         debug!(error = error.to_string().as_str(); "a connection ended at once");
         return;
@@ -84,8 +89,9 @@
     let head_buffer = limits.head_bytes.saturating_mul(HEAD_OVERHEAD).max(HEAD_BUFFER);
     let requests = Arc::new(CallerConnection::default());
     let stream = WatchedStream::new(stream, requests.clone());
+    let held = requests.clone();
     let service = service_fn(move |request| {
-        let (handler, requests) = (handler.clone(), requests.clone());
+        let (handler, requests) = (handler.clone(), held.clone());
         async move { handler.handle(request, &requests).await }
     });
     let connection = http1::Builder::new()
@@ -94,7 +100,20 @@
         .max_buf_size(head_buffer)
         .max_headers(HEADER_FIELDS)
         .serve_connection(TokioIo::new(stream), service);
-    if let Err(error) = connection.await {
+    tokio::pin!(connection);
+    let ended = tokio::select! {
+        biased;
+        ended = &mut connection => ended,
+        () = until_closing(&mut closing) => {
+            if !requests.has_begun() {
+                // At most a part of a head has been read.
+                return;
+            }
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
         debug!(error = error.to_string().as_str(); "a caller's connection ended");
     }
 }
--- a/crates/seamhatchd/src/listeners/connection.rs
+++ b/crates/seamhatchd/src/listeners/connection.rs
@@ -7,6 +7,7 @@
 use crate::intake::TakenRequest;
 use std::io;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll, ready};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -16,9 +17,21 @@
 #[derive(Debug, Default)]
 pub struct CallerConnection {
     unwritten: Mutex<Vec<TakenRequest>>,
+    /// A request has been read.
+    begun: AtomicBool,
 }
 
 impl CallerConnection {
+    /// A request has been read, whether or not it is taken.
+    pub fn note_begun(&self) {
+        self.begun.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether a request has been read.
+    pub fn has_begun(&self) -> bool {
+        self.begun.load(Ordering::Relaxed)
+    }
+
     /// Keeps a request in progress until its answer is written or the connection ends.
     pub fn hold(&self, request: TakenRequest) {
         lock(&self.unwritten).push(request);
--- a/crates/seamhatchd/src/listeners/mod.rs
+++ b/crates/seamhatchd/src/listeners/mod.rs
@@ -1,8 +1,8 @@
 //! The HTTP listeners, each with a port of its own, so that what one offers can't be reached at another's.
 //!
 //! `callers` accepts the connections of callers and of the back end (`hyper`), whose requests `proxy` answers; `admin` serves
-//! operators and `registry` the back end's heartbeats (`xitca-web`). Started at startup; a planned stop ends callers' new
-//! connections only, through [`Listeners::refuse_callers`].
+//! operators and `registry` the back end's heartbeats (`xitca-web`). Started at startup; a planned stop ends the connections of callers
+//! through [`Listeners::close`].
 
 mod admin;
 mod answers;
@@ -30,7 +30,7 @@
 use xitca_web::{App, HttpServer};
 
 use crate::ports::EntryLayout;
-use callers::CallerListener;
+use callers::ClosingSignal;
 use proxy::RequestHandler;
 
 /// How long an idle connection of an operator or back end is kept. Chosen, not measured.
@@ -122,7 +122,8 @@
 
 /// The listeners of a running daemon.
 pub struct Listeners {
-    callers: Vec<CallerListener>,
+    /// Ends those of callers, and their connections.
+    closing: ClosingSignal,
     /// Those of operators and back ends, which stay open until the process ends.
     _control: Vec<Listener>,
 }
@@ -138,9 +139,10 @@
             EntryLayout::Separate => RequestHandler::ingress(shared.clone()),
             EntryLayout::Shared => RequestHandler::shared(shared.clone()),
         };
-        let mut callers = vec![callers::listen(listen.ingress.into(), entry).await?];
+        let closing = ClosingSignal::new(false);
+        callers::listen(listen.ingress.into(), entry, &closing).await?;
         if let Some(egress) = listen.egress {
-            callers.push(callers::listen(egress.into(), RequestHandler::egress(shared.clone())).await?);
+            callers::listen(egress.into(), RequestHandler::egress(shared.clone()), &closing).await?;
         }
         let admin = App::new()
             .with_state(shared.clone())
@@ -156,11 +158,16 @@
                 .at("/{*rest}", fn_service(registry::handle));
             control.push(serve(app.finish(), vec![bind(registry)?], 1, "registry")?);
         }
-        Ok(Self { callers, _control: control })
+        Ok(Self { closing, _control: control })
     }
 
-    /// Refuses callers' new connections from now on; open ones go on.
-    pub fn refuse_callers(&mut self) {
-        self.callers.clear();
+    /// Refuses callers' new connections from now on, and ends open ones: idle ones at once, others when they have written what is due.
+    pub fn close(&self) {
+        self.closing.send_replace(true);
+    }
+
+    /// Waits until all connections of callers have ended.
+    pub async fn until_closed(&self) {
+        self.closing.closed().await;
     }
 }
--- a/crates/seamhatchd/src/listeners/proxy.rs
+++ b/crates/seamhatchd/src/listeners/proxy.rs
@@ -7,8 +7,8 @@
 use crate::base::clock;
 use crate::conventions::headers;
 use crate::dispatch::{self, Answer, CallResult, ReplayBody};
-use crate::filters::{self, Entry, FilterChain, RequestState};
-use crate::intake::{RequestEntry, TakenRequest};
+use crate::filters::{self, Entry, FilterChain, Rejection, RequestState};
+use crate::intake::{RequestEntry, RequestStage, TakenRequest};
 use crate::listeners::body::{self, CallerBody};
 use crate::listeners::connection::CallerConnection;
 use crate::shared::Shared;
@@ -17,7 +17,7 @@
 use http::request::Parts;
 use http::{HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
-use seamhatch_core::outcome::Outcome;
+use seamhatch_core::outcome::{Outcome, Reason};
 use seamhatch_policy::{LimitSettings, host_name};
 use std::convert::Infallible;
 use std::sync::Arc;
@@ -64,23 +64,24 @@
         }
     }
 
-    /// Answers one request. Dropping the future cancels it, unless its answer is recorded for repeats.
+    /// Answers one request, or refuses it where nothing is taken any more. Dropping the future cancels it, unless its answer is recorded for
+    /// repeats.
     pub async fn handle(
         self: Arc<Self>,
         request: Request<Incoming>,
         connection: &CallerConnection,
     ) -> Result<Response<CallerBody>, Infallible> {
+        connection.note_begun();
         let taken = self.shared.intake.take(RequestEntry::Listener);
-        connection.hold(taken.clone());
         let (mut request, body) = self.request_state(request);
-        request.progress = taken.progress().clone();
-        request.progress.set_name(request.log_name());
-        let mut response = match filters::run_chain(&self.chain, &self.shared, &mut request) {
-            Err(rejection) => self.reject(&request, &rejection),
-            Ok(()) if request.claim_text.is_some() => {
-                self.clone().answer_detached(request, body, taken).await
+        let mut response = match taken {
+            Ok(taken) => {
+                connection.hold(taken.clone());
+                request.progress = taken.progress().clone();
+                request.progress.set_name(request.log_name());
+                self.clone().answer_taken(request, body, taken).await
             }
-            Ok(()) => self.answer(request, body, taken).await,
+            Err(_) => self.reject(&request, &filters::about_to_end(&request)),
         };
         if self.shared.is_draining() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -88,6 +89,31 @@
         Ok(response)
     }
 
+    /// Runs the filters and answers a request; at the end of the process it is given up.
+    async fn answer_taken(
+        self: Arc<Self>,
+        mut request: RequestState,
+        body: Incoming,
+        taken: TakenRequest,
+    ) -> Response<CallerBody> {
+        if let Err(rejection) = filters::run_chain(&self.chain, &self.shared, &mut request) {
+            return self.reject(&request, &rejection);
+        }
+        let request = Arc::new(request);
+        let answering = async {
+            if request.claim_text.is_some() {
+                self.clone().answer_detached(request.clone(), body, taken).await
+            } else {
+                self.answer(&request, body, taken).await
+            }
+        };
+        tokio::select! {
+            biased;
+            response = answering => response,
+            () = self.shared.intake.until_cut() => self.reject(&request, &cut_off(&request)),
+        }
+    }
+
     /// Reads the head of a request by the conventions.
     fn request_state(&self, request: Request<Incoming>) -> (RequestState, Incoming) {
         let (parts, body) = request.into_parts();
@@ -106,13 +132,13 @@
     /// Answers a request on a task of its own, so that its answer is recorded for repeats even if its caller leaves.
     async fn answer_detached(
         self: Arc<Self>,
-        request: RequestState,
+        request: Arc<RequestState>,
         body: Incoming,
         taken: TakenRequest,
     ) -> Response<CallerBody> {
         let root = request.root;
         let handler = self.clone();
-        let answering = tokio::spawn(async move { handler.answer(request, body, taken).await });
+        let answering = tokio::spawn(async move { handler.answer(&request, body, taken).await });
         answering.await.unwrap_or_else(|error| {
             log::error!(root = root.to_string().as_str(), error = error.to_string().as_str(); "a request's task failed");
             let mut response = Response::new(body::whole(Bytes::new()));
@@ -124,31 +150,31 @@
     /// Charges a request to its tenant and answers it; gives back the charge of one that was not run.
     async fn answer(
         &self,
-        request: RequestState,
+        request: &RequestState,
         body: Incoming,
         taken: TakenRequest,
     ) -> Response<CallerBody> {
         let permit = match self.shared.quota_context().admit(request.tenant.as_ref()).await {
             Ok(permit) => permit,
-            Err(refusal) => return self.reject(&request, &refusal.into()),
+            Err(refusal) => return self.reject(request, &refusal.into()),
         };
         let body = match ReplayBody::read_prefix(body).await {
             Ok(body) => body,
-            Err(rejection) => return self.reject(&request, &rejection),
+            Err(rejection) => return self.reject(request, &rejection),
         };
-        let result = dispatch::dispatch(&self.shared, &request, body).await;
-        self.learn_floor(&request);
+        let result = dispatch::dispatch(&self.shared, request, body).await;
+        self.learn_floor(request);
         match result {
             CallResult::Answered(answer) => {
-                self.learn_answer_time(&request, &answer);
-                self.pass(&request, *answer, taken)
+                self.learn_answer_time(request, &answer);
+                self.pass(request, *answer, taken)
             }
-            CallResult::Recorded(recorded) => self.repeat(&request, recorded),
+            CallResult::Recorded(recorded) => self.repeat(request, recorded),
             CallResult::Rejected(rejection) => {
                 if rejection.outcome == Outcome::NotRun {
                     permit.into_iter().for_each(|permit| permit.give_back(&self.shared.limits.quota));
                 }
-                self.reject(&request, &rejection)
+                self.reject(request, &rejection)
             }
         }
     }
@@ -172,6 +198,16 @@
     }
 }
 
+/// What the caller of a request is told that the end of the process cuts off.
+fn cut_off(request: &RequestState) -> Rejection {
+    // One with a key goes on in a task of its own and may still be sent.
+    if request.progress.stage() == RequestStage::Waiting && request.claim_text.is_none() {
+        return filters::about_to_end(request);
+    }
+    let detail = "this daemon has ended before the answer came; its result is not known";
+    Rejection::unknown(Reason::PeerLost, detail)
+}
+
 /// The host that a request is for. One in the target itself goes before the field (RFC 9112, section 3.2.2).
 fn host_of(parts: &Parts) -> Option<String> {
     let field = || parts.headers.get(HOST).and_then(|value| value.to_str().ok());
--- a/crates/seamhatchd/src/peer_server/call/execute.rs
+++ b/crates/seamhatchd/src/peer_server/call/execute.rs
@@ -68,7 +68,7 @@
 
     /// Records how far the call has come at the back end beside this daemon.
     fn reach(&self, stage: impl FnOnce(Address) -> RequestStage) {
-        self.taken.progress().reach(stage(self.shared.settings.advertise.peer));
+        self.progress.reach(stage(self.shared.settings.advertise.peer));
     }
 
     /// Refuses a call whose turn at the back end another one can have.
--- a/crates/seamhatchd/src/peer_server/call/mod.rs
+++ b/crates/seamhatchd/src/peer_server/call/mod.rs
@@ -11,7 +11,7 @@
 
 use crate::base::clock;
 use crate::conventions::field_text;
-use crate::intake::TakenRequest;
+use crate::intake::{RequestProgress, RequestStage, TakenRequest};
 use crate::peer::CreditWindow;
 use crate::peer::Outbox;
 use crate::peer_server::incoming_calls::IncomingCalls;
@@ -45,8 +45,8 @@
     /// Additions to the messages that it reads.
     pub(super) additions: u16,
     pub(super) arrived: Instant,
-    /// Its entry among the requests in progress.
-    pub(super) taken: TakenRequest,
+    /// How far it has come.
+    pub(super) progress: Arc<RequestProgress>,
 }
 
 impl Drop for ServerCall {
@@ -56,15 +56,38 @@
 }
 
 impl ServerCall {
-    /// Follows the call from its arrival to its end and sends its answer or its refusal.
-    pub(super) async fn run(self, body: backend::RequestBody) {
-        self.taken.progress().set_name(self.log_name());
+    /// Refuses a call that came after the intake had closed.
+    pub(super) fn refuse_late(self) {
+        self.refuse(&self.running_call(), Outcome::NotRun, Reason::Draining, "");
+    }
+
+    /// Follows the call from its arrival to its end and sends its answer or its refusal. `_taken` keeps it in progress meanwhile.
+    pub(super) async fn run(self, body: backend::RequestBody, _taken: TakenRequest) {
+        self.progress.set_name(self.log_name());
         self.shared.control.note_call_generation(self.head.generation);
         self.shared.server.notices.note_sender(self.from);
         let running = Arc::new(self.running_call());
-        match self.admit(&running).await {
-            Ok((permit, trial)) => self.execute(&running, permit, trial.as_ref(), body).await,
-            Err(reason) => self.refuse(&running, Outcome::NotRun, reason, ""),
+        tokio::select! {
+            biased;
+            () = self.follow(&running, body) => {}
+            () = self.shared.intake.until_cut() => self.cut_off(&running),
+        }
+    }
+
+    async fn follow(&self, running: &Arc<RunningCall>, body: backend::RequestBody) {
+        match self.admit(running).await {
+            Ok((permit, trial)) => self.execute(running, permit, trial.as_ref(), body).await,
+            Err(reason) => self.refuse(running, Outcome::NotRun, reason, ""),
+        }
+    }
+
+    /// Ends a call as the process ends.
+    fn cut_off(&self, running: &RunningCall) {
+        match self.progress.stage() {
+            RequestStage::Waiting => self.refuse(running, Outcome::NotRun, Reason::Draining, ""),
+            RequestStage::Sent(_) => self.refuse(running, Outcome::Unknown, Reason::Draining, ""),
+            RequestStage::Answering(_) => self.end(running, false),
+            RequestStage::Refused => {}
         }
     }
 
--- a/crates/seamhatchd/src/peer_server/call/refusal.rs
+++ b/crates/seamhatchd/src/peer_server/call/refusal.rs
@@ -2,6 +2,7 @@
 
 use super::ServerCall;
 use crate::base::clock;
+use crate::intake::RequestStage;
 use crate::server::running::RunningCall;
 use log::info;
 use seamhatch_core::clock::{MILLISECOND, Microseconds};
@@ -25,6 +26,7 @@
         detail: &str,
         retry_after: Microseconds,
     ) {
+        self.progress.reach(RequestStage::Refused);
         self.shared.metrics.refusal(outcome, reason, running.priority.class);
         let server = self.shared.server.gate.report();
         self.log_refusal(running, outcome, reason, detail, server);
--- a/crates/seamhatchd/src/peer_server/session.rs
+++ b/crates/seamhatchd/src/peer_server/session.rs
@@ -111,6 +111,7 @@
     }
 
     fn start_call(&self, head: CallHead) {
+        let taken = self.shared.intake.take(RequestEntry::Peer);
         let (body_sender, body) = if head.has_body {
             let (sender, body) = backend::request_body();
             (Some(sender), body)
@@ -133,9 +134,12 @@
             from: self.hello.peer,
             additions: self.hello.additions,
             arrived: clock::now(),
-            taken: self.shared.intake.take(RequestEntry::Peer),
+            progress: taken.as_ref().map(|taken| taken.progress().clone()).unwrap_or_default(),
         };
-        tokio::spawn(async move { server_call.run(body).await });
+        match taken {
+            Ok(taken) => drop(tokio::spawn(async move { server_call.run(body, taken).await })),
+            Err(_) => server_call.refuse_late(),
+        }
     }
 
     /// Passes on a piece of a request body and gives its sender credit for as much. The credit is all that bounds the
--- a/crates/seamhatchd/src/shared.rs
+++ b/crates/seamhatchd/src/shared.rs
@@ -21,7 +21,7 @@
 use crate::snapshot::Snapshot;
 use arc_swap::{ArcSwap, Guard};
 use seamhatch_core::Instant;
-use seamhatch_core::drain::{BackEndState, CallIntake};
+use seamhatch_core::drain::{BackEndState, CallIntake, StopState};
 use seamhatch_core::identity::{CallId, Incarnation};
 use seamhatch_core::instance::InstanceId;
 use seamhatch_core::notice::BackEndNotice;
@@ -100,11 +100,17 @@
         self.lifecycle.is_draining()
     }
 
-    /// Whether callers that come now would be cut off by the end of the process. Until then they are served,
+    /// How far the stop of this daemon has come.
+    #[must_use]
+    pub fn stop_state(&self) -> StopState {
+        self.lifecycle.stop_state(self.intake.phase())
+    }
+
+    /// Whether callers that come now are refused, as the process is about to end. Until then they are served,
     /// as they may not have learnt yet that it leaves.
     #[must_use]
     pub fn is_too_late_for_callers(&self) -> bool {
-        self.lifecycle.stop_state().is_too_late_for_callers()
+        self.stop_state().is_too_late_for_callers()
     }
 
     /// Which calls the back end beside this daemon gets.
@@ -113,7 +119,7 @@
         let instances = &self.server.instances;
         let back_end =
             BackEndState { open: instances.is_open(), reports_departure: instances.report_departures() };
-        self.lifecycle.stop_state().intake(self.lifecycle.is_ready(), back_end)
+        self.stop_state().intake(self.lifecycle.is_ready(), back_end)
     }
 
     /// The back end has said in an answer that it leaves: it gets nothing more from now on.
@@ -148,7 +154,7 @@
     /// Whether a call that starts now can end before the process does.
     #[must_use]
     pub fn can_finish(&self, expiry: Instant) -> bool {
-        self.lifecycle.stop_state().can_finish(expiry, clock::now())
+        self.stop_state().can_finish(expiry, clock::now())
     }
 
     /// Whether the server beside this daemon takes new work.
