What a stop takes ends before the process does, with the answer of a server

Cause: a stopping daemon took each call of a running request at any moment and sent it on with its caller's deadline; 0.7 s before the grace period ended it gave up waiting. Calls of the last moments were cut, as was what had been taken early with a longer deadline, unless it ended by luck. Change: during a stop, what is sent on is due 0.5 s before the grace period ends, whatever its caller allows, so that the server's own answer to it comes in time; a call is refused as not run where calls of its kind usually take longer than what is left (learnt of each kind, 0.9 of them stay within); another daemon's late call is taken where its kind usually takes half of what is left (before: only where its whole deadline fits). The daemon gives up 0.3 s before the grace period's end, not 0.7. Calls at the egress listener of the own set-up go by the same rule. Why it holds: nothing is sent on whose answer may come after the end, but what was sent before SIGTERM with a deadline beyond it.

--- a/crates/seamhatch-core/src/admission/queue/lateness.rs
+++ b/crates/seamhatch-core/src/admission/queue/lateness.rs
@@ -1,11 +1,17 @@
 //! Which calls' turns come too late for their answers to be worth anything.
 
-use super::super::{AdmissionRequest, Ticket, share_of};
+use super::super::{AdmissionRequest, CallKind, Ticket, share_of};
 use super::AdmissionQueue;
 use crate::clock::{Instant, Microseconds};
 use crate::priority::PriorityClass;
 
 impl AdmissionQueue {
+    /// How long calls of this kind usually take from their slot to their answer; none before the first.
+    #[must_use]
+    pub fn usual_time(&self, kind: CallKind) -> Option<Microseconds> {
+        self.service_times.usual(kind)
+    }
+
     /// The latest instant at which a call may start: its kind's usual service time before the end of its objective, and
     /// at least half of the typical service time before its expiry, since some calls are faster.
     #[must_use]
--- a/crates/seamhatch-core/src/drain.rs
+++ b/crates/seamhatch-core/src/drain.rs
@@ -1,7 +1,8 @@
 //! Drain: which calls and callers a daemon still serves while it stops.
 //!
-//! Decides three things from how far the stop of the daemon has come ([`StopState`]): which calls other daemons may send to its back
-//! end ([`CallIntake`]), whether a call that starts now can end before the process does, and whether callers come too late.
+//! Decides from how far the stop of the daemon has come ([`StopState`]): which calls other daemons may send to its back
+//! end ([`CallIntake`]), whether a call that starts now can end before the process does, with which deadline it is sent on, and whether callers come
+//! too late. Whatever is taken ends by itself before the process.
 //! Times are read from the boot clock at the moment of the question.
 //!
 //! It protects requests in flight from being cut off by the end of the process, and services whose daemons are all stopped
@@ -14,15 +15,19 @@
 use speedy::{Readable, Writable};
 use std::time::Duration;
 
-/// Work in progress is given up this long before the grace period ends, so that its callers still get an answer. Chosen,
-/// not measured.
-pub const END_MARGIN: Duration = Duration::from_millis(700);
+/// Work in progress is given up this long before the grace period ends, so that its callers still get an answer.
+pub const END_MARGIN: Duration = Duration::from_millis(300);
+
+/// What is sent on during a drain has a deadline this long before that, so that the answer that a server gives at its deadline comes in time.
+pub const ANSWER_MARGIN: Duration = Duration::from_millis(200);
 
 /// Part of the time between a stop request and the end of the grace period in which callers are still served; a request
-/// accepted in it has the rest of the time to end. Chosen, not measured: without such a bound, 34 requests were cut off
-/// when four daemons of a zone stopped at once.
+/// accepted in it has the rest of the time to end.
 const SERVED_SHARE_OF_GRACE: f64 = 0.45;
 
+/// A late call is taken from another daemon where this many of its kind, one after the other, would usually end in time.
+const ROOM_FOR_LATE_CALLS: Microseconds = 2;
+
 /// Which calls the server beside a daemon gets.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Readable, Writable)]
 pub enum CallIntake {
@@ -73,17 +78,37 @@
         }
     }
 
-    /// Whether a call with this deadline that has been taken, and starts at `now`, can end before the process does.
+    /// Whether a call of another daemon with this deadline that starts at `now` can end before the process does. `usual` is how long calls of its kind
+    /// take, where that is known.
     #[must_use]
-    pub fn can_finish(&self, expiry: Instant, now: Instant) -> bool {
+    pub fn can_finish(&self, expiry: Instant, usual: Option<Microseconds>, now: Instant) -> bool {
         if self.phase == IntakePhase::Closed {
             return false;
         }
+        if self.draining_for.is_none() || !self.is_late() {
+            return true;
+        }
+        let Some(left) = self.time_left() else { return true };
+        expiry <= now.plus(left) || usual.is_some_and(|usual| usual * ROOM_FOR_LATE_CALLS <= left)
+    }
+
+    /// Whether a call of a request that runs here is taken, as it will usually end before the process does: `usual` is the time that most
+    /// calls of its kind stay within, where that is known.
+    #[must_use]
+    pub fn admits_call(&self, usual: Option<Microseconds>) -> bool {
         if self.draining_for.is_none() {
             return true;
         }
-        let ends = self.time_left().map(|left| now.plus(left));
-        ends.is_some_and(|ends| expiry <= ends) || !self.is_late()
+        self.time_left().is_none_or(|left| left > usual.unwrap_or_default())
+    }
+
+    /// The deadline with which work that is due by `expiry` is sent on at `now`: what ends at it still ends before the process does.
+    #[must_use]
+    pub fn bounded(&self, expiry: Instant, now: Instant) -> Instant {
+        match self.time_left() {
+            Some(left) if self.draining_for.is_some() => expiry.min(now.plus(left)),
+            _ => expiry,
+        }
     }
 
     /// Whether callers that arrive now are refused: the daemon has closed to them, or the end of the process could cut them off. Until then they are
@@ -99,9 +124,9 @@
         Duration::from_micros(draining_for) > grace.mul_f64(SERVED_SHARE_OF_GRACE)
     }
 
-    /// Time until work in progress is given up; none where nothing bounds it.
+    /// Time until the deadline of what is sent on; none where nothing bounds it.
     fn time_left(&self) -> Option<Microseconds> {
-        let grace = self.grace?.saturating_sub(END_MARGIN).as_micros() as Microseconds;
+        let grace = self.grace?.saturating_sub(END_MARGIN + ANSWER_MARGIN).as_micros() as Microseconds;
         Some(grace.saturating_sub(self.draining_for.unwrap_or_default()))
     }
 }
--- a/crates/seamhatch-core/src/entry.rs
+++ b/crates/seamhatch-core/src/entry.rs
@@ -11,10 +11,10 @@
 //! service below (H. Zhou et al., "Overload Control for Scaling WeChat Microservices", 2018). Alternatives and figures:
 //! docs/DESIGN.md#floors-at-the-entry. The daemon's part is `seamhatchd::filters::entry_floor`.
 
+use crate::answer_times::AnswerTimes;
 use crate::clock::{Instant, MILLISECOND, Microseconds};
 use crate::priority::{AdmissionFloor, Priority};
-use crate::return_time::{self, EARLY_SHARE};
-use crate::running_quantile::RunningQuantile;
+use crate::return_time;
 use std::collections::HashMap;
 
 /// A floor that was not confirmed for this long begins to rise. Chosen, not measured: a little longer than the 400 ms
@@ -31,7 +31,7 @@
 /// without.
 const LEVELS_PER_MILLISECOND: f64 = 0.32;
 
-/// Kinds of requests that are remembered at most; all are forgotten when there are more. Chosen, not measured.
+/// Kinds of requests that are remembered at most; all are forgotten when there are more.
 const MOST_KINDS: usize = 4_096;
 
 /// Services that are remembered as the bounds of one kind of request, the latest ones. Chosen, not measured.
@@ -44,8 +44,7 @@
     by_service: HashMap<String, LearntFloor>,
     /// Services that bound each kind of request.
     by_kind: HashMap<String, Vec<String>>,
-    /// The time from arrival to answer that [`EARLY_SHARE`] of each kind stay within.
-    answer_times: HashMap<String, RunningQuantile>,
+    answer_times: AnswerTimes,
 }
 
 impl EntryFloorTable {
@@ -83,15 +82,7 @@
 
     /// Records how long a request of this kind took from its arrival to a good answer.
     pub fn learn_answer_time(&mut self, kind: &str, took: Microseconds) {
-        if self.answer_times.len() >= MOST_KINDS && !self.answer_times.contains_key(kind) {
-            self.answer_times.clear();
-        }
-        match self.answer_times.get_mut(kind) {
-            Some(quantile) => quantile.observe(took),
-            None => {
-                self.answer_times.insert(kind.to_owned(), RunningQuantile::of(EARLY_SHARE, took));
-            }
-        }
+        self.answer_times.learn(kind, took);
     }
 
     /// Whether a request of this kind and priority is admitted.
@@ -112,7 +103,7 @@
     ) -> Microseconds {
         let closed = self.closed_floors(kind, priority, now);
         let longest = closed.map(|known| now.since(known.closed_since)).max().unwrap_or_default();
-        let usual_answer = self.answer_times.get(kind).map_or(0, |quantile| quantile.value());
+        let usual_answer = self.answer_times.usual(kind).unwrap_or_default();
         return_time::after_overload(longest, usual_answer, objective)
     }
 
--- a/crates/seamhatch-core/src/lib.rs
+++ b/crates/seamhatch-core/src/lib.rs
@@ -30,9 +30,10 @@
 //! | Which daemons are there? | [`membership`] |
 //! | Which configuration is in force, and has a submission been accepted? | [`generation`] |
 //!
-//! The rest names things: [`clock`], [`identity`], [`outcome`], [`rendezvous`], [`running_quantile`].
+//! The rest measures and names things: [`answer_times`], [`clock`], [`identity`], [`outcome`], [`rendezvous`], [`running_quantile`].
 
 pub mod admission;
+pub mod answer_times;
 pub mod balance;
 pub mod claims;
 pub mod clock;
--- a/crates/seamhatchd/src/filters/mod.rs
+++ b/crates/seamhatchd/src/filters/mod.rs
@@ -77,6 +77,8 @@
         Box::new(identity::InheritedTenant),
         // The first segment of the path names the service.
         Box::new(routing::ServiceFromPath),
+        // After the parent and the service are known: what runs here must be able to finish.
+        Box::new(readiness::BeforeTheEnd),
         // Only decides whether the call is repeatable; the class is the parent's.
         Box::new(classification::InheritedClass),
         // After the service is known, since keys count within a service.
--- a/crates/seamhatchd/src/filters/readiness.rs
+++ b/crates/seamhatchd/src/filters/readiness.rs
@@ -26,12 +26,17 @@
 }
 
 /// Rejects requests that come so late in a planned stop that the end of the process would cut them off. Callers still come then
-/// where too few other daemons are near.
+/// where too few other daemons are near, and calls as long as a request runs here.
 pub struct BeforeTheEnd;
 
 impl RequestFilter for BeforeTheEnd {
     fn apply(&self, shared: &Shared, request: &mut RequestState) -> Result<(), Rejection> {
-        if request.parent.is_some() || !shared.is_too_late_for_callers() {
+        let state = shared.stop_state();
+        let is_taken = match request.parent {
+            Some(_) => state.admits_call(shared.limits.call_times.usual(request.kind())),
+            None => !state.is_too_late_for_callers(),
+        };
+        if is_taken {
             return Ok(());
         }
         shared.intake.note_refused();
--- a/crates/seamhatchd/src/filters/request.rs
+++ b/crates/seamhatchd/src/filters/request.rs
@@ -148,6 +148,12 @@
         }
     }
 
+    /// The kind of request, under which its answer times are learnt.
+    #[must_use]
+    pub fn kind(&self) -> &str {
+        if self.entry_key.is_empty() { &self.service } else { &self.entry_key }
+    }
+
     /// How logs name the request: as its caller does, else by its root id.
     #[must_use]
     pub fn log_name(&self) -> String {
--- a/crates/seamhatchd/src/limits/mod.rs
+++ b/crates/seamhatchd/src/limits/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! The request path asks here; the control thread and the connections between daemons feed it.
 
+pub mod call_times;
 pub mod entry_floors;
 pub mod freshness;
 pub mod peer_notices;
@@ -10,6 +11,7 @@
 pub mod retry_budget;
 pub mod service_floors;
 
+use call_times::CallTimes;
 use freshness::Freshness;
 use peer_notices::PeerNotices;
 use quota::Quota;
@@ -21,6 +23,8 @@
 pub struct SharedLimits {
     /// Retries that this daemon may cause.
     pub retry_budget: RetryBudget,
+    /// How long calls of requests that run here take.
+    pub call_times: CallTimes,
     /// What the services admit that this daemon calls.
     pub service_floors: ServiceFloors,
     /// What the back ends beside other daemons have said of themselves.
--- a/crates/seamhatchd/src/listeners/proxy.rs
+++ b/crates/seamhatchd/src/listeners/proxy.rs
@@ -189,10 +189,15 @@
 
     /// Records how long a successful request took.
     fn learn_answer_time(&self, request: &RequestState, answer: &Answer) {
-        let good = StatusCode::from_u16(answer.head.status).is_ok_and(|status| status.is_success());
+        let is_good = StatusCode::from_u16(answer.head.status).is_ok_and(|status| status.is_success());
+        if !is_good {
+            return;
+        }
+        let took = clock::now().since(request.arrived);
         let is_root = request.parent.as_ref().is_some_and(|parent| parent.depth == 0);
-        if good && is_root && request.entry != Entry::Egress {
-            let took = clock::now().since(request.arrived);
+        if !is_root {
+            self.shared.limits.call_times.learn(request.kind(), took);
+        } else if request.entry != Entry::Egress {
             self.shared.entry_floors.learn_answer_time(&request.entry_key, took);
         }
     }
--- a/crates/seamhatchd/src/peer_server/call/execute.rs
+++ b/crates/seamhatchd/src/peer_server/call/execute.rs
@@ -96,7 +96,7 @@
         if running.expiry <= clock::now() {
             return Err(Reason::DeadlineExceeded);
         }
-        if !self.shared.can_finish(running.expiry) {
+        if !self.can_finish(running) {
             return Err(Reason::Draining);
         }
         self.shared.server.instances.open().ok_or(Reason::NoInstance)
@@ -127,7 +127,7 @@
             path: &self.head.path,
             headers: &self.head.headers,
             context,
-            expiry: running.expiry,
+            expiry: self.shared.bounded(running.expiry),
             instance: run.instance.as_ref(),
         };
         let answered = self.shared.server.backend.send(&request, body).await;
--- a/crates/seamhatchd/src/peer_server/call/mod.rs
+++ b/crates/seamhatchd/src/peer_server/call/mod.rs
@@ -144,12 +144,17 @@
         }
         match self.shared.call_intake() {
             CallIntake::Open => Ok(()),
-            CallIntake::FallbackOnly { .. } if self.shared.can_finish(running.expiry) => Ok(()),
+            CallIntake::FallbackOnly { .. } if self.can_finish(running) => Ok(()),
             CallIntake::Closed if self.shared.serves_callers() => Err(Reason::NoInstance),
             CallIntake::FallbackOnly { .. } | CallIntake::Closed => Err(Reason::Draining),
         }
     }
 
+    /// Whether the call, if it starts now, can end before the process does.
+    fn can_finish(&self, running: &RunningCall) -> bool {
+        self.shared.can_finish(running.expiry, self.shared.server.gate.usual_time(call_kind(running)))
+    }
+
     /// Waits until a call whose request is a suspect may run, as long as its answer is worth waiting for. Other calls
     /// don't wait.
     async fn admit_suspect(
--- a/crates/seamhatchd/src/server/gate/mod.rs
+++ b/crates/seamhatchd/src/server/gate/mod.rs
@@ -143,6 +143,12 @@
         self.pump(&mut state);
     }
 
+    /// How long calls of this kind usually take from their slot to their answer; none before the first.
+    #[must_use]
+    pub fn usual_time(&self, kind: CallKind) -> Option<Microseconds> {
+        self.lock().queue.usual_time(kind)
+    }
+
     /// Refuses all waiting calls, as the back end takes no more.
     pub fn close(&self) {
         let mut state = self.lock();
--- a/crates/seamhatchd/src/shared.rs
+++ b/crates/seamhatchd/src/shared.rs
@@ -21,6 +21,7 @@
 use crate::snapshot::Snapshot;
 use arc_swap::{ArcSwap, Guard};
 use seamhatch_core::Instant;
+use seamhatch_core::clock::Microseconds;
 use seamhatch_core::drain::{BackEndState, CallIntake, StopState};
 use seamhatch_core::identity::{CallId, Incarnation};
 use seamhatch_core::instance::InstanceId;
@@ -151,10 +152,16 @@
         }
     }
 
-    /// Whether a call that starts now can end before the process does.
+    /// Whether a call of another daemon that starts now can end before the process does; `usual` is how long calls of its kind take.
     #[must_use]
-    pub fn can_finish(&self, expiry: Instant) -> bool {
-        self.stop_state().can_finish(expiry, clock::now())
+    pub fn can_finish(&self, expiry: Instant, usual: Option<Microseconds>) -> bool {
+        self.stop_state().can_finish(expiry, usual, clock::now())
+    }
+
+    /// The deadline with which work that is due by `expiry` is sent on now.
+    #[must_use]
+    pub fn bounded(&self, expiry: Instant) -> Instant {
+        self.stop_state().bounded(expiry, clock::now())
     }
 
     /// Whether the server beside this daemon takes new work.
--- a/crates/seamhatchd/src/startup.rs
+++ b/crates/seamhatchd/src/startup.rs
@@ -10,6 +10,7 @@
 use crate::conventions::HttpConventions;
 use crate::lifecycle::DaemonLifecycle;
 use crate::limits::SharedLimits;
+use crate::limits::call_times::CallTimes;
 use crate::limits::entry_floors::EntryFloors;
 use crate::limits::freshness::Freshness;
 use crate::limits::peer_notices::PeerNotices;
@@ -208,6 +209,7 @@
 fn shared_limits(settings: &Settings) -> SharedLimits {
     SharedLimits {
         retry_budget: RetryBudget::new(settings.retries),
+        call_times: CallTimes::default(),
         service_floors: ServiceFloors::default(),
         peer_notices: PeerNotices::default(),
         freshness: Freshness::new(settings.revocation),
--- a/crates/seamhatchd/src/stop/mod.rs
+++ b/crates/seamhatchd/src/stop/mod.rs
@@ -20,7 +20,7 @@
 use log::{info, warn};
 use report::StopReport;
 use seamhatch_core::Instant;
-use seamhatch_core::drain::END_MARGIN;
+use seamhatch_core::drain::{ANSWER_MARGIN, END_MARGIN};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
@@ -76,7 +76,8 @@
 /// Waits until nothing is in progress and nothing more is taken; what is in progress when the stop has taken too long is given up.
 async fn drained(shared: &Shared, started: Instant, report: &mut StopReport) {
     let longest = shared.settings.grace.map_or(LONGEST_DRAIN, |grace| grace.saturating_sub(END_MARGIN));
-    tokio::join!(until_quiet(shared, started, longest), until_handed_over(shared, started, longest));
+    let serving = longest.saturating_sub(ANSWER_MARGIN);
+    tokio::join!(until_quiet(shared, started, serving), until_handed_over(shared, started, serving));
     shared.intake.close_to_callers();
     shared.lifecycle.notify_peers();
     report.note_border(shared.intake.count());
