Daemons that send calls answer the farewell of one that ends; what is due to them is written before it does

Cause: a stopping daemon told its peers by heartbeat that it takes no more calls, and ended 0.1 s later: a call that was on its way then was lost, not refused. Its caller got 502, as it may have run; one that may not be repeated could not go elsewhere. Replies, releases of claims and answers in outboxes went with the process. Change: the last heartbeats say Farewell::Said; the daemon that sends calls answers Heard, and from the same moment sends none (one lock), so that in the order of the connection nothing follows. The stop waits for these answers, 0.3 s at most (older releases and frozen peers), then for an empty intake; and before it ends, 0.2 s at most, until all outboxes are written (counted as they are filled). One byte more in each heartbeat.

--- a/crates/seamhatch-wire/src/lib.rs
+++ b/crates/seamhatch-wire/src/lib.rs
@@ -13,8 +13,8 @@
 pub use error::WireError;
 pub use frame::{FrameReader, LARGEST_FRAME, encode_frame, read_preface, write_preface};
 pub use message::{
-    AnswerHead, AnswerTail, CallContext, CallHead, ChainFloor, ControlReply, ControlRequest, HeaderField,
-    Hello, PeerMessage, Pulse, RecordedAnswer, RecordedState, Refusal, ServerReport,
+    AnswerHead, AnswerTail, CallContext, CallHead, ChainFloor, ControlReply, ControlRequest, Farewell,
+    HeaderField, Hello, PeerMessage, Pulse, RecordedAnswer, RecordedState, Refusal, ServerReport,
 };
 
 pub use seamhatch_core::drain::CallIntake;
--- a/crates/seamhatch-wire/src/message/link.rs
+++ b/crates/seamhatch-wire/src/message/link.rs
@@ -54,6 +54,18 @@
     /// What its server says of itself, for the receiver to hand back.
     #[speedy(default_on_eof)]
     pub notice: Option<BackEndNotice>,
+    /// Where the sender or the receiver is about to end.
+    #[speedy(default_on_eof)]
+    pub farewell: Option<Farewell>,
+}
+
+/// The last word on calls between two daemons of which one is about to end. Messages keep their order, so that no call follows the answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Readable, Writable)]
+pub enum Farewell {
+    /// The sender is about to end and takes no more calls; it waits for the answer.
+    Said,
+    /// The sender has heard it and sends no more calls.
+    Heard,
 }
 
 /// The state of a server, as the daemon beside it reports with every answer and heartbeat.
--- a/crates/seamhatch-wire/tests/hostile.rs
+++ b/crates/seamhatch-wire/tests/hostile.rs
@@ -15,9 +15,9 @@
 use seamhatch_core::priority::{AdmissionFloor, Priority, PriorityClass};
 use seamhatch_core::rate::RequestRate;
 use seamhatch_wire::{
-    AnswerHead, AnswerTail, CallContext, CallHead, CallIntake, ControlReply, ControlRequest, FrameReader,
-    HeaderField, Hello, LARGEST_DATAGRAM, PROTOCOL_VERSION, PeerMessage, Pulse, Refusal, ServerReport,
-    WireError, decode_datagram, encode_datagram, encode_frame,
+    AnswerHead, AnswerTail, CallContext, CallHead, CallIntake, ControlReply, ControlRequest, Farewell,
+    FrameReader, HeaderField, Hello, LARGEST_DATAGRAM, PROTOCOL_VERSION, PeerMessage, Pulse, Refusal,
+    ServerReport, WireError, decode_datagram, encode_datagram, encode_frame,
 };
 
 /// What a byte is changed to, besides its complement.
@@ -108,6 +108,7 @@
         proof: Some(FreshnessProof { generation: Generation(1), at: Instant(2) }),
         turn: Some(turn()),
         notice: Some(notice()),
+        farewell: Some(Farewell::Said),
     };
     let hello = Hello {
         cluster: "c".into(),
--- a/crates/seamhatch-wire/tests/wire_format.rs
+++ b/crates/seamhatch-wire/tests/wire_format.rs
@@ -102,6 +102,7 @@
         proof,
         turn: None,
         notice: None,
+        farewell: None,
     })
 }
 
@@ -373,7 +374,7 @@
     };
     let cases = [
         AdditionCase { name: "hello", message: added_to_hello, added: 3 },
-        AdditionCase { name: "pulse", message: pulse(CallIntake::Open, None), added: 2 },
+        AdditionCase { name: "pulse", message: pulse(CallIntake::Open, None), added: 3 },
         AdditionCase { name: "answer head", message: PeerMessage::AnswerHead(Box::new(head)), added: 2 },
         AdditionCase {
             name: "refused",
--- a/crates/seamhatchd/src/link_host.rs
+++ b/crates/seamhatchd/src/link_host.rs
@@ -2,10 +2,11 @@
 
 use crate::base::clock;
 use crate::base::metrics::BadInput;
-use crate::peer::{LinkHost, LocalState};
+use crate::peer::{LinkHost, LocalState, UnwrittenMessages};
 use crate::shared::Shared;
 use seamhatch_core::crashes::SuspectReport;
 use seamhatch_core::identity::Address;
+use seamhatch_core::intake::IntakePhase;
 use seamhatch_core::notice::BackEndNotice;
 use seamhatch_wire::{ADDITIONS, CallIntake, Hello, Pulse, ServerReport};
 use std::net::IpAddr;
@@ -25,6 +26,10 @@
         }
     }
 
+    fn unwritten(&self) -> &UnwrittenMessages {
+        &self.unwritten
+    }
+
     fn own_ip(&self) -> IpAddr {
         self.settings.listen.peer.ip
     }
@@ -37,6 +42,7 @@
             proof: self.limits.freshness.proof(),
             turn: self.server.notices.turn_of(peer),
             notice: self.server.notices.to_tell(),
+            ends: self.intake.phase() != IntakePhase::Open,
         }
     }
 
--- a/crates/seamhatchd/src/peer/connection.rs
+++ b/crates/seamhatchd/src/peer/connection.rs
@@ -90,10 +90,9 @@
     /// [`LinkClosed`] when nothing was written.
     pub fn start_call(&self, head: CallHead) -> Result<CallStream, LinkClosed> {
         self.state.note_used();
-        self.state.view().note_sent(clock::now());
         let call = head.call;
         let (events, window) = self.state.calls.add(call);
-        let sent = self.outbox.send(PeerMessage::Call(Box::new(head)));
+        let sent = self.send_unless_ending(head);
         if sent.is_err() {
             self.state.calls.remove(call);
             return Err(LinkClosed);
@@ -102,6 +101,16 @@
         Ok(CallStream { call, window, outbox, events, calls, ended: false })
     }
 
+    /// Holds the view while it sends, so that no call follows the answer to a farewell.
+    fn send_unless_ending(&self, head: CallHead) -> Result<(), LinkClosed> {
+        let mut view = self.state.view();
+        if view.ends {
+            return Err(LinkClosed);
+        }
+        view.note_sent(clock::now());
+        self.outbox.send(PeerMessage::Call(Box::new(head)))
+    }
+
     /// Sends a claim and waits for the reply; none when the connection was lost.
     pub async fn claim(&self, shard: u32, epoch: Epoch, claim: Claim) -> Option<ClaimReply> {
         let message = |exchange| PeerMessage::Claim { exchange, shard, epoch, claim };
--- a/crates/seamhatchd/src/peer/handshake.rs
+++ b/crates/seamhatchd/src/peer/handshake.rs
@@ -40,7 +40,7 @@
     let mut stream = connect_from(host.own_ip(), address.into()).await?;
     stream.set_nodelay(true)?;
     write_preface(&mut stream).await?;
-    let (outbox, messages) = Outbox::new();
+    let (outbox, messages) = Outbox::new(host.unwritten().clone());
     let (mut reader, writer) = stream.into_split();
     // It carries the clock, so it is made right before it is sent.
     let own = host.hello(Some(address));
--- a/crates/seamhatchd/src/peer/host.rs
+++ b/crates/seamhatchd/src/peer/host.rs
@@ -4,6 +4,7 @@
 //! the daemon's shared state implements [`LinkHost`].
 
 use crate::base::metrics::BadInput;
+use crate::peer::link::UnwrittenMessages;
 use seamhatch_core::balance::TurnReport;
 use seamhatch_core::crashes::SuspectReport;
 use seamhatch_core::freshness::FreshnessProof;
@@ -30,6 +31,8 @@
     pub turn: Option<TurnReport>,
     /// What the back end says of itself.
     pub notice: Option<BackEndNotice>,
+    /// The daemon is about to end and takes no more calls.
+    pub ends: bool,
 }
 
 /// The daemon at this end of its connections. Its methods are called for each message and must not block.
@@ -37,6 +40,9 @@
     /// The first message on each connection. One that is opened to `callee` hands back what is known of its back end.
     fn hello(&self, callee: Option<Address>) -> Hello;
 
+    /// Counts the messages of all connections that are not written yet.
+    fn unwritten(&self) -> &UnwrittenMessages;
+
     /// The address from which connections are opened, so that peers see which machine it is.
     fn own_ip(&self) -> IpAddr;
 
--- a/crates/seamhatchd/src/peer/incoming.rs
+++ b/crates/seamhatchd/src/peer/incoming.rs
@@ -8,10 +8,11 @@
 use crate::peer::call::CallEvent;
 use crate::peer::connection::PeerConnection;
 use crate::peer::host::LinkHost;
+use crate::peer::link;
 use bytes::Bytes;
 use seamhatch_core::balance::TurnReport;
 use seamhatch_core::identity::CallId;
-use seamhatch_wire::{CallIntake, FrameReader, PeerMessage, Pulse, ServerReport, WireError};
+use seamhatch_wire::{CallIntake, Farewell, FrameReader, PeerMessage, Pulse, ServerReport, WireError};
 use tokio::net::tcp::OwnedReadHalf;
 
 impl PeerConnection {
@@ -54,10 +55,20 @@
 
     fn handle_pulse(&self, host: &dyn LinkHost, pulse: &Pulse) {
         self.state.view().apply_pulse(pulse);
+        if pulse.farewell == Some(Farewell::Said) {
+            self.answer_farewell(host);
+        }
         host.peer_pulse(&self.service, self.address, pulse);
         host.back_end_notice(self.address, pulse.notice.as_ref());
     }
 
+    /// Tells a peer that is about to end that no call follows: none is sent once its view says so.
+    fn answer_farewell(&self, host: &dyn LinkHost) {
+        let pulse = link::pulse(host, self.address, &|instant| self.to_peer_clock(instant));
+        // A connection that has ended takes no calls either.
+        let _ = self.outbox.send(PeerMessage::Pulse(Pulse { farewell: Some(Farewell::Heard), ..pulse }));
+    }
+
     /// Records what the peer reports of its server beside an answer. A server that takes no more calls doesn't count
     /// for the admission floor of its service.
     fn note_report(&self, host: &dyn LinkHost, report: ServerReport, turn: Option<TurnReport>) {
--- a/crates/seamhatchd/src/peer/link.rs
+++ b/crates/seamhatchd/src/peer/link.rs
@@ -9,7 +9,9 @@
 use seamhatch_core::Instant;
 use seamhatch_core::freshness::FreshnessProof;
 use seamhatch_core::identity::Address;
-use seamhatch_wire::{Hello, PeerMessage, Pulse, WireError, encode_frame};
+use seamhatch_wire::{Farewell, Hello, PeerMessage, Pulse, WireError, encode_frame};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::io::{AsyncWrite, AsyncWriteExt};
 use tokio::sync::mpsc;
@@ -24,20 +26,53 @@
 /// Bytes that are gathered for one write.
 const WRITE_BATCH: usize = 64 * 1024;
 
+/// Messages of all connections that were put into an outbox and are not written yet. Cheap to clone.
+#[derive(Debug, Clone, Default)]
+pub struct UnwrittenMessages(Arc<AtomicUsize>);
+
+impl UnwrittenMessages {
+    /// How many there are.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.0.load(Ordering::Acquire)
+    }
+
+    fn add(&self) {
+        self.0.fetch_add(1, Ordering::AcqRel);
+    }
+
+    fn remove(&self, count: usize) {
+        self.0.fetch_sub(count, Ordering::AcqRel);
+    }
+}
+
 /// Messages that wait to be written to the peer. Cheap to clone.
 #[derive(Debug, Clone)]
-pub struct Outbox(mpsc::UnboundedSender<PeerMessage>);
+pub struct Outbox {
+    messages: mpsc::UnboundedSender<PeerMessage>,
+    unwritten: UnwrittenMessages,
+}
+
+/// The end of an outbox that its writer reads.
+#[derive(Debug)]
+pub struct OutboxReader {
+    messages: mpsc::UnboundedReceiver<PeerMessage>,
+    unwritten: UnwrittenMessages,
+    /// Messages that were read and are not written yet.
+    in_hand: usize,
+}
 
 /// The connection has ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LinkClosed;
 
 impl Outbox {
-    /// An outbox and the end that its writer reads.
+    /// An outbox and the end that its writer reads; its messages count among these.
     #[must_use]
-    pub fn new() -> (Self, mpsc::UnboundedReceiver<PeerMessage>) {
-        let (sender, receiver) = mpsc::unbounded_channel();
-        (Self(sender), receiver)
+    pub fn new(unwritten: UnwrittenMessages) -> (Self, OutboxReader) {
+        let (sender, messages) = mpsc::unbounded_channel();
+        let reader = OutboxReader { messages, unwritten: unwritten.clone(), in_hand: 0 };
+        (Self { messages: sender, unwritten }, reader)
     }
 
     /// Puts a message in.
@@ -45,13 +80,47 @@
     /// # Errors
     /// [`LinkClosed`] when the writer has stopped; the message was not written.
     pub fn send(&self, message: PeerMessage) -> Result<(), LinkClosed> {
-        self.0.send(message).map_err(|_| LinkClosed)
+        self.unwritten.add();
+        self.messages.send(message).map_err(|_| {
+            self.unwritten.remove(1);
+            LinkClosed
+        })
     }
 
     /// Whether the writer has stopped.
     #[must_use]
     pub fn is_closed(&self) -> bool {
-        self.0.is_closed()
+        self.messages.is_closed()
+    }
+}
+
+impl OutboxReader {
+    /// Gathers messages for one write; false when the outbox is closed.
+    async fn gather(&mut self, buffer: &mut Vec<u8>) -> Result<bool, WireError> {
+        let Some(message) = self.messages.recv().await else { return Ok(false) };
+        self.in_hand = 1;
+        encode_frame(&message, buffer)?;
+        while buffer.len() < WRITE_BATCH {
+            let Ok(message) = self.messages.try_recv() else { break };
+            self.in_hand += 1;
+            encode_frame(&message, buffer)?;
+        }
+        Ok(true)
+    }
+
+    /// All that was gathered is written.
+    fn note_written(&mut self) {
+        self.unwritten.remove(std::mem::take(&mut self.in_hand));
+    }
+}
+
+impl Drop for OutboxReader {
+    fn drop(&mut self) {
+        self.messages.close();
+        while self.messages.try_recv().is_ok() {
+            self.in_hand += 1;
+        }
+        self.note_written();
     }
 }
 
@@ -61,16 +130,12 @@
 /// [`WireError`] of the connection.
 pub async fn write_messages(
     mut stream: impl AsyncWrite + Unpin,
-    mut messages: mpsc::UnboundedReceiver<PeerMessage>,
+    mut messages: OutboxReader,
 ) -> Result<(), WireError> {
     let mut buffer = Vec::with_capacity(WRITE_BATCH);
-    while let Some(message) = messages.recv().await {
-        encode_frame(&message, &mut buffer)?;
-        while buffer.len() < WRITE_BATCH {
-            let Ok(message) = messages.try_recv() else { break };
-            encode_frame(&message, &mut buffer)?;
-        }
+    while messages.gather(&mut buffer).await? {
         stream.write_all(&buffer).await?;
+        messages.note_written();
         buffer.clear();
         buffer.shrink_to(WRITE_BATCH);
     }
@@ -114,10 +179,15 @@
 }
 
 /// The present heartbeat.
-fn pulse(host: &dyn LinkHost, peer: Address, to_peer_clock: &impl Fn(Instant) -> Instant) -> Pulse {
-    let LocalState { generation, intake, server, proof, turn, notice } = host.local_state(peer);
+pub(super) fn pulse(
+    host: &dyn LinkHost,
+    peer: Address,
+    to_peer_clock: &impl Fn(Instant) -> Instant,
+) -> Pulse {
+    let LocalState { generation, intake, server, proof, turn, notice, ends } = host.local_state(peer);
     let proof = proof.map(|proof| FreshnessProof { at: to_peer_clock(proof.at), ..proof });
-    Pulse { clock: clock::now(), generation, intake, server, proof, turn, notice }
+    let farewell = ends.then_some(Farewell::Said);
+    Pulse { clock: clock::now(), generation, intake, server, proof, turn, notice, farewell }
 }
 
 /// Takes the peer's first message for its `Hello`.
--- a/crates/seamhatchd/src/peer/mod.rs
+++ b/crates/seamhatchd/src/peer/mod.rs
@@ -7,6 +7,7 @@
 mod call;
 mod connection;
 mod credit;
+mod farewells;
 mod handshake;
 mod host;
 mod incoming;
@@ -21,8 +22,9 @@
 pub use call::{AnswerBody, AnswerPiece, CallEvent, CallStream};
 pub use connection::PeerConnection;
 pub use credit::CreditWindow;
+pub use farewells::{AwaitedFarewell, Farewells};
 pub use host::{LinkHost, LocalState};
-pub use link::{LinkClosed, Outbox, PULSE_INTERVAL};
+pub use link::{LinkClosed, Outbox, PULSE_INTERVAL, UnwrittenMessages};
 pub use pool::{PeerPool, PeerUnreachable};
 pub use view::PeerView;
 
--- a/crates/seamhatchd/src/peer/view.rs
+++ b/crates/seamhatchd/src/peer/view.rs
@@ -8,7 +8,7 @@
     self, CallEnd, CandidateStanding, Ejection, NextTurn, SuccessRate, TurnReport,
 };
 use seamhatch_core::clock::{Microseconds, PeerClock};
-use seamhatch_wire::{CallIntake, ServerReport};
+use seamhatch_wire::{CallIntake, Farewell, ServerReport};
 
 /// What is known of the peer from its messages.
 #[derive(Debug, Clone)]
@@ -17,6 +17,8 @@
     pub last_heard: Instant,
     /// Which calls its server gets.
     pub intake: CallIntake,
+    /// It is about to end, and no call may be sent to it any more.
+    pub(super) ends: bool,
     /// State of its server; none before the first report.
     pub server: Option<ServerReport>,
     /// When its process ends, while it drains.
@@ -38,6 +40,7 @@
         Self {
             last_heard: now,
             intake: CallIntake::Open,
+            ends: false,
             server: None,
             leaves_at: now,
             turn: None,
@@ -120,6 +123,7 @@
     pub(super) fn apply_pulse(&mut self, pulse: &seamhatch_wire::Pulse) {
         self.clock.observe(pulse.clock, clock::now());
         self.intake = pulse.intake;
+        self.ends |= pulse.farewell == Some(Farewell::Said);
         if let CallIntake::FallbackOnly { left } = pulse.intake {
             self.leaves_at = clock::now().plus(left);
         }
--- a/crates/seamhatchd/src/peer_server/mod.rs
+++ b/crates/seamhatchd/src/peer_server/mod.rs
@@ -63,13 +63,14 @@
     if let Some(notice) = &hello.handed_back {
         shared.take_back(notice);
     }
-    let (outbox, messages) = Outbox::new();
+    let (outbox, messages) = Outbox::new(shared.unwritten.clone());
     // The outbox was made just now and can't be closed.
     let _ = outbox.send(PeerMessage::Hello(shared.hello(None)));
     let writing = AbortOnDrop(tokio::spawn(link::write_messages(writer, messages)));
     let (calls, peer_clock) = (IncomingCalls::default(), SenderClock::new(hello.clock));
     let pulses = spawn_pulses(shared, hello.peer, &outbox, &calls, &peer_clock);
-    let session = Session { shared: shared.clone(), outbox, hello, calls, peer_clock };
+    let farewell = shared.farewells.begin();
+    let session = Session { shared: shared.clone(), outbox, hello, calls, peer_clock, farewell };
     let result = session.run(frames).await;
     drop((writing, pulses));
     result
--- a/crates/seamhatchd/src/peer_server/session.rs
+++ b/crates/seamhatchd/src/peer_server/session.rs
@@ -8,8 +8,7 @@
 use crate::base::metrics::BadInput;
 use crate::intake::RequestEntry;
 use crate::limits::quota;
-use crate::peer::CreditWindow;
-use crate::peer::Outbox;
+use crate::peer::{AwaitedFarewell, CreditWindow, Outbox};
 use crate::peer_server::call::ServerCall;
 use crate::peer_server::incoming_calls::{IncomingCall, IncomingCalls};
 use crate::server::backend;
@@ -20,7 +19,7 @@
 use seamhatch_core::identity::CallId;
 use seamhatch_core::quota::QuotaGrant;
 use seamhatch_wire::{
-    CallHead, ControlReply, ControlRequest, FrameReader, Hello, PeerMessage, Pulse, WireError,
+    CallHead, ControlReply, ControlRequest, Farewell, FrameReader, Hello, PeerMessage, Pulse, WireError,
 };
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -64,6 +63,7 @@
     pub(super) hello: Hello,
     pub(super) calls: IncomingCalls,
     pub(super) peer_clock: SenderClock,
+    pub(super) farewell: AwaitedFarewell,
 }
 
 impl Session {
@@ -106,6 +106,9 @@
 
     fn handle_pulse(&self, pulse: &Pulse) {
         self.peer_clock.observe(pulse.clock);
+        if pulse.farewell == Some(Farewell::Heard) {
+            self.farewell.note_heard();
+        }
         pulse.proof.into_iter().for_each(|proof| self.shared.limits.freshness.prove(proof));
         self.shared.control.note_peer_generation(self.hello.peer, pulse.generation);
     }
--- a/crates/seamhatchd/src/shared.rs
+++ b/crates/seamhatchd/src/shared.rs
@@ -14,7 +14,7 @@
 use crate::limits::SharedLimits;
 use crate::limits::entry_floors::EntryFloors;
 use crate::limits::quota::QuotaContext;
-use crate::peer::PeerPool;
+use crate::peer::{Farewells, PeerPool, UnwrittenMessages};
 use crate::server::ServerSide;
 use crate::server::crashes::{CrashContext, SuspectBook};
 use crate::settings::Settings;
@@ -44,6 +44,10 @@
     pub suspects: Arc<SuspectBook>,
     /// How HTTP carries names, deadlines and outcomes.
     pub conventions: Arc<dyn HttpConventions>,
+    /// Messages to other daemons that are not written yet.
+    pub unwritten: UnwrittenMessages,
+    /// Daemons that may send calls here and have not heard that this one ends.
+    pub farewells: Farewells,
     /// Connections to other daemons.
     pub pool: Arc<PeerPool>,
     /// Claims, as a witness and as a claimant.
--- a/crates/seamhatchd/src/startup.rs
+++ b/crates/seamhatchd/src/startup.rs
@@ -18,7 +18,7 @@
 use crate::limits::retry_budget::RetryBudget;
 use crate::limits::service_floors::ServiceFloors;
 use crate::listeners::Listeners;
-use crate::peer::PeerPool;
+use crate::peer::{Farewells, PeerPool, UnwrittenMessages};
 use crate::peer_server;
 use crate::ports::Ports;
 use crate::reload;
@@ -180,6 +180,8 @@
         published,
         lifecycle: DaemonLifecycle::starting(settings.grace),
         intake: Arc::default(),
+        unwritten: UnwrittenMessages::default(),
+        farewells: Farewells::default(),
         next_call: AtomicU64::new(1),
         metrics,
         settings,
--- a/crates/seamhatchd/src/stop/mod.rs
+++ b/crates/seamhatchd/src/stop/mod.rs
@@ -36,6 +36,8 @@
 const DRAIN_POLL: Duration = Duration::from_millis(10);
 /// The daemon stops serving once nothing was in progress for this long.
 const QUIET_TO_STOP: Duration = Duration::from_millis(100);
+/// Longest wait for the answers of other daemons to the farewell: releases before it, and frozen ones, don't answer.
+const LONGEST_TO_KNOW: Duration = Duration::from_millis(300);
 /// Longest wait, once nothing is taken any more, for connections to end and for the other members to be told.
 const LONGEST_ENDING: Duration = Duration::from_millis(200);
 
@@ -81,6 +83,7 @@
     shared.intake.close_to_callers();
     shared.lifecycle.notify_peers();
     report.note_border(shared.intake.count());
+    until_peers_know(shared).await;
     while !shared.intake.close_if_idle() {
         if passed_since(started) >= longest {
             return cut_off(shared, report);
@@ -90,6 +93,14 @@
     report.note_closed(shared, &[]);
 }
 
+/// Waits until the daemons that send calls here have heard that none are taken any more: what they sent before has come by then.
+async fn until_peers_know(shared: &Shared) {
+    let asked = clock::now();
+    while shared.farewells.awaited() > 0 && passed_since(asked) < LONGEST_TO_KNOW {
+        tokio::time::sleep(DRAIN_POLL).await;
+    }
+}
+
 /// Waits until callers and daemons have learned that this one leaves and nothing was in progress for [`QUIET_TO_STOP`], for at most
 /// `longest` since `started`.
 async fn until_quiet(shared: &Shared, started: Instant, longest: Duration) {
@@ -115,14 +126,22 @@
     report.note_closed(shared, &unfinished);
 }
 
-/// Ends the connections of callers, each once its last answer is written, and tells the other members that this daemon has left.
+/// Ends the connections of callers, each once its last answer is written, writes what is due to other daemons, and tells them that this one has left.
 async fn end_connections(shared: &Shared, listeners: &Listeners) {
     listeners.close();
-    let ending = async { tokio::join!(listeners.until_closed(), shared.control.leave()) };
+    let ending =
+        async { tokio::join!(listeners.until_closed(), shared.control.leave(), until_written(shared)) };
     // What is longer in ending is ended with the process.
     let _ = tokio::time::timeout(LONGEST_ENDING, ending).await;
 }
 
+/// Waits until all messages to other daemons are written.
+async fn until_written(shared: &Shared) {
+    while shared.unwritten.count() > 0 {
+        tokio::time::sleep(DRAIN_POLL).await;
+    }
+}
+
 fn passed_since(instant: Instant) -> Duration {
     Duration::from_micros(clock::now().since(instant))
 }
