Orders of operators and words of the back end are taken by the intake, too

Cause: a submission, a drain, a clearing, a heartbeat or goodbye that a stopping daemon had read could end with the process, before its answer; the same border as for requests. Change: each is in progress until it is answered; once the intake is closed they get 503 (nothing was done; another daemon takes it). Reads of operators are as before. Left: their listeners don't tell when an answer is written, so the last answer's bytes are not waited for.

--- a/crates/seamhatchd/src/intake/progress.rs
+++ b/crates/seamhatchd/src/intake/progress.rs
@@ -13,6 +13,10 @@
     Listener,
     /// From another daemon, as a call for the back end.
     Peer,
+    /// From an operator, as an order.
+    Operator,
+    /// From the back end beside this daemon, as a heartbeat or goodbye.
+    Registry,
 }
 
 impl RequestEntry {
@@ -22,6 +26,8 @@
         match self {
             Self::Listener => "listener",
             Self::Peer => "peer",
+            Self::Operator => "operator",
+            Self::Registry => "registry",
         }
     }
 }
--- a/crates/seamhatchd/src/listeners/admin.rs
+++ b/crates/seamhatchd/src/listeners/admin.rs
@@ -4,6 +4,7 @@
 //! operators' interface, as the `seamhatch` client speaks it (docs/OPERATIONS.md).
 
 use crate::control::{DrainTarget, SubmitError, SubmitRequest};
+use crate::intake::RequestEntry;
 use crate::listeners::answers::{self, json, typed};
 use crate::server::crashes::crash_report;
 use crate::shared::Shared;
@@ -84,19 +85,36 @@
         }
         (&Method::GET, "/v1/status") => json(StatusCode::OK, &shared.control.status().await),
         (&Method::GET, "/v1/configuration") => configuration(&shared).await,
-        (&Method::POST, "/v1/submissions") => submit(&shared, body).await,
         (&Method::POST, "/v1/explain") => explain(&shared, body).await,
-        (&Method::POST, "/v1/drain") => drain(&shared, body).await,
         (&Method::GET, "/v1/crashes") => {
             let report = crash_report(&shared.suspects, shared.metrics.crashes.get());
             json(StatusCode::OK, &report)
         }
-        (&Method::POST, "/v1/crashes/clear") => clear_suspect(&shared, body).await,
-        _ => problem(StatusCode::NOT_FOUND, "not-found", "no such page; see docs/OPERATIONS.md"),
+        (&Method::POST, path) => order(&shared, path, body).await,
+        _ => not_found(),
     };
     Ok(response)
 }
 
+/// Carries out an order. It is in progress until it is answered; a daemon that ends takes none.
+async fn order(shared: &Arc<Shared>, path: &str, body: RequestBody) -> WebResponse {
+    let Ok(taken) = shared.intake.take(RequestEntry::Operator) else {
+        let detail = "this daemon ends; nothing was done: give the order to another one";
+        return problem(StatusCode::SERVICE_UNAVAILABLE, "unavailable", detail);
+    };
+    taken.progress().set_name(path.to_owned());
+    match path {
+        "/v1/submissions" => submit(shared, body).await,
+        "/v1/drain" => drain(shared, body).await,
+        "/v1/crashes/clear" => clear_suspect(shared, body).await,
+        _ => not_found(),
+    }
+}
+
+fn not_found() -> WebResponse {
+    problem(StatusCode::NOT_FOUND, "not-found", "no such page; see docs/OPERATIONS.md")
+}
+
 fn problem(status: StatusCode, kind: &'static str, detail: impl Into<String>) -> WebResponse {
     json(status, &Problem { kind, detail: detail.into(), generation: None })
 }
--- a/crates/seamhatchd/src/listeners/registry.rs
+++ b/crates/seamhatchd/src/listeners/registry.rs
@@ -5,6 +5,7 @@
 
 use crate::base::metrics::BadInput;
 use crate::control::InstanceAnswer;
+use crate::intake::RequestEntry;
 use crate::listeners::answers::{json, read_json, typed};
 use crate::shared::Shared;
 use http::{Method, StatusCode};
@@ -71,6 +72,11 @@
         return Ok(problem(StatusCode::NOT_FOUND, "not-found", "instances are at /v1/instances/NAME"));
     };
     let instance = InstanceId::named(name);
+    let Ok(taken) = shared.intake.take(RequestEntry::Registry) else {
+        let detail = "this daemon ends; tell another one";
+        return Ok(problem(StatusCode::SERVICE_UNAVAILABLE, "ending", detail));
+    };
+    taken.progress().set_name(instance.name.clone());
     let response = match parts.method {
         Method::PUT => heartbeat(&shared, instance, body).await,
         Method::DELETE => {
