Answers to claimed calls outlive a planned stop of the daemon that has them

Cause: the answer to a keyed request was kept only by the daemon that had claimed it; after its planned stop a repeat was told that another attempt holds the key (409), and never the answer: something accepted was lost to its caller. Change: once its intake is closed, a stopping daemon has two others hold each answer, chosen by the key, for 1 s at most, the latest first; what it holds of others goes along.

--- a/crates/seamhatch-lab/tests/planned_stop.rs
+++ b/crates/seamhatch-lab/tests/planned_stop.rs
@@ -209,3 +209,31 @@
         assert_eq!(count, 1, "{request}");
     }
 }
+
+/// The answer to a keyed request was gone with the daemon that had sent it on: a repeat was told that another attempt holds the key, and never the answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_answer_to_a_keyed_request_outlives_a_planned_stop_of_its_daemon() {
+    let (mut deployment, _turn) = start(Topology::harvest().in_small(2), false).await;
+    let caller = Caller::default();
+    let payout = |number: usize| request("POST", "/payouts/payouts", &format!("kept-{number}"), true);
+    for number in 0..20 {
+        assert!(until_answered(&deployment, &caller, &payout(number), &[0]).await.is_good());
+    }
+    // The second stop takes along what the first one has handed over.
+    for daemon in [0, 1] {
+        deployment.daemons[daemon].signal(Signal::TERM).expect("runs");
+        let stopping = &mut deployment.daemons[daemon];
+        let status = tokio::task::block_in_place(|| stopping.wait(LONG)).expect("ends by itself");
+        assert_eq!(status.code(), Some(0));
+        deployment.restart(daemon).expect("starts");
+        assert_ready(&deployment).await;
+    }
+    for number in 0..20 {
+        let ingress = deployment.daemons[3].machine.ingress();
+        let answer = caller.send(ingress, &payout(number)).await;
+        assert!(answer.is_good(), "{number}: {answer:?}");
+    }
+    for (request, count) in executions_by_request(&deployment, "settlement", "POST") {
+        assert_eq!(count, 1, "{request}");
+    }
+}
--- a/crates/seamhatch-wire/src/lib.rs
+++ b/crates/seamhatch-wire/src/lib.rs
@@ -30,5 +30,5 @@
 /// The additions from which on [`seamhatch_core::outcome::Reason::BackendRate`] is read.
 pub const READS_BACKEND_RATE: u16 = 1;
 
-/// The additions from which on [`ControlRequest::HoldSealed`] is read.
+/// The additions from which on [`ControlRequest::HoldSealed`] and what follows it are read.
 pub const HOLDS_SEALED: u16 = 2;
--- a/crates/seamhatch-wire/src/message/control.rs
+++ b/crates/seamhatch-wire/src/message/control.rs
@@ -100,6 +100,15 @@
         /// The witness.
         witness: WitnessId,
     },
+    /// Asks to hold the answer of a claimed call, as its holder ends.
+    HoldRecorded {
+        /// The claim's key.
+        key: ClaimKey,
+        /// Its holder.
+        holder: ClaimHolder,
+        /// The answer.
+        answer: RecordedAnswer,
+    },
 }
 
 /// What a witness that has retired remembers of one shard.
--- a/crates/seamhatch-wire/tests/wire_format.rs
+++ b/crates/seamhatch-wire/tests/wire_format.rs
@@ -206,6 +206,10 @@
     ]
 }
 
+fn recorded_answer() -> RecordedAnswer {
+    RecordedAnswer { status: 200, headers: fields(), body: vec![4, 5] }
+}
+
 fn sealed_memory() -> SealedMemory {
     let witness = WitnessId { daemon: v4(), incarnation: Incarnation(60) };
     SealedMemory { shard: 61, witness, claims: vec![claim()], held: Some(stored()) }
@@ -231,12 +235,16 @@
         ("get tokens", ControlRequest::GetTokens { shard: 42, tenant: "north".into(), wanted: 43 }),
         ("get recorded", ControlRequest::GetRecorded { key: ClaimKey(44), holder: holder() }),
         ("hold sealed", ControlRequest::HoldSealed(sealed_memory())),
+        (
+            "hold recorded",
+            ControlRequest::HoldRecorded { key: ClaimKey(44), holder: holder(), answer: recorded_answer() },
+        ),
         ("get sealed", ControlRequest::GetSealed { shard, witness: sealed_memory().witness }),
     ]
 }
 
 fn control_replies() -> Vec<(&'static str, ControlReply)> {
-    let answer = RecordedAnswer { status: 200, headers: fields(), body: vec![4, 5] };
+    let answer = recorded_answer();
     let recorded = ControlReply::Recorded;
     vec![
         ("done", ControlReply::Done),
--- a/crates/seamhatchd/src/claims/records.rs
+++ b/crates/seamhatchd/src/claims/records.rs
@@ -1,12 +1,13 @@
 //! What became of the claims that this daemon made, for repeats of the same request.
 //!
-//! Written by the claimant, read by other daemons' claimants through control requests, and trimmed by the control thread.
+//! Written by the claimant, read by other daemons' claimants through control requests, and trimmed by the control thread. Answers of daemons that have stopped
+//! are held here, too.
 
 use crate::base::clock;
 use crate::base::lock::lock;
 use seamhatch_core::Instant;
 use seamhatch_core::claims::{CLAIM_MEMORY, ClaimHolder, ClaimKey};
-use seamhatch_wire::RecordedState;
+use seamhatch_wire::{RecordedAnswer, RecordedState};
 use std::collections::{HashMap, VecDeque};
 use std::sync::{Mutex, MutexGuard};
 
@@ -53,6 +54,23 @@
         records.shrink();
     }
 
+    /// Holds the answer of another daemon's claim.
+    pub fn hold(&self, key: ClaimKey, holder: ClaimHolder, answer: RecordedAnswer) {
+        self.begin(key, holder);
+        self.set(key, holder, RecordedState::Answered(answer));
+    }
+
+    /// The claims whose answers are known, the latest first.
+    #[must_use]
+    pub fn answered(&self) -> Vec<(ClaimKey, ClaimHolder)> {
+        let records = self.lock();
+        let is_answered = |claim: &&(ClaimKey, ClaimHolder)| {
+            let record = records.by_claim.get(claim);
+            record.is_some_and(|record| matches!(record.state, RecordedState::Answered(_)))
+        };
+        records.order.iter().rev().filter(is_answered).copied().collect()
+    }
+
     /// What became of a claim.
     #[must_use]
     pub fn get(&self, key: ClaimKey, holder: ClaimHolder) -> RecordedState {
--- a/crates/seamhatchd/src/controllers/control_thread/requests.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/requests.rs
@@ -41,6 +41,10 @@
                 self.shared.claims.sealed.hold(memory);
                 ControlReply::Done
             }
+            ControlRequest::HoldRecorded { key, holder, answer } => {
+                self.shared.claims.records.hold(key, holder, answer);
+                ControlReply::Done
+            }
             ControlRequest::GetSealed { shard, witness } => {
                 match self.shared.claims.sealed.get(shard, witness) {
                     Some(SealedMemory { claims, held, .. }) => ControlReply::Sealed { claims, held },
--- a/crates/seamhatchd/src/stop/handover.rs
+++ b/crates/seamhatchd/src/stop/handover.rs
@@ -1,16 +1,19 @@
-//! Handing over what a daemon that stops remembers as a witness.
+//! Handing over what a daemon that stops remembers: as a witness, and of the answers to its claimed calls.
 
 use super::passed_since;
 use crate::control::Retirement;
 use crate::controllers::ask::ask_holder;
 use crate::shared::Shared;
+use futures_util::StreamExt;
 use futures_util::future::join_all;
+use futures_util::stream;
 use log::{info, warn};
 use rand::seq::SliceRandom;
 use seamhatch_core::Instant;
+use seamhatch_core::claims::{ClaimHolder, ClaimKey};
 use seamhatch_core::identity::Address;
 use seamhatch_core::roster::WitnessDuty;
-use seamhatch_wire::{ControlReply, ControlRequest, SealedMemory};
+use seamhatch_wire::{ControlReply, ControlRequest, RecordedState, SealedMemory};
 use std::time::Duration;
 
 /// Longest time from the request to stop for others to take over this daemon's shards; the grace period may end before.
@@ -22,6 +25,8 @@
 const USUAL_HANDOVER: Duration = Duration::from_millis(1_500);
 /// Daemons that are to hold what this one remembers where nobody has taken over: one of them may end.
 const HOLDERS: usize = 2;
+/// Answers that are handed over at a time.
+const ANSWERS_AT_A_TIME: usize = 32;
 /// Daemons that are asked to, the rest in reserve.
 const ASKED_TO_HOLD: usize = 4;
 
@@ -108,3 +113,28 @@
         }
     }
 }
+
+/// Has other daemons hold the answers to this daemon's claimed calls, for repeats of them, the latest first and for at most `longest`.
+pub(super) async fn hand_over_answers(shared: &Shared, longest: Duration) {
+    let claims = shared.claims.records.answered();
+    if claims.is_empty() {
+        return;
+    }
+    let handing = stream::iter(claims.iter().copied())
+        .map(|(key, holder)| give_answer(shared, key, holder))
+        .buffer_unordered(ANSWERS_AT_A_TIME)
+        .filter(|given| std::future::ready(*given))
+        .count();
+    let given = tokio::time::timeout(longest, handing).await;
+    let given = given.unwrap_or_default();
+    info!(answers = claims.len(), given = given; "answers to claimed calls handed over");
+}
+
+async fn give_answer(shared: &Shared, key: ClaimKey, holder: ClaimHolder) -> bool {
+    let RecordedState::Answered(answer) = shared.claims.records.get(key, holder) else { return false };
+    let own = shared.settings.advertise.peer;
+    let holders = shared.claimant.answer_holders(key, own, HOLDERS);
+    let request = ControlRequest::HoldRecorded { key, holder, answer };
+    let given = holders.into_iter().map(|daemon| ask_holder(&shared.pool, daemon, request.clone()));
+    join_all(given).await.contains(&Some(ControlReply::Done))
+}
--- a/crates/seamhatchd/src/stop/mod.rs
+++ b/crates/seamhatchd/src/stop/mod.rs
@@ -16,7 +16,7 @@
 use crate::control::DrainTarget;
 use crate::listeners::Listeners;
 use crate::shared::Shared;
-use handover::until_handed_over;
+use handover::{hand_over_answers, until_handed_over};
 use log::{info, warn};
 use report::StopReport;
 use seamhatch_core::Instant;
@@ -38,6 +38,8 @@
 const QUIET_TO_STOP: Duration = Duration::from_millis(100);
 /// Longest wait for the answers of other daemons to the farewell: releases before it, and frozen ones, don't answer.
 const LONGEST_TO_KNOW: Duration = Duration::from_millis(300);
+/// Longest time, once nothing is taken any more, for others to take over the answers to claimed calls.
+const LONGEST_FOR_ANSWERS: Duration = Duration::from_secs(1);
 /// Longest wait, once nothing is taken any more, for connections to end and for the other members to be told.
 const LONGEST_ENDING: Duration = Duration::from_millis(200);
 
@@ -91,6 +93,8 @@
         tokio::time::sleep(DRAIN_POLL).await;
     }
     report.note_closed(shared, &[]);
+    let left = longest.saturating_sub(passed_since(started));
+    hand_over_answers(shared, left.min(LONGEST_FOR_ANSWERS)).await;
 }
 
 /// Waits until the daemons that send calls here have heard that none are taken any more: what they sent before has come by then.
