--- a/crates/seamhatch-model/src/lib.rs
+++ b/crates/seamhatch-model/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod quota_shards;
 pub mod retries;
 mod search;
+pub mod stops;
 
 pub use search::{Action, Model, SearchResult, Step, action, search};
