--- a/crates/seamhatch-model/src/handover/coordinators.rs
+++ b/crates/seamhatch-model/src/handover/coordinators.rs
@@ -55,7 +55,16 @@
         for assignment in &roster.previous {
             for daemon in assignment.witnesses.iter().map(daemon_of) {
                 let is_known = coordinator.sealed.contains_key(&(assignment.epoch, daemon));
-                if is_known || state.daemons[daemon].phase == DaemonPhase::Ended {
+                if is_known {
+                    continue;
+                }
+                if state.daemons[daemon].phase == DaemonPhase::Ended {
+                    if let Some(held) = state.daemons[daemon].held.clone() {
+                        let found = action("coordinator finds what others hold of daemon", index, daemon);
+                        Step::add(steps, state, found, |next| {
+                            next.coordinators[index].sealed.insert((assignment.epoch, daemon), held);
+                        });
+                    }
                     continue;
                 }
                 Step::add(steps, state, action("coordinator seals daemon", index, daemon), |next| {
--- a/crates/seamhatch-model/src/handover/daemons.rs
+++ b/crates/seamhatch-model/src/handover/daemons.rs
@@ -22,6 +22,21 @@
                 next.daemons[daemon].phase = DaemonPhase::Ended;
             });
         }
+        if self.retires && phase == DaemonPhase::Stopping && state.daemons[daemon].held.is_none() {
+            Step::add(
+                steps,
+                state,
+                action("daemon retires, and others hold what it remembers", daemon, 0),
+                |next| {
+                    let own = &mut next.daemons[daemon];
+                    let mut witness = own.witness.clone();
+                    own.held = Some(witness.retire());
+                    if self.fault != HandoverFault::HeldButNotRetired {
+                        own.witness = witness;
+                    }
+                },
+            );
+        }
         // It may know any version since.
         let since = match self.fault {
             HandoverFault::BelievesOldRoster => 0,
@@ -40,8 +55,11 @@
 
     fn may_end(&self, daemon: &Daemon, index: usize, roster: &ShardRoster) -> bool {
         let (id, installed) = (witness_id(index), daemon.witness.epoch());
+        if daemon.held.is_some() {
+            return true;
+        }
         match self.fault {
-            HandoverFault::None => roster.has_released(&id, installed),
+            HandoverFault::None | HandoverFault::HeldButNotRetired => roster.has_released(&id, installed),
             HandoverFault::EndsAtOnce => true,
             HandoverFault::EndsWhenSealed => {
                 installed.is_none_or(|epoch| !daemon.witness.serves(epoch))
--- a/crates/seamhatch-model/src/handover/mod.rs
+++ b/crates/seamhatch-model/src/handover/mod.rs
@@ -4,6 +4,8 @@
 //! them; others are killed at any time. Coordinators read the roster, look at the witnesses, plan, seal and install in any order; one that does
 //! nothing more has ended. The store is out wherever no step writes the roster.
 //!
+//! A daemon that stops may also retire, and others hold what it remembers: that is not lost here.
+//!
 //! Bounds: one shard, no restart (a restarted daemon is another witness, as is one that was not asked yet), no wait after a loss.
 
 mod coordinators;
@@ -31,6 +33,8 @@
     IgnoresPrevious,
     /// It goes by a roster of before it was asked to stop.
     BelievesOldRoster,
+    /// It has others hold what it remembers, and goes on as a witness.
+    HeldButNotRetired,
 }
 
 /// Bounds of a search.
@@ -46,6 +50,8 @@
     pub changes: usize,
     /// Coordinators, each of which knows only what it has seen.
     pub coordinators: usize,
+    /// Whether daemons that stop may retire, with others that hold what they remember.
+    pub retires: bool,
     /// The seeded fault.
     pub fault: HandoverFault,
 }
@@ -56,10 +62,11 @@
     type State = HandoverState;
 
     fn initial(&self) -> HandoverState {
-        let mut daemons = vec![
-            Daemon { phase: DaemonPhase::Up, stop_version: 0, witness: Witness::default() };
-            self.daemons
-        ];
+        let mut daemons =
+            vec![
+                Daemon { phase: DaemonPhase::Up, stop_version: 0, witness: Witness::default(), held: None };
+                self.daemons
+            ];
         for (index, daemon) in daemons.iter_mut().take(WITNESSES).enumerate() {
             // A bare majority has granted the claim.
             let claims = if index <= WITNESSES / 2 { vec![the_claim()] } else { Vec::new() };
@@ -95,6 +102,9 @@
         if assignments.clone().any(|assignment| state.grants_again(assignment)) {
             return Some("a majority grants without the claim that was granted");
         }
+        if state.daemons.iter().any(Daemon::remembers_more_than_held) {
+            return Some("a witness remembers more than others hold of it");
+        }
         let latest = state.latest();
         let owed = latest.previous.iter().chain([&latest.current]);
         let must_wait =
--- a/crates/seamhatch-model/src/handover/state.rs
+++ b/crates/seamhatch-model/src/handover/state.rs
@@ -24,6 +24,16 @@
     /// The roster in the store when it was asked to stop, which it has read since.
     pub(super) stop_version: usize,
     pub(super) witness: Witness,
+    /// What others hold of it.
+    pub(super) held: Option<Vec<Claim>>,
+}
+
+impl Daemon {
+    /// Whether what others hold of it has become incomplete.
+    pub(super) fn remembers_more_than_held(&self) -> bool {
+        let remembered = || self.witness.clone().retire();
+        self.held.as_ref().is_some_and(|held| remembered().iter().any(|claim| !held.contains(claim)))
+    }
 }
 
 /// What a coordinator has seen since it read the roster.
@@ -105,7 +115,10 @@
 
     /// How far a coordinator could still seal the assignment.
     pub(super) fn seal_progress(&self, assignment: &Assignment) -> SealProgress {
-        let has_ended = |id: &WitnessId| self.daemons[daemon_of(id)].phase == DaemonPhase::Ended;
+        let has_ended = |id: &WitnessId| {
+            let daemon = &self.daemons[daemon_of(id)];
+            daemon.phase == DaemonPhase::Ended && daemon.held.is_none()
+        };
         seal_progress(assignment, |id| !has_ended(id), has_ended)
     }
 }
--- a/crates/seamhatch-model/tests/handover.rs
+++ b/crates/seamhatch-model/tests/handover.rs
@@ -7,7 +7,15 @@
 const LIMIT: usize = 1_500_000;
 
 fn model(daemons: usize, stops: u8, kills: u8, changes: usize) -> HandoverModel {
-    HandoverModel { daemons, stops, kills, changes, coordinators: 2, fault: HandoverFault::None }
+    HandoverModel {
+        daemons,
+        stops,
+        kills,
+        changes,
+        coordinators: 2,
+        retires: false,
+        fault: HandoverFault::None,
+    }
 }
 
 fn assert_holds(name: &str, model: HandoverModel) {
@@ -55,3 +63,22 @@
 fn an_end_by_a_roster_of_earlier_is_found() {
     assert_found(HandoverFault::BelievesOldRoster, model(4, 3, 0, 2));
 }
+
+/// Guards against claims that are lost, or granted again, where witnesses stop while nobody can take over.
+#[test]
+fn witnesses_that_retire_lose_nothing() {
+    let retiring = |bounds| HandoverModel { retires: true, ..bounds };
+    let single = |bounds| HandoverModel { coordinators: 1, ..retiring(bounds) };
+    assert_holds("four daemons, two that may retire, two changes", single(model(4, 2, 0, 2)));
+    assert_holds("four daemons, three that may retire, one change", single(model(4, 3, 0, 1)));
+    assert_holds(
+        "four daemons, two that may retire, one change by either of two",
+        retiring(model(4, 2, 0, 1)),
+    );
+}
+
+#[test]
+fn a_witness_that_is_held_and_goes_on_is_found() {
+    let bounds = HandoverModel { retires: true, coordinators: 1, ..model(4, 2, 0, 2) };
+    assert_found(HandoverFault::HeldButNotRetired, bounds);
+}
