A witness retires only where the store is out: with it at hand, that held up those who take over

A stopping daemon that nobody had taken over from within 1.5 s retired, also where the store was at hand and a kill beside it only made the change of witnesses slow: it then refused what was to be installed at it, and shards lost their majority. Callers saw 'no-claim-majority' and 'no-server' for up to two minutes. Change: it retires where its last read of the store failed (it reads again each 0.5 s), and else waits for others as before.

--- a/crates/seamhatchd/src/control/events.rs
+++ b/crates/seamhatchd/src/control/events.rs
@@ -170,8 +170,8 @@
     WriteEnded,
     /// This daemon stops: what does it still owe the others as a witness?
     Duty(oneshot::Sender<WitnessDuty>),
-    /// This daemon ends before others have taken over its shards: it retires as a witness.
-    Retire(oneshot::Sender<Retirement>),
+    /// This daemon stops and others have not taken over its shards: it retires as a witness if they can't, as the store is out.
+    Retire(oneshot::Sender<Option<Retirement>>),
 }
 
 /// A daemon that stops has retired as a witness.
--- a/crates/seamhatchd/src/control/handle.rs
+++ b/crates/seamhatchd/src/control/handle.rs
@@ -83,11 +83,12 @@
         tokio::time::timeout(STOP_TIMEOUT, receiver).await.ok()?.ok()
     }
 
-    /// Retires this daemon as a witness; none when the control thread doesn't answer within 0.4 s.
+    /// Retires this daemon as a witness if the store is out, or others have taken over its shards; none otherwise, and when the control thread doesn't
+    /// answer within 0.4 s.
     pub async fn retire(&self) -> Option<Retirement> {
         let (sender, receiver) = oneshot::channel();
         self.send(RosterEvent::Retire(sender));
-        tokio::time::timeout(STOP_TIMEOUT, receiver).await.ok()?.ok()
+        tokio::time::timeout(STOP_TIMEOUT, receiver).await.ok()?.ok()?
     }
 
     /// Asks on behalf of another daemon's controller; declined when the control thread has ended.
--- a/crates/seamhatchd/src/controllers/control_thread/roster.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/roster.rs
@@ -45,7 +45,7 @@
             }
             RosterEvent::Retire(reply) => {
                 // Likewise.
-                let _ = reply.send(self.retire());
+                let _ = reply.send(self.retire_if_needed());
             }
         }
     }
@@ -56,6 +56,15 @@
         self.roster.duty(&self.own_witness(), |shard| witnesses.epoch(shard), &self.all_members())
     }
 
+    /// With the store at hand others will take over, and a witness that retired would hold them up.
+    fn retire_if_needed(&mut self) -> Option<Retirement> {
+        if self.store_view.is_failing() || self.witness_duty() == WitnessDuty::Released {
+            return Some(self.retire());
+        }
+        self.read_store();
+        None
+    }
+
     /// Retires as a witness, and returns what this daemon remembers and which others can hold that.
     fn retire(&self) -> Retirement {
         let claims = &self.shared.claims;
--- a/crates/seamhatchd/src/controllers/control_thread/witnessed.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/witnessed.rs
@@ -24,6 +24,8 @@
 #[derive(Debug, Default)]
 pub(super) struct StoreView {
     reading: bool,
+    /// The last read has failed.
+    failing: bool,
     content: StoreContent,
 }
 
@@ -44,8 +46,14 @@
         !std::mem::replace(&mut self.reading, true)
     }
 
-    fn end_read(&mut self) {
+    fn end_read(&mut self, has_failed: bool) {
         self.reading = false;
+        self.failing = has_failed;
+    }
+
+    /// Whether the last read has failed.
+    pub(super) fn is_failing(&self) -> bool {
+        self.failing
     }
 
     fn update(&mut self, value: Option<StoredConfiguration>) {
@@ -106,7 +114,7 @@
     }
 
     pub(super) fn store_read(&mut self, result: Result<Stored<Option<StoredConfiguration>>, StoreError>) {
-        self.store_view.end_read();
+        self.store_view.end_read(result.is_err());
         let stored = match result {
             Ok(stored) => stored,
             Err(error) => return self.note_unread_store(&error),
--- a/crates/seamhatchd/src/stop/handover.rs
+++ b/crates/seamhatchd/src/stop/handover.rs
@@ -23,6 +23,8 @@
 
 /// Time in which others usually take over, with the store at hand.
 const USUAL_HANDOVER: Duration = Duration::from_millis(1_500);
+/// Time between two looks whether others can't take over.
+const HANDOVER_PAUSE: Duration = Duration::from_millis(500);
 /// Daemons that are to hold what this one remembers where nobody has taken over: one of them may end.
 const HOLDERS: usize = 2;
 /// Answers that are handed over at a time.
@@ -34,19 +36,33 @@
 /// `started`. What it holds of others is handed on.
 pub(super) async fn until_handed_over(shared: &Shared, started: Instant, longest: Duration) {
     let longest = longest.min(LONGEST_HANDOVER);
-    let mut released = until_released(shared, started, longest.min(USUAL_HANDOVER)).await;
+    let mut due = longest.min(USUAL_HANDOVER);
+    let mut released = until_released(shared, started, due).await;
     if released {
         // A change of witnesses that was under way when the stop began may have chosen this daemon.
-        released = until_released(shared, started, longest.min(USUAL_HANDOVER)).await;
+        released = until_released(shared, started, due).await;
     }
-    let nothing_held = shared.claims.sealed.all().is_empty();
-    if released && nothing_held || give_to_holders(shared, started).await {
+    if released && shared.claims.sealed.all().is_empty() {
         return;
     }
-    until_released_at_last(shared, started, longest).await;
+    while !give_to_holders(shared, started).await {
+        if passed_since(started) >= longest || nobody_is_left(shared).await {
+            return until_released_at_last(shared, started, longest).await;
+        }
+        due = passed_since(started) + HANDOVER_PAUSE;
+        if until_released(shared, started, due.min(longest)).await {
+            return;
+        }
+    }
+}
+
+/// Whether there is no other daemon that could take over.
+async fn nobody_is_left(shared: &Shared) -> bool {
+    matches!(shared.control.witness_duty().await, None | Some(WitnessDuty::NoSuccessor { .. }))
 }
 
-/// Retires as a witness and has other daemons hold what this one remembers, whoever takes the shards over later. False where too few could.
+/// Retires as a witness and has other daemons hold what this one remembers, whoever takes the shards over later. False where others can still take them over by
+/// the store, and where too few could hold it.
 async fn give_to_holders(shared: &Shared, started: Instant) -> bool {
     let Some(Retirement { memories, mut holders }) = shared.control.retire().await else { return false };
     let wanted = HOLDERS.min(holders.len());
