An answer that is handed over again is kept once

Cause: a daemon that holds a stopped daemon's answer counted its bytes again each time that it was handed over, and entered it once more into the order of age. What callers saw: repeats of a claimed call told 409 and not the answer, as other answers went for the bytes that nobody held; by reading, with enough of them the trimming never ends, under the lock. Change: a claim that is held already is left as it is, under one lock; a state that replaces another takes its place in the count; trimming ends when nothing is left. Why it holds: the bytes are those of the records at all times. Result: 200 times the same answer of 64 KiB beside another one: the other was gone before, both are there now.

--- a/crates/seamhatchd/src/claims/records.rs
+++ b/crates/seamhatchd/src/claims/records.rs
@@ -11,10 +11,10 @@
 use std::collections::{HashMap, VecDeque};
 use std::sync::{Mutex, MutexGuard};
 
-/// Bytes of recorded answers that are kept; the oldest go first. Chosen, not measured.
+/// Bytes of recorded answers that are kept; the oldest go first.
 const LARGEST_TOTAL: usize = 8 * 1024 * 1024;
 
-/// Claims that are remembered at most; the oldest go first. Chosen, not measured.
+/// Claims that are remembered at most; the oldest go first.
 const MOST_RECORDS: usize = 100_000;
 
 #[derive(Debug)]
@@ -37,27 +37,21 @@
 impl ClaimRecords {
     /// Adds a claim that is about to be made.
     pub fn begin(&self, key: ClaimKey, holder: ClaimHolder) {
-        let mut records = self.lock();
-        let record = Record { state: RecordedState::Undecided, since: clock::now() };
-        records.by_claim.insert((key, holder), record);
-        records.order.push_back((key, holder));
-        records.shrink();
+        self.lock().begin(key, holder);
     }
 
     /// Records what became of a claim, unless it was forgotten.
     pub fn set(&self, key: ClaimKey, holder: ClaimHolder, state: RecordedState) {
-        let mut records = self.lock();
-        let added = size(&state);
-        let Some(record) = records.by_claim.get_mut(&(key, holder)) else { return };
-        record.state = state;
-        records.bytes += added;
-        records.shrink();
+        self.lock().set(key, holder, state);
     }
 
-    /// Holds the answer of another daemon's claim.
+    /// Holds the answer of another daemon's claim, unless it does already.
     pub fn hold(&self, key: ClaimKey, holder: ClaimHolder, answer: RecordedAnswer) {
-        self.begin(key, holder);
-        self.set(key, holder, RecordedState::Answered(answer));
+        let mut records = self.lock();
+        if !records.by_claim.contains_key(&(key, holder)) {
+            records.begin(key, holder);
+            records.set(key, holder, RecordedState::Answered(answer));
+        }
     }
 
     /// The claims whose answers are known, the latest first.
@@ -93,12 +87,31 @@
 }
 
 impl Records {
+    fn begin(&mut self, key: ClaimKey, holder: ClaimHolder) {
+        let record = Record { state: RecordedState::Undecided, since: clock::now() };
+        self.by_claim.insert((key, holder), record);
+        self.order.push_back((key, holder));
+        self.shrink();
+    }
+
+    fn set(&mut self, key: ClaimKey, holder: ClaimHolder, state: RecordedState) {
+        let Some(record) = self.by_claim.get_mut(&(key, holder)) else { return };
+        self.bytes += size(&state);
+        self.bytes -= size(&record.state);
+        record.state = state;
+        self.shrink();
+    }
+
     fn shrink(&mut self) {
-        while self.bytes > LARGEST_TOTAL || self.order.len() > MOST_RECORDS {
+        while self.is_full() && !self.order.is_empty() {
             self.drop_oldest();
         }
     }
 
+    fn is_full(&self) -> bool {
+        self.bytes > LARGEST_TOTAL || self.order.len() > MOST_RECORDS
+    }
+
     fn oldest_age(&self, now: Instant) -> Option<u64> {
         let record = self.by_claim.get(self.order.front()?)?;
         Some(now.since(record.since))
