The waits of a stop for farewells and holders end with its time, not after it

Cause: the wait for the answers to the farewell began where the stop's time was over, and came on top of it; so did the question to holders. Change: both waits end with the stop. The wait for holders has no test of its own.

--- a/crates/seamhatchd/src/stop/handover.rs
+++ b/crates/seamhatchd/src/stop/handover.rs
@@ -45,7 +45,7 @@
     if released && shared.claims.sealed.all().is_empty() {
         return;
     }
-    while !give_to_holders(shared, started).await {
+    while !give_in_time(shared, started, longest).await {
         if passed_since(started) >= longest || nobody_is_left(shared).await {
             return until_released_at_last(shared, started, longest).await;
         }
@@ -56,6 +56,12 @@
     }
 }
 
+/// [`give_to_holders`], until `longest` has passed since `started` at most.
+async fn give_in_time(shared: &Shared, started: Instant, longest: Duration) -> bool {
+    let left = longest.saturating_sub(passed_since(started));
+    tokio::time::timeout(left, give_to_holders(shared, started)).await.unwrap_or(false)
+}
+
 /// Whether there is no other daemon that could take over.
 async fn nobody_is_left(shared: &Shared) -> bool {
     matches!(shared.control.witness_duty().await, None | Some(WitnessDuty::NoSuccessor { .. }))
--- a/crates/seamhatchd/src/stop/mod.rs
+++ b/crates/seamhatchd/src/stop/mod.rs
@@ -85,7 +85,7 @@
     shared.intake.close_to_callers();
     shared.lifecycle.notify_peers();
     report.note_border(shared.intake.count());
-    until_peers_know(shared).await;
+    until_peers_know(shared, started, longest).await;
     while !shared.intake.close_if_idle() {
         if passed_since(started) >= longest {
             return cut_off(shared, report);
@@ -97,10 +97,11 @@
     hand_over_answers(shared, left.min(LONGEST_FOR_ANSWERS)).await;
 }
 
-/// Waits until the daemons that send calls here have heard that none are taken any more: what they sent before has come by then.
-async fn until_peers_know(shared: &Shared) {
-    let asked = clock::now();
-    while shared.farewells.awaited() > 0 && passed_since(asked) < LONGEST_TO_KNOW {
+/// Waits until the daemons that send calls here have heard that none are taken any more: what they sent before has come by then. At most until
+/// `longest` has passed since `started`.
+async fn until_peers_know(shared: &Shared, started: Instant, longest: Duration) {
+    let due = longest.min(passed_since(started) + LONGEST_TO_KNOW);
+    while shared.farewells.awaited() > 0 && passed_since(started) < due {
         tokio::time::sleep(DRAIN_POLL).await;
     }
 }
