--- a/crates/seamhatchd/src/claims/claimant.rs
+++ b/crates/seamhatchd/src/claims/claimant/mod.rs
@@ -1,22 +1,23 @@
 //! Claiming the key of a call that is not repeatable, before it is dispatched.
 //!
 //! A claim is won when a majority of the witnesses of the key's shard grants it; when another attempt holds the key, this one
-//! is a duplicate. Owns the numbers of this daemon's attempts. Relies on the published roster for the witnesses and on the pool
+//! is a duplicate, which [`answers`] tells its answer. Owns the numbers of this daemon's attempts. Relies on the published roster for the witnesses and on the pool
 //! for connections. Used by dispatch.
 
+mod answers;
+
 use super::ClaimState;
 use crate::control::ControlHandle;
 use crate::peer::PeerPool;
-use crate::snapshot::{Server, ShardView, Snapshot};
+use crate::snapshot::{ShardView, Snapshot};
 use arc_swap::ArcSwap;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use seamhatch_core::claims::{Claim, ClaimHolder, ClaimKey, ClaimReply, ClaimRound, ClaimVerdict, Epoch};
 use seamhatch_core::identity::{Address, Fingerprint, Incarnation};
 use seamhatch_core::outcome::Reason;
-use seamhatch_core::rendezvous;
 use seamhatch_core::roster::WitnessId;
-use seamhatch_wire::{ControlReply, ControlRequest, PeerMessage, RecordedAnswer, RecordedState};
+use seamhatch_wire::{PeerMessage, RecordedAnswer, RecordedState};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -26,8 +27,6 @@
 /// Rounds that are tried while a shard changes its witnesses. With the pauses between them a claim lasts through 0.36 s
 /// of that.
 const MOST_ROUNDS: u32 = 4;
-/// Daemons that are asked for the answer of one that has ended: more than hold it, as members may have come and gone since.
-const ASKED_FOR_ANSWERS: usize = 4;
 /// Pause after the first round; after the second it is twice as long, and so on.
 const ROUND_PAUSE: Duration = Duration::from_millis(60);
 
@@ -250,39 +249,6 @@
         tokio::time::timeout(CLAIM_TIMEOUT, asking).await.ok().flatten()
     }
 
-    /// Asks the daemon that holds a claim what became of it, and where that has ended those that may hold its answer.
-    async fn ask_holder(&self, held: &Claim) -> RecordedState {
-        let mut known = self.ask_recorded(held.holder.daemon, held).await;
-        for daemon in self.answer_holders(held.key, held.holder.daemon, ASKED_FOR_ANSWERS) {
-            if known != RecordedState::Forgotten {
-                break;
-            }
-            known = self.ask_recorded(daemon, held).await;
-        }
-        known
-    }
-
-    async fn ask_recorded(&self, daemon: Address, held: &Claim) -> RecordedState {
-        if daemon == self.daemon {
-            return self.claims.records.get(held.key, held.holder);
-        }
-        let request = ControlRequest::GetRecorded { key: held.key, holder: held.holder };
-        match self.pool.ask(daemon, request).await {
-            Some(ControlReply::Recorded(state)) => state,
-            // Without an answer the earlier attempt counts as one that may have run.
-            _ => RecordedState::Forgotten,
-        }
-    }
-
-    /// The daemons that hold answers to this key of a daemon that has ended, in the order in which they are chosen.
-    #[must_use]
-    pub fn answer_holders(&self, key: ClaimKey, ended: Address, count: usize) -> Vec<Address> {
-        let snapshot = self.published.load();
-        let servers = snapshot.servers.values().flatten().filter(|server| server.peer != ended);
-        let peer = |server: &Server| server.peer.to_string().into_bytes();
-        rendezvous::choose(key.0 as u64, servers, peer, count).into_iter().map(|server| server.peer).collect()
-    }
-
     /// Releases a claim whose holder said that it gave it up, as the holder's own release may be lost.
     fn release_for(&self, held: &Claim) {
         let snapshot = self.published.load();
--- a/crates/seamhatchd/src/intake/progress.rs
+++ b/crates/seamhatchd/src/intake/progress.rs
@@ -99,6 +99,7 @@
 
     /// Sets how logs name it; the first name stays.
     pub fn set_name(&self, name: String) {
+        // A request that is passed on again has its name already.
         let _ = self.name.set(name);
     }
 
--- a/crates/seamhatchd/src/listeners/callers.rs
+++ b/crates/seamhatchd/src/listeners/callers.rs
@@ -4,7 +4,7 @@
 //! within milliseconds, and with it the call, down to the connection to the back end. Bounds are those of the configuration
 //! in force when a connection opens.
 
-use crate::listeners::connection::{CallerConnection, WatchedStream};
+use crate::listeners::connection::{ConnectionRequests, WatchedStream};
 use crate::listeners::proxy::RequestHandler;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -87,7 +87,7 @@
     let longest_wait =
         Duration::from_millis(limits.idle_timeout_ms.saturating_add(limits.head_timeout_ms)) + IDLE_MARGIN;
     let head_buffer = limits.head_bytes.saturating_mul(HEAD_OVERHEAD).max(HEAD_BUFFER);
-    let requests = Arc::new(CallerConnection::default());
+    let requests = Arc::new(ConnectionRequests::default());
     let stream = WatchedStream::new(stream, requests.clone());
     let held = requests.clone();
     let service = service_fn(move |request| {
--- a/crates/seamhatchd/src/listeners/connection.rs
+++ b/crates/seamhatchd/src/listeners/connection.rs
@@ -1,7 +1,7 @@
 //! The requests of one connection of a caller, until their answers are written.
 //!
 //! The HTTP library takes an answer long before a slow caller does. It flushes its stream once everything that it holds was written, so
-//! [`WatchedStream`] tells the [`CallerConnection`] of each flush, which then lets go of the requests that nothing works on any more.
+//! [`WatchedStream`] tells the [`ConnectionRequests`] of each flush, which then lets go of the requests that nothing works on any more.
 
 use crate::base::lock::lock;
 use crate::intake::TakenRequest;
@@ -15,13 +15,13 @@
 
 /// The requests of one connection whose answers are not written yet.
 #[derive(Debug, Default)]
-pub struct CallerConnection {
+pub struct ConnectionRequests {
     unwritten: Mutex<Vec<TakenRequest>>,
     /// A request has been read.
     begun: AtomicBool,
 }
 
-impl CallerConnection {
+impl ConnectionRequests {
     /// A request has been read, whether or not it is taken.
     pub fn note_begun(&self) {
         self.begun.store(true, Ordering::Relaxed);
@@ -47,12 +47,12 @@
 #[derive(Debug)]
 pub struct WatchedStream {
     stream: TcpStream,
-    connection: Arc<CallerConnection>,
+    connection: Arc<ConnectionRequests>,
 }
 
 impl WatchedStream {
     /// The stream of this connection.
-    pub fn new(stream: TcpStream, connection: Arc<CallerConnection>) -> Self {
+    pub fn new(stream: TcpStream, connection: Arc<ConnectionRequests>) -> Self {
         Self { stream, connection }
     }
 }
--- a/crates/seamhatchd/src/listeners/proxy.rs
+++ b/crates/seamhatchd/src/listeners/proxy.rs
@@ -10,7 +10,7 @@
 use crate::filters::{self, Entry, FilterChain, Rejection, RequestState};
 use crate::intake::{RequestEntry, RequestStage, TakenRequest};
 use crate::listeners::body::{self, CallerBody};
-use crate::listeners::connection::CallerConnection;
+use crate::listeners::connection::ConnectionRequests;
 use crate::shared::Shared;
 use bytes::Bytes;
 use http::header::{CONNECTION, CONTENT_LENGTH, HOST};
@@ -69,7 +69,7 @@
     pub async fn handle(
         self: Arc<Self>,
         request: Request<Incoming>,
-        connection: &CallerConnection,
+        connection: &ConnectionRequests,
     ) -> Result<Response<CallerBody>, Infallible> {
         connection.note_begun();
         let taken = self.shared.intake.take(RequestEntry::Listener);
