After the end of a limit the rate doubles in a second again, and its test has the bounds back that eased

Cause: made the rate of a server that names no limit any more double in half a second, and moved two bounds of the test to fit (1.1 to 1.2 times from one tick of 100 ms to the next, at least 20 to at least 10 ticks). Change: the slower rise, and both bounds as they landed in. What callers see: a server that was held to 1 in 32 of its slots' rate has all of it back after 5 s, not 2.5.

--- a/crates/seamhatch-core/src/admission/held.rs
+++ b/crates/seamhatch-core/src/admission/held.rs
@@ -11,8 +11,8 @@
 /// The rate after the end of a limit begins with this part of what the back end's slots can do, or with the rate that it had named.
 const FIRST_SHARE: f64 = 1.0 / 32.0;
 
-/// By how much the rate then rises in each tick of 100 ms: it doubles in half a second.
-const RISE_PER_TICK: f64 = 1.149;
+/// By how much the rate then rises in each tick of 100 ms: it doubles in a second.
+const RISE_PER_TICK: f64 = 1.072;
 
 /// What is learnt of a back end from its answers.
 #[derive(Debug, Clone)]
--- a/crates/seamhatch-core/tests/held_admission.rs
+++ b/crates/seamhatch-core/tests/held_admission.rs
@@ -150,13 +150,12 @@
     assert!(before <= 0.05 * f64::from(SLOTS) * 10.0, "{before} at once");
     let mut ticks = 0;
     while let Some(rate) = queue.rate() {
-        assert!(rate.as_per_second() <= 1.2 * before, "{rate:?} after {before}");
+        assert!(rate.as_per_second() <= 1.1 * before, "{rate:?} after {before}");
         before = rate.as_per_second();
         ticks += 1;
         queue.raise_rate(NOW.plus(ticks * TICK));
     }
-    // Between one second and ten.
-    assert!((10..100).contains(&ticks), "back after {ticks} ticks");
+    assert!((20..100).contains(&ticks), "back after {ticks} ticks");
     let lifted_again = queue.rate();
     queue.lift_rate(NOW);
     assert_eq!((lifted_again, queue.rate()), (None, None));
