The soak tells a request that crossed the close of its connection from one that was read and cut

Change: callers look at how the connection ended. The system of a process that closes a socket with something unread, or gets something for one that is closed, resets it; one that has read the request and gives no answer ends it in order. A reset is 'not read' where no server ran the request, and cut off where one did; every other lost connection is cut off as before. Callers and keeping clients share their connections' code. Why it is as strict: what counts as not read is shown by the caller's system and by the servers, not by the daemon's word.

--- a/crates/seamhatch-lab/src/load.rs
+++ b/crates/seamhatch-lab/src/load.rs
@@ -3,7 +3,8 @@
 //!
 //! `demo` and the experiments send it; the soak draws its own load with the same functions.
 
-use crate::client::{Caller, CallerAnswer, CallerRequest};
+use crate::client::{CallerAnswer, CallerRequest};
+use crate::connection::Caller;
 use crate::topology::RequestKind;
 use hdrhistogram::Histogram;
 use rand::RngExt;
--- a/crates/seamhatch-lab/src/soak/runner.rs
+++ b/crates/seamhatch-lab/src/soak/runner.rs
@@ -13,7 +13,7 @@
 use super::recorder::Recorder;
 use super::steps;
 use crate::backends::CallMode;
-use crate::client::Caller;
+use crate::connection::Caller;
 use crate::deployment::{Deployment, DeploymentOptions, status_of};
 use crate::topology::Topology;
 use seamhatch_core::identity::Address;
--- a/crates/seamhatch-lab/tests/answers.rs
+++ b/crates/seamhatch-lab/tests/answers.rs
@@ -3,7 +3,8 @@
 mod common;
 
 use common::{assert_ready, request, start};
-use seamhatch_lab::client::{Caller, CallerAnswer};
+use seamhatch_lab::client::CallerAnswer;
+use seamhatch_lab::connection::Caller;
 use seamhatch_lab::fault_proxy::Rule;
 use seamhatch_lab::topology::Topology;
 use std::collections::BTreeMap;
--- a/crates/seamhatch-lab/tests/at_most_once.rs
+++ b/crates/seamhatch-lab/tests/at_most_once.rs
@@ -5,7 +5,7 @@
 
 use common::{assert_ready, eventually, executions_by_request, request, start, until_answered};
 use rustix::process::Signal;
-use seamhatch_lab::client::Caller;
+use seamhatch_lab::connection::Caller;
 use seamhatch_lab::deployment::Deployment;
 use seamhatch_lab::fault_proxy::Rule;
 use seamhatch_lab::topology::{Topology, call, endpoint, service};
--- a/crates/seamhatch-lab/tests/common/mod.rs
+++ b/crates/seamhatch-lab/tests/common/mod.rs
@@ -2,7 +2,8 @@
 #![allow(dead_code, reason = "each test program uses a part of it")]
 
 use seamhatch_lab::backends::CallMode;
-use seamhatch_lab::client::{Caller, CallerAnswer, CallerRequest};
+use seamhatch_lab::client::{CallerAnswer, CallerRequest};
+use seamhatch_lab::connection::Caller;
 use seamhatch_lab::deployment::{Deployment, DeploymentOptions};
 use seamhatch_lab::topology::Topology;
 use std::collections::BTreeMap;
--- a/crates/seamhatch-lab/tests/leaving.rs
+++ b/crates/seamhatch-lab/tests/leaving.rs
@@ -4,7 +4,7 @@
 
 use common::{request, start};
 use rustix::process::Signal;
-use seamhatch_lab::client::Caller;
+use seamhatch_lab::connection::Caller;
 use seamhatch_lab::deployment::Deployment;
 use seamhatch_lab::topology::{Topology, endpoint, service};
 use std::sync::Arc;
--- a/crates/seamhatch-lab/tests/path.rs
+++ b/crates/seamhatch-lab/tests/path.rs
@@ -7,7 +7,7 @@
 use http::Request;
 use http_body_util::{BodyExt, Full};
 use seamhatch_core::identity::Address;
-use seamhatch_lab::client::Caller;
+use seamhatch_lab::connection::Caller;
 use seamhatch_lab::deployment::Deployment;
 use seamhatch_lab::topology::{Topology, call, endpoint, service};
 use seamhatchd::base::http_client::http_client;
--- a/crates/seamhatch-lab/tests/planned_stop.rs
+++ b/crates/seamhatch-lab/tests/planned_stop.rs
@@ -4,7 +4,8 @@
 
 use common::{LONG, assert_ready, eventually, executions_by_request, request, start, until_answered};
 use rustix::process::Signal;
-use seamhatch_lab::client::{Caller, CallerAnswer};
+use seamhatch_lab::client::CallerAnswer;
+use seamhatch_lab::connection::Caller;
 use seamhatch_lab::topology::{Topology, call, endpoint, service};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
--- a/crates/seamhatch-lab/tests/soak_checks.rs
+++ b/crates/seamhatch-lab/tests/soak_checks.rs
@@ -219,6 +219,7 @@
 fn stop_cases() -> Vec<HistoryCase> {
     let other = || SoakFault::PlannedStop { daemon: 3 };
     let lost = || answer(0, "", "connection-lost");
+    let unread = || answer(0, "", "connection-reset");
     let peer_lost = || answer(502, "unknown", "peer-lost");
     let failed = || answer(502, "answered", "");
     let promise = Promise::StopsCutNothing;
@@ -233,6 +234,12 @@
             promise,
             stop_beside(SoakFault::Configuration { daemon: 0 }, answer(502, "answered", "")),
         ),
+        kept("sent as the connection closed, and not read", at_stop(11_000, unread(), Vec::new())),
+        broken(
+            "closed as not read, and ran",
+            promise,
+            [at_stop(11_000, unread(), Vec::new()), vec![executed("a", "POST /x", "")]].concat(),
+        ),
         // Both found with seed 51106.
         kept(
             "under way when the stop ends, and lost by a kill after it",
