--- a/crates/seamhatch-lab/tests/backend_notices.rs
+++ b/crates/seamhatch-lab/tests/backend_notices.rs
@@ -4,7 +4,8 @@
 
 use common::{request, start};
 use seamhatch_lab::backends::NO_RATE;
-use seamhatch_lab::client::{Caller, CallerAnswer};
+use seamhatch_lab::client::CallerAnswer;
+use seamhatch_lab::connection::Caller;
 use seamhatch_lab::deployment::{Deployment, status_of};
 use seamhatch_lab::topology::{Topology, endpoint, service};
 use std::sync::atomic::Ordering;
--- a/crates/seamhatch-lab/tests/crashing_request.rs
+++ b/crates/seamhatch-lab/tests/crashing_request.rs
@@ -8,7 +8,7 @@
 
 use common::start;
 use seamhatch_lab::backends::Execution;
-use seamhatch_lab::client::Caller;
+use seamhatch_lab::connection::Caller;
 use seamhatch_lab::deployment::Deployment;
 use seamhatch_lab::soak::load::{DeadlyRequest, SoakRequest};
 use seamhatch_lab::topology::Topology;
--- a/crates/seamhatch-lab/tests/not_run.rs
+++ b/crates/seamhatch-lab/tests/not_run.rs
@@ -4,7 +4,8 @@
 
 use common::{eventually, request, start};
 use rustix::process::Signal;
-use seamhatch_lab::client::{Caller, CallerAnswer, CallerRequest};
+use seamhatch_lab::client::{CallerAnswer, CallerRequest};
+use seamhatch_lab::connection::Caller;
 use seamhatch_lab::deployment::Deployment;
 use seamhatch_lab::fault_proxy::Rule;
 use seamhatch_lab::topology::{Topology, endpoint, service};
--- a/crates/seamhatch-lab/tests/retries.rs
+++ b/crates/seamhatch-lab/tests/retries.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{eventually, request, start};
-use seamhatch_lab::client::Caller;
+use seamhatch_lab::connection::Caller;
 use seamhatch_lab::deployment::Deployment;
 use seamhatch_lab::topology::Topology;
 use std::collections::BTreeSet;
