The own set-up's soak has slow readers of large answers, too

Up to four clients more in each soak ask for answers of 4 MB and read nothing for 0.2 to 2.5 s after each request, as they keep their connections until the process is gone. Judged as every other answer.

--- a/crates/seamhatch-lab/src/backends/mod.rs
+++ b/crates/seamhatch-lab/src/backends/mod.rs
@@ -33,6 +33,10 @@
 pub const DEADLY_PATH: &str = "/deadly-";
 /// A path with this part crashes each back end that runs a call of the request which makes no calls itself.
 pub const DEEP_DEADLY_PATH: &str = "/deep-deadly-";
+/// Calls of callers with this in their path get a large answer.
+pub const LARGE_PATH: &str = "/large-";
+/// Bytes of a large answer: more than sockets hold for a caller that doesn't read.
+const LARGE_ANSWER: usize = 4_000_000;
 /// Threads that serve all back ends of a deployment.
 const THREADS: usize = 2;
 
--- a/crates/seamhatch-lab/src/backends/server.rs
+++ b/crates/seamhatch-lab/src/backends/server.rs
@@ -3,7 +3,8 @@
 use super::behaviour::Behaviour;
 use super::body::streamed;
 use super::{
-    CALL_HEADER, CallMode, DEADLY_PATH, DEEP_DEADLY_PATH, Execution, REQUEST_HEADER, RunningGuard, State,
+    CALL_HEADER, CallMode, DEADLY_PATH, DEEP_DEADLY_PATH, Execution, LARGE_ANSWER, LARGE_PATH,
+    REQUEST_HEADER, RunningGuard, State,
 };
 use crate::bodies;
 use crate::http_stand_in::{StandInRequest, text_response};
@@ -194,7 +195,9 @@
     }
 
     fn answer(&self, endpoint: &Endpoint, incoming: &Incoming, guard: RunningGuard) -> WebResponse {
-        let body = bodies::make(&incoming.request, &incoming.path, endpoint.answer_bytes);
+        let is_large = incoming.trail.is_empty() && incoming.path.contains(LARGE_PATH);
+        let size = if is_large { LARGE_ANSWER } else { endpoint.answer_bytes };
+        let body = bodies::make(&incoming.request, &incoming.path, size);
         let cut = self.behaviour.cuts_answers.load(Ordering::Relaxed);
         let mut response = WebResponse::new(streamed(body, cut, guard));
         if self.behaviour.forges_outcome.load(Ordering::Relaxed) {
--- a/crates/seamhatch-lab/src/connection.rs
+++ b/crates/seamhatch-lab/src/connection.rs
@@ -85,9 +85,14 @@
 impl CallerConnection {
     /// Connects to an ingress listener; none when it refuses or doesn't answer in time.
     pub async fn open(ingress: Address) -> Option<Self> {
+        Self::open_slow(ingress, Duration::ZERO).await
+    }
+
+    /// Connects as a caller that reads nothing for so long after each request.
+    pub async fn open_slow(ingress: Address, pause: Duration) -> Option<Self> {
         let connecting = TcpStream::connect(SocketAddr::from(ingress));
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await.ok()?.ok()?;
-        let (sender, connection) = handshake(TokioIo::new(AskingStream::new(stream))).await.ok()?;
+        let (sender, connection) = handshake(TokioIo::new(AskingStream::new(stream, pause))).await.ok()?;
         tokio::spawn(connection);
         Some(Self { ingress, sender, is_closing: false })
     }
@@ -143,6 +148,10 @@
 #[derive(Debug)]
 struct AskingStream {
     stream: TcpStream,
+    /// How long nothing is read after something was written.
+    pause: Duration,
+    /// The rest of that time.
+    pausing: Option<Pin<Box<Sleep>>>,
     /// Something was written since something was read last.
     is_asking: bool,
     /// The wait for a reset.
@@ -150,8 +159,8 @@
 }
 
 impl AskingStream {
-    fn new(stream: TcpStream) -> Self {
-        Self { stream, is_asking: false, waiting: None }
+    fn new(stream: TcpStream, pause: Duration) -> Self {
+        Self { stream, pause, pausing: None, is_asking: false, waiting: None }
     }
 }
 
@@ -161,6 +170,10 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if let Some(pausing) = &mut self.pausing {
+            ready!(pausing.as_mut().poll(context));
+            self.pausing = None;
+        }
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
         if buffer.filled().len() > before {
@@ -182,6 +195,9 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.is_asking = true;
+        if !self.pause.is_zero() {
+            self.pausing = Some(Box::pin(sleep(self.pause)));
+        }
         Pin::new(&mut self.stream).poll_write(context, bytes)
     }
 
--- a/crates/seamhatch-lab/src/soak/load.rs
+++ b/crates/seamhatch-lab/src/soak/load.rs
@@ -1,5 +1,5 @@
-//! The load of a soak: requests at drawn times to drawn daemons, clients that keep one connection each, and callers that repeat a
-//! request that crashes back ends.
+//! The load of a soak: requests at drawn times to drawn daemons, clients that keep one connection each, some of them slow readers of large answers,
+//! and callers that repeat a request that crashes back ends.
 //!
 //! Times, daemons and kinds are drawn from the plan's seed. Each request and answer is recorded.
 
@@ -7,7 +7,7 @@
 use super::history::{HistoryEvent, SeenAnswer};
 use super::plan::SoakPlan;
 use super::recorder::Recorder;
-use crate::backends::{DEADLY_PATH, DEEP_DEADLY_PATH};
+use crate::backends::{DEADLY_PATH, DEEP_DEADLY_PATH, LARGE_PATH};
 use crate::client::{CallerAnswer, CallerRequest};
 use crate::connection::{Caller, CallerConnection};
 use crate::load::{draw_kind, exponential};
@@ -15,15 +15,20 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use seamhatch_core::identity::Address;
+use std::ops::Range;
 use std::time::{Duration, Instant};
 use tokio::task::JoinSet;
 
 /// Requests that are due longer ago than this, as this machine was too busy, are left out. Chosen, not measured.
 const MOST_BACKLOG: Duration = Duration::from_secs(1);
-/// Requests a second of a client that keeps its connection, as long as it is answered at once. Chosen, not measured.
+/// Requests a second of a client that keeps its connection, as long as it is answered at once.
 const CLIENT_RATE: f64 = 3.0;
 /// Pause of a client whose new connection was refused. Chosen, not measured.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(20);
+/// Clients that ask for large answers, in addition to the others where there are any.
+const SLOW_CLIENTS: usize = 4;
+/// How long such a client reads nothing after each of its requests, in milliseconds.
+const SLOW_MS: Range<u64> = 200..2_500;
 
 /// Name prefix of the requests that crash back ends.
 pub const DEADLY_PREFIX: &str = "deadly-";
@@ -38,10 +43,15 @@
 pub async fn send_load(plan: SoakPlan, topology: Topology, ingresses: Vec<Address>, recorder: Recorder) {
     let end = recorder.start() + Duration::from_secs(plan.seconds);
     let mut clients = JoinSet::new();
-    for number in 0..plan.clients {
+    let slow = plan.clients.min(SLOW_CLIENTS);
+    for number in 0..plan.clients + slow {
+        let mut rng = SmallRng::seed_from_u64(plan.seed.wrapping_add(number as u64 + 1));
+        let is_slow = number >= plan.clients;
+        let pause = is_slow.then(|| Duration::from_millis(rng.random_range(SLOW_MS)));
         let client = KeepingClient {
             number,
-            rng: SmallRng::seed_from_u64(plan.seed.wrapping_add(number as u64 + 1)),
+            pause,
+            rng,
             topology: topology.clone(),
             ingresses: ingresses.clone(),
             recorder: recorder.clone(),
@@ -103,6 +113,14 @@
         Self { request, service: topology.entry_service(kind).unwrap_or_default().to_owned() }
     }
 
+    /// A request of this kind with this name and a large answer.
+    #[must_use]
+    pub fn large(topology: &Topology, kind: &RequestKind, name: String) -> Self {
+        let path = format!("{}{LARGE_PATH}{name}", kind.path);
+        let request = Self::new(topology, kind, name);
+        Self { request: CallerRequest { path, ..request.request }, ..request }
+    }
+
     /// A copy of a request that crashes each back end that runs it.
     #[must_use]
     pub fn deadly(topology: &Topology, kind: &RequestKind, deadly: DeadlyRequest, copy: usize) -> Self {
@@ -175,6 +193,8 @@
 /// A client that uses one connection until the daemon closes it.
 struct KeepingClient {
     number: usize,
+    /// How long it reads nothing after each of its requests, which ask for large answers; none for a usual client.
+    pause: Option<Duration>,
     rng: SmallRng,
     topology: Topology,
     ingresses: Vec<Address>,
@@ -188,8 +208,7 @@
         while Instant::now() < end {
             tokio::time::sleep(exponential(CLIENT_RATE, &mut self.rng)).await;
             let Some((daemon, mut connection)) = self.usable(kept.take(), end).await else { return };
-            let kind = &self.topology.kinds[draw_kind(&self.topology.kinds, &mut self.rng)];
-            let request = SoakRequest::new(&self.topology, kind, format!("kept-{}-{sent}", self.number));
+            let request = self.next_request(sent);
             sent += 1;
             request.note_sent(daemon, &self.recorder);
             let answer = connection.send(&request.request).await;
@@ -198,6 +217,15 @@
         }
     }
 
+    fn next_request(&mut self, sent: u64) -> SoakRequest {
+        let kind = &self.topology.kinds[draw_kind(&self.topology.kinds, &mut self.rng)];
+        let name = format!("kept-{}-{sent}", self.number);
+        if self.pause.is_some() && !kind.keyed {
+            return SoakRequest::large(&self.topology, kind, name);
+        }
+        SoakRequest::new(&self.topology, kind, name)
+    }
+
     /// The kept connection, or a new one to a drawn daemon if that is closed; none when the load ends first.
     async fn usable(
         &mut self,
@@ -211,7 +239,8 @@
         }
         while Instant::now() < end {
             let daemon = self.rng.random_range(0..self.ingresses.len());
-            if let Some(mut connection) = CallerConnection::open(self.ingresses[daemon]).await
+            let pause = self.pause.unwrap_or_default();
+            if let Some(mut connection) = CallerConnection::open_slow(self.ingresses[daemon], pause).await
                 && connection.is_usable().await
             {
                 return Some((daemon, connection));
