A reset counts as 'not read' only on a connection that the daemon had answered on before

Cause: took any reset connection whose request no server ran for a request that was not read. That let more pass than HTTP allows: a server may close an idle connection that it kept, but a new connection that is reset, as when a listener closes with callers waiting, would have passed too.

--- a/crates/seamhatch-lab/src/connection.rs
+++ b/crates/seamhatch-lab/src/connection.rs
@@ -31,7 +31,7 @@
 
 /// Reason where no connection took the request.
 pub const NOT_SENT: &str = "connection-refused";
-/// Reason where the daemon closed the connection and had not read the request.
+/// Reason where the daemon closed a connection that it had answered on before, and had not read the request: as HTTP lets a server close one that is idle.
 pub const NOT_READ: &str = "connection-reset";
 
 /// Sends requests over kept connections; cheap to clone.
@@ -50,7 +50,7 @@
     async fn exchange(&self, ingress: Address, request: &CallerRequest) -> CallerAnswer {
         while let Some(mut connection) = self.kept(ingress) {
             if connection.is_usable().await {
-                let answer = connection.send(request).await;
+                let answer = connection.exchange(request).await;
                 if answer.reason != NOT_SENT {
                     self.keep(ingress, connection);
                     return answer;
@@ -60,7 +60,7 @@
         let Some(mut connection) = CallerConnection::connect(ingress, Duration::ZERO).await else {
             return CallerAnswer::failed(NOT_SENT);
         };
-        let answer = connection.send(request).await;
+        let answer = connection.exchange(request).await;
         self.keep(ingress, connection);
         answer
     }
@@ -83,6 +83,8 @@
 pub struct CallerConnection {
     ingress: Address,
     sender: SendRequest<Full<Bytes>>,
+    /// The daemon has answered on it.
+    has_answered: bool,
     /// The daemon has announced that it closes the connection, or a request has failed on it.
     is_closing: bool,
 }
@@ -100,9 +102,9 @@
 
     async fn connect(ingress: Address, pause: Duration) -> Option<Self> {
         let stream = TcpStream::connect(SocketAddr::from(ingress)).await.ok()?;
-        let (sender, connection) = handshake(TokioIo::new(AskingStream::new(stream, pause))).await.ok()?;
+        let (sender, connection) = handshake(TokioIo::new(CallerStream::new(stream, pause))).await.ok()?;
         tokio::spawn(connection);
-        Some(Self { ingress, sender, is_closing: false })
+        Some(Self { ingress, sender, has_answered: false, is_closing: false })
     }
 
     /// Waits until the next request can be sent; false when the connection takes no more.
@@ -134,12 +136,13 @@
         message.headers_mut().insert(HOST, host);
         match self.sender.try_send_request(message).await {
             Ok(response) => {
+                self.has_answered = true;
                 self.is_closing = announces_close(response.headers());
                 read_answer(response, request).await
             }
             // Closed before anything was written, as a new connection that is refused.
             Err(error) if error.message().is_some() => self.failed(NOT_SENT),
-            Err(error) if is_reset(error.error()) => self.failed(NOT_READ),
+            Err(error) if self.has_answered && is_reset(error.error()) => self.failed(NOT_READ),
             Err(_) => self.failed("connection-lost"),
         }
     }
@@ -154,7 +157,7 @@
 
 /// A stream whose end, where a request has no answer, is a reset if one follows soon.
 #[derive(Debug)]
-struct AskingStream {
+struct CallerStream {
     stream: TcpStream,
     /// How long nothing is read after something was written.
     pause: Duration,
@@ -166,13 +169,13 @@
     waiting: Option<Pin<Box<Sleep>>>,
 }
 
-impl AskingStream {
+impl CallerStream {
     fn new(stream: TcpStream, pause: Duration) -> Self {
         Self { stream, pause, pausing: None, is_asking: false, waiting: None }
     }
 }
 
-impl AsyncRead for AskingStream {
+impl AsyncRead for CallerStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -196,7 +199,7 @@
     }
 }
 
-impl AsyncWrite for AskingStream {
+impl AsyncWrite for CallerStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
--- a/crates/seamhatch-lab/tests/kept_connection.rs
+++ b/crates/seamhatch-lab/tests/kept_connection.rs
@@ -6,6 +6,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
+const GOOD: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nx";
+
 /// What the listener does after its answer.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum ThenIt {
@@ -15,9 +17,11 @@
     ClosesUnread,
 }
 
-/// What the listener does with a connection's first request, and what the caller makes of it.
+/// What the listener does with a request, and what the caller makes of it.
 struct ConnectionCase {
     name: &'static str,
+    /// Another request was answered on the connection before.
+    answered_before: bool,
     answer: &'static str,
     then: ThenIt,
     status: u16,
@@ -25,9 +29,10 @@
     usable_after: bool,
 }
 
-const CASES: [ConnectionCase; 5] = [
+const CASES: [ConnectionCase; 7] = [
     ConnectionCase {
         name: "an answer",
+        answered_before: false,
         answer: "HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nx",
         then: ThenIt::Waits,
         status: 200,
@@ -36,6 +41,7 @@
     },
     ConnectionCase {
         name: "a refusal that lets the connection open",
+        answered_before: false,
         answer: "HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n",
         then: ThenIt::Waits,
         status: 503,
@@ -44,6 +50,7 @@
     },
     ConnectionCase {
         name: "an answer that says close",
+        answered_before: false,
         answer: "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 1\r\n\r\nx",
         then: ThenIt::Waits,
         status: 200,
@@ -52,6 +59,7 @@
     },
     ConnectionCase {
         name: "an end",
+        answered_before: false,
         answer: "",
         then: ThenIt::Closes,
         status: 0,
@@ -59,13 +67,32 @@
         usable_after: false,
     },
     ConnectionCase {
-        name: "an end before the request is read",
+        name: "a new connection's end before the request is read",
+        answered_before: false,
+        answer: "",
+        then: ThenIt::ClosesUnread,
+        status: 0,
+        reason: "connection-lost",
+        usable_after: false,
+    },
+    ConnectionCase {
+        name: "a kept connection's end before the request is read",
+        answered_before: true,
         answer: "",
         then: ThenIt::ClosesUnread,
         status: 0,
         reason: "connection-reset",
         usable_after: false,
     },
+    ConnectionCase {
+        name: "a kept connection's end after the request was read",
+        answered_before: true,
+        answer: "",
+        then: ThenIt::Closes,
+        status: 0,
+        reason: "connection-lost",
+        usable_after: false,
+    },
 ];
 
 #[tokio::test]
@@ -76,6 +103,10 @@
         let serving = tokio::spawn(async move {
             let (mut stream, _) = listener.accept().await.expect("a caller");
             let mut head = [0; 1024];
+            if case.answered_before {
+                assert!(stream.read(&mut head).await.expect("a request") > 0);
+                stream.write_all(GOOD).await.expect("is answered");
+            }
             let read = match case.then {
                 ThenIt::ClosesUnread => stream.peek(&mut head).await.expect("a request"),
                 _ => stream.read(&mut head).await.expect("a request"),
@@ -88,6 +119,9 @@
             CallerRequest { method: "GET", path: "/status/lookup/a".into(), request: "a".into(), key: None };
         let mut connection = CallerConnection::open(ingress).await.expect("is accepted");
         assert!(connection.is_usable().await, "{}", case.name);
+        if case.answered_before {
+            assert_eq!(connection.send(&request).await.status, 200, "{}", case.name);
+        }
         let answer = connection.send(&request).await;
         assert_eq!((answer.status, answer.reason.as_str()), (case.status, case.reason), "{}", case.name);
         let _open = serving.await.expect("has served");
--- a/crates/seamhatch-lab/tests/planned_stop.rs
+++ b/crates/seamhatch-lab/tests/planned_stop.rs
@@ -66,7 +66,8 @@
     let good = answers.iter().filter(|(_, answer)| answer.is_good()).count();
     let executions = deployment.backends.executions();
     let ran: HashSet<&str> = executions.iter().map(|execution| execution.request.as_str()).collect();
-    // Refused connections and `not-run` come before anything is in flight; a request that crosses the end of an idle connection is not read, and runs nowhere.
+    // Refused connections and `not-run` come before anything is in flight; a request that crosses the end of an idle connection
+    // is not read, and runs nowhere.
     let cut: Vec<_> = answers
         .iter()
         .filter(|(name, answer)| {
