--- a/crates/seamhatchd/src/claims/claimant/mod.rs
+++ b/crates/seamhatchd/src/claims/claimant/mod.rs
@@ -1,8 +1,8 @@
 //! Claiming the key of a call that is not repeatable, before it is dispatched.
 //!
 //! A claim is won when a majority of the witnesses of the key's shard grants it; when another attempt holds the key, this one
-//! is a duplicate, which [`answers`] tells its answer. Owns the numbers of this daemon's attempts. Relies on the published roster for the witnesses and on the pool
-//! for connections. Used by dispatch.
+//! is a duplicate, whose answer is asked for as [`answers`] says. Owns the numbers of this daemon's attempts. Relies on the
+//! published roster for the witnesses and on the pool for connections. Used by dispatch.
 
 mod answers;
 
