A listener closes when no connection waits at it, and first requests are read and refused

What callers saw: a connection that was established, and reset after the first request on it was sent: not run by any server, but they can't know. Cause: a border crossed by time. The accept loop ended where the runtime's last look had found nothing, which may be older than the last connection; what waits when a listener closes is reset by the system. And a connection without a request was dropped at once when the intake had closed. A connection waits until 0.1 s after its opening for its first request, which is refused as not run. Left: a handshake half done on a network with a delay; a client that sends its first request later than 0.1 s after it connected.

--- a/crates/seamhatchd/src/listeners/callers.rs
+++ b/crates/seamhatchd/src/listeners/callers.rs
@@ -5,6 +5,7 @@
 //! in force when a connection opens.
 
 use crate::listeners::connection::{ConnectionRequests, WatchedStream};
+use crate::listeners::last_connections;
 use crate::listeners::proxy::RequestHandler;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -15,6 +16,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 /// Smallest buffer for a request head in bytes. It is larger where the configuration allows larger heads, so that the filters
 /// refuse what is too large and not the library. Chosen, not measured.
@@ -31,8 +33,10 @@
 /// 0.1 s; without the wait, twelve days with overlapping restarts had 288 requests refused as not ready or for lack of a
 /// server, with it none. The rest of the 0.3 s is chosen.
 const START_PATIENCE: Duration = Duration::from_millis(300);
-/// Wait after a failed accept, so that a lack of file descriptors doesn't spin. Chosen, not measured.
+/// Wait after a failed accept, so that a lack of file descriptors doesn't spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Longest time from the opening of a connection to its first request, where the listener closes meanwhile: it is read and refused.
+const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(100);
 
 /// Tells listeners and their connections when to end, and knows when they have: each of them holds a receiver until then.
 pub type ClosingSignal = watch::Sender<bool>;
@@ -55,10 +59,8 @@
     handler.until_decidable(START_PATIENCE).await;
     loop {
         let accepted = tokio::select! {
-            // Connections that are already established are served before the listener ends.
-            biased;
             accepted = listener.accept() => accepted,
-            () = until_closing(&mut closing) => return,
+            () = until_closing(&mut closing) => break,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -70,6 +72,14 @@
             }
         }
     }
+    match last_connections::close(listener) {
+        Ok(last) => {
+            for stream in last {
+                tokio::spawn(serve(stream, handler.clone(), closing.clone()));
+            }
+        }
+        Err(error) => warn!(error = error.to_string().as_str(); "a listener can't be closed in order"),
+    }
 }
 
 async fn until_closing(closing: &mut watch::Receiver<bool>) {
@@ -78,6 +88,7 @@
 }
 
 async fn serve(stream: TcpStream, handler: Arc<RequestHandler>, mut closing: watch::Receiver<bool>) {
+    let opened = Instant::now();
     if let Err(error) = stream.set_nodelay(true) {
         debug!(error = error.to_string().as_str(); "a connection ended at once");
         return;
@@ -101,10 +112,16 @@
         .max_headers(HEADER_FIELDS)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
+    let may_end = async {
+        until_closing(&mut closing).await;
+        if !requests.has_begun() {
+            tokio::time::sleep_until(opened + FIRST_REQUEST_WAIT).await;
+        }
+    };
     let ended = tokio::select! {
         biased;
         ended = &mut connection => ended,
-        () = until_closing(&mut closing) => {
+        () = may_end => {
             if !requests.has_begun() {
                 // At most a part of a head has been read.
                 return;
--- a/crates/seamhatchd/src/listeners/mod.rs
+++ b/crates/seamhatchd/src/listeners/mod.rs
@@ -9,6 +9,7 @@
 mod body;
 mod callers;
 mod connection;
+mod last_connections;
 mod proxy;
 mod registry;
 mod responses;
