--- a/crates/seamhatchd/src/listeners/admin.rs
+++ b/crates/seamhatchd/src/listeners/admin.rs
@@ -19,7 +19,7 @@
 use xitca_web::body::RequestBody;
 use xitca_web::http::WebResponse;
 
-/// Largest body of a request, in bytes. Chosen, not measured.
+/// Largest body of a request, in bytes.
 const LARGEST_BODY: usize = 1024 * 1024;
 /// Media type of the OpenMetrics text format.
 const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
--- a/crates/seamhatchd/src/listeners/body.rs
+++ b/crates/seamhatchd/src/listeners/body.rs
@@ -19,7 +19,7 @@
 /// Body of an answer to a caller.
 pub type CallerBody = UnsyncBoxBody<Bytes, BrokenBody>;
 
-/// Pieces of an answer that may wait for a slow caller while the answer is recorded. Chosen, not measured.
+/// Pieces of an answer that may wait for a slow caller while the answer is recorded.
 const RECORDED_AHEAD: usize = 4;
 
 /// A body whose bytes are all known.
--- a/crates/seamhatchd/src/listeners/callers.rs
+++ b/crates/seamhatchd/src/listeners/callers.rs
@@ -19,19 +19,17 @@
 use tokio::time::Instant;
 
 /// Smallest buffer for a request head in bytes. It is larger where the configuration allows larger heads, so that the filters
-/// refuse what is too large and not the library. Chosen, not measured.
+/// refuse what is too large and not the library.
 const HEAD_BUFFER: usize = 64 * 1024;
 /// Buffer for a head, as a multiple of the bytes that the configuration bounds: the rest is for the request line and the
-/// separators of fields. Chosen, not measured.
+/// separators of fields.
 const HEAD_OVERHEAD: usize = 2;
-/// Header fields that a request may have. The library's own limit of 100 is within reach of proper heads. Chosen, not
-/// measured.
+/// Header fields that a request may have. The library's own limit of 100 is within reach of proper heads.
 const HEADER_FIELDS: usize = 512;
-/// An idle connection is kept this much longer than callers may reuse it. Chosen, not measured.
+/// An idle connection is kept this much longer than callers may reuse it.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
-/// Longest wait of callers' connections for a daemon that starts. With its store and members within reach it is ready after
-/// 0.1 s; without the wait, twelve days with overlapping restarts had 288 requests refused as not ready or for lack of a
-/// server, with it none. The rest of the 0.3 s is chosen.
+/// Longest wait of callers' connections for a daemon that starts, which would refuse their requests as not ready or for lack of a server. It takes
+/// 0.1 s where its store and members are within reach.
 const START_PATIENCE: Duration = Duration::from_millis(300);
 /// Wait after a failed accept, so that a lack of file descriptors doesn't spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
--- a/crates/seamhatchd/src/listeners/mod.rs
+++ b/crates/seamhatchd/src/listeners/mod.rs
@@ -34,13 +34,13 @@
 use callers::ClosingSignal;
 use proxy::RequestHandler;
 
-/// How long an idle connection of an operator or back end is kept. Chosen, not measured.
+/// How long an idle connection of an operator or back end is kept.
 const KEEP_ALIVE: Duration = Duration::from_secs(30);
-/// Longest wait for a request head of an operator or back end. Chosen, not measured.
+/// Longest wait for a request head of an operator or back end.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
-/// Largest head of a request of an operator or back end, in bytes. Chosen, not measured.
+/// Largest head of a request of an operator or back end, in bytes.
 const HEAD_BUFFER: usize = 64 * 1024;
-/// Most header fields of such a request. Chosen, not measured.
+/// Most header fields of such a request.
 const HEADER_FIELDS: usize = 96;
 
 /// A running listener.
--- a/crates/seamhatchd/src/listeners/proxy.rs
+++ b/crates/seamhatchd/src/listeners/proxy.rs
@@ -23,7 +23,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Pause between two checks of what a starting daemon knows. Chosen, not measured.
+/// Pause between two checks of what a starting daemon knows.
 const START_POLL: Duration = Duration::from_millis(5);
 
 /// Answers the requests of one listener.
--- a/crates/seamhatchd/src/listeners/registry.rs
+++ b/crates/seamhatchd/src/listeners/registry.rs
@@ -21,13 +21,13 @@
 
 /// Path below which each instance has its record.
 const INSTANCES: &str = "/v1/instances/";
-/// Largest heartbeat, in bytes. Chosen, not measured.
+/// Largest heartbeat, in bytes.
 const LARGEST_HEARTBEAT: usize = 16 * 1024;
-/// Longest name of an instance, in bytes. Chosen, not measured.
+/// Longest name of an instance, in bytes.
 const LONGEST_NAME: usize = 200;
-/// Longest time for which an instance may report to be cold, in milliseconds. Chosen, not measured.
+/// Longest time for which an instance may report to be cold, in milliseconds.
 const LONGEST_COLD_MS: f64 = 600_000.0;
-/// Most slots that an instance may report. Chosen, not measured.
+/// Most slots that an instance may report.
 const MOST_SLOTS: u32 = 100_000;
 
 /// A heartbeat as sent. Unknown fields are ignored, so that back ends may report more.
