One of two witnesses that was sealed remembers all that both granted

What callers saw: where most daemons stop one after the other, a shard has two witnesses left; when one of them was killed, keyed requests were refused (no-claim-majority) for two minutes, and a stop that waited for a submission lasted 15.7 s. Cause: an epoch counted as sealed with a majority of its witnesses. What is needed is one witness in common with each majority that may have granted: of two, one. So an epoch of two counted as lost with either of them, although the other one had granted all that was granted. Change: seal_progress asks for as many as share one with each majority (two of three, as before; one of two). Whether a shard's claims are lost already is judged from the best that is left to seal, as the model judged it. Why it holds: a grant needs both of two, so the sealed one knows it, and after its seal no grant is possible. Left: one witness alone that is killed, and a shard whose last two are killed.

--- a/crates/seamhatch-core/src/roster.rs
+++ b/crates/seamhatch-core/src/roster.rs
@@ -6,8 +6,9 @@
 //!
 //! The roster lies in the platform's key-value service and is changed by
 //! compare-and-swap. A shard's change from epoch `e` to `e + 1` is: write the
-//! new assignment; seal `e` at a majority of its witnesses; take the union of
-//! their claims; install it at a majority of the new witnesses. Anyone may
+//! new assignment; seal `e` at as many of its witnesses as share one with each
+//! majority; take the union of their claims; install it at a majority of the
+//! new witnesses. Anyone may
 //! carry out or repeat these steps. Epochs whose installation was not confirmed
 //! stay listed in `previous` and are sealed too.
 
@@ -48,10 +49,18 @@
 pub struct Assignment {
     /// Epoch of this assignment.
     pub epoch: Epoch,
-    /// [`WITNESSES`] daemons, or fewer in a small deployment.
+    /// [`WITNESSES`] daemons, or fewer in a small deployment and while most daemons are away.
     pub witnesses: Vec<WitnessId>,
 }
 
+impl Assignment {
+    /// Fewest sealed witnesses after which no majority can grant a claim any more, and which remember together all that one has granted.
+    fn seal_quorum(&self) -> usize {
+        let majority = self.witnesses.len() / 2 + 1;
+        self.witnesses.len() + 1 - majority
+    }
+}
+
 /// One shard's place in the roster.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Readable, Writable, Serialize, Deserialize)]
 pub struct ShardRoster {
@@ -181,12 +190,12 @@
     sealed: impl Fn(&WitnessId) -> bool,
     ended: impl Fn(&WitnessId) -> bool,
 ) -> SealProgress {
-    let majority = assignment.witnesses.len() / 2 + 1;
+    let quorum = assignment.seal_quorum();
     let sealed_count = assignment.witnesses.iter().filter(|id| sealed(id)).count();
     let over_count = assignment.witnesses.iter().filter(|id| sealed(id) || ended(id)).count();
-    if sealed_count >= majority {
+    if sealed_count >= quorum {
         SealProgress::Complete
-    } else if over_count >= majority {
+    } else if over_count >= quorum {
         SealProgress::CompleteWithLoss
     } else {
         SealProgress::Incomplete
--- a/crates/seamhatchd/src/controllers/roster.rs
+++ b/crates/seamhatchd/src/controllers/roster.rs
@@ -199,7 +199,10 @@
     fn has_lost_majority(&self, shard: &ShardRoster, members: &[MemberRecord]) -> bool {
         let has_ended = |id: &WitnessId| self.health(id, members) == WitnessHealth::Ended;
         let mut listed = shard.previous.iter().chain([&shard.current]);
-        listed.any(|assignment| seal_progress(assignment, |_| false, has_ended) != SealProgress::Incomplete)
+        listed.any(|assignment| {
+            let best = seal_progress(assignment, |id| !has_ended(id), has_ended);
+            best == SealProgress::CompleteWithLoss
+        })
     }
 
     fn is_confirmed(&self, index: usize, shard: &ShardRoster) -> bool {
