--- a/crates/seamhatchd/src/listeners/callers.rs
+++ b/crates/seamhatchd/src/listeners/callers.rs
@@ -91,11 +91,7 @@
         debug!(error = error.to_string().as_str(); "a connection ended at once");
         return;
     }
-    // The library counts the idle time before a head as part of the time for it.
-    let limits = handler.limits();
-    let longest_wait =
-        Duration::from_millis(limits.idle_timeout_ms.saturating_add(limits.head_timeout_ms)) + IDLE_MARGIN;
-    let head_buffer = limits.head_bytes.saturating_mul(HEAD_OVERHEAD).max(HEAD_BUFFER);
+    let http = http_of(&handler);
     let requests = Arc::new(ConnectionRequests::default());
     let stream = WatchedStream::new(stream, requests.clone());
     let held = requests.clone();
@@ -103,23 +99,12 @@
         let (handler, requests) = (handler.clone(), held.clone());
         async move { handler.handle(request, &requests).await }
     });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(longest_wait)
-        .max_buf_size(head_buffer)
-        .max_headers(HEADER_FIELDS)
-        .serve_connection(TokioIo::new(stream), service);
+    let connection = http.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    let may_end = async {
-        until_closing(&mut closing).await;
-        if !requests.has_begun() {
-            tokio::time::sleep_until(opened + FIRST_REQUEST_WAIT).await;
-        }
-    };
     let ended = tokio::select! {
         biased;
         ended = &mut connection => ended,
-        () = may_end => {
+        () = until_it_may_end(&mut closing, &requests, opened) => {
             if !requests.has_begun() {
                 // At most a part of a head has been read.
                 return;
@@ -132,3 +117,30 @@
         debug!(error = error.to_string().as_str(); "a caller's connection ended");
     }
 }
+
+/// HTTP with the bounds of the configuration in force.
+fn http_of(handler: &RequestHandler) -> http1::Builder {
+    let limits = handler.limits();
+    // The library counts the idle time before a head as part of the time for it.
+    let longest_wait =
+        Duration::from_millis(limits.idle_timeout_ms.saturating_add(limits.head_timeout_ms)) + IDLE_MARGIN;
+    let head_buffer = limits.head_bytes.saturating_mul(HEAD_OVERHEAD).max(HEAD_BUFFER);
+    let mut http = http1::Builder::new();
+    http.timer(TokioTimer::new())
+        .header_read_timeout(longest_wait)
+        .max_buf_size(head_buffer)
+        .max_headers(HEADER_FIELDS);
+    http
+}
+
+/// Waits until a connection that was opened at `opened` is to end; one that is new then has time for its first request.
+async fn until_it_may_end(
+    closing: &mut watch::Receiver<bool>,
+    requests: &ConnectionRequests,
+    opened: Instant,
+) {
+    until_closing(closing).await;
+    if !requests.has_begun() {
+        tokio::time::sleep_until(opened + FIRST_REQUEST_WAIT).await;
+    }
+}
