--- a/crates/seamhatch-core/src/roster.rs
+++ b/crates/seamhatch-core/src/roster.rs
@@ -8,9 +8,8 @@
 //! compare-and-swap. A shard's change from epoch `e` to `e + 1` is: write the
 //! new assignment; seal `e` at as many of its witnesses as share one with each
 //! majority; take the union of their claims; install it at a majority of the
-//! new witnesses. Anyone may
-//! carry out or repeat these steps. Epochs whose installation was not confirmed
-//! stay listed in `previous` and are sealed too.
+//! new witnesses. Anyone may carry out or repeat these steps. Epochs whose
+//! installation was not confirmed stay listed in `previous` and are sealed too.
 
 use crate::claims::{Claim, ClaimHolder, ClaimKey, Epoch};
 use crate::clock::{Instant, Microseconds};
--- a/crates/seamhatchd/src/controllers/follow/quota_shards.rs
+++ b/crates/seamhatchd/src/controllers/follow/quota_shards.rs
@@ -32,7 +32,7 @@
 const LEASE: Duration = Duration::from_secs(8);
 /// Time between two renewals, in microseconds: each costs the store a tenth of a read.
 const RENEWAL: Microseconds = SECOND;
-/// A lease that was renewed longer ago than this belongs to a daemon that doesn't reach the store, in microseconds.
+/// A daemon whose lease was renewed longer ago than this doesn't reach the store, in microseconds.
 const LONGEST_RENEWAL: Microseconds = 2 * RENEWAL;
 /// How much later each next one in the order tries to take a shard, in microseconds.
 const NEXT_TRIES_AFTER: Microseconds = 300 * MILLISECOND;
@@ -121,8 +121,8 @@
         }
     }
 
-    /// Hands out nothing more and removes this daemon's records, so that others can take its shards before the lease ends. Where the store seems to be out,
-    /// they are kept for as long as the process lasts.
+    /// Hands out nothing more and removes this daemon's records, so that others can take its shards at once. Where the store seems to be out, it keeps them until
+    /// the lease ends.
     async fn leave(&mut self) {
         let is_out = clock::now().since(self.renewed) > LONGEST_RENEWAL;
         if self.records.is_empty() || is_out {
--- a/crates/seamhatchd/src/controllers/roster.rs
+++ b/crates/seamhatchd/src/controllers/roster.rs
@@ -51,7 +51,7 @@
     }
 
     /// What this daemon, as the witness `own`, still owes the others before it may end; `installed` is the last epoch of a shard that was
-    /// installed at it. A shard that has lost a majority already waits whatever this daemon does.
+    /// installed at it. A shard that has lost claims waits whatever this daemon does.
     pub fn duty(
         &self,
         own: &WitnessId,
@@ -60,7 +60,7 @@
     ) -> WitnessDuty {
         let shards = self.roster.shards.iter().enumerate();
         let held = shards.filter(|(index, shard)| !shard.has_released(own, installed(*index)));
-        let shards = held.filter(|(_, shard)| !self.has_lost_majority(shard, members)).count();
+        let shards = held.filter(|(_, shard)| !self.has_lost_claims(shard, members)).count();
         if shards == 0 {
             return WitnessDuty::Released;
         }
@@ -196,7 +196,7 @@
     }
 
     /// Whether the witnesses of one of the listed assignments have ended with what only they remembered.
-    fn has_lost_majority(&self, shard: &ShardRoster, members: &[MemberRecord]) -> bool {
+    fn has_lost_claims(&self, shard: &ShardRoster, members: &[MemberRecord]) -> bool {
         let has_ended = |id: &WitnessId| self.health(id, members) == WitnessHealth::Ended;
         let mut listed = shard.previous.iter().chain([&shard.current]);
         listed.any(|assignment| {
--- a/crates/seamhatchd/src/listeners/last_connections.rs
+++ b/crates/seamhatchd/src/listeners/last_connections.rs
@@ -9,17 +9,25 @@
 use std::io;
 use tokio::net::{TcpListener, TcpStream};
 
-/// A packet filter (`linux/bpf_common.h`) for a listening TCP socket: drops what asks for a new connection, takes all else. The caller's system asks again after a
-/// second, and is then refused.
+/// Instructions of packet filters (`linux/bpf_common.h`).
+const LOAD_BYTE: u16 = 0x30;
+const AND: u16 = 0x54;
+const SKIP_UNLESS_EQUAL: u16 = 0x15;
+const TAKE_BYTES: u16 = 0x06;
+
+/// Place of the flags in a TCP header, and two of them (RFC 9293, section 3.1).
+const FLAGS: u32 = 13;
+const SYN: u32 = 0x02;
+const ACK: u32 = 0x10;
+
+/// A filter for a listening TCP socket: drops what asks for a new connection, takes all else. The caller's system asks again after a second, and is
+/// then refused.
 const NO_NEW_CONNECTIONS: [SockFilter; 5] = [
-    // The byte of the TCP header with the flags.
-    SockFilter::new(0x30, 0, 0, 13),
-    // Of SYN and ACK ...
-    SockFilter::new(0x54, 0, 0, 0x12),
-    // ... only SYN: drop, else take.
-    SockFilter::new(0x15, 0, 1, 0x02),
-    SockFilter::new(0x06, 0, 0, 0),
-    SockFilter::new(0x06, 0, 0, u32::MAX),
+    SockFilter::new(LOAD_BYTE, 0, 0, FLAGS),
+    SockFilter::new(AND, 0, 0, SYN | ACK),
+    SockFilter::new(SKIP_UNLESS_EQUAL, 0, 1, SYN),
+    SockFilter::new(TAKE_BYTES, 0, 0, 0),
+    SockFilter::new(TAKE_BYTES, 0, 0, u32::MAX),
 ];
 
 /// Closes a listener; returns the connections that were established by then.
