The model of the tenants' shards has daemons that stop and leave their shards

Change: a daemon may stop, hand out nothing more and remove its record. Seeded faults: it leaves while it still hands out tokens; the store removes a record that a later life has written. The first search found two holders: a late call of an earlier life took the record back. The daemon's writes name the record that they replace, which the model left out; it has that now.

--- a/crates/seamhatch-model/src/quota_shards.rs
+++ b/crates/seamhatch-model/src/quota_shards.rs
@@ -1,4 +1,4 @@
-//! Shards of tenants' limits through late, lost and crossed calls to the store, restarts and leases that run out: no two
+//! Shards of tenants' limits through late, lost and crossed calls to the store, restarts, planned stops and leases that run out: no two
 //! daemons hand out tokens of one shard at the same time.
 //!
 //! Bounds: one shard, two daemons, few instants. A lease and the key that goes with it are made by one call.
@@ -17,6 +17,10 @@
     CountedFromAnswer,
     /// The store lets another daemon in when it has not heard of the holder for half of the lease.
     FreedEarly,
+    /// A daemon that stops removes its record while it still hands out tokens.
+    LeavesWhileItHolds,
+    /// The store removes a record that a later life of the daemon has written.
+    RemovesAnyRecord,
 }
 
 /// Bounds of a search.
@@ -42,20 +46,31 @@
     Asked { daemon: usize, incarnation: u8, sent: u64 },
     /// The store has done it.
     Done { daemon: usize, incarnation: u8, sent: u64 },
+    /// Removes the record of a daemon that stops.
+    Left { daemon: usize, incarnation: u8 },
+}
+
+/// Who has the shard in the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+struct ShardHolding {
+    daemon: usize,
+    incarnation: u8,
+    until: u64,
 }
 
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
 struct DaemonState {
     incarnation: u8,
     lease: ShardLease,
+    /// It stops, and asks for nothing more.
+    leaves: bool,
 }
 
 /// A state of the store, the daemons and the calls between them.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct QuotaShardsState {
     now: u64,
-    /// Who has the shard in the store, and until when.
-    holder: Option<(usize, u64)>,
+    holder: Option<ShardHolding>,
     daemons: [DaemonState; DAEMONS],
     calls: BTreeSet<Call>,
 }
@@ -76,10 +91,18 @@
         }
         for daemon in 0..DAEMONS {
             let incarnation = state.daemons[daemon].incarnation;
-            if state.calls.len() < MOST_CALLS {
+            if state.calls.len() < MOST_CALLS && !state.daemons[daemon].leaves {
                 Step::add(&mut steps, state, action("asks the store", daemon, 0), |next| {
                     next.calls.insert(Call::Asked { daemon, incarnation, sent: next.now });
                 });
+                Step::add(&mut steps, state, action("stops", daemon, 0), |next| {
+                    let own = &mut next.daemons[daemon];
+                    own.leaves = true;
+                    if self.fault != QuotaShardsFault::LeavesWhileItHolds {
+                        own.lease = ShardLease::default();
+                    }
+                    next.calls.insert(Call::Left { daemon, incarnation });
+                });
             }
             if incarnation < self.restarts {
                 Step::add(&mut steps, state, action("restarts", daemon, 0), |next| {
@@ -117,17 +140,27 @@
         match call {
             Call::Asked { daemon, incarnation, sent } => {
                 let early = if self.fault == QuotaShardsFault::FreedEarly { SPAN / 2 } else { 0 };
-                let free =
-                    state.holder.is_none_or(|(holder, until)| holder == daemon || until <= state.now + early);
+                // A write names the record that it replaces: a late one of an earlier life changes nothing.
+                let free = state.holder.is_none_or(|holder| {
+                    let is_own = holder.daemon == daemon && holder.incarnation <= incarnation;
+                    is_own || holder.until <= state.now + early
+                });
                 if free {
-                    state.holder = Some((daemon, state.now + SPAN));
+                    state.holder = Some(ShardHolding { daemon, incarnation, until: state.now + SPAN });
                     state.calls.insert(Call::Done { daemon, incarnation, sent });
                 }
             }
+            Call::Left { daemon, incarnation } => {
+                let any = self.fault == QuotaShardsFault::RemovesAnyRecord;
+                let is_own = |holder: &ShardHolding| {
+                    holder.daemon == daemon && (any || holder.incarnation == incarnation)
+                };
+                state.holder = state.holder.filter(|holder| !is_own(holder));
+            }
             Call::Done { daemon, incarnation, sent } => {
                 let now = state.now;
                 let daemon = &mut state.daemons[daemon];
-                if daemon.incarnation != incarnation {
+                if daemon.incarnation != incarnation || daemon.leaves {
                     return;
                 }
                 let late = self.fault == QuotaShardsFault::CountedFromAnswer;
--- a/crates/seamhatch-model/tests/quota_shards.rs
+++ b/crates/seamhatch-model/tests/quota_shards.rs
@@ -19,7 +19,12 @@
 
 #[test]
 fn each_seeded_fault_is_found() {
-    for fault in [QuotaShardsFault::CountedFromAnswer, QuotaShardsFault::FreedEarly] {
+    for fault in [
+        QuotaShardsFault::CountedFromAnswer,
+        QuotaShardsFault::FreedEarly,
+        QuotaShardsFault::LeavesWhileItHolds,
+        QuotaShardsFault::RemovesAnyRecord,
+    ] {
         assert_found(fault, &model(fault).search(LIMIT));
     }
 }
