--- a/crates/seamhatchd/src/reload.rs
+++ b/crates/seamhatchd/src/reload.rs
@@ -8,16 +8,18 @@
 use log::{error, info, warn};
 use std::ffi::OsString;
 use std::sync::Arc;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+/// Receives SIGHUP from now on, which ends the process until then; to be called in a runtime.
+///
+/// # Errors
+/// Signals can't be received.
+pub fn receive_hangups() -> std::io::Result<Signal> {
+    signal(SignalKind::hangup())
+}
 
 /// Reads the settings again at each SIGHUP, with the arguments of the start.
-pub async fn reload_on_hangup(shared: Arc<Shared>, arguments: Vec<OsString>) {
-    let mut hangups = match signal(SignalKind::hangup()) {
-        Ok(hangups) => hangups,
-        Err(problem) => {
-            return error!(error = problem.to_string().as_str(); "settings can't be read again at SIGHUP");
-        }
-    };
+pub async fn reload_on_hangup(shared: Arc<Shared>, arguments: Vec<OsString>, mut hangups: Signal) {
     while hangups.recv().await.is_some() {
         match settings::from_arguments(arguments.clone()) {
             Ok(Invocation::Run(read)) => apply(&shared.settings, &read),
--- a/crates/seamhatchd/src/startup.rs
+++ b/crates/seamhatchd/src/startup.rs
@@ -32,7 +32,7 @@
 use crate::settings::{self, Invocation, Settings, SettingsError};
 use crate::shared::Shared;
 use crate::snapshot::Snapshot;
-use crate::stop::until_stopped;
+use crate::stop::{StopSignals, until_stopped};
 use arc_swap::ArcSwap;
 use log::{error, info};
 use seamhatch_core::admission::AdmissionPolicy;
@@ -112,6 +112,11 @@
 
 fn try_serve(settings: Settings, ports: &Ports, arguments: Vec<OsString>) -> std::io::Result<()> {
     let traffic = traffic_runtime(settings.traffic_threads)?;
+    // Before anything listens: a signal that isn't received yet ends the process at once.
+    let (signals, hangups) = {
+        let _runtime = traffic.enter();
+        (StopSignals::receive()?, reload::receive_hangups()?)
+    };
     let (control, events) = ControlHandle::new();
     let shared = Arc::new_cyclic(|shared| assemble(settings, ports, control, traffic.handle(), shared));
     let listen = shared.settings.listen;
@@ -121,14 +126,14 @@
     let listeners = traffic.block_on(Listeners::start(&shared, ports.layout))?;
     traffic.spawn(peer_server::serve(shared.clone(), peers));
     start_control(shared.clone(), events, gossip, ports.clone())?;
-    traffic.spawn(reload::reload_on_hangup(shared.clone(), arguments));
+    traffic.spawn(reload::reload_on_hangup(shared.clone(), arguments, hangups));
     info!(
         member = listen.gossip.to_string().as_str(),
         service = shared.settings.service.as_str(),
         incarnation = shared.incarnation.to_string().as_str();
         "started"
     );
-    traffic.block_on(until_stopped(&shared, listeners))?;
+    traffic.block_on(until_stopped(&shared, listeners, signals));
     info!("stopped");
     // Not the listeners' own graceful stop: it lets new connections hang, and waits for idle ones. Until here each
     // request was answered with `Connection: close`.
--- a/crates/seamhatchd/src/stop/mod.rs
+++ b/crates/seamhatchd/src/stop/mod.rs
@@ -23,7 +23,7 @@
 use seamhatch_core::drain::{ANSWER_MARGIN, END_MARGIN};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// Longest time for callers and daemons to learn that this one leaves, where the daemon sees no evidence that they have.
 const LONGEST_TO_LEARN: Duration = Duration::from_millis(2300);
@@ -43,17 +43,33 @@
 /// Longest wait, once nothing is taken any more, for connections to end and for the other members to be told.
 const LONGEST_ENDING: Duration = Duration::from_millis(200);
 
-/// Waits for a signal to stop, then drains the daemon.
-///
-/// # Errors
-/// Signals can't be received.
-pub async fn until_stopped(shared: &Arc<Shared>, listeners: Listeners) -> std::io::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+/// The signals that ask for a stop. They are to be received before anything listens: until then the system ends the process at once, with
+/// whatever it has accepted.
+pub struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl StopSignals {
+    /// Receives them from now on; to be called in a runtime.
+    ///
+    /// # Errors
+    /// Signals can't be received.
+    pub fn receive() -> std::io::Result<Self> {
+        Ok(Self { terminate: signal(SignalKind::terminate())?, interrupt: signal(SignalKind::interrupt())? })
+    }
+
+    async fn any(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
     }
+}
+
+/// Waits for a signal to stop, then drains the daemon.
+pub async fn until_stopped(shared: &Arc<Shared>, listeners: Listeners, mut signals: StopSignals) {
+    signals.any().await;
     info!("stop requested");
     let started = clock::now();
     shared.lifecycle.note_stop_request(started);
@@ -66,7 +82,7 @@
     // terminal, cuts a stop short.
     tokio::select! {
         () = drained(shared, started, &mut report) => {}
-        _ = interrupt.recv() => {
+        _ = signals.interrupt.recv() => {
             warn!("interrupted while stopping: work in progress is cut off");
             cut_off(shared, &mut report);
         }
@@ -74,7 +90,6 @@
     end_connections(shared, &listeners).await;
     // Without a wait from here on: what is read now is refused, or not read at all.
     report.log(shared);
-    Ok(())
 }
 
 /// Waits until nothing is in progress and nothing more is taken; what is in progress when the stop has taken too long is given up.
