--- a/crates/seamhatch-lab/src/lib.rs
+++ b/crates/seamhatch-lab/src/lib.rs
@@ -4,6 +4,7 @@
 //! - A deployment of them: [`topology`] says what it consists of, [`deployment`] starts it on loopback addresses from [`network`],
 //!   [`process`] runs the daemons, [`fault_proxy`] stands between them.
 //! - What is done with one: [`demo`], [`experiment`] (load, a trigger, goodput) and [`soak`] (drawn faults, promises checked).
+//! - [`cost`] measures the processor time that daemons use for each call.
 //! - [`bound`] computes what any admission could have earned on a day; it starts nothing.
 //!
 //! Tests of this crate and of the platform's adapter use the same parts.
@@ -14,6 +15,7 @@
 pub mod client;
 pub mod connection;
 pub mod conventions;
+pub mod cost;
 pub mod demo;
 pub mod deployment;
 pub mod experiment;
--- a/crates/seamhatch-lab/src/main.rs
+++ b/crates/seamhatch-lab/src/main.rs
@@ -13,6 +13,7 @@
   soak               inject faults under load and check the promises
   report HISTORY     plot the history of a soak as a page
   bound PLAN.toml    the most credit that any admission could earn on a day
+  cost               the processor time that daemons use for each call
   run SCENARIO.toml  run an experiment, with control and without, and report
   daemon FLAGS       run seamhatchd (ends when its standard input closes)
   client ARGUMENTS   run the operators' client
@@ -30,6 +31,7 @@
         "soak" => seamhatch_lab::soak::run(arguments),
         "report" => seamhatch_lab::soak::report::run(arguments),
         "bound" => seamhatch_lab::bound::run(arguments),
+        "cost" => seamhatch_lab::cost::run(arguments),
         "run" => seamhatch_lab::experiment::run(arguments),
         "daemon" => {
             seamhatch_lab::process::end_with_standard_input();
