Service floors keep sums instead of a mean over all servers for each report

Each heartbeat and each answer computed a mean over the reports of all servers of the service. ServiceFloorTable now keeps sums of whole numbers, from which a report is taken away when it is replaced, forgotten or too old, and looks for old ones only where the oldest can be. The result is that of AdmissionFloor::mean: a property test compares it with the earlier table over drawn reports, departures and pauses.

--- a/crates/seamhatch-core/src/service_floor.rs
+++ b/crates/seamhatch-core/src/service_floor.rs
@@ -11,7 +11,7 @@
 
 use crate::clock::{Instant, Microseconds, SECOND};
 use crate::identity::Address;
-use crate::priority::AdmissionFloor;
+use crate::priority::{AdmissionFloor, PriorityClass};
 use std::collections::HashMap;
 
 /// A report that is older than this counts for nothing: its server has ended or can't be reached. Chosen, not measured:
@@ -30,7 +30,26 @@
 /// The last report of each server, by service.
 #[derive(Debug, Default)]
 pub struct ServiceFloorTable {
-    services: HashMap<String, HashMap<Address, ServerFloor>>,
+    services: HashMap<String, ServiceReports>,
+}
+
+/// The last reports of the servers of one service, and their sums. Reports come with each answer, so that a mean over all servers
+/// for each of them costs more the larger the service is.
+#[derive(Debug, Default)]
+struct ServiceReports {
+    reports: HashMap<Address, ServerFloor>,
+    /// Over all of `reports`.
+    sums: FloorSums,
+    /// No report is older than this.
+    oldest: Option<Instant>,
+}
+
+/// Sums of floors, each times the slots of its server. Whole numbers, so that what was added can be taken away without a rest.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+struct FloorSums {
+    slots: u64,
+    level: u64,
+    kept: [u64; PriorityClass::ALL.len()],
 }
 
 impl ServiceFloorTable {
@@ -44,38 +63,107 @@
         limit: u32,
         now: Instant,
     ) -> AdmissionFloor {
-        if !self.services.contains_key(service) {
-            self.services.insert(service.to_owned(), HashMap::new());
+        let report = ServerFloor { floor, limit, reported: now };
+        if let Some(reports) = self.services.get_mut(service) {
+            return reports.note(server, report);
         }
-        let reports = self.services.get_mut(service).expect("inserted above");
-        reports.insert(server, ServerFloor { floor, limit, reported: now });
-        reports.retain(|_, report| report.is_fresh(now));
-        mean(reports.values())
+        self.services.entry(service.to_owned()).or_default().note(server, report)
     }
 
     /// Forgets a server that accepts no more calls, or to which there is no connection any more.
     pub fn forget(&mut self, service: &str, server: Address) {
         if let Some(reports) = self.services.get_mut(service) {
-            reports.remove(&server);
+            reports.remove(server);
         }
     }
 
     /// What the service admits; none where it admits everything, as far as is known.
     #[must_use]
     pub fn of(&self, service: &str, now: Instant) -> Option<AdmissionFloor> {
-        let reports = self.services.get(service)?.values();
-        let floor = mean(reports.filter(|report| report.is_fresh(now)));
+        let floor = self.services.get(service)?.mean(now);
         (!floor.is_open()).then_some(floor)
     }
 }
 
+impl ServiceReports {
+    fn note(&mut self, server: Address, report: ServerFloor) -> AdmissionFloor {
+        let now = report.reported;
+        self.sums.add(report);
+        if let Some(earlier) = self.reports.insert(server, report) {
+            self.sums.subtract(earlier);
+        }
+        self.oldest = Some(self.oldest.map_or(now, |oldest| oldest.min(now)));
+        if !self.are_fresh(now) {
+            self.drop_old(now);
+        }
+        self.sums.mean()
+    }
+
+    fn remove(&mut self, server: Address) {
+        if let Some(report) = self.reports.remove(&server) {
+            self.sums.subtract(report);
+        }
+    }
+
+    fn mean(&self, now: Instant) -> AdmissionFloor {
+        if self.are_fresh(now) {
+            return self.sums.mean();
+        }
+        // Until the next report drops those that are old.
+        let mut sums = FloorSums::default();
+        self.reports.values().filter(|report| report.is_fresh(now)).for_each(|report| sums.add(*report));
+        sums.mean()
+    }
+
+    /// Whether no report can be too old.
+    fn are_fresh(&self, now: Instant) -> bool {
+        self.oldest.is_none_or(|oldest| is_fresh(oldest, now))
+    }
+
+    fn drop_old(&mut self, now: Instant) {
+        self.reports.retain(|_, report| {
+            let is_fresh = report.is_fresh(now);
+            if !is_fresh {
+                self.sums.subtract(*report);
+            }
+            is_fresh
+        });
+        self.oldest = self.reports.values().map(|report| report.reported).min();
+    }
+}
+
+impl FloorSums {
+    fn add(&mut self, report: ServerFloor) {
+        let weight = u64::from(report.limit);
+        self.slots += weight;
+        self.level += weight * u64::from(report.floor.level);
+        self.kept.iter_mut().zip(report.floor.kept).for_each(|(sum, kept)| *sum += weight * u64::from(kept));
+    }
+
+    /// Takes away a report that was added.
+    fn subtract(&mut self, report: ServerFloor) {
+        let weight = u64::from(report.limit);
+        self.slots -= weight;
+        self.level -= weight * u64::from(report.floor.level);
+        self.kept.iter_mut().zip(report.floor.kept).for_each(|(sum, kept)| *sum -= weight * u64::from(kept));
+    }
+
+    /// As [`AdmissionFloor::mean`] of all that were added; open where there are no slots.
+    fn mean(&self) -> AdmissionFloor {
+        if self.slots == 0 {
+            return AdmissionFloor::OPEN;
+        }
+        let share = |sum: u64| (sum as f64 / self.slots as f64).round();
+        AdmissionFloor { level: share(self.level) as u16, kept: self.kept.map(|sum| share(sum) as u8) }
+    }
+}
+
 impl ServerFloor {
     fn is_fresh(&self, now: Instant) -> bool {
-        now.since(self.reported) <= REPORT_LIFETIME
+        is_fresh(self.reported, now)
     }
 }
 
-fn mean<'a>(reports: impl IntoIterator<Item = &'a ServerFloor>) -> AdmissionFloor {
-    let floors = reports.into_iter().map(|report| (report.floor, report.limit));
-    AdmissionFloor::mean(floors).unwrap_or(AdmissionFloor::OPEN)
+fn is_fresh(reported: Instant, now: Instant) -> bool {
+    now.since(reported) <= REPORT_LIFETIME
 }
--- a/crates/seamhatch-core/tests/service_floors.rs
+++ b/crates/seamhatch-core/tests/service_floors.rs
@@ -1,10 +1,13 @@
 //! What a service admits by the reports of its servers.
 
+use proptest::collection::vec;
+use proptest::prelude::*;
 use seamhatch_core::Instant;
-use seamhatch_core::clock::SECOND;
+use seamhatch_core::clock::{MILLISECOND, SECOND};
 use seamhatch_core::identity::Address;
-use seamhatch_core::priority::AdmissionFloor;
+use seamhatch_core::priority::{AdmissionFloor, PriorityClass};
 use seamhatch_core::service_floor::ServiceFloorTable;
+use std::collections::HashMap;
 
 const NOW: Instant = Instant(100 * SECOND);
 const OPEN: u16 = AdmissionFloor::OPEN.level;
@@ -81,3 +84,69 @@
     floors.forget("stock", servers[0]);
     assert_eq!(floors.of("stock", NOW).map(|floor| floor.level), Some(260));
 }
+
+/// The table before it kept sums: a mean over all reports for each of them.
+#[derive(Default)]
+struct MeanOfAll(HashMap<Address, (AdmissionFloor, u32, Instant)>);
+
+impl MeanOfAll {
+    fn note(&mut self, server: Address, floor: AdmissionFloor, slots: u32, now: Instant) -> AdmissionFloor {
+        self.0.insert(server, (floor, slots, now));
+        self.0.retain(|_, (_, _, reported)| now.since(*reported) <= SECOND);
+        self.mean(now)
+    }
+
+    fn mean(&self, now: Instant) -> AdmissionFloor {
+        let fresh = self.0.values().filter(|(_, _, reported)| now.since(*reported) <= SECOND);
+        AdmissionFloor::mean(fresh.map(|(floor, slots, _)| (*floor, *slots))).unwrap_or(AdmissionFloor::OPEN)
+    }
+}
+
+/// What happens to the table.
+#[derive(Debug, Clone)]
+enum Event {
+    Report { server: u8, level: u16, kept: u8, slots: u32 },
+    Leaves { server: u8 },
+    Passes { milliseconds: u64 },
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let slots = prop_oneof![Just(0), 1..40u32, Just(u32::MAX)];
+    prop_oneof![
+        6 => (0..5u8, 0..=OPEN + 1, any::<u8>(), slots)
+            .prop_map(|(server, level, kept, slots)| Event::Report { server, level, kept, slots }),
+        1 => (0..5u8).prop_map(|server| Event::Leaves { server }),
+        3 => (0..600u64).prop_map(|milliseconds| Event::Passes { milliseconds }),
+    ]
+}
+
+proptest! {
+    /// Sums that drift from the reports would shed requests that the servers admit, or the other way round.
+    #[test]
+    fn sums_give_the_mean_of_all_fresh_reports(events in vec(event(), 0..80)) {
+        let mut floors = ServiceFloorTable::default();
+        let mut expected = MeanOfAll::default();
+        let mut now = NOW;
+        for event in events {
+            match event {
+                Event::Report { server, level, kept, slots } => {
+                    let floor = AdmissionFloor { kept: [kept; PriorityClass::ALL.len()], ..AdmissionFloor::at(level) };
+                    let server = address(server);
+                    let noted = floors.note("stock", server, floor, slots, now);
+                    prop_assert_eq!(noted, expected.note(server, floor, slots, now));
+                }
+                Event::Leaves { server } => {
+                    floors.forget("stock", address(server));
+                    expected.0.remove(&address(server));
+                }
+                Event::Passes { milliseconds } => now = now.plus(milliseconds * MILLISECOND),
+            }
+            let mean = expected.mean(now);
+            prop_assert_eq!(floors.of("stock", now), (!mean.is_open()).then_some(mean));
+        }
+    }
+}
+
+fn address(number: u8) -> Address {
+    format!("10.0.0.{number}:7002").parse().expect("valid")
+}
