Views of peers are read without a copy

PeerConnection::with_view reads a view under its lock; PeerPool::read gives the open connections and failures of several daemons under one lock, for the choice of a server (dispatch/candidates.rs still copies). The pool's own silence check copies neither the view nor the connection of a silent peer. A heartbeat reads the clock once where it read it three times.

--- a/crates/seamhatchd/src/peer/connection.rs
+++ b/crates/seamhatchd/src/peer/connection.rs
@@ -182,14 +182,19 @@
     /// Records a call that was lost with this connection. Returns all that were lost so far and that nobody has reported, where the
     /// daemon has ended without having said that it leaves.
     pub async fn lost_runs(&self, run: LostRun) -> Vec<LostRun> {
-        let leaves = self.view().intake != CallIntake::Open;
+        let leaves = self.with_view(|view| view.intake != CallIntake::Open);
         if self.is_open() || leaves {
             return Vec::new();
         }
         self.state.loss.record(run, self.address.into()).await
     }
 
-    /// What is known of the peer.
+    /// Reads what is known of the peer without a copy. `read` must not use this connection, whose view is locked meanwhile.
+    pub fn with_view<R>(&self, read: impl FnOnce(&PeerView) -> R) -> R {
+        read(&self.state.view())
+    }
+
+    /// A copy of what is known of the peer.
     #[must_use]
     pub fn view(&self) -> PeerView {
         self.state.view().clone()
--- a/crates/seamhatchd/src/peer/pool.rs
+++ b/crates/seamhatchd/src/peer/pool.rs
@@ -130,21 +130,29 @@
     /// The open connection to a daemon, if there is one.
     #[must_use]
     pub fn existing(&self, address: Address) -> Option<PeerConnection> {
-        let entries = self.lock();
-        entries.get(&address)?.connection.clone().filter(PeerConnection::is_open)
+        self.read().connection(address).cloned()
     }
 
     /// The open connection, unless it has fallen silent: the peer may have restarted behind a network cut, which only a
     /// new connection shows. Calls on the old one go on.
     fn usable(&self, address: Address) -> Option<PeerConnection> {
         let now = clock::now();
-        self.existing(address).filter(|connection| !connection.view().is_silent(now))
+        let pool = self.read();
+        pool.connection(address)
+            .filter(|connection| !connection.with_view(|view| view.is_silent(now)))
+            .cloned()
+    }
+
+    /// What is known of several daemons, read under one lock and without copies.
+    #[must_use]
+    pub fn read(&self) -> PoolReader<'_> {
+        PoolReader(self.lock())
     }
 
     /// Whether a daemon is ejected because connecting to it failed several times recently.
     #[must_use]
     pub fn is_failing(&self, address: Address, now: Instant) -> bool {
-        self.lock().get(&address).is_some_and(|entry| entry.failures.is_ejected(now))
+        self.read().is_failing(address, now)
     }
 
     /// Drops a connection that ended, unless a newer one took its place.
@@ -162,6 +170,24 @@
     }
 }
 
+/// The pool while it is read. Nothing may wait for anything while it is held.
+#[derive(Debug)]
+pub struct PoolReader<'a>(MutexGuard<'a, HashMap<Address, PoolEntry>>);
+
+impl PoolReader<'_> {
+    /// The open connection to a daemon, if there is one.
+    #[must_use]
+    pub fn connection(&self, address: Address) -> Option<&PeerConnection> {
+        self.0.get(&address)?.connection.as_ref().filter(|connection| connection.is_open())
+    }
+
+    /// Whether a daemon is ejected because connecting to it failed several times recently.
+    #[must_use]
+    pub fn is_failing(&self, address: Address, now: Instant) -> bool {
+        self.0.get(&address).is_some_and(|entry| entry.failures.is_ejected(now))
+    }
+}
+
 async fn in_time(asking: impl Future<Output = Option<ControlReply>>) -> Option<ControlReply> {
     tokio::time::timeout(ASK_TIMEOUT, asking).await.ok().flatten()
 }
--- a/crates/seamhatchd/src/peer/view.rs
+++ b/crates/seamhatchd/src/peer/view.rs
@@ -1,6 +1,6 @@
 //! What one daemon knows of a peer from its messages and from how calls to it ended.
 //!
-//! Each connection owns one view; the choice of a server reads a copy.
+//! Each connection owns one view; the choice of a server and the silence check read it under its lock.
 
 use crate::base::clock;
 use seamhatch_core::Instant;
@@ -121,13 +121,14 @@
 
     /// Records a heartbeat.
     pub(super) fn apply_pulse(&mut self, pulse: &seamhatch_wire::Pulse) {
-        self.clock.observe(pulse.clock, clock::now());
+        let now = clock::now();
+        self.clock.observe(pulse.clock, now);
         self.intake = pulse.intake;
         self.ends |= pulse.farewell == Some(Farewell::Said);
         if let CallIntake::FallbackOnly { left } = pulse.intake {
-            self.leaves_at = clock::now().plus(left);
+            self.leaves_at = now.plus(left);
         }
         self.server = Some(pulse.server);
-        self.note_turn(pulse.turn, clock::now());
+        self.note_turn(pulse.turn, now);
     }
 }
