Credit for a body is sent once half of the window is owed

Each piece of a request's or an answer's body was followed by a credit message, also where the body fits into the window. The rule is seamhatch_core::body_credit::OwedCredit.

--- a/crates/seamhatch-core/src/lib.rs
+++ b/crates/seamhatch-core/src/lib.rs
@@ -29,6 +29,7 @@
 //! | What does the back end say of itself in its answers? | [`notice`] |
 //! | Which daemons are there? | [`membership`] |
 //! | When does a daemon tell another one that it is there? | [`heartbeat`] |
+//! | How much of a body may its sender send? | [`body_credit`] |
 //! | Which configuration is in force, and has a submission been accepted? | [`generation`] |
 //!
 //! The rest measures and names things: [`answer_times`], [`clock`], [`identity`], [`outcome`], [`rendezvous`], [`running_quantile`].
@@ -36,6 +37,7 @@
 pub mod admission;
 pub mod answer_times;
 pub mod balance;
+pub mod body_credit;
 pub mod claims;
 pub mod clock;
 pub mod crashes;
--- a/crates/seamhatchd/src/peer/call.rs
+++ b/crates/seamhatchd/src/peer/call.rs
@@ -2,10 +2,11 @@
 //!
 //! Used by dispatch. Dropping a [`CallStream`] before its end cancels the call at the peer.
 
-use crate::peer::CreditWindow;
+use crate::peer::credit::{CreditWindow, owed_credit};
 use crate::peer::link::Outbox;
 use crate::peer::outgoing_calls::OutgoingCalls;
 use bytes::Bytes;
+use seamhatch_core::body_credit::OwedCredit;
 use seamhatch_core::identity::CallId;
 use seamhatch_wire::{AnswerHead, AnswerTail, PeerMessage, Refusal};
 use std::sync::Arc;
@@ -89,6 +90,7 @@
 #[derive(Debug)]
 pub struct AnswerBody {
     stream: CallStream,
+    owed: OwedCredit,
     held_back: Option<Bytes>,
     tail: Option<AnswerTail>,
     lost: bool,
@@ -98,7 +100,7 @@
     /// The body that follows an answer's head on `stream`.
     #[must_use]
     pub fn new(stream: CallStream) -> Self {
-        Self { stream, held_back: None, tail: None, lost: false }
+        Self { stream, owed: owed_credit(), held_back: None, tail: None, lost: false }
     }
 
     /// The next piece. Cancel-safe.
@@ -124,8 +126,9 @@
         }
     }
 
-    fn grant(&self, bytes: usize) {
-        let message = PeerMessage::Credit { call: self.stream.call, bytes: bytes as u32 };
+    fn grant(&mut self, bytes: usize) {
+        let Some(bytes) = self.owed.take(bytes as u32) else { return };
+        let message = PeerMessage::Credit { call: self.stream.call, bytes };
         // A lost connection shows in the next event.
         let _ = self.stream.outbox.send(message);
     }
--- a/crates/seamhatchd/src/peer/credit.rs
+++ b/crates/seamhatchd/src/peer/credit.rs
@@ -1,13 +1,21 @@
 //! Flow control of one body: how many bytes its receiver can take.
 //!
-//! The sender of the body owns the window; the session or connection that gets [`Credit`] messages refills it.
+//! The sender of the body owns the window; the session or connection that gets [`Credit`] messages refills it. The receiver
+//! decides by [`OwedCredit`] when it sends them.
 //!
 //! [`Credit`]: seamhatch_wire::PeerMessage::Credit
 
 use crate::peer::BODY_WINDOW;
+use seamhatch_core::body_credit::OwedCredit;
 use std::sync::atomic::{AtomicI64, Ordering};
 use tokio::sync::Notify;
 
+/// What the receiver of a body owes its sender at the start.
+#[must_use]
+pub fn owed_credit() -> OwedCredit {
+    OwedCredit::new(BODY_WINDOW as u32)
+}
+
 /// Bytes that may be sent now. Below zero after a piece that was larger than what was left.
 #[derive(Debug)]
 pub struct CreditWindow {
--- a/crates/seamhatchd/src/peer/mod.rs
+++ b/crates/seamhatchd/src/peer/mod.rs
@@ -21,7 +21,7 @@
 
 pub use call::{AnswerBody, AnswerPiece, CallEvent, CallStream};
 pub use connection::PeerConnection;
-pub use credit::CreditWindow;
+pub use credit::{CreditWindow, owed_credit};
 pub use farewells::{AwaitedFarewell, Farewells};
 pub use host::{LinkHost, LocalState};
 pub use link::{LinkClosed, Outbox, UnwrittenMessages};
--- a/crates/seamhatchd/src/peer_server/incoming_calls.rs
+++ b/crates/seamhatchd/src/peer_server/incoming_calls.rs
@@ -9,6 +9,7 @@
 use crate::peer::CreditWindow;
 use crate::server::backend::{BodyPiece, BrokenOff};
 use bytes::Bytes;
+use seamhatch_core::body_credit::OwedCredit;
 use seamhatch_core::identity::CallId;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -18,6 +19,8 @@
 pub(super) struct IncomingCall {
     /// Feeds the request body; none for a call without one, and after its end.
     pub(super) body: Option<mpsc::UnboundedSender<BodyPiece>>,
+    /// Credit for the request body that its sender has not got yet.
+    pub(super) owed: OwedCredit,
     /// How much of the answer's body the sender can take.
     pub(super) window: Arc<CreditWindow>,
     /// Woken once when the sender has given the call up.
@@ -45,11 +48,14 @@
         self.lock().is_empty()
     }
 
-    /// Passes on a piece of a request body. False when the call has ended or needs no more of it.
-    pub(super) fn feed(&self, call: CallId, bytes: Bytes) -> bool {
-        let calls = self.lock();
-        let Some(body) = calls.get(&call).and_then(|entry| entry.body.as_ref()) else { return false };
-        body.send(Ok(bytes)).is_ok()
+    /// Passes on a piece of a request body. Returns the credit that its sender gets now; none where the call has ended or needs no
+    /// more of it.
+    pub(super) fn feed(&self, call: CallId, bytes: Bytes) -> Option<u32> {
+        let mut calls = self.lock();
+        let entry = calls.get_mut(&call)?;
+        let size = bytes.len() as u32;
+        entry.body.as_ref()?.send(Ok(bytes)).ok()?;
+        entry.owed.take(size)
     }
 
     /// Marks a request body as complete.
--- a/crates/seamhatchd/src/peer_server/session.rs
+++ b/crates/seamhatchd/src/peer_server/session.rs
@@ -8,7 +8,7 @@
 use crate::base::metrics::BadInput;
 use crate::intake::RequestEntry;
 use crate::limits::quota;
-use crate::peer::{AwaitedFarewell, CreditWindow, Outbox};
+use crate::peer::{AwaitedFarewell, CreditWindow, Outbox, owed_credit};
 use crate::peer_server::call::ServerCall;
 use crate::peer_server::incoming_calls::{IncomingCall, IncomingCalls};
 use crate::server::backend;
@@ -123,7 +123,12 @@
         };
         let window = Arc::new(CreditWindow::default());
         let cancelled = Arc::new(Notify::new());
-        let entry = IncomingCall { body: body_sender, window: window.clone(), cancelled: cancelled.clone() };
+        let entry = IncomingCall {
+            body: body_sender,
+            owed: owed_credit(),
+            window: window.clone(),
+            cancelled: cancelled.clone(),
+        };
         if !self.calls.add(head.call, entry) {
             self.shared.metrics.bad_input(BadInput::PeerConnection);
         }
@@ -145,12 +150,11 @@
         }
     }
 
-    /// Passes on a piece of a request body and gives its sender credit for as much. The credit is all that bounds the
+    /// Passes on a piece of a request body and gives its sender the credit that is due. The credit is all that bounds the
     /// channel to the back end.
     fn feed(&self, call: CallId, bytes: Bytes) {
-        let size = bytes.len() as u32;
-        if self.calls.feed(call, bytes) {
-            self.send(PeerMessage::Credit { call, bytes: size });
+        if let Some(bytes) = self.calls.feed(call, bytes) {
+            self.send(PeerMessage::Credit { call, bytes });
         }
     }
 
--- /dev/null
+++ b/crates/seamhatchd/tests/links.rs
@@ -0,0 +1,294 @@
+//! What a daemon sends on the connections that it opens to other daemons, which are stood in for here.
+
+use seamhatch_core::balance::TurnReport;
+use seamhatch_core::clock::{Instant, Microseconds, SECOND};
+use seamhatch_core::crashes::SuspectReport;
+use seamhatch_core::generation::Generation;
+use seamhatch_core::heartbeat::CALLING_INTERVAL;
+use seamhatch_core::identity::{Address, CallId, Incarnation, RequestDigest, RootId};
+use seamhatch_core::notice::BackEndNotice;
+use seamhatch_core::priority::{AdmissionFloor, Priority, PriorityClass};
+use seamhatch_wire::{
+    ADDITIONS, AnswerHead, AnswerTail, CallContext, CallHead, CallIntake, FrameReader, Hello, PeerMessage,
+    Pulse, ServerReport, encode_frame, read_preface, write_preface,
+};
+use seamhatchd::base::clock;
+use seamhatchd::base::metrics::BadInput;
+use seamhatchd::peer::{
+    AnswerBody, AnswerPiece, BODY_PIECE, BODY_WINDOW, CallEvent, LinkHost, LocalState, PeerPool,
+    UnwrittenMessages,
+};
+use std::net::{IpAddr, Ipv4Addr};
+use std::sync::{Arc, Weak};
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::Handle;
+use tokio::sync::Notify;
+use tokio::sync::futures::Notified;
+
+const REPORT: ServerReport = ServerReport { load: 0, limit: 8, floor: AdmissionFloor::OPEN };
+
+/// A daemon of which only the connections exist.
+#[derive(Debug, Default)]
+struct Host {
+    unwritten: UnwrittenMessages,
+    intake_changed: Notify,
+}
+
+fn hello(port: u16) -> Hello {
+    let address = Address { ip: Ipv4Addr::LOCALHOST.into(), port };
+    Hello {
+        cluster: "deployment".into(),
+        peer: address,
+        gossip: address,
+        incarnation: Incarnation(1),
+        service: "stock".into(),
+        clock: clock::now(),
+        additions: ADDITIONS,
+        handed_back: None,
+    }
+}
+
+impl LinkHost for Host {
+    fn hello(&self, _callee: Option<Address>) -> Hello {
+        hello(1)
+    }
+
+    fn unwritten(&self) -> &UnwrittenMessages {
+        &self.unwritten
+    }
+
+    fn own_ip(&self) -> IpAddr {
+        Ipv4Addr::LOCALHOST.into()
+    }
+
+    fn local_state(&self, _peer: Address) -> LocalState {
+        LocalState {
+            generation: Generation::default(),
+            intake: CallIntake::Open,
+            server: REPORT,
+            proof: None,
+            turn: None::<TurnReport>,
+            notice: None,
+            ends: false,
+        }
+    }
+
+    fn intake_changed(&self) -> Notified<'_> {
+        self.intake_changed.notified()
+    }
+
+    fn peer_pulse(&self, _service: &str, _peer: Address, _pulse: &Pulse) {}
+
+    fn server_report(&self, _service: &str, _peer: Address, _report: ServerReport) {}
+
+    fn back_end_notice(&self, _peer: Address, _notice: Option<&BackEndNotice>) {}
+
+    fn connection_ended(&self, _service: &str, _peer: Address) {}
+
+    fn suspects_reported(&self, _reports: &[SuspectReport]) {}
+
+    fn bad_input(&self, kind: BadInput) {
+        panic!("bad input: {kind:?}");
+    }
+}
+
+/// The other end of a connection that a daemon opened.
+struct CalledPeer {
+    frames: FrameReader<OwnedReadHalf>,
+    writer: OwnedWriteHalf,
+}
+
+impl CalledPeer {
+    async fn accept(listener: TcpListener) -> Self {
+        let port = listener.local_addr().expect("is bound").port();
+        let (mut stream, _address): (TcpStream, _) = listener.accept().await.expect("accepts");
+        read_preface(&mut stream).await.expect("reads");
+        write_preface(&mut stream).await.expect("writes");
+        let (reader, writer) = stream.into_split();
+        let mut peer = Self { frames: FrameReader::new(reader), writer };
+        peer.send(PeerMessage::Hello(hello(port))).await;
+        assert!(matches!(peer.next().await, PeerMessage::Hello(_)));
+        peer
+    }
+
+    async fn send(&mut self, message: PeerMessage) {
+        let mut bytes = Vec::new();
+        encode_frame(&message, &mut bytes).expect("encodes");
+        self.writer.write_all(&bytes).await.expect("writes");
+    }
+
+    async fn next(&mut self) -> PeerMessage {
+        self.frames.next().await.expect("reads").expect("is open")
+    }
+
+    /// When the daemon made the heartbeats that arrive in this time, by its clock.
+    async fn heartbeats_within(&mut self, time: Duration) -> Vec<Instant> {
+        let mut made = Vec::new();
+        let collecting = async {
+            loop {
+                match self.next().await {
+                    PeerMessage::Pulse(pulse) => made.push(pulse.clock),
+                    other => panic!("not a heartbeat: {other:?}"),
+                }
+            }
+        };
+        let ended = tokio::time::timeout(time, collecting).await;
+        assert!(ended.is_err());
+        made
+    }
+}
+
+fn call_head(number: u64) -> CallHead {
+    let context = CallContext {
+        root: RootId(number.into()),
+        priority: Priority::new(PriorityClass::Normal, RootId(number.into())),
+        root_age: 0,
+        tokens: 0,
+        repeat: false,
+        repeatable: true,
+        expiry: clock::now().plus(60 * SECOND),
+        objective_left: SECOND,
+        depth: 0,
+    };
+    CallHead {
+        call: CallId(number),
+        generation: Generation::default(),
+        service: "stock".into(),
+        context,
+        request: RequestDigest(number),
+        method: "GET".into(),
+        path: "/x".into(),
+        headers: Vec::new(),
+        has_body: false,
+    }
+}
+
+impl CalledPeer {
+    /// Answers a call with a body of this many bytes, as fast as credit allows. Returns the credit that comes until the caller
+    /// closes the connection.
+    async fn answer(mut self, bytes: usize) -> Vec<u32> {
+        let call = loop {
+            if let PeerMessage::Call(head) = self.next().await {
+                break head.call;
+            }
+        };
+        let head = AnswerHead {
+            call,
+            status: 200,
+            headers: Vec::new(),
+            server: REPORT,
+            chain_floor: None,
+            turn: None,
+            notice: None,
+        };
+        self.send(PeerMessage::AnswerHead(Box::new(head))).await;
+        let (mut left, mut window, mut credit) = (bytes, BODY_WINDOW as i64, Vec::new());
+        while left > 0 {
+            while window <= 0 {
+                if let PeerMessage::Credit { bytes, .. } = self.next().await {
+                    credit.push(bytes);
+                    window += i64::from(bytes);
+                }
+            }
+            let piece = left.min(BODY_PIECE);
+            self.send(PeerMessage::AnswerChunk { call, bytes: vec![7; piece] }).await;
+            left -= piece;
+            window -= piece as i64;
+        }
+        self.send(PeerMessage::AnswerTail(AnswerTail { call, complete: true, unspent_tokens: 0 })).await;
+        while let Ok(Ok(Some(message))) =
+            tokio::time::timeout(Duration::from_millis(500), self.frames.next()).await
+        {
+            if let PeerMessage::Credit { bytes, .. } = message {
+                credit.push(bytes);
+            }
+        }
+        credit
+    }
+}
+
+/// Opens a connection from `pool` to a peer that is stood in for.
+async fn connect(pool: &Arc<PeerPool>) -> (seamhatchd::peer::PeerConnection, CalledPeer) {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("binds");
+    let address = listener.local_addr().expect("is bound");
+    let address = Address { ip: address.ip(), port: address.port() };
+    let (connection, peer) = tokio::join!(pool.get(address), CalledPeer::accept(listener));
+    (connection.expect("connects"), peer)
+}
+
+fn pool(host: &Arc<Host>) -> Arc<PeerPool> {
+    let host: Weak<Host> = Arc::downgrade(host);
+    PeerPool::new(Handle::current(), host)
+}
+
+/// Longest time between two heartbeats that are sent at one instant, on a machine that is busy.
+const AT_ONCE: Microseconds = SECOND / 10;
+
+/// With a heartbeat each 400 ms on each connection, at an instant of its own, heartbeats cost a daemon with 70 connections more
+/// than its calls.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn heartbeats_of_the_calling_side_are_few_and_come_together() {
+    let host = Arc::new(Host::default());
+    let pool = pool(&host);
+    let (_first, mut first_peer) = connect(&pool).await;
+    tokio::time::sleep(Duration::from_millis(270)).await;
+    let (_second, mut second_peer) = connect(&pool).await;
+    let time = Duration::from_millis(4100);
+    let (first, second) =
+        tokio::join!(first_peer.heartbeats_within(time), second_peer.heartbeats_within(time));
+    // The first heartbeat of a connection is sent when it opens.
+    let (first, second) = (&first[1..], &second[1..]);
+    assert!((3..=4).contains(&second.len()), "{second:?}");
+    for (one, other) in first.iter().zip(second) {
+        let apart = one.since(*other).max(other.since(*one));
+        assert!(apart < AT_ONCE, "{first:?} and {second:?}");
+    }
+    for pair in second.windows(2) {
+        assert!(pair[1].since(pair[0]) + AT_ONCE > CALLING_INTERVAL, "{second:?}");
+    }
+}
+
+/// A daemon that drains must not wait for its next heartbeat to say so.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_change_of_the_intake_is_told_at_once() {
+    let host = Arc::new(Host::default());
+    let pool = pool(&host);
+    let (_connection, mut peer) = connect(&pool).await;
+    peer.heartbeats_within(Duration::from_millis(100)).await;
+    for _change in 0..3 {
+        host.intake_changed.notify_waiters();
+        let told = peer.heartbeats_within(Duration::from_millis(300)).await;
+        assert!(!told.is_empty(), "within 300 ms");
+    }
+}
+
+/// Credit for each piece of an answer cost both daemons a wake-up, also for answers that fit into the window.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn credit_for_an_answer_is_sent_by_half_windows() {
+    const KIBIBYTE: usize = 1024;
+    let host = Arc::new(Host::default());
+    let pool = pool(&host);
+    let cases = [(0, 0), (100 * KIBIBYTE, 0), (127 * KIBIBYTE, 0), (2048 * KIBIBYTE, 16)];
+    for (number, (size, most)) in cases.into_iter().enumerate() {
+        let (connection, peer) = connect(&pool).await;
+        let answering = tokio::spawn(peer.answer(size));
+        let mut stream = connection.start_call(call_head(number as u64)).expect("is open");
+        assert!(matches!(stream.next().await, Some(CallEvent::Head(_))));
+        let mut body = AnswerBody::new(stream);
+        let mut read = 0;
+        loop {
+            match body.next().await {
+                AnswerPiece::Data(bytes) => read += bytes.len(),
+                AnswerPiece::End { .. } => break,
+                AnswerPiece::Broken => panic!("broke off after {read} of {size} bytes"),
+            }
+        }
+        assert_eq!(read, size);
+        let credit = answering.await.expect("answers");
+        assert!(credit.len() <= most, "{size} bytes: {credit:?}");
+        assert!(credit.iter().all(|bytes| *bytes as usize >= BODY_WINDOW / 2), "{size} bytes: {credit:?}");
+    }
+}
