--- a/crates/seamhatchd/src/peer/mod.rs
+++ b/crates/seamhatchd/src/peer/mod.rs
@@ -21,11 +21,11 @@
 
 pub use call::{AnswerBody, AnswerPiece, CallEvent, CallStream};
 pub use connection::PeerConnection;
-pub use credit::CreditWindow;
+pub use credit::{CreditWindow, owed_credit};
 pub use farewells::{AwaitedFarewell, Farewells};
 pub use host::{LinkHost, LocalState};
-pub use link::{LinkClosed, Outbox, PULSE_INTERVAL, UnwrittenMessages};
-pub use pool::{PeerPool, PeerUnreachable};
+pub use link::{LinkClosed, Outbox, UnwrittenMessages};
+pub use pool::{PeerPool, PeerUnreachable, PoolReader};
 pub use view::PeerView;
 
 /// Bytes of a body that may be sent before its receiver gives credit.
