--- a/crates/seamhatch-core/src/heartbeat.rs
+++ b/crates/seamhatch-core/src/heartbeat.rs
@@ -11,14 +11,13 @@
 use crate::clock::{MILLISECOND, Microseconds};
 
 /// Time between two instants at which heartbeats may be sent. A called daemon that has calls of its peer in progress is
-/// heard in each of them or the next, as the peer must soon notice when no answers will come. Measured together with
-/// [`IDLE_INTERVAL`].
+/// heard in each of them or the next, as the peer must soon notice when no answers will come.
 pub const BUSY_INTERVAL: Microseconds = 200 * MILLISECOND;
-/// Time between two heartbeats that the called side always sends. With the busy interval and the 750 ms after which a
-/// peer counts as silent: 0.953 of requests served on a day of frozen daemons, against 0.937 with 500 ms and 1.5 s.
+/// Time between two heartbeats that the called side always sends: one may be late by most of an interval before the peer
+/// counts as silent (750 ms).
 pub const IDLE_INTERVAL: Microseconds = 2 * BUSY_INTERVAL;
-/// Time between two heartbeats of the calling side. With 400 ms, they were half of the heartbeats of a daemon that has 70
-/// connections. Chosen, not measured; a multiple of the other intervals, so that both ends send at the same instants.
+/// Time between two heartbeats of the calling side, which nothing waits for; a multiple of the other intervals, so that both
+/// ends send at the same instants.
 pub const CALLING_INTERVAL: Microseconds = 3 * IDLE_INTERVAL;
 
 /// An end of a connection between daemons.
