--- a/crates/seamhatchd/tests/links.rs
+++ b/crates/seamhatchd/tests/links.rs
@@ -102,7 +102,7 @@
 }
 
 impl CalledPeer {
-    async fn accept(listener: TcpListener) -> Self {
+    async fn accept(listener: &TcpListener) -> Self {
         let port = listener.local_addr().expect("is bound").port();
         let (mut stream, _address): (TcpStream, _) = listener.accept().await.expect("accepts");
         read_preface(&mut stream).await.expect("reads");
@@ -215,7 +215,7 @@
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("binds");
     let address = listener.local_addr().expect("is bound");
     let address = Address { ip: address.ip(), port: address.port() };
-    let (connection, peer) = tokio::join!(pool.get(address), CalledPeer::accept(listener));
+    let (connection, peer) = tokio::join!(pool.get(address), CalledPeer::accept(&listener));
     (connection.expect("connects"), peer)
 }
 
@@ -292,3 +292,45 @@
         assert!(credit.iter().all(|bytes| *bytes as usize >= BODY_WINDOW / 2), "{size} bytes: {credit:?}");
     }
 }
+
+/// The pool's silence check must see what the connection's task has heard: a new connection is opened beside one that is silent,
+/// and only then.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_silent_connection_is_replaced_and_one_that_is_heard_is_kept() {
+    let host = Arc::new(Host::default());
+    let pool = pool(&host);
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("binds");
+    let address = listener.local_addr().expect("is bound");
+    let address = Address { ip: address.ip(), port: address.port() };
+    let accepting = tokio::spawn(async move {
+        let mut peer = CalledPeer::accept(&listener).await;
+        let report = ServerReport { load: 3, ..REPORT };
+        let pulse = Pulse {
+            clock: clock::now(),
+            generation: Generation::default(),
+            intake: CallIntake::Open,
+            server: report,
+            proof: None,
+            turn: None,
+            notice: None,
+            farewell: None,
+        };
+        for _heartbeat in 0..6 {
+            peer.send(PeerMessage::Pulse(pulse.clone())).await;
+            tokio::time::sleep(Duration::from_millis(250)).await;
+        }
+        // Silent from here on; the second connection must be asked for.
+        let second = CalledPeer::accept(&listener).await;
+        (peer, second)
+    });
+    let first = pool.get(address).await.expect("connects");
+    tokio::time::sleep(Duration::from_millis(1250)).await;
+    assert_eq!(first.with_view(|view| view.server.map(|report| report.load)), Some(3));
+    assert!(!first.with_view(|view| view.is_silent(clock::now())));
+    assert!(pool.read().connection(address).is_some());
+    assert!(!accepting.is_finished(), "a second connection was opened beside one that is heard");
+    let both = tokio::time::timeout(Duration::from_secs(10), accepting).await;
+    both.expect("a second connection is opened in time").expect("accepts");
+    assert!(first.with_view(|view| view.is_silent(clock::now())));
+    assert!(first.is_open(), "calls on the silent connection go on");
+}
