Requests sent ahead on a connection are started at once and answered in order

A second request behind a running one was unknown to the daemon until the first was answered, and hid the end of the connection. The stream of a caller's connection now hands the HTTP library one request at a time, reads ahead by the library's own watch for the end, and has repeatable requests without a body started. Decisions are in seamhatch-core (pipeline); heads are recognized with httparse.

--- a/crates/seamhatch-core/src/lib.rs
+++ b/crates/seamhatch-core/src/lib.rs
@@ -9,6 +9,7 @@
 //! | question | module |
 //! | --- | --- |
 //! | Does this daemon still serve callers, and may its back end get calls? | [`drain`], [`intake`] |
+//! | When is a request that was sent ahead on its connection read, started and answered? | [`pipeline`] |
 //! | May the tenant's key be trusted, or may the configuration be out of date? | [`freshness`] |
 //! | How important is the request? | [`priority`] |
 //! | Would a service further down refuse it? | [`entry`], from what [`service_floor`] reports |
@@ -49,6 +50,7 @@
 pub mod membership;
 pub mod notice;
 pub mod outcome;
+pub mod pipeline;
 pub mod priority;
 pub mod quota;
 pub mod rate;
--- /dev/null
+++ b/crates/seamhatch-core/tests/pipeline.rs
@@ -0,0 +1,149 @@
+//! The order of the requests of a connection: what the library is given when, what is started ahead, and which answer may be the last.
+
+use seamhatch_core::pipeline::{MOST_AHEAD, Pipeline, ReachedRequest, RequestBody, Turn};
+
+/// A connection whose library works on a repeatable request without a body.
+fn in_progress() -> Pipeline {
+    let mut pipeline = Pipeline::default();
+    pipeline.give_head(0);
+    assert_eq!(pipeline.reach(RequestBody::None, true), ReachedRequest::New);
+    pipeline.note_repeatable(true);
+    pipeline
+}
+
+/// The answer in progress ends and is written.
+fn answer(pipeline: &mut Pipeline) {
+    pipeline.end_answer();
+    assert!(pipeline.flush());
+}
+
+/// A request that may run only once, or whose connection ends with it, must not have others started behind it.
+#[test]
+fn others_are_started_only_behind_repeatable_requests_without_bodies() {
+    let cases = [
+        ("a repeatable one", RequestBody::None, true, Some(true), true),
+        ("one that runs only once", RequestBody::None, true, Some(false), false),
+        ("one that the filters have not seen", RequestBody::None, true, None, false),
+        ("the last of its connection", RequestBody::None, false, Some(true), false),
+        ("one with a body", RequestBody::Bytes(3), true, Some(true), false),
+        ("one with a body whose end is not known", RequestBody::Unknown, true, Some(true), false),
+    ];
+    for (name, body, others_may_follow, repeatable, may_start) in cases {
+        let mut pipeline = Pipeline::default();
+        pipeline.give_head(0);
+        assert_eq!(pipeline.reach(body, others_may_follow), ReachedRequest::New, "{name}");
+        repeatable.into_iter().for_each(|repeatable| pipeline.note_repeatable(repeatable));
+        assert_eq!(pipeline.may_start(), may_start, "{name}");
+    }
+}
+
+/// One that runs only once waits for its turn, and everything behind it, too.
+#[test]
+fn nothing_is_started_behind_one_that_waits_for_its_turn() {
+    let mut pipeline = in_progress();
+    pipeline.start(true);
+    assert!(pipeline.may_start());
+    pipeline.start(false);
+    assert!(!pipeline.may_start());
+    for _ in 0..2 {
+        answer(&mut pipeline);
+        pipeline.give_head(0);
+        assert_eq!(pipeline.reach(RequestBody::None, true), ReachedRequest::StartedAhead);
+        assert!(!pipeline.may_start(), "it has not been answered");
+    }
+    answer(&mut pipeline);
+    pipeline.give_head(0);
+    assert_eq!(pipeline.reach(RequestBody::None, true), ReachedRequest::New);
+    pipeline.note_repeatable(true);
+    assert!(pipeline.may_start());
+}
+
+#[test]
+fn the_number_started_ahead_is_bounded() {
+    let mut pipeline = in_progress();
+    for _ in 0..MOST_AHEAD {
+        assert!(pipeline.may_start());
+        pipeline.start(true);
+    }
+    assert!(!pipeline.may_start());
+    answer(&mut pipeline);
+    pipeline.give_head(0);
+    assert_eq!(pipeline.reach(RequestBody::None, true), ReachedRequest::StartedAhead);
+    assert!(pipeline.may_start());
+}
+
+/// A head that is given before the answer is written hides the end of the stream from the library.
+#[test]
+fn the_next_head_is_given_once_the_answer_is_written() {
+    let mut pipeline = in_progress();
+    assert_eq!(pipeline.turn(), Turn::Wait);
+    assert!(!pipeline.flush(), "an earlier piece of the answer is written");
+    assert_eq!(pipeline.turn(), Turn::Wait);
+    pipeline.end_answer();
+    assert_eq!(pipeline.turn(), Turn::Wait, "the library holds a part of it");
+    assert!(pipeline.flush());
+    assert_eq!(pipeline.turn(), Turn::NextHead);
+}
+
+/// A body whose bytes are taken for the next head, or the reverse, would hide a request in another one.
+#[test]
+fn a_body_is_given_before_the_next_head() {
+    let mut pipeline = Pipeline::default();
+    pipeline.give_head(4);
+    assert_eq!(pipeline.reach(RequestBody::Bytes(10), true), ReachedRequest::New);
+    assert_eq!(pipeline.turn(), Turn::Body(6));
+    pipeline.give_body(5);
+    pipeline.end_answer();
+    assert!(!pipeline.flush(), "answered before its body was read");
+    assert_eq!(pipeline.turn(), Turn::Body(1));
+    pipeline.give_body(1);
+    assert_eq!(pipeline.turn(), Turn::NextHead);
+}
+
+/// Where the library reads a request otherwise than the reader assumed, its word counts, and nothing more is assumed.
+#[test]
+fn the_library_has_the_last_word() {
+    let mut unread = in_progress();
+    unread.start(true);
+    answer(&mut unread);
+    unread.give_head(0);
+    assert_eq!(unread.turn(), Turn::RestOfHead);
+    unread.give_up();
+    assert_eq!((unread.turn(), unread.ahead()), (Turn::All, 0));
+
+    let cases = [
+        ("a body that the reader took for none", 0, RequestBody::Unknown),
+        ("more bytes than its body has", 5, RequestBody::Bytes(4)),
+        ("bytes behind a request without a body", 5, RequestBody::None),
+    ];
+    for (name, body_bytes, body) in cases {
+        let mut pipeline = in_progress();
+        pipeline.start(true);
+        answer(&mut pipeline);
+        pipeline.give_head(body_bytes);
+        assert_eq!(pipeline.reach(body, true), ReachedRequest::New, "{name}");
+        assert_eq!((pipeline.turn(), pipeline.ahead()), (Turn::All, 0), "{name}");
+        assert!(!pipeline.may_start(), "{name}");
+    }
+
+    let mut second_from_its_buffer = in_progress();
+    assert_eq!(second_from_its_buffer.reach(RequestBody::None, true), ReachedRequest::New);
+    assert_eq!(second_from_its_buffer.turn(), Turn::All);
+}
+
+/// The closing answer comes after the answers to all requests that were started.
+#[test]
+fn an_answer_closes_only_where_nothing_started_lies_behind_it() {
+    let mut pipeline = in_progress();
+    pipeline.start(true);
+    assert!(!pipeline.close_after_this());
+    pipeline.stop_starting();
+    assert!(!pipeline.may_start());
+    answer(&mut pipeline);
+    pipeline.give_head(0);
+    assert_eq!(pipeline.reach(RequestBody::None, true), ReachedRequest::StartedAhead);
+    assert!(pipeline.close_after_this());
+    let mut last = in_progress();
+    assert!(last.close_after_this());
+    assert!(!last.may_start(), "the connection ends with this answer");
+}
--- a/crates/seamhatch-lab/src/backends/behaviour.rs
+++ b/crates/seamhatch-lab/src/backends/behaviour.rs
@@ -12,6 +12,8 @@
 pub struct Behaviour {
     /// Service time in percent of the usual.
     pub slowdown_percent: AtomicU32,
+    /// Takes the mean service time for each call instead of a drawn one.
+    pub steady: AtomicBool,
     /// Answers 500 instead of working.
     pub failing: AtomicBool,
     /// Closes the connection in the middle of an answer.
@@ -46,6 +48,7 @@
     fn default() -> Self {
         Self {
             slowdown_percent: AtomicU32::new(100),
+            steady: AtomicBool::new(false),
             failing: AtomicBool::new(false),
             cuts_answers: AtomicBool::new(false),
             forges_outcome: AtomicBool::new(false),
--- a/crates/seamhatch-lab/src/backends/server.rs
+++ b/crates/seamhatch-lab/src/backends/server.rs
@@ -104,7 +104,9 @@
             return status(StatusCode::INTERNAL_SERVER_ERROR);
         }
         let percent = self.behaviour.slowdown_percent.load(Ordering::Relaxed);
-        tokio::time::sleep(service_time(endpoint.work) * percent / 100).await;
+        let is_steady = self.behaviour.steady.load(Ordering::Relaxed);
+        let work = if is_steady { endpoint.work } else { service_time(endpoint.work) };
+        tokio::time::sleep(work * percent / 100).await;
         for call in &endpoint.calls {
             if !self.call(state, &incoming, call).await {
                 return status(StatusCode::BAD_GATEWAY);
--- a/crates/seamhatchd/src/base/metrics.rs
+++ b/crates/seamhatchd/src/base/metrics.rs
@@ -119,6 +119,10 @@
     pub crash_losses: Counter,
     /// Requests in progress here that the end of a stop cut off.
     pub cut_requests: Counter,
+    /// Requests started before the answers to earlier ones on their connections were written.
+    pub started_ahead: Counter,
+    /// Requests cancelled because their clients disconnected.
+    pub left_requests: Counter,
     /// Requests that are refused because they crash servers.
     pub condemned: Gauge,
     /// Calls that the back end works on.
@@ -214,6 +218,12 @@
                 "Requests not answered as a back end crashed under them",
             ),
             cut_requests: counter(to, "cut_requests", "Requests cut off by the end of a stop"),
+            started_ahead: counter(
+                to,
+                "started_ahead",
+                "Requests started while earlier ones of their connection were unanswered",
+            ),
+            left_requests: counter(to, "left_requests", "Requests cancelled as their clients disconnected"),
             condemned: gauge(to, "condemned_requests", "Requests turned away as they crash servers"),
             running: gauge(to, "running_calls", "Calls the back end works on"),
             waiting: gauge(to, "waiting_calls", "Calls that wait for a slot"),
--- a/crates/seamhatchd/src/dispatch/replay.rs
+++ b/crates/seamhatchd/src/dispatch/replay.rs
@@ -19,6 +19,12 @@
 }
 
 impl ReplayBody {
+    /// The body of a request that has none.
+    #[must_use]
+    pub fn empty() -> Self {
+        Self { prefix: Vec::new(), rest: None, rest_used: false }
+    }
+
     /// Reads the start of a body.
     ///
     /// # Errors
--- a/crates/seamhatchd/src/listeners/callers.rs
+++ b/crates/seamhatchd/src/listeners/callers.rs
@@ -4,9 +4,12 @@
 //! within milliseconds, and with it the call, down to the connection to the back end. Bounds are those of the configuration
 //! in force when a connection opens.
 
-use crate::listeners::connection::{ConnectionRequests, WatchedStream};
+use crate::listeners::connection::ConnectionRequests;
+use crate::listeners::head::HEADER_FIELDS;
 use crate::listeners::last_connections;
 use crate::listeners::proxy::RequestHandler;
+use crate::listeners::read_ahead::WatchedStream;
+use hyper::Request;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -24,8 +27,6 @@
 /// Buffer for a head, as a multiple of the bytes that the configuration bounds: the rest is for the request line and the
 /// separators of fields.
 const HEAD_OVERHEAD: usize = 2;
-/// Header fields that a request may have. The library's own limit of 100 is within reach of proper heads.
-const HEADER_FIELDS: usize = 512;
 /// An idle connection is kept this much longer than callers may reuse it.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
 /// Longest wait of callers' connections for a daemon that starts, which would refuse their requests as not ready or for lack of a server. It takes
@@ -93,14 +94,15 @@
     }
     let http = http_of(&handler);
     let requests = Arc::new(ConnectionRequests::default());
-    let stream = WatchedStream::new(stream, requests.clone());
-    let held = requests.clone();
+    let stream = WatchedStream::new(stream, requests.clone(), handler.clone());
+    let (held, shared) = (requests.clone(), handler.shared.clone());
     let service = service_fn(move |request| {
-        let (handler, requests) = (handler.clone(), held.clone());
-        async move { handler.handle(request, &requests).await }
+        let (parts, body) = Request::into_parts(request);
+        // Before the library reads on.
+        let ahead = held.reach(&parts, &body);
+        handler.clone().handle(Request::from_parts(parts, body), ahead, held.clone())
     });
-    let connection = http.serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
+    let mut connection = Box::pin(http.serve_connection(TokioIo::new(stream), service));
     let ended = tokio::select! {
         biased;
         ended = &mut connection => ended,
@@ -110,9 +112,10 @@
                 return;
             }
             connection.as_mut().graceful_shutdown();
-            connection.await
+            (&mut connection).await
         }
     };
+    shared.metrics.left_requests.inc_by(requests.end() as u64);
     if let Err(error) = ended {
         debug!(error = error.to_string().as_str(); "a caller's connection ended");
     }
@@ -143,4 +146,6 @@
     if !requests.has_begun() {
         tokio::time::sleep_until(opened + FIRST_REQUEST_WAIT).await;
     }
+    // The library makes the answer in progress the last one.
+    requests.until_none_ahead().await;
 }
--- a/crates/seamhatchd/src/listeners/connection.rs
+++ b/crates/seamhatchd/src/listeners/connection.rs
@@ -1,30 +1,74 @@
-//! The requests of one connection of a caller, until their answers are written.
+//! The requests of one connection of a caller, from their reading until their answers are written.
 //!
-//! The HTTP library takes an answer long before a slow caller does. It flushes its stream once everything that it holds was written, so
-//! [`WatchedStream`] tells the [`ConnectionRequests`] of each flush, which then lets go of the requests that nothing works on any more.
+//! [`ConnectionRequests`] owns them; [`Pipeline`] decides in which order they are read, started and answered. The connection's stream
+//! (`read_ahead`) asks it what the HTTP library may read and starts requests; the library's service reports each request that the library has read.
+//! All of that happens on the task of the connection; the lock is there for the tasks that drop an answer's body elsewhere.
+//!
+//! The HTTP library takes an answer long before a slow caller does. It flushes its stream once everything that it holds was written; of each
+//! flush [`ConnectionRequests`] is told, lets go of the requests that nothing works on any more, and releases the next head.
 
+use super::ahead::AheadRequest;
+use super::body::{BrokenBody, CallerBody};
+use super::head;
 use crate::base::lock::lock;
 use crate::intake::TakenRequest;
-use std::io;
+use bytes::Bytes;
+use http::request::Parts;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use seamhatch_core::pipeline::{Pipeline, ReachedRequest, RequestBody, Turn};
+use std::collections::VecDeque;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
-use std::task::{Context, Poll, ready};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::task::{Context, Poll, Waker};
+use tokio::sync::Notify;
 
 /// The requests of one connection whose answers are not written yet.
-#[derive(Debug, Default)]
+#[derive(Default)]
 pub struct ConnectionRequests {
-    unwritten: Mutex<Vec<TakenRequest>>,
+    state: Mutex<ConnectionState>,
     /// A request has been read.
     begun: AtomicBool,
+    /// Nothing is started ahead any more.
+    none_ahead: Notify,
+}
+
+#[derive(Default)]
+struct ConnectionState {
+    pipeline: Pipeline,
+    unwritten: Vec<TakenRequest>,
+    /// Those that were taken ahead and that the library has not reached.
+    ahead: VecDeque<AheadRequest>,
+    /// The library works on a request.
+    in_progress: bool,
+    /// The caller has closed the connection, or it was reset.
+    left: bool,
+    /// Polls the connection again when there is something to do for its stream.
+    reader: Option<Waker>,
 }
 
 impl ConnectionRequests {
-    /// A request has been read, whether or not it is taken.
-    pub fn note_begun(&self) {
+    /// The library has read a request: returns what was done for it ahead.
+    pub fn reach(&self, parts: &Parts, body: &Incoming) -> Option<AheadRequest> {
         self.begun.store(true, Ordering::Relaxed);
+        let goes_on = head::goes_on_after(parts);
+        let mut state = self.lock();
+        state.in_progress = true;
+        let reached = state.pipeline.reach(body_of(parts, body), goes_on);
+        if reached == ReachedRequest::StartedAhead
+            && let Some(ahead) = state.ahead.pop_front()
+            && ahead.line.0 == parts.method
+            && ahead.line.1 == parts.uri
+        {
+            self.note_none_ahead(&state);
+            return Some(ahead);
+        }
+        if !state.ahead.is_empty() {
+            state.pipeline.give_up();
+            state.ahead.clear();
+        }
+        self.note_none_ahead(&state);
+        None
     }
 
     /// Whether a request has been read.
@@ -34,67 +78,169 @@
 
     /// Keeps a request in progress until its answer is written or the connection ends.
     pub fn hold(&self, request: TakenRequest) {
-        lock(&self.unwritten).push(request);
+        self.lock().unwritten.push(request);
+    }
+
+    /// Whether others may run beside the request in progress, which the library has read.
+    pub fn note_repeatable(&self, repeatable: bool) {
+        let mut state = self.lock();
+        state.pipeline.note_repeatable(repeatable);
+        let reader = state.reader.take();
+        drop(state);
+        reader.into_iter().for_each(Waker::wake);
+    }
+
+    /// Whether the answer to the request in progress may be the last one.
+    pub fn close_after_this(&self) -> bool {
+        self.lock().pipeline.close_after_this()
+    }
+
+    /// Starts nothing more ahead, and waits until the library has reached all that was.
+    pub async fn until_none_ahead(&self) {
+        self.lock().pipeline.stop_starting();
+        loop {
+            let changed = self.none_ahead.notified();
+            if self.lock().ahead.is_empty() {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    /// Cancels all requests of a connection that has ended. Returns how many had no answer because their caller has left.
+    pub fn end(&self) -> usize {
+        let mut state = self.lock();
+        let ahead = std::mem::take(&mut state.ahead);
+        let unanswered = ahead.len() + usize::from(state.in_progress);
+        let left = if state.left { unanswered } else { 0 };
+        drop(state);
+        left
+    }
+
+    pub(super) fn turn(&self) -> Turn {
+        self.lock().pipeline.turn()
+    }
+
+    pub(super) fn give_head(&self, body_bytes: u64) {
+        self.lock().pipeline.give_head(body_bytes);
+    }
+
+    pub(super) fn give_body(&self, bytes: u64) {
+        self.lock().pipeline.give_body(bytes);
+    }
+
+    /// The library gets all bytes as they come. What was started ahead is cancelled: the library will read it.
+    pub(super) fn give_up(&self) {
+        let mut state = self.lock();
+        state.pipeline.give_up();
+        state.ahead.clear();
+        self.note_none_ahead(&state);
+    }
+
+    pub(super) fn may_start(&self) -> bool {
+        self.lock().pipeline.may_start()
+    }
+
+    pub(super) fn start(&self, request: AheadRequest) {
+        let mut state = self.lock();
+        state.pipeline.start(request.repeatable);
+        state.ahead.push_back(request);
+    }
+
+    /// Bytes of the head that the library is given next, where its request was taken ahead.
+    pub(super) fn next_head_bytes(&self) -> Option<usize> {
+        self.lock().ahead.front().map(|request| request.head_bytes)
+    }
+
+    /// Has the stream polled once it may start more, or give the library the next head.
+    pub(super) fn wake_when_released(&self, context: &Context<'_>) {
+        self.lock().reader = Some(context.waker().clone());
+    }
+
+    /// The caller has closed the connection, or it was reset.
+    pub(super) fn note_left(&self) {
+        self.lock().left = true;
     }
 
     /// All that was handed to the connection so far is written.
-    fn flushed(&self) {
-        lock(&self.unwritten).retain(|request| !request.is_last());
+    pub(super) fn flushed(&self) {
+        let mut state = self.lock();
+        let released = state.pipeline.flush();
+        let reader = if released { state.reader.take() } else { None };
+        let mut unwritten = std::mem::take(&mut state.unwritten);
+        drop(state);
+        // Requests are let go without the lock: the intake has one of its own.
+        unwritten.retain(|request| !request.is_last());
+        if !unwritten.is_empty() {
+            self.lock().unwritten.append(&mut unwritten);
+        }
+        reader.into_iter().for_each(Waker::wake);
     }
-}
 
-/// A caller's stream that reports its flushes.
-#[derive(Debug)]
-pub struct WatchedStream {
-    stream: TcpStream,
-    connection: Arc<ConnectionRequests>,
-}
+    fn end_answer(&self) {
+        let mut state = self.lock();
+        state.in_progress = false;
+        state.pipeline.end_answer();
+    }
+
+    fn note_none_ahead(&self, state: &ConnectionState) {
+        if state.ahead.is_empty() {
+            self.none_ahead.notify_waiters();
+        }
+    }
 
-impl WatchedStream {
-    /// The stream of this connection.
-    pub fn new(stream: TcpStream, connection: Arc<ConnectionRequests>) -> Self {
-        Self { stream, connection }
+    fn lock(&self) -> MutexGuard<'_, ConnectionState> {
+        lock(&self.state)
     }
 }
 
-impl AsyncRead for WatchedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+/// The body of a request as the library understands it.
+fn body_of(parts: &Parts, body: &Incoming) -> RequestBody {
+    // What follows belongs to another protocol.
+    if parts.method == http::Method::CONNECT || parts.headers.contains_key(http::header::UPGRADE) {
+        return RequestBody::Unknown;
+    }
+    if body.is_end_stream() {
+        return RequestBody::None;
     }
+    body.size_hint().exact().map_or(RequestBody::Unknown, RequestBody::Bytes)
 }
 
-impl AsyncWrite for WatchedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+/// The body of an answer, which tells its connection when the library has the whole answer or gives it up.
+pub struct WatchedBody {
+    body: CallerBody,
+    connection: Arc<ConnectionRequests>,
+}
+
+impl WatchedBody {
+    /// The body of the answer in progress on this connection.
+    pub fn new(body: CallerBody, connection: Arc<ConnectionRequests>) -> Self {
+        Self { body, connection }
     }
+}
 
-    fn poll_write_vectored(
+impl Body for WatchedBody {
+    type Data = Bytes;
+    type Error = BrokenBody;
+
+    fn poll_frame(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
-        slices: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenBody>>> {
+        Pin::new(&mut self.body).poll_frame(context)
     }
 
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        ready!(Pin::new(&mut self.stream).poll_flush(context))?;
-        self.connection.flushed();
-        Poll::Ready(Ok(()))
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
     }
+}
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+impl Drop for WatchedBody {
+    fn drop(&mut self) {
+        self.connection.end_answer();
     }
 }
--- /dev/null
+++ b/crates/seamhatchd/src/listeners/head.rs
@@ -0,0 +1,155 @@
+//! Where the head of a request ends, and whether the request may be started before the library has read it.
+//!
+//! Uses the library's own parser. What it refuses, or what two readers may understand differently, is left to the library.
+
+use http::header::{CONNECTION, CONTENT_LENGTH, EXPECT, TRANSFER_ENCODING, UPGRADE};
+use http::request::Parts;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Uri, Version};
+use httparse::{Header, Status};
+use std::mem::MaybeUninit;
+
+/// Header fields that a request may have. The library's own limit of 100 is within reach of proper heads.
+pub const HEADER_FIELDS: usize = 512;
+
+/// The head at the start of some bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HeadEnd {
+    /// More bytes are needed.
+    Incomplete,
+    /// The library refuses it.
+    Malformed,
+    /// It ends after this many bytes.
+    At(usize),
+}
+
+/// A request at the start of bytes that were read ahead.
+#[derive(Debug)]
+pub enum SentAhead {
+    /// More bytes are needed.
+    Incomplete,
+    /// Not one that may be started ahead.
+    Unsuited,
+    /// Well-formed, without a body, and its connection goes on after it.
+    Plain(Box<PlainRequest>),
+}
+
+/// A well-formed request without a body, after which its connection goes on.
+#[derive(Debug)]
+pub struct PlainRequest {
+    /// What the library makes of its head, too.
+    pub parts: Parts,
+    /// Bytes of its head.
+    pub length: usize,
+}
+
+/// Whether bytes whose first `seen` held no whole head may hold one: as the library, this looks for an empty line only.
+#[must_use]
+pub fn may_be_whole(bytes: &[u8], seen: usize) -> bool {
+    if seen == 0 {
+        return !bytes.is_empty();
+    }
+    let new = &bytes[seen.saturating_sub(3)..];
+    new.windows(2).any(|pair| pair == b"\n\n") || new.windows(3).any(|three| three == b"\n\r\n")
+}
+
+/// Finds the end of the head at the start of some bytes.
+#[must_use]
+pub fn head_end(bytes: &[u8]) -> HeadEnd {
+    let mut fields = [const { MaybeUninit::uninit() }; HEADER_FIELDS];
+    let mut head = httparse::Request::new(&mut []);
+    match head.parse_with_uninit_headers(bytes, &mut fields) {
+        Ok(Status::Complete(length)) => HeadEnd::At(length),
+        Ok(Status::Partial) => HeadEnd::Incomplete,
+        Err(_) => HeadEnd::Malformed,
+    }
+}
+
+/// Whether all these bytes belong to one request, whose head is complete: then, how many of them belong to its body.
+#[must_use]
+pub fn body_bytes_of_one(bytes: &[u8]) -> Option<u64> {
+    let mut fields = [const { MaybeUninit::uninit() }; HEADER_FIELDS];
+    let mut head = httparse::Request::new(&mut []);
+    let Ok(Status::Complete(length)) = head.parse_with_uninit_headers(bytes, &mut fields) else {
+        return None;
+    };
+    let rest = (bytes.len() - length) as u64;
+    (rest == 0 || rest <= stated_length(head.headers)?).then_some(rest)
+}
+
+/// The only stated length of a body, in a form that has one meaning.
+fn stated_length(fields: &[Header<'_>]) -> Option<u64> {
+    let named =
+        |name: HeaderName| fields.iter().filter(move |field| field.name.eq_ignore_ascii_case(name.as_str()));
+    if named(TRANSFER_ENCODING).next().is_some() {
+        return None;
+    }
+    let mut lengths = named(CONTENT_LENGTH);
+    let (Some(length), None) = (lengths.next(), lengths.next()) else { return None };
+    let text = std::str::from_utf8(length.value).ok()?;
+    if text.is_empty() || !text.bytes().all(|byte| byte.is_ascii_digit()) {
+        return None;
+    }
+    text.parse().ok()
+}
+
+/// Reads the request at the start of bytes that were read ahead.
+#[must_use]
+pub fn sent_ahead(bytes: &[u8]) -> SentAhead {
+    let mut fields = [const { MaybeUninit::uninit() }; HEADER_FIELDS];
+    let mut head = httparse::Request::new(&mut []);
+    let length = match head.parse_with_uninit_headers(bytes, &mut fields) {
+        Ok(Status::Complete(length)) => length,
+        Ok(Status::Partial) => return SentAhead::Incomplete,
+        Err(_) => return SentAhead::Unsuited,
+    };
+    let is_strict = ends_lines_by_both(&bytes[..length]);
+    match parts_of(&head) {
+        Some(parts) if is_strict && goes_on_after(&parts) && !has_body(&parts.headers) => {
+            SentAhead::Plain(Box::new(PlainRequest { parts, length }))
+        }
+        _ => SentAhead::Unsuited,
+    }
+}
+
+/// Whether a head begins at once and each line of it ends with a carriage return and a line feed, which the parser does not insist on.
+fn ends_lines_by_both(head: &[u8]) -> bool {
+    let is_feed_alone = |place: usize| place == 0 || head[place - 1] != b'\r';
+    let mut feeds = head.iter().enumerate().filter(|(_, byte)| **byte == b'\n');
+    head.first().is_some_and(u8::is_ascii_alphabetic) && !feeds.any(|(place, _)| is_feed_alone(place))
+}
+
+fn parts_of(head: &httparse::Request<'_, '_>) -> Option<Parts> {
+    let mut request = Request::new(());
+    *request.method_mut() = Method::from_bytes(head.method?.as_bytes()).ok()?;
+    *request.uri_mut() = Uri::try_from(head.path?).ok()?;
+    *request.version_mut() = if head.version? == 1 { Version::HTTP_11 } else { Version::HTTP_10 };
+    let fields = request.headers_mut();
+    fields.reserve(head.headers.len());
+    for field in head.headers.iter() {
+        let name = HeaderName::from_bytes(field.name.as_bytes()).ok()?;
+        fields.append(name, HeaderValue::from_bytes(field.value).ok()?);
+    }
+    Some(request.into_parts().0)
+}
+
+/// Whether a connection serves further requests after this one.
+#[must_use]
+pub fn goes_on_after(parts: &Parts) -> bool {
+    let named = |text: &str| text.split(',').any(|option| !option.trim().eq_ignore_ascii_case("keep-alive"));
+    let mut options = parts.headers.get_all(CONNECTION).iter();
+    parts.version == Version::HTTP_11
+        && parts.method != Method::CONNECT
+        && !parts.headers.contains_key(UPGRADE)
+        && !options.any(|options| options.to_str().map_or(true, named))
+}
+
+/// Whether a request has a body, or may have one.
+fn has_body(headers: &HeaderMap) -> bool {
+    let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
+    let is_empty = match (lengths.next(), lengths.next()) {
+        (None, _) => true,
+        (Some(length), None) => length == "0",
+        _ => false,
+    };
+    !is_empty || headers.contains_key(TRANSFER_ENCODING) || headers.contains_key(EXPECT)
+}
--- a/crates/seamhatchd/src/listeners/mod.rs
+++ b/crates/seamhatchd/src/listeners/mod.rs
@@ -5,12 +5,15 @@
 //! through [`Listeners::close`].
 
 mod admin;
+mod ahead;
 mod answers;
 mod body;
 mod callers;
 mod connection;
+pub mod head;
 mod last_connections;
 mod proxy;
+mod read_ahead;
 mod registry;
 mod responses;
 
--- a/crates/seamhatchd/src/listeners/proxy.rs
+++ b/crates/seamhatchd/src/listeners/proxy.rs
@@ -9,19 +9,22 @@
 use crate::dispatch::{self, Answer, CallResult, ReplayBody};
 use crate::filters::{self, Entry, FilterChain, Rejection, RequestState};
 use crate::intake::{RequestEntry, RequestStage, TakenRequest};
+use crate::listeners::ahead::AheadRequest;
 use crate::listeners::body::{self, CallerBody};
-use crate::listeners::connection::ConnectionRequests;
+use crate::listeners::connection::{ConnectionRequests, WatchedBody};
 use crate::shared::Shared;
 use bytes::Bytes;
 use http::header::{CONNECTION, CONTENT_LENGTH, HOST};
 use http::request::Parts;
 use http::{HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
+use seamhatch_core::identity::RootId;
 use seamhatch_core::outcome::{Outcome, Reason};
 use seamhatch_policy::{LimitSettings, host_name};
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::task::JoinError;
 
 /// Pause between two checks of what a starting daemon knows.
 const START_POLL: Duration = Duration::from_millis(5);
@@ -30,7 +33,7 @@
 pub struct RequestHandler {
     pub(super) shared: Arc<Shared>,
     entry: Entry,
-    chain: FilterChain,
+    pub(super) chain: FilterChain,
 }
 
 impl RequestHandler {
@@ -64,42 +67,54 @@
         }
     }
 
-    /// Answers one request, or refuses it where nothing is taken any more. Dropping the future cancels it, unless its answer is recorded for
-    /// repeats.
+    /// Answers one request, or refuses it where nothing is taken any more. `ahead` is what was done for it before the library has read it.
+    /// Dropping the future cancels the request, unless its answer is recorded for repeats.
     pub async fn handle(
         self: Arc<Self>,
         request: Request<Incoming>,
-        connection: &ConnectionRequests,
-    ) -> Result<Response<CallerBody>, Infallible> {
-        connection.note_begun();
-        let taken = self.shared.intake.take(RequestEntry::Listener);
-        let (mut request, body) = self.request_state(request);
-        let mut response = match taken {
-            Ok(taken) => {
-                connection.hold(taken.clone());
-                request.progress = taken.progress().clone();
-                request.progress.set_name(request.log_name());
-                self.clone().answer_taken(request, body, taken).await
-            }
-            Err(_) => self.reject(&request, &filters::about_to_end(&request)),
+        ahead: Option<AheadRequest>,
+        connection: Arc<ConnectionRequests>,
+    ) -> Result<Response<WatchedBody>, Infallible> {
+        let mut response = match ahead {
+            Some(ahead) => self.clone().answer_ahead(ahead, &connection).await,
+            None => self.clone().answer_read(request, &connection).await,
         };
-        if self.shared.is_draining() {
+        // Read before the connection is asked: nothing is started ahead while the daemon drains.
+        if self.shared.is_draining() && connection.close_after_this() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
-        Ok(response)
+        Ok(response.map(|body| WatchedBody::new(body, connection)))
     }
 
-    /// Runs the filters and answers a request; at the end of the process it is given up.
-    async fn answer_taken(
+    /// Answers a request that the library has read.
+    async fn answer_read(
         self: Arc<Self>,
-        mut request: RequestState,
-        body: Incoming,
-        taken: TakenRequest,
+        request: Request<Incoming>,
+        connection: &ConnectionRequests,
     ) -> Response<CallerBody> {
+        let taken = self.shared.intake.take(RequestEntry::Listener);
+        let (parts, body) = request.into_parts();
+        let mut request = self.request_state(&parts);
+        let Ok(taken) = taken else { return self.reject(&request, &filters::about_to_end(&request)) };
+        connection.hold(taken.clone());
+        request.progress = taken.progress().clone();
+        request.progress.set_name(request.log_name());
         if let Err(rejection) = filters::run_chain(&self.chain, &self.shared, &mut request) {
+            // It runs nowhere, so others may run before its answer is written.
+            connection.note_repeatable(true);
             return self.reject(&request, &rejection);
         }
-        let request = Arc::new(request);
+        connection.note_repeatable(request.repeatable && request.claim_text.is_none());
+        self.answer_filtered(Arc::new(request), Some(body), taken).await
+    }
+
+    /// Answers a request that has passed the filters; at the end of the process it is given up.
+    pub(super) async fn answer_filtered(
+        self: Arc<Self>,
+        request: Arc<RequestState>,
+        body: Option<Incoming>,
+        taken: TakenRequest,
+    ) -> Response<CallerBody> {
         let answering = async {
             if request.claim_text.is_some() {
                 self.clone().answer_detached(request.clone(), body, taken).await
@@ -115,50 +130,48 @@
     }
 
     /// Reads the head of a request by the conventions.
-    fn request_state(&self, request: Request<Incoming>) -> (RequestState, Incoming) {
-        let (parts, body) = request.into_parts();
+    pub(super) fn request_state(&self, parts: &Parts) -> RequestState {
         let conventions = &self.shared.conventions;
         let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
         let mut fields = headers::passing_fields(&parts.headers, |name| conventions.passes_through(name));
         fields.extend(conventions.entry_fields(&self.shared.settings.service));
         let mut state = RequestState::new(self.entry, parts.method.as_str().to_owned(), path, fields);
         state.terms = conventions.caller_terms(&parts.headers);
-        state.host = host_of(&parts);
+        state.host = host_of(parts);
         state.field_bytes = parts.headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
         state.body_length = content_length(&parts.headers);
-        (state, body)
+        state
     }
 
     /// Answers a request on a task of its own, so that its answer is recorded for repeats even if its caller leaves.
     async fn answer_detached(
         self: Arc<Self>,
         request: Arc<RequestState>,
-        body: Incoming,
+        body: Option<Incoming>,
         taken: TakenRequest,
     ) -> Response<CallerBody> {
         let root = request.root;
         let handler = self.clone();
         let answering = tokio::spawn(async move { handler.answer(&request, body, taken).await });
-        answering.await.unwrap_or_else(|error| {
-            log::error!(root = root.to_string().as_str(), error = error.to_string().as_str(); "a request's task failed");
-            let mut response = Response::new(body::whole(Bytes::new()));
-            *response.status_mut() = StatusCode::BAD_GATEWAY;
-            response
-        })
+        answering.await.unwrap_or_else(|error| failed_task(root, &error))
     }
 
     /// Charges a request to its tenant and answers it; gives back the charge of one that was not run.
     async fn answer(
         &self,
         request: &RequestState,
-        body: Incoming,
+        body: Option<Incoming>,
         taken: TakenRequest,
     ) -> Response<CallerBody> {
         let permit = match self.shared.quota_context().admit(request.tenant.as_ref()).await {
             Ok(permit) => permit,
             Err(refusal) => return self.reject(request, &refusal.into()),
         };
-        let body = match ReplayBody::read_prefix(body).await {
+        let body = match body {
+            Some(body) => ReplayBody::read_prefix(body).await,
+            None => Ok(ReplayBody::empty()),
+        };
+        let body = match body {
             Ok(body) => body,
             Err(rejection) => return self.reject(request, &rejection),
         };
@@ -203,6 +216,14 @@
     }
 }
 
+/// The answer to a request whose task has failed.
+pub(super) fn failed_task(root: RootId, error: &JoinError) -> Response<CallerBody> {
+    log::error!(root = root.to_string().as_str(), error = error.to_string().as_str(); "a request's task failed");
+    let mut response = Response::new(body::whole(Bytes::new()));
+    *response.status_mut() = StatusCode::BAD_GATEWAY;
+    response
+}
+
 /// What the caller of a request is told that the end of the process cuts off.
 fn cut_off(request: &RequestState) -> Rejection {
     // One with a key goes on in a task of its own and may still be sent.
--- /dev/null
+++ b/crates/seamhatchd/tests/heads.rs
@@ -0,0 +1,223 @@
+//! Heads that are read ahead: what is started before the HTTP library has read it is what the library reads, no more and no less. A difference would hide
+//! a request in another one.
+
+use hyper::body::{Body, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use proptest::prelude::*;
+use seamhatchd::listeners::head::{
+    HEADER_FIELDS, HeadEnd, SentAhead, body_bytes_of_one, head_end, may_be_whole, sent_ahead,
+};
+use std::convert::Infallible;
+use std::sync::{Arc, Mutex};
+use tokio::io::AsyncWriteExt;
+
+const PLAIN: &str = "GET /a?b=c HTTP/1.1\r\nhost: x\r\n\r\n";
+
+/// How a request that was read ahead is taken.
+#[derive(Debug, PartialEq, Eq)]
+enum Taken {
+    Started,
+    Left,
+    WaitsForMore,
+}
+
+fn taken(bytes: &[u8]) -> Taken {
+    match sent_ahead(bytes) {
+        SentAhead::Plain(_) => Taken::Started,
+        SentAhead::Unsuited => Taken::Left,
+        SentAhead::Incomplete => Taken::WaitsForMore,
+    }
+}
+
+/// Anything with a body, that ends its connection, or that two readers may understand differently must be left to the library.
+#[test]
+fn only_plain_requests_are_taken_ahead() {
+    let with = |fields: &str| format!("GET / HTTP/1.1\r\nhost: x\r\n{fields}\r\n");
+    let cases = [
+        ("a plain one", PLAIN.to_owned(), Taken::Started),
+        ("one with another behind it", PLAIN.repeat(2), Taken::Started),
+        ("a body of no bytes", with("content-length: 0\r\n"), Taken::Started),
+        ("a connection that is kept", with("connection: Keep-Alive\r\n"), Taken::Started),
+        ("part of a head", PLAIN[..PLAIN.len() - 1].to_owned(), Taken::WaitsForMore),
+        ("nothing", String::new(), Taken::WaitsForMore),
+        ("a body", with("content-length: 3\r\n"), Taken::Left),
+        ("the same length twice", with("content-length: 0\r\ncontent-length: 0\r\n"), Taken::Left),
+        ("other lengths", with("content-length: 0\r\ncontent-length: 3\r\n"), Taken::Left),
+        ("a signed length", with("content-length: +0\r\n"), Taken::Left),
+        ("a list of lengths", with("content-length: 0, 0\r\n"), Taken::Left),
+        ("chunks", with("transfer-encoding: chunked\r\n"), Taken::Left),
+        ("chunks and a length", with("content-length: 0\r\ntransfer-encoding: chunked\r\n"), Taken::Left),
+        ("an expectation", with("expect: 100-continue\r\n"), Taken::Left),
+        ("an upgrade", with("upgrade: websocket\r\n"), Taken::Left),
+        ("the last of its connection", with("connection: keep-alive, Close\r\n"), Taken::Left),
+        ("a second field that closes", with("connection: keep-alive\r\nconnection: close\r\n"), Taken::Left),
+        ("an older version", PLAIN.replace("1.1", "1.0"), Taken::Left),
+        ("a tunnel", "CONNECT x:1 HTTP/1.1\r\nhost: x\r\n\r\n".to_owned(), Taken::Left),
+        ("line feeds alone", PLAIN.replace('\r', ""), Taken::Left),
+        ("one line feed alone", PLAIN.replacen("\r\n", "\n", 1), Taken::Left),
+        ("an empty line before it", format!("\r\n{PLAIN}"), Taken::Left),
+        ("a folded line", with(" folded\r\n"), Taken::Left),
+        ("a space before a colon", with("a : b\r\n"), Taken::Left),
+        ("no request", "no request\r\n\r\n".to_owned(), Taken::Left),
+        ("another protocol", "\x16\x03\x01".to_owned(), Taken::Left),
+        ("too many fields", with(&"a: b\r\n".repeat(HEADER_FIELDS)), Taken::Left),
+    ];
+    for (name, bytes, expected) in cases {
+        assert_eq!(taken(bytes.as_bytes()), expected, "{name}");
+    }
+}
+
+/// Bytes that are handed to the library at once must all belong to one request.
+#[test]
+fn bytes_of_one_request() {
+    let post = "POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 4\r\n\r\n";
+    let chunked = "POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n";
+    let cases = [
+        ("a head", PLAIN.to_owned(), Some(0)),
+        ("a head whose body follows", post.to_owned(), Some(0)),
+        ("a head and a part of its body", format!("{post}ab"), Some(2)),
+        ("a head and its body", format!("{post}abcd"), Some(4)),
+        ("more than its body", format!("{post}abcdG"), None),
+        ("two heads", PLAIN.repeat(2), None),
+        ("a part of a head", PLAIN[..10].to_owned(), None),
+        ("a head with chunks", format!("{chunked}0\r\n\r\n"), None),
+        ("two lengths", format!("{}ab", post.replace("host: x", "content-length: 4")), None),
+        ("no request", "no request\r\n\r\n".to_owned(), None),
+    ];
+    for (name, bytes, expected) in cases {
+        assert_eq!(body_bytes_of_one(bytes.as_bytes()), expected, "{name}");
+    }
+}
+
+/// The second look at a head that comes in pieces is for an empty line only, which may lie across two pieces.
+#[test]
+fn a_head_in_two_pieces_is_seen_when_it_is_whole() {
+    for head in [PLAIN, "GET / HTTP/1.1\nhost: x\n\n", "GET / HTTP/1.1\r\nhost: x\n\r\n"] {
+        let bytes = head.as_bytes();
+        for seen in 1..bytes.len() {
+            assert!(may_be_whole(bytes, seen), "{head:?} after {seen}");
+            assert_eq!(head_end(&bytes[..seen]), HeadEnd::Incomplete, "{head:?} until {seen}");
+        }
+        assert_eq!(head_end(bytes), HeadEnd::At(bytes.len()));
+    }
+}
+
+/// What the library has read: method, target, fields, and whether there is a body.
+type Read = (String, String, Vec<(String, Vec<u8>)>, bool);
+
+/// All requests that the library reads of some bytes.
+fn read_by_the_library(bytes: &[u8]) -> Vec<Read> {
+    let runtime = tokio::runtime::Builder::new_current_thread().build().expect("starts");
+    runtime.block_on(async {
+        let (mut caller, stream) = tokio::io::duplex(1 << 20);
+        caller.write_all(bytes).await.expect("fits");
+        caller.shutdown().await.expect("ends");
+        let read = Arc::new(Mutex::new(Vec::new()));
+        let log = read.clone();
+        let service = service_fn(move |request: Request<Incoming>| {
+            let (parts, body) = request.into_parts();
+            let fields = parts.headers.iter();
+            let fields = fields.map(|(name, value)| (name.to_string(), value.as_bytes().to_vec())).collect();
+            let has_body = !body.is_end_stream();
+            log.lock().expect("lock").push((
+                parts.method.to_string(),
+                parts.uri.to_string(),
+                fields,
+                has_body,
+            ));
+            async { Ok::<_, Infallible>(Response::new(String::new())) }
+        });
+        // It ends with an error where the bytes are no requests.
+        let _ = http1::Builder::new()
+            .half_close(true)
+            .max_headers(HEADER_FIELDS)
+            .serve_connection(TokioIo::new(stream), service)
+            .await;
+        read.lock().expect("lock").clone()
+    })
+}
+
+const REQUEST_LINES: [&str; 9] = [
+    "GET /a HTTP/1.1",
+    "HEAD /a?b HTTP/1.1",
+    "DELETE http://h/a HTTP/1.1",
+    "POST * HTTP/1.1",
+    "GET  /a HTTP/1.1",
+    "GET /a HTTP/1.0",
+    "CONNECT h:1 HTTP/1.1",
+    "G\u{e9}T /\u{e9} HTTP/1.1",
+    "GET /a#b HTTP/1.1",
+];
+const FIELDS: [&str; 16] = [
+    "host: h",
+    "a:b",
+    "a: ",
+    "a:\tb\t",
+    "content-length: 0",
+    "content-length: 00",
+    "Content-Length:0 ",
+    "content-length: 7",
+    "transfer-encoding: chunked",
+    "Transfer-Encoding: identity",
+    "connection: close",
+    "connection: a, keep-alive",
+    "upgrade: h2c",
+    "expect: 100-continue",
+    " folded",
+    "x : y",
+];
+const LINE_ENDS: [&str; 6] = ["\r\n", "\r\n", "\r\n", "\n", "\r", "\r\r\n"];
+
+/// Heads that are mostly well-formed, each with at most one byte changed.
+fn heads() -> impl Strategy<Value = Vec<u8>> {
+    let line = (prop::sample::select(&FIELDS[..]), prop::sample::select(&LINE_ENDS[..]));
+    let lines = prop::collection::vec(line, 0..5);
+    let end = prop::sample::select(&LINE_ENDS[..]);
+    let first = (prop::sample::select(&REQUEST_LINES[..]), prop::sample::select(&LINE_ENDS[..]));
+    let change = prop::option::of((any::<prop::sample::Index>(), any::<u8>()));
+    (first, lines, end, change).prop_map(|(first, lines, end, change)| {
+        let fields: String = lines.iter().map(|(field, end)| format!("{field}{end}")).collect();
+        let mut bytes = format!("{}{}{fields}{end}", first.0, first.1).into_bytes();
+        if let Some((place, byte)) = change {
+            let place = place.index(bytes.len());
+            bytes[place] = byte;
+        }
+        bytes
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 4_000, ..ProptestConfig::default() })]
+
+    /// What is started ahead is read by the library in the same way, has no body, and the next request begins where it ends.
+    #[test]
+    fn the_library_reads_what_is_started_ahead(bytes in heads()) {
+        let SentAhead::Plain(plain) = sent_ahead(&bytes) else { return Ok(()) };
+        let mut followed = bytes[..plain.length].to_vec();
+        followed.extend_from_slice(b"GET /next HTTP/1.1\r\n\r\n");
+        let read = read_by_the_library(&followed);
+        let fields = plain.parts.headers.iter();
+        let fields = fields.map(|(name, value)| (name.to_string(), value.as_bytes().to_vec())).collect();
+        let expected = (plain.parts.method.to_string(), plain.parts.uri.to_string(), fields, false);
+        prop_assert_eq!(read.len(), 2);
+        prop_assert_eq!(&read[0], &expected);
+        prop_assert_eq!(&read[1].1, "/next");
+    }
+
+    /// The library needs no more than a head that was found, and finds none where more was asked for.
+    #[test]
+    fn the_library_finds_the_same_end_of_a_head(bytes in heads()) {
+        match head_end(&bytes) {
+            HeadEnd::At(length) => {
+                // It refuses some heads that are whole, such as those with conflicting lengths.
+                let read = read_by_the_library(&bytes[..length]);
+                let refused = read.is_empty() && read_by_the_library(&[&bytes[..length], b"GET / HTTP/1.1\r\n\r\n"].concat()).is_empty();
+                prop_assert!(read.len() == 1 || refused);
+            }
+            HeadEnd::Incomplete | HeadEnd::Malformed => prop_assert!(read_by_the_library(&bytes).is_empty()),
+        }
+    }
+}
