--- a/crates/seamhatch-core/src/admission/lost.rs
+++ b/crates/seamhatch-core/src/admission/lost.rs
@@ -9,8 +9,17 @@
 use std::collections::VecDeque;
 
 /// What a back end reports beside an answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct BackEndLoad {
+    /// Calls there; none where it reports none that can be read.
+    pub calls: Option<CallsThere>,
+    /// How long work takes there at this moment, in percent of the usual; none where it tells no figure that counts.
+    pub time_percent: Option<u16>,
+}
+
+/// Calls at a back end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallsThere {
     /// Calls that run there.
     pub running: u32,
     /// Calls that wait there.
@@ -32,9 +41,9 @@
 impl LostCalls {
     /// Records a report while `held` calls are taken to be at the back end, the answered one included. Returns how many of
     /// them are surely not there, by this report and those before it.
-    pub(super) fn report(&mut self, load: BackEndLoad, held: u32) -> u32 {
-        let there = load.running + load.waiting;
-        self.excess.push_back(held.saturating_sub(there + 1));
+    pub(super) fn report(&mut self, calls: CallsThere, held: u32) -> u32 {
+        let there = calls.running.saturating_add(calls.waiting);
+        self.excess.push_back(held.saturating_sub(there.saturating_add(1)));
         if self.excess.len() < AGREEING_REPORTS {
             return 0;
         }
--- a/crates/seamhatch-core/src/admission/queue/mod.rs
+++ b/crates/seamhatch-core/src/admission/queue/mod.rs
@@ -18,6 +18,7 @@
     Admission, AdmissionPolicy, AdmissionRequest, BackEndLoad, ConcurrencyLimit, Dequeued, KneeFinder,
     Ticket, share_of,
 };
+use crate::balance::{PaceRecord, ServerPace};
 use crate::clock::{Instant, Microseconds};
 use crate::outcome::Reason;
 use crate::priority::{AdmissionFloor, Priority, PriorityClass};
@@ -33,6 +34,7 @@
     waiting: WaitingLines,
     floor: FloorController,
     service_times: ServiceTimes,
+    pace: PaceRecord,
     /// Set while the back end names a rate, and for a while after.
     held: Option<HeldBackEnd>,
 }
@@ -49,6 +51,7 @@
             waiting: WaitingLines::default(),
             floor: FloorController::default(),
             service_times: ServiceTimes::default(),
+            pace: PaceRecord::default(),
             held: None,
         }
     }
@@ -174,6 +177,7 @@
         if succeeded {
             self.limit.observe(finished.service_time);
             self.service_times.observe(finished.kind, finished.service_time);
+            self.pace.note_success((!finished.makes_calls).then_some(finished.service_time), now);
             finished.mark.into_iter().for_each(|mark| self.knee.observe(mark, finished.service_time));
         }
     }
@@ -181,12 +185,23 @@
     /// Records the load that the back end reports beside an answer. Calls that are overdue and that it doesn't work on
     /// hold no slot from now on.
     pub fn note_back_end_load(&mut self, load: BackEndLoad, now: Instant) {
-        self.slots.note_load(load, self.limit.typical_service_time(), now);
+        if let Some(calls) = load.calls {
+            self.slots.note_load(calls, self.limit.typical_service_time(), now);
+        }
+        if let Some(percent) = load.time_percent {
+            self.pace.note_figure(percent, now);
+        }
+    }
+
+    /// How long work takes at the back end; none where it tells no figure.
+    #[must_use]
+    pub fn pace(&self, now: Instant) -> Option<ServerPace> {
+        self.pace.report(now)
     }
 
     /// A running call makes calls of its own: its service time depends on other back ends too.
     pub fn makes_calls(&mut self, ticket: Ticket) {
-        self.slots.leave_probe(ticket);
+        self.slots.note_calls_made(ticket);
     }
 
     /// Moves the floor; to be called at a steady pace (every 100 ms).
--- a/crates/seamhatch-core/src/admission/slots.rs
+++ b/crates/seamhatch-core/src/admission/slots.rs
@@ -3,7 +3,7 @@
 //! Owns the table of running calls and what each class has used. A call whose answer seems to be lost keeps its entry, so
 //! that its end is not counted twice, but frees its slot. Used by [`super::AdmissionQueue`] alone.
 
-use super::lost::{BackEndLoad, LostCalls, OVERDUE_SERVICE_TIMES};
+use super::lost::{CallsThere, LostCalls, OVERDUE_SERVICE_TIMES};
 use super::{AdmissionRequest, CallKind, ClassShares, ProbeMark, Ticket};
 use crate::clock::{Instant, Microseconds};
 use crate::priority::PriorityClass;
@@ -19,6 +19,8 @@
     mark: Option<ProbeMark>,
     /// It has taken a turn of a rate that the back end names.
     has_turn: bool,
+    /// It makes calls of its own.
+    makes_calls: bool,
     /// Its answer seems to be lost; it holds no slot any more.
     lost: bool,
 }
@@ -29,6 +31,7 @@
     pub(super) kind: CallKind,
     pub(super) service_time: Microseconds,
     pub(super) mark: Option<ProbeMark>,
+    pub(super) makes_calls: bool,
 }
 
 /// Slots in use.
@@ -66,7 +69,15 @@
         now: Instant,
     ) {
         let class = request.priority.class;
-        let slot = RunningSlot { class, kind: request.kind, started: now, mark, has_turn, lost: false };
+        let slot = RunningSlot {
+            class,
+            kind: request.kind,
+            started: now,
+            mark,
+            has_turn,
+            makes_calls: false,
+            lost: false,
+        };
         self.running.insert(request.ticket, slot);
         self.shares.start(class, now);
     }
@@ -84,33 +95,39 @@
             return None;
         }
         self.shares.finish(slot.class, now);
-        Some(FinishedCall { kind: slot.kind, service_time: now.since(slot.started), mark: slot.mark })
+        Some(FinishedCall {
+            kind: slot.kind,
+            service_time: now.since(slot.started),
+            mark: slot.mark,
+            makes_calls: slot.makes_calls,
+        })
     }
 
     /// A running call makes calls of its own: its service time depends on other back ends too.
-    pub(super) fn leave_probe(&mut self, ticket: Ticket) {
+    pub(super) fn note_calls_made(&mut self, ticket: Ticket) {
         if let Some(slot) = self.running.get_mut(&ticket) {
             slot.mark = None;
+            slot.makes_calls = true;
         }
     }
 
     /// Records the load that the back end reports beside an answer. The oldest calls that are overdue, as many as are
     /// surely not at the back end, lose their slot. `typical` is the typical service time.
-    pub(super) fn note_load(&mut self, load: BackEndLoad, typical: Microseconds, now: Instant) {
-        let sure = self.lost_calls.report(load, self.taken() as u32);
+    pub(super) fn note_load(&mut self, calls: CallsThere, typical: Microseconds, now: Instant) {
+        let sure = self.lost_calls.report(calls, self.taken() as u32);
         if sure == 0 {
             return;
         }
         let overdue = typical * OVERDUE_SERVICE_TIMES;
         let is_overdue = |slot: &RunningSlot| !slot.lost && now.since(slot.started) > overdue;
-        let mut calls: Vec<(Instant, Ticket)> = self
+        let mut late: Vec<(Instant, Ticket)> = self
             .running
             .iter()
             .filter(|(_, slot)| is_overdue(slot))
             .map(|(ticket, slot)| (slot.started, *ticket))
             .collect();
-        calls.sort_unstable();
-        for (_, ticket) in calls.into_iter().take(sure as usize) {
+        late.sort_unstable();
+        for (_, ticket) in late.into_iter().take(sure as usize) {
             self.give_up_slot(ticket, now);
         }
     }
--- /dev/null
+++ b/crates/seamhatch-core/src/balance/measure.rs
@@ -0,0 +1,128 @@
+//! The measure by which the candidates of one choice are compared.
+//!
+//! Where a usable candidate's daemon reports no pace, load over slots decides for all, since the two measures can't be compared. Otherwise
+//! the expected completion time decides, in units of the mean service time of the candidates, so that with equal servers the margins mean
+//! the same in both.
+
+use super::{Candidate, CandidateStanding, KnownPace};
+use crate::clock::{MILLISECOND, Microseconds};
+
+/// Calls of one request that usually go to one service, one after the other; the request fails with any of them, so a
+/// server's success counts to this power.
+const CALLS_AT_STAKE: i32 = 4;
+
+/// Success below this makes no further difference.
+const LEAST_SUCCESS: f64 = 0.05;
+
+/// Load over slots below which a server starts a call about at once.
+const SPILL_COST: f64 = 0.8;
+
+/// How much more load over slots a server in the own zone may have than one in another zone: about the part of a service
+/// time that a call waits longer so that its bytes stay in the zone. Without it all calls are spread over all zones as
+/// soon as a service is full everywhere.
+const ZONE_SPILL_MARGIN: f64 = 0.5;
+
+/// Wait for its turn that makes a server which names a rate as costly as one whose slots are all taken.
+const COSTLY_TURN: Microseconds = 100 * MILLISECOND;
+
+/// Least service time of a server that counts in full, in units of the mean of all: a server that fails at once also has short service
+/// times, and must not draw all calls. Servers of one service differ by a factor of up to three, so one of half the mean is genuine.
+const LEAST_TIME: f64 = 0.5;
+
+/// How candidates are compared.
+pub(super) enum Measure {
+    /// By load over slots.
+    Load,
+    /// By expected completion time.
+    Completion {
+        /// Mean usual service time of those that are known, in milliseconds; 1 where none is.
+        mean_work: f64,
+        /// Mean service time at the present pace, likewise.
+        mean_time: f64,
+    },
+}
+
+impl Measure {
+    /// The measure for these candidates. Those that fail or are silent don't count.
+    pub(super) fn of(candidates: &[Candidate]) -> Self {
+        let usable =
+            || candidates.iter().filter(|candidate| candidate.standing != CandidateStanding::Ejected);
+        if usable().any(|candidate| candidate.pace == KnownPace::NotTold) {
+            return Self::Load;
+        }
+        let told = || {
+            usable().filter_map(|candidate| match candidate.pace {
+                KnownPace::Told { work, factor } => Some((work, factor)),
+                KnownPace::Unheard | KnownPace::NotTold => None,
+            })
+        };
+        let mean_work = mean(told().filter_map(|(work, _)| work)).unwrap_or(1.0);
+        let times = told().map(|(work, factor)| work.unwrap_or(mean_work) * factor);
+        mean(times).map_or(Self::Load, |mean_time| Self::Completion { mean_work, mean_time })
+    }
+
+    /// Whether a server's speed makes a difference.
+    pub(super) fn compares_speed(&self) -> bool {
+        matches!(self, Self::Completion { .. })
+    }
+
+    /// What a call costs there, divided by the chance that all calls of a request are answered.
+    pub(super) fn cost(&self, candidate: &Candidate) -> f64 {
+        match self {
+            Self::Load => load_cost(candidate),
+            Self::Completion { .. } => {
+                let ahead = (load(candidate) / slots(candidate)).max(turn(candidate));
+                (ahead + 1.0) * self.time(candidate) / success(candidate)
+            }
+        }
+    }
+
+    /// Whether the server starts a call about at once.
+    pub(super) fn starts_at_once(&self, candidate: &Candidate) -> bool {
+        load_cost(candidate) < SPILL_COST
+    }
+
+    /// Whether a server in another zone is so much better than one in the own zone that a call goes there.
+    pub(super) fn spills(&self, near: &Candidate, far: &Candidate) -> bool {
+        let is_as_fast = self.time(near) <= self.time(far) * (1.0 + ZONE_SPILL_MARGIN);
+        let stays = is_as_fast && self.starts_at_once(near);
+        !stays && self.cost(near) > self.cost(far) + ZONE_SPILL_MARGIN
+    }
+
+    /// Service time in units of the mean of all. A server of which nothing was heard counts as an average one.
+    fn time(&self, candidate: &Candidate) -> f64 {
+        let (Self::Completion { mean_work, mean_time }, KnownPace::Told { work, factor }) =
+            (self, candidate.pace)
+        else {
+            return 1.0;
+        };
+        (work.unwrap_or(*mean_work) * factor / mean_time).max(LEAST_TIME)
+    }
+}
+
+/// Load over slots, or the wait for its turn where that is worse, by success.
+fn load_cost(candidate: &Candidate) -> f64 {
+    ((load(candidate) + 1.0) / slots(candidate)).max(turn(candidate)) / success(candidate)
+}
+
+fn load(candidate: &Candidate) -> f64 {
+    f64::from(candidate.in_flight.max(candidate.reported_load))
+}
+
+fn slots(candidate: &Candidate) -> f64 {
+    f64::from(candidate.slots.max(1))
+}
+
+/// The wait for its turn, 1 where that is as costly as slots that are all taken.
+fn turn(candidate: &Candidate) -> f64 {
+    candidate.turn_in.unwrap_or_default() as f64 / COSTLY_TURN as f64
+}
+
+fn success(candidate: &Candidate) -> f64 {
+    candidate.success.max(LEAST_SUCCESS).powi(CALLS_AT_STAKE)
+}
+
+fn mean(values: impl Iterator<Item = f64>) -> Option<f64> {
+    let (sum, count) = values.fold((0.0, 0_u32), |(sum, count), value| (sum + value, count + 1));
+    (count > 0).then(|| sum / f64::from(count))
+}
--- a/crates/seamhatch-core/src/balance/mod.rs
+++ b/crates/seamhatch-core/src/balance/mod.rs
@@ -5,19 +5,26 @@
 //! that this daemon has in flight there, its load by its last answer or heartbeat (at most 0.75 s old, else the server is
 //! [silent](standing)), and the share of its answers that arrived in the last seconds.
 //!
+//! Where servers tell their pace, the one that is expected to complete the call sooner is taken instead: `pace` has what is known of
+//! that, `measure` decides which of the two rules holds.
+//!
 //! It protects servers from more work than they have slots, and the bytes between zones from being spent without need.
 //! Loss of answers makes a server costlier; [ejection](Ejection) leaves it out for a while; neither gives up a whole pool.
 //! Alternatives and figures: docs/DESIGN.md#server-choice. Who calls it: `seamhatchd::dispatch`.
 
+mod measure;
 mod outlier;
+mod pace;
 mod silence;
 mod turn;
 
 pub use outlier::{CallEnd, Ejection, SuccessRate};
+pub use pace::{KnownPace, PaceRecord, ServerPace, read_time_percent};
 pub use silence::{silent_at, standing};
 pub use turn::{NextTurn, SenderRound, TurnReport};
 
-use crate::clock::{MILLISECOND, Microseconds};
+use crate::clock::Microseconds;
+use measure::Measure;
 
 /// Whether a candidate is used while others are there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -45,57 +52,27 @@
     pub success: f64,
     /// Time until its turn for a call, where it names a rate.
     pub turn_in: Option<Microseconds>,
+    /// How long work takes there.
+    pub pace: KnownPace,
     /// Whether it is used while others are there.
     pub standing: CandidateStanding,
 }
 
-/// Calls of one request that usually go to one service, one after the other; the request fails with any of them, so a
-/// server's success counts to this power.
-const CALLS_AT_STAKE: i32 = 4;
-
-/// Success below this makes no further difference.
-const LEAST_SUCCESS: f64 = 0.05;
-
-/// Load over slots below which a server starts a call about at once.
-const SPILL_COST: f64 = 0.8;
-
-/// How much more load over slots a server in the own zone may have than one in another zone: about the part of a service
-/// time that a call waits longer so that its bytes stay in the zone. Without it all calls are spread over all zones as
-/// soon as a service is full everywhere.
-const ZONE_SPILL_MARGIN: f64 = 0.5;
-
-/// Wait for its turn that makes a server which names a rate as costly as one whose slots are all taken.
-const COSTLY_TURN: Microseconds = 100 * MILLISECOND;
-
-impl Candidate {
-    /// Load over slots, or the wait for its turn where that is worse, divided by the chance that all calls of a request are answered.
-    fn cost(&self) -> f64 {
-        let load = f64::from(self.in_flight.max(self.reported_load) + 1);
-        let turn = self.turn_in.unwrap_or_default() as f64 / COSTLY_TURN as f64;
-        let success = self.success.max(LEAST_SUCCESS).powi(CALLS_AT_STAKE);
-        (load / f64::from(self.slots.max(1))).max(turn) / success
-    }
-
-    /// Whether no other server would do better for a call.
-    fn starts_at_once(&self) -> bool {
-        self.cost() < SPILL_COST
-    }
-}
-
 /// Picks the index of a server, or none when `candidates` is empty.
 ///
 /// `random` draws a number below its argument. Servers whose daemons are about to stop are used only where those that stay are
 /// nearly full or none is left, and ejected ones only where there is no other, so that a whole pool is never given up.
 pub fn pick(candidates: &[Candidate], mut random: impl FnMut(usize) -> usize) -> Option<usize> {
+    let measure = Measure::of(candidates);
     let usual = indices(candidates, |candidate| candidate.standing == CandidateStanding::Usual);
-    let usual = nearest(candidates, &usual, &mut random);
-    if usual.is_some_and(|usual| candidates[usual].starts_at_once()) {
+    let usual = nearest(&measure, candidates, &usual, &mut random);
+    if usual.is_some_and(|usual| measure.starts_at_once(&candidates[usual])) {
         return usual;
     }
-    let leaving = nearest(candidates, &leaving_but_the_next(candidates), &mut random);
+    let leaving = nearest(&measure, candidates, &leaving_but_the_next(candidates), &mut random);
     match (usual, leaving) {
-        (Some(usual), Some(leaving)) => Some(less_loaded(candidates, usual, leaving)),
-        (None, None) => nearest(candidates, &indices(candidates, |_| true), &mut random),
+        (Some(usual), Some(leaving)) => Some(cheaper(&measure, candidates, usual, leaving)),
+        (None, None) => nearest(&measure, candidates, &indices(candidates, |_| true), &mut random),
         (usual, leaving) => usual.or(leaving),
     }
 }
@@ -115,26 +92,27 @@
     leaving
 }
 
-/// Picks from `pool`: servers in the caller's zone go first, until they are nearly full and clearly fuller than those of other
-/// zones.
+/// Picks from `pool`: servers in the caller's zone go first, until those of other zones are clearly better.
 fn nearest(
+    measure: &Measure,
     candidates: &[Candidate],
     pool: &[usize],
     random: &mut impl FnMut(usize) -> usize,
 ) -> Option<usize> {
     let (near, far): (Vec<usize>, Vec<usize>) = pool.iter().partition(|index| candidates[**index].same_zone);
-    let near = less_loaded_of_two(candidates, &near, random);
-    if near.is_some_and(|near| candidates[near].starts_at_once()) {
+    let near = cheaper_of_two(measure, candidates, &near, random);
+    if !measure.compares_speed() && near.is_some_and(|near| measure.starts_at_once(&candidates[near])) {
         return near;
     }
-    let far = less_loaded_of_two(candidates, &far, random);
+    let far = cheaper_of_two(measure, candidates, &far, random);
     let (Some(nearer), Some(farther)) = (near, far) else { return near.or(far) };
-    let spills = candidates[nearer].cost() > candidates[farther].cost() + ZONE_SPILL_MARGIN;
+    let spills = measure.spills(&candidates[nearer], &candidates[farther]);
     if spills { far } else { near }
 }
 
-/// The less loaded one of two that are drawn from `pool`.
-fn less_loaded_of_two(
+/// The cheaper one of two that are drawn from `pool`.
+fn cheaper_of_two(
+    measure: &Measure,
     candidates: &[Candidate],
     pool: &[usize],
     random: &mut impl FnMut(usize) -> usize,
@@ -145,7 +123,7 @@
         count => {
             let first = random(count);
             let second = (first + 1 + random(count - 1)) % count;
-            Some(less_loaded(candidates, pool[first], pool[second]))
+            Some(cheaper(measure, candidates, pool[first], pool[second]))
         }
     }
 }
@@ -154,6 +132,7 @@
     (0..candidates.len()).filter(|&index| keep(&candidates[index])).collect()
 }
 
-fn less_loaded(candidates: &[Candidate], first: usize, second: usize) -> usize {
-    if candidates[second].cost() < candidates[first].cost() { second } else { first }
+fn cheaper(measure: &Measure, candidates: &[Candidate], first: usize, second: usize) -> usize {
+    let is_second = measure.cost(&candidates[second]) < measure.cost(&candidates[first]);
+    if is_second { second } else { first }
 }
--- a/crates/seamhatch-core/tests/admission.rs
+++ b/crates/seamhatch-core/tests/admission.rs
@@ -2,7 +2,8 @@
 
 use seamhatch_core::Instant;
 use seamhatch_core::admission::{
-    Admission, AdmissionPolicy, AdmissionQueue, AdmissionRequest, BackEndLoad, CallKind, Dequeued, Ticket,
+    Admission, AdmissionPolicy, AdmissionQueue, AdmissionRequest, BackEndLoad, CallKind, CallsThere,
+    Dequeued, Ticket,
 };
 use seamhatch_core::clock::{MILLISECOND, SECOND};
 use seamhatch_core::outcome::Reason;
@@ -526,7 +527,8 @@
             queue.offer(request(ticket, PriorityClass::Normal, NOW), NOW);
         }
         let now = NOW.plus(case.age);
-        let load = BackEndLoad { running: case.running, waiting: case.waiting };
+        let calls = CallsThere { running: case.running, waiting: case.waiting };
+        let load = BackEndLoad { calls: Some(calls), time_percent: None };
         (0..case.reports).for_each(|_| queue.note_back_end_load(load, now));
         assert_eq!(8 - queue.running(), case.free, "{}", case.name);
         let offered = (10..10 + case.free as u64).map(|ticket| request(ticket, PriorityClass::Normal, now));
--- a/crates/seamhatch-core/tests/decisions.rs
+++ b/crates/seamhatch-core/tests/decisions.rs
@@ -1,7 +1,9 @@
 //! Clocks, claims, rosters, server choice and retry ratios, step by step.
 
 use seamhatch_core::Instant;
-use seamhatch_core::balance::{CallEnd, Candidate, CandidateStanding, Ejection, SuccessRate, pick};
+use seamhatch_core::balance::{
+    CallEnd, Candidate, CandidateStanding, Ejection, KnownPace, SuccessRate, pick,
+};
 use seamhatch_core::claims::{
     CLAIM_MEMORY, Claim, ClaimHolder, ClaimKey, ClaimReply, Epoch, LONGEST_REQUEST, Witness,
 };
@@ -144,7 +146,8 @@
 
 fn server(in_flight: u32, same_zone: bool, ejected: bool) -> Candidate {
     let standing = if ejected { CandidateStanding::Ejected } else { CandidateStanding::Usual };
-    Candidate { same_zone, slots: 10, in_flight, reported_load: 0, success: 1.0, turn_in: None, standing }
+    let (reported_load, success, turn_in, pace) = (0, 1.0, None, KnownPace::NotTold);
+    Candidate { same_zone, slots: 10, in_flight, reported_load, success, turn_in, pace, standing }
 }
 
 #[test]
--- /dev/null
+++ b/crates/seamhatch-core/tests/server_choice/simulation.rs
@@ -0,0 +1,241 @@
+//! Servers of one service under calls of several senders, simulated in steps of a millisecond. Each sender knows its own calls and what
+//! answers and heartbeats reported to it.
+
+use seamhatch_core::Instant;
+use seamhatch_core::balance::{Candidate, CandidateStanding, KnownPace, PaceRecord, ServerPace, pick};
+use seamhatch_core::clock::{MILLISECOND, SECOND};
+use std::collections::VecDeque;
+
+/// Steps between two heartbeats.
+const HEARTBEAT: u64 = 200;
+/// Steps before calls count, in which senders learn.
+const WARM_UP: u64 = 2_000;
+/// Steps of a run.
+const STEPS: u64 = 32_000;
+/// Runs whose calls are counted together, so that chance makes less difference.
+const RUNS: u64 = 6;
+
+/// What a server says of its pace.
+#[derive(Debug, Clone, Copy)]
+pub enum Figure {
+    /// The truth.
+    True,
+    /// Always the same.
+    Always(u16),
+    /// The truth of a second before, known to be that old.
+    LateBySecond,
+    /// Nothing, as its daemon is of the earlier release.
+    None,
+}
+
+/// One server.
+#[derive(Debug, Clone, Copy)]
+pub struct Server {
+    pub work_ms: f64,
+    pub figure: Figure,
+    /// It takes 2.5 times as long for 600 ms of every 3 s, from this millisecond on.
+    pub slow_from: Option<u64>,
+}
+
+impl Server {
+    /// One that tells the truth and is never slow.
+    pub const fn of(work_ms: f64) -> Self {
+        Self { work_ms, figure: Figure::True, slow_from: None }
+    }
+
+    fn percent_at(&self, step: u64) -> u16 {
+        let is_slow = self.slow_from.is_some_and(|from| step >= from && (step - from) % 3_000 < 600);
+        if is_slow { 250 } else { 100 }
+    }
+}
+
+/// A run.
+#[derive(Debug, Clone)]
+pub struct Load {
+    pub servers: Vec<Server>,
+    pub slots: u32,
+    pub senders: usize,
+    pub per_second: u64,
+}
+
+/// What became of the calls.
+#[derive(Debug)]
+pub struct Outcome {
+    /// Mean time from sending to the answer.
+    pub mean_ms: f64,
+    /// Time within which 95 of 100 were answered.
+    pub p95_ms: u64,
+    /// Share of the calls by server.
+    pub shares: Vec<f64>,
+}
+
+/// The same sequence in each run.
+struct Draw(u64);
+
+impl Draw {
+    fn next(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9E37_79B9_7F4A_7C15);
+        let mixed = (self.0 ^ (self.0 >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+        let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+        mixed ^ (mixed >> 31)
+    }
+
+    fn below(&mut self, end: u64) -> u64 {
+        self.next() % end
+    }
+}
+
+struct Call {
+    sender: usize,
+    sent: u64,
+    started: u64,
+    /// Work that is left, in milliseconds at the usual pace.
+    left: f64,
+}
+
+#[derive(Default)]
+struct State {
+    waiting: VecDeque<Call>,
+    running: Vec<Call>,
+    pace: PaceRecord,
+}
+
+/// What a sender knows of a server.
+#[derive(Clone, Copy, Default)]
+struct View {
+    in_flight: u32,
+    report: Option<(u32, Option<ServerPace>, Instant)>,
+}
+
+fn instant(step: u64) -> Instant {
+    Instant(10 * SECOND + step * MILLISECOND)
+}
+
+/// Runs it; with `by_pace` false the pace is reported to nobody, so that the earlier rule decides.
+pub fn run(load: &Load, by_pace: bool) -> Outcome {
+    let (mut times, mut counts) = (Vec::new(), vec![0; load.servers.len()]);
+    for seed in 0..RUNS {
+        let simulation = simulate(load, by_pace, seed);
+        times.extend(simulation.times);
+        counts.iter_mut().zip(simulation.counts).for_each(|(sum, count)| *sum += count);
+    }
+    times.sort_unstable();
+    let total: u64 = counts.iter().sum();
+    Outcome {
+        mean_ms: times.iter().sum::<u64>() as f64 / times.len() as f64,
+        p95_ms: times[times.len() * 95 / 100],
+        shares: counts.iter().map(|served| *served as f64 / total as f64).collect(),
+    }
+}
+
+fn simulate(load: &Load, by_pace: bool, seed: u64) -> Simulation<'_> {
+    let mut simulation = Simulation {
+        load,
+        by_pace,
+        states: load.servers.iter().map(|_| State::default()).collect(),
+        views: vec![vec![View::default(); load.servers.len()]; load.senders],
+        times: Vec::new(),
+        counts: vec![0; load.servers.len()],
+        draw: Draw(seed),
+    };
+    (0..STEPS).for_each(|step| simulation.step(step));
+    simulation
+}
+
+struct Simulation<'a> {
+    load: &'a Load,
+    by_pace: bool,
+    states: Vec<State>,
+    views: Vec<Vec<View>>,
+    times: Vec<u64>,
+    counts: Vec<u64>,
+    draw: Draw,
+}
+
+impl Simulation<'_> {
+    fn step(&mut self, step: u64) {
+        for server in 0..self.states.len() {
+            self.work(server, step);
+            if step.is_multiple_of(HEARTBEAT) {
+                (0..self.load.senders).for_each(|sender| self.report(server, sender, step));
+            }
+        }
+        // Calls come at random times: `per_second` on average.
+        if self.draw.below(1_000) < self.load.per_second {
+            self.send(step);
+        }
+    }
+
+    fn work(&mut self, server: usize, step: u64) {
+        let shape = &self.load.servers[server];
+        let factor = f64::from(shape.percent_at(step)) / 100.0;
+        let state = &mut self.states[server];
+        state.running.iter_mut().for_each(|call| call.left -= 1.0 / factor);
+        let (done, running) =
+            std::mem::take(&mut state.running).into_iter().partition(|call| call.left <= 0.0);
+        state.running = running;
+        while state.running.len() < self.load.slots as usize {
+            let Some(call) = state.waiting.pop_front() else { break };
+            state.running.push(Call { started: step, ..call });
+        }
+        let done: Vec<Call> = done;
+        for call in done {
+            self.end(server, &call, step);
+        }
+    }
+
+    fn end(&mut self, server: usize, call: &Call, step: u64) {
+        let shape = &self.load.servers[server];
+        let pace = &mut self.states[server].pace;
+        match shape.figure {
+            Figure::True => pace.note_figure(shape.percent_at(step), instant(step)),
+            Figure::Always(percent) => pace.note_figure(percent, instant(step)),
+            Figure::LateBySecond => {
+                pace.note_figure(shape.percent_at(step.saturating_sub(1_000)), instant(step).minus(SECOND));
+            }
+            Figure::None => {}
+        }
+        pace.note_success(Some((step - call.started) * MILLISECOND), instant(step));
+        self.views[call.sender][server].in_flight -= 1;
+        self.report(server, call.sender, step);
+        if call.sent >= WARM_UP {
+            self.times.push(step - call.sent);
+            self.counts[server] += 1;
+        }
+    }
+
+    fn report(&mut self, server: usize, sender: usize, step: u64) {
+        let state = &self.states[server];
+        let load = (state.running.len() + state.waiting.len()) as u32;
+        let pace = state.pace.report(instant(step)).filter(|_| self.by_pace);
+        self.views[sender][server].report = Some((load, pace, instant(step)));
+    }
+
+    fn send(&mut self, step: u64) {
+        let sender = self.draw.below(self.load.senders as u64) as usize;
+        let candidates: Vec<Candidate> =
+            self.views[sender].iter().map(|view| self.candidate(view, step)).collect();
+        let draw = &mut self.draw;
+        let server = pick(&candidates, |below| draw.below(below as u64) as usize).expect("there are servers");
+        // From half to one and a half of the usual.
+        let left = self.load.servers[server].work_ms * (0.5 + self.draw.below(1_000) as f64 / 1_000.0);
+        self.views[sender][server].in_flight += 1;
+        self.states[server].waiting.push_back(Call { sender, sent: step, started: step, left });
+    }
+
+    fn candidate(&self, view: &View, step: u64) -> Candidate {
+        let pace = view
+            .report
+            .map_or(KnownPace::Unheard, |(_, pace, heard)| KnownPace::reported(pace, heard, instant(step)));
+        Candidate {
+            same_zone: true,
+            slots: self.load.slots,
+            in_flight: view.in_flight,
+            reported_load: view.report.map_or(0, |(load, _, _)| load),
+            success: 1.0,
+            turn_in: None,
+            pace,
+            standing: CandidateStanding::Usual,
+        }
+    }
+}
--- a/crates/seamhatch-lab/src/backends/behaviour.rs
+++ b/crates/seamhatch-lab/src/backends/behaviour.rs
@@ -1,12 +1,15 @@
 //! How a back end misbehaves. Tests and the soak change it while the back end runs.
 
 use http::{HeaderMap, HeaderName, HeaderValue};
-use seamhatchd::conventions::headers::{BACKEND_LEAVING, BACKEND_RATE};
+use seamhatchd::conventions::headers::{BACKEND_LEAVING, BACKEND_PACE, BACKEND_RATE};
 use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU32, Ordering};
 
 /// Stands for no rate in [`Behaviour::rate_millis`].
 pub const NO_RATE: i64 = -1;
 
+/// Stands for no figure in [`Behaviour::pace_percent`].
+pub const NO_PACE: u32 = 0;
+
 /// How one back end behaves.
 #[derive(Debug)]
 pub struct Behaviour {
@@ -20,6 +23,8 @@
     pub forges_outcome: AtomicBool,
     /// Names this rate in its answers, in thousandths of a call a second; [`NO_RATE`] for none.
     pub rate_millis: AtomicI64,
+    /// Tells this figure in its answers as its pace, whatever its service time; [`NO_PACE`] for none.
+    pub pace_percent: AtomicU32,
     /// Says in its answers that it leaves.
     pub leaving: AtomicBool,
     /// Times that it repeats a failed call by itself.
@@ -36,6 +41,10 @@
                 HeaderValue::try_from(rate).map(|rate| (HeaderName::from_static(BACKEND_RATE), rate)),
             );
         }
+        let percent = self.pace_percent.load(Ordering::Relaxed);
+        if percent != NO_PACE {
+            fields.insert(BACKEND_PACE, HeaderValue::from(percent));
+        }
         if self.leaving.load(Ordering::Relaxed) {
             fields.insert(BACKEND_LEAVING, HeaderValue::from_static("1"));
         }
@@ -50,6 +59,7 @@
             cuts_answers: AtomicBool::new(false),
             forges_outcome: AtomicBool::new(false),
             rate_millis: AtomicI64::new(NO_RATE),
+            pace_percent: AtomicU32::new(NO_PACE),
             leaving: AtomicBool::new(false),
             own_retries: AtomicU32::new(0),
         }
--- a/crates/seamhatch-lab/src/backends/mod.rs
+++ b/crates/seamhatch-lab/src/backends/mod.rs
@@ -8,7 +8,7 @@
 mod body;
 mod server;
 
-pub use behaviour::{Behaviour, NO_RATE};
+pub use behaviour::{Behaviour, NO_PACE, NO_RATE};
 pub(crate) use server::AWAY;
 
 use crate::http_stand_in::HttpStandIn;
--- a/crates/seamhatch-wire/src/lib.rs
+++ b/crates/seamhatch-wire/src/lib.rs
@@ -25,7 +25,7 @@
 
 /// Additions to the messages of this version that this daemon reads. An addition is a field at the end of a message, which daemons that
 /// don't read it pass over and which is empty where they send none, so that releases can run side by side.
-pub const ADDITIONS: u16 = 2;
+pub const ADDITIONS: u16 = 3;
 
 /// The additions from which on [`seamhatch_core::outcome::Reason::BackendRate`] is read.
 pub const READS_BACKEND_RATE: u16 = 1;
--- a/crates/seamhatch-wire/src/message/answer.rs
+++ b/crates/seamhatch-wire/src/message/answer.rs
@@ -1,7 +1,7 @@
 //! What comes back for a call: an answer in pieces, or a refusal.
 
 use super::{HeaderField, ServerReport};
-use seamhatch_core::balance::TurnReport;
+use seamhatch_core::balance::{ServerPace, TurnReport};
 use seamhatch_core::clock::Microseconds;
 use seamhatch_core::identity::CallId;
 use seamhatch_core::notice::BackEndNotice;
@@ -27,6 +27,9 @@
     /// When the server has a turn for the sender of the call, where it names a rate.
     #[speedy(default_on_eof)]
     pub turn: Option<TurnReport>,
+    /// How long work takes at the server, where it tells that.
+    #[speedy(default_on_eof)]
+    pub pace: Option<ServerPace>,
 }
 
 /// An admission floor below [`AdmissionFloor::OPEN`], and the service whose server reported it.
@@ -66,6 +69,9 @@
     /// What the server says of itself, for the sender of the call to hand back.
     #[speedy(default_on_eof)]
     pub notice: Option<BackEndNotice>,
+    /// How long work takes at the server, where it tells that.
+    #[speedy(default_on_eof)]
+    pub pace: Option<ServerPace>,
 }
 
 /// The end of an answer.
--- a/crates/seamhatch-wire/src/message/link.rs
+++ b/crates/seamhatch-wire/src/message/link.rs
@@ -1,6 +1,6 @@
 //! What a daemon reports of itself on a connection: who it is, and with each heartbeat the state of the server beside it.
 
-use seamhatch_core::balance::TurnReport;
+use seamhatch_core::balance::{ServerPace, TurnReport};
 use seamhatch_core::clock::Instant;
 use seamhatch_core::drain::CallIntake;
 use seamhatch_core::freshness::FreshnessProof;
@@ -57,6 +57,9 @@
     /// Where the sender or the receiver is about to end.
     #[speedy(default_on_eof)]
     pub farewell: Option<Farewell>,
+    /// How long work takes at its server, where that tells it.
+    #[speedy(default_on_eof)]
+    pub pace: Option<ServerPace>,
 }
 
 /// The last word on calls between two daemons of which one is about to end. Messages keep their order, so that no call follows the answer.
--- a/crates/seamhatch-wire/tests/hostile.rs
+++ b/crates/seamhatch-wire/tests/hostile.rs
@@ -3,7 +3,7 @@
 
 use proptest::prelude::*;
 use seamhatch_core::Instant;
-use seamhatch_core::balance::TurnReport;
+use seamhatch_core::balance::{ServerPace, TurnReport};
 use seamhatch_core::crashes::{InstanceDigest, MOST_MARKS, SuspectRecord, SuspectReport};
 use seamhatch_core::freshness::FreshnessProof;
 use seamhatch_core::generation::Generation;
@@ -68,6 +68,10 @@
     }))
 }
 
+fn pace() -> ServerPace {
+    ServerPace { time_percent: 1, age_ms: 2, work_ms: 3 }
+}
+
 fn turn() -> TurnReport {
     TurnReport { turn_in: 3, round: 4 }
 }
@@ -90,6 +94,7 @@
         crashes: 2,
         server: report(),
         turn: Some(turn()),
+        pace: Some(pace()),
     };
     let head = AnswerHead {
         call: CallId(2),
@@ -99,6 +104,7 @@
         chain_floor: None,
         turn: None,
         notice: Some(notice()),
+        pace: Some(pace()),
     };
     let pulse = Pulse {
         clock: Instant(1),
@@ -109,6 +115,7 @@
         turn: Some(turn()),
         notice: Some(notice()),
         farewell: Some(Farewell::Said),
+        pace: Some(pace()),
     };
     let hello = Hello {
         cluster: "c".into(),
--- a/crates/seamhatch-wire/tests/wire_format.rs
+++ b/crates/seamhatch-wire/tests/wire_format.rs
@@ -3,7 +3,7 @@
 //! either release may lack, raises `ADDITIONS` instead.
 
 use seamhatch_core::Instant;
-use seamhatch_core::balance::TurnReport;
+use seamhatch_core::balance::{ServerPace, TurnReport};
 use seamhatch_core::claims::{Claim, ClaimHolder, ClaimKey, ClaimReply, Epoch};
 use seamhatch_core::crashes::{InstanceDigest, SuspectRecord, SuspectReport};
 use seamhatch_core::freshness::FreshnessProof;
@@ -103,9 +103,14 @@
         turn: None,
         notice: None,
         farewell: None,
+        pace: None,
     })
 }
 
+fn pace() -> ServerPace {
+    ServerPace { time_percent: 62, age_ms: 63, work_ms: 64 }
+}
+
 fn turn() -> TurnReport {
     TurnReport { turn_in: 58, round: 59 }
 }
@@ -150,6 +155,7 @@
         crashes: 27,
         server: server(),
         turn: Some(turn()),
+        pace: Some(pace()),
     };
     let answer = AnswerHead {
         call,
@@ -159,6 +165,7 @@
         chain_floor: Some(ChainFloor { floor: floor(), service: "desk".into() }),
         turn: Some(turn()),
         notice: Some(notice()),
+        pace: Some(pace()),
     };
     vec![
         ("call", PeerMessage::Call(Box::new(head))),
@@ -377,6 +384,7 @@
         chain_floor: None,
         turn: None,
         notice: None,
+        pace: None,
     };
     let refusal = Refusal {
         outcome: Outcome::NotRun,
@@ -386,25 +394,29 @@
         crashes: 27,
         server: server(),
         turn: None,
+        pace: None,
     };
     let cases = [
         AdditionCase { name: "hello", message: added_to_hello, added: 3 },
-        AdditionCase { name: "pulse", message: pulse(CallIntake::Open, None), added: 3 },
-        AdditionCase { name: "answer head", message: PeerMessage::AnswerHead(Box::new(head)), added: 2 },
+        AdditionCase { name: "pulse", message: pulse(CallIntake::Open, None), added: 4 },
+        AdditionCase { name: "answer head", message: PeerMessage::AnswerHead(Box::new(head)), added: 3 },
         AdditionCase {
             name: "refused",
             message: PeerMessage::Refused { call: CallId(1), refusal },
-            added: 1,
+            added: 2,
         },
     ];
     for AdditionCase { name, message, added } in cases {
         let mut bytes = message.write_to_vec().expect("encodes");
-        let earlier = &bytes[..bytes.len() - added];
-        assert_eq!(
-            PeerMessage::read_from_buffer(earlier).expect(name),
-            message,
-            "{name}: sent by an earlier release"
-        );
+        // Without all additions, and without the last one only.
+        for missing in [added, 1] {
+            let earlier = &bytes[..bytes.len() - missing];
+            assert_eq!(
+                PeerMessage::read_from_buffer(earlier).expect(name),
+                message,
+                "{name}: sent by an earlier release, without {missing} bytes"
+            );
+        }
         bytes.extend([7; 5]);
         assert_eq!(
             PeerMessage::read_from_buffer(&bytes).expect(name),
--- a/crates/seamhatchd/src/base/metrics.rs
+++ b/crates/seamhatchd/src/base/metrics.rs
@@ -88,6 +88,9 @@
 /// Stands for no rate in [`Metrics::named_rate`].
 pub const NO_NAMED_RATE: i64 = -1;
 
+/// Stands for no figure in [`Metrics::pace_percent`] and [`Metrics::work_milliseconds`].
+pub const NO_PACE: i64 = -1;
+
 /// A span in the unit that histograms use.
 #[must_use]
 pub fn seconds(span: Microseconds) -> f64 {
@@ -129,6 +132,10 @@
     pub limit: Gauge,
     /// Rate that the back end names, in thousandths of a call a second; -1 where it names none.
     pub named_rate: Gauge,
+    /// How long work takes at the back end by its last figure, in percent of the usual; -1 where it tells none.
+    pub pace_percent: Gauge,
+    /// Usual service time of its calls, in milliseconds; -1 where it tells no figure.
+    pub work_milliseconds: Gauge,
     /// Calls whose answer seems to be lost, and that hold no slot.
     pub lost: Gauge,
     /// First refused priority level.
@@ -173,11 +180,11 @@
     register(registry, name, help, Gauge::default())
 }
 
-fn named_rate(registry: &mut Registry) -> Gauge {
-    let help = "Rate the back end names, in thousandths of a call a second; -1 for none";
-    let rate = gauge(registry, "named_rate_millis", help);
-    rate.set(NO_NAMED_RATE);
-    rate
+/// A gauge that begins at `none`.
+fn gauge_or_none(registry: &mut Registry, name: &str, help: &str, none: i64) -> Gauge {
+    let gauge = gauge(registry, name, help);
+    gauge.set(none);
+    gauge
 }
 
 fn latency(registry: &mut Registry, name: &str, help: &str) -> Histogram {
@@ -220,7 +227,24 @@
             lost: gauge(to, "lost_calls", "Calls whose answer seems to be lost"),
             limit: gauge(to, "limit_calls", "Calls that may run at once"),
             floor: gauge(to, "admission_floor", "First refused priority level"),
-            named_rate: named_rate(to),
+            named_rate: gauge_or_none(
+                to,
+                "named_rate_millis",
+                "Rate the back end names, in thousandths of a call a second; -1 for none",
+                NO_NAMED_RATE,
+            ),
+            pace_percent: gauge_or_none(
+                to,
+                "pace_percent",
+                "Time that work takes at the back end by its own figure, in percent of the usual; -1 for none",
+                NO_PACE,
+            ),
+            work_milliseconds: gauge_or_none(
+                to,
+                "work_milliseconds",
+                "Usual service time of a back end that tells its pace; -1 for none",
+                NO_PACE,
+            ),
             generation: gauge(to, "generation", "Configuration in force"),
             newest_generation: gauge(to, "newest_generation", "Newest configuration held"),
             members: gauge(to, "live_members", "Live members, this one included"),
--- a/crates/seamhatchd/src/conventions/headers.rs
+++ b/crates/seamhatchd/src/conventions/headers.rs
@@ -23,6 +23,8 @@
 pub const BACKEND_RATE: &str = "backend-rate";
 /// In a back end's answer: it leaves, and takes no new calls.
 pub const BACKEND_LEAVING: &str = "backend-leaving";
+/// In a back end's answer: how long work takes there at this moment, in percent of the usual.
+pub const BACKEND_PACE: &str = "backend-pace";
 /// Marks repeats of one request.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 
--- a/crates/seamhatchd/src/dispatch/attempt.rs
+++ b/crates/seamhatchd/src/dispatch/attempt.rs
@@ -134,5 +134,6 @@
         crashes: 0,
         server: ServerReport { load: 0, limit: 0, floor: AdmissionFloor::OPEN },
         turn: None,
+        pace: None,
     }
 }
--- a/crates/seamhatchd/src/dispatch/candidates.rs
+++ b/crates/seamhatchd/src/dispatch/candidates.rs
@@ -3,10 +3,10 @@
 use super::Dispatcher;
 use crate::base::clock;
 use crate::filters::Rejection;
-use crate::peer::PeerConnection;
-use crate::shared::Shared;
+use crate::peer::{KnownPeer, PeerConnection};
 use crate::snapshot::Server;
-use seamhatch_core::balance::{Candidate, CandidateStanding, pick};
+use seamhatch_core::Instant;
+use seamhatch_core::balance::{Candidate, CandidateStanding, KnownPace, pick};
 use seamhatch_core::clock::Microseconds;
 use seamhatch_core::identity::Address;
 use seamhatch_core::outcome::Reason;
@@ -39,8 +39,13 @@
         let servers = snapshot.servers.get(&self.request.service)?;
         let servers_left: Vec<&Server> =
             servers.iter().filter(|server| !self.tried.contains(&server.peer)).collect();
-        let candidates: Vec<Candidate> =
-            servers_left.iter().map(|server| candidate(self.shared, server)).collect();
+        let (now, own_zone) = (clock::now(), &self.shared.settings.zone);
+        let candidates: Vec<Candidate> = self.shared.pool.survey(
+            &servers_left,
+            |server| server.peer,
+            now,
+            |server, known| candidate(server, own_zone, known, now),
+        );
         let index = self
             .home_of_suspect(&servers_left, &candidates)
             .or_else(|| pick(&candidates, |below| rand::random_range(0..below)))?;
@@ -49,32 +54,33 @@
 }
 
 /// A server as the choice sees it: by its own reports where there is a connection to its daemon, else by its record.
-fn candidate(shared: &Shared, server: &Server) -> Candidate {
-    let now = clock::now();
-    let same_zone = server.zone == shared.settings.zone;
-    let Some(connection) = shared.pool.existing(server.peer) else {
-        let failing = shared.pool.is_failing(server.peer, now);
-        return Candidate {
+fn candidate(server: &Server, own_zone: &str, known: KnownPeer<'_>, now: Instant) -> Candidate {
+    let same_zone = server.zone == own_zone;
+    match known {
+        KnownPeer::Unconnected { failing } => Candidate {
             same_zone,
             slots: server.slots,
             in_flight: 0,
             reported_load: 0,
             success: 1.0,
             turn_in: None,
+            pace: KnownPace::Unheard,
             standing: if failing { CandidateStanding::Ejected } else { standing_by_record(server) },
-        };
-    };
-    let view = connection.view();
-    let turn_in = view.turn_in(now);
-    let reported = view.server.filter(|_| turn_in.is_none());
-    Candidate {
-        same_zone,
-        slots: reported.map_or(server.slots, |report| report.limit),
-        in_flight: connection.in_flight(),
-        reported_load: view.server.map_or(0, |report| report.load),
-        success: view.success(now),
-        turn_in,
-        standing: view.standing(now),
+        },
+        KnownPeer::Connected { in_flight, view } => {
+            let turn_in = view.turn_in(now);
+            let reported = view.server.filter(|_| turn_in.is_none());
+            Candidate {
+                same_zone,
+                slots: reported.map_or(server.slots, |report| report.limit),
+                in_flight,
+                reported_load: view.server.map_or(0, |report| report.load),
+                success: view.success(now),
+                turn_in,
+                pace: view.pace(now),
+                standing: view.standing(now),
+            }
+        }
     }
 }
 
--- a/crates/seamhatchd/src/link_host.rs
+++ b/crates/seamhatchd/src/link_host.rs
@@ -42,6 +42,7 @@
             proof: self.limits.freshness.proof(),
             turn: self.server.notices.turn_of(peer),
             notice: self.server.notices.to_tell(),
+            pace: self.server.gate.pace(),
             ends: self.intake.phase() != IntakePhase::Open,
         }
     }
--- a/crates/seamhatchd/src/peer/host.rs
+++ b/crates/seamhatchd/src/peer/host.rs
@@ -5,7 +5,7 @@
 
 use crate::base::metrics::BadInput;
 use crate::peer::link::UnwrittenMessages;
-use seamhatch_core::balance::TurnReport;
+use seamhatch_core::balance::{ServerPace, TurnReport};
 use seamhatch_core::crashes::SuspectReport;
 use seamhatch_core::freshness::FreshnessProof;
 use seamhatch_core::generation::Generation;
@@ -31,6 +31,8 @@
     pub turn: Option<TurnReport>,
     /// What the back end says of itself.
     pub notice: Option<BackEndNotice>,
+    /// How long work takes at the back end, where it tells that.
+    pub pace: Option<ServerPace>,
     /// The daemon is about to end and takes no more calls.
     pub ends: bool,
 }
--- a/crates/seamhatchd/src/peer/incoming.rs
+++ b/crates/seamhatchd/src/peer/incoming.rs
@@ -10,7 +10,7 @@
 use crate::peer::host::LinkHost;
 use crate::peer::link;
 use bytes::Bytes;
-use seamhatch_core::balance::TurnReport;
+use seamhatch_core::balance::{ServerPace, TurnReport};
 use seamhatch_core::identity::CallId;
 use seamhatch_wire::{CallIntake, Farewell, FrameReader, PeerMessage, Pulse, ServerReport, WireError};
 use tokio::net::tcp::OwnedReadHalf;
@@ -34,11 +34,11 @@
             PeerMessage::Pulse(pulse) => self.handle_pulse(host, &pulse),
             PeerMessage::Suspects(reports) => host.suspects_reported(&reports),
             PeerMessage::Refused { call, refusal } => {
-                self.note_report(host, refusal.server, refusal.turn);
+                self.note_report(host, refusal.server, refusal.turn, refusal.pace);
                 self.deliver(host, call, CallEvent::Refused(refusal));
             }
             PeerMessage::AnswerHead(head) => {
-                self.note_report(host, head.server, head.turn);
+                self.note_report(host, head.server, head.turn, head.pace);
                 host.back_end_notice(self.address, head.notice.as_ref());
                 self.deliver(host, head.call, CallEvent::Head(head));
             }
@@ -71,11 +71,19 @@
 
     /// Records what the peer reports of its server beside an answer. A server that takes no more calls doesn't count
     /// for the admission floor of its service.
-    fn note_report(&self, host: &dyn LinkHost, report: ServerReport, turn: Option<TurnReport>) {
+    fn note_report(
+        &self,
+        host: &dyn LinkHost,
+        report: ServerReport,
+        turn: Option<TurnReport>,
+        pace: Option<ServerPace>,
+    ) {
         let intake = {
             let mut view = self.state.view();
             view.server = Some(report);
-            view.note_turn(turn, clock::now());
+            let now = clock::now();
+            view.note_turn(turn, now);
+            view.note_pace(pace, now);
             view.intake
         };
         if intake != CallIntake::Closed {
--- a/crates/seamhatchd/src/peer/mod.rs
+++ b/crates/seamhatchd/src/peer/mod.rs
@@ -25,7 +25,7 @@
 pub use farewells::{AwaitedFarewell, Farewells};
 pub use host::{LinkHost, LocalState};
 pub use link::{LinkClosed, Outbox, PULSE_INTERVAL, UnwrittenMessages};
-pub use pool::{PeerPool, PeerUnreachable};
+pub use pool::{KnownPeer, PeerPool, PeerUnreachable};
 pub use view::PeerView;
 
 /// Bytes of a body that may be sent before its receiver gives credit.
--- a/crates/seamhatchd/src/peer/pool.rs
+++ b/crates/seamhatchd/src/peer/pool.rs
@@ -9,6 +9,7 @@
 use crate::peer::connection::PeerConnection;
 use crate::peer::handshake;
 use crate::peer::host::LinkHost;
+use crate::peer::view::PeerView;
 use seamhatch_core::Instant;
 use seamhatch_core::balance::{CallEnd, Ejection};
 use seamhatch_core::identity::Address;
@@ -34,6 +35,22 @@
     pub detail: String,
 }
 
+/// What is known of a daemon, as the choice of a server reads it.
+pub enum KnownPeer<'a> {
+    /// There is an open connection to it.
+    Connected {
+        /// Calls in flight on it.
+        in_flight: u32,
+        /// What is known from its messages.
+        view: &'a PeerView,
+    },
+    /// There is none.
+    Unconnected {
+        /// Connecting to it failed several times recently.
+        failing: bool,
+    },
+}
+
 #[derive(Debug, Default)]
 struct PoolEntry {
     connection: Option<PeerConnection>,
@@ -147,6 +164,32 @@
         self.lock().get(&address).is_some_and(|entry| entry.failures.is_ejected(now))
     }
 
+    /// Reads under one lock what is known of these daemons, in their order.
+    pub fn survey<K, T>(
+        &self,
+        daemons: &[K],
+        address: impl Fn(&K) -> Address,
+        now: Instant,
+        read: impl Fn(&K, KnownPeer<'_>) -> T,
+    ) -> Vec<T> {
+        let entries = self.lock();
+        let read_one = |daemon: &K| {
+            let entry = entries.get(&address(daemon));
+            let open = entry.and_then(|entry| entry.connection.as_ref()).filter(|open| open.is_open());
+            match open {
+                Some(open) => {
+                    let in_flight = open.in_flight();
+                    read(daemon, KnownPeer::Connected { in_flight, view: &open.state.view() })
+                }
+                None => {
+                    let failing = entry.is_some_and(|entry| entry.failures.is_ejected(now));
+                    read(daemon, KnownPeer::Unconnected { failing })
+                }
+            }
+        };
+        daemons.iter().map(read_one).collect()
+    }
+
     /// Drops a connection that ended, unless a newer one took its place.
     pub(super) fn forget(&self, ended: &PeerConnection) {
         let mut entries = self.lock();
--- a/crates/seamhatchd/src/peer/view.rs
+++ b/crates/seamhatchd/src/peer/view.rs
@@ -5,7 +5,7 @@
 use crate::base::clock;
 use seamhatch_core::Instant;
 use seamhatch_core::balance::{
-    self, CallEnd, CandidateStanding, Ejection, NextTurn, SuccessRate, TurnReport,
+    self, CallEnd, CandidateStanding, Ejection, KnownPace, NextTurn, ServerPace, SuccessRate, TurnReport,
 };
 use seamhatch_core::clock::{Microseconds, PeerClock};
 use seamhatch_wire::{CallIntake, Farewell, ServerReport};
@@ -25,6 +25,8 @@
     leaves_at: Instant,
     /// When its server has a turn for a call of this daemon, where that names a rate.
     turn: Option<NextTurn>,
+    /// What it reported last of its server's pace, and when; none before the first report.
+    pace: Option<(Option<ServerPace>, Instant)>,
     clock: PeerClock,
     ejection: Ejection,
     success: SuccessRate,
@@ -44,6 +46,7 @@
             server: None,
             leaves_at: now,
             turn: None,
+            pace: None,
             clock,
             ejection: Ejection::default(),
             success: SuccessRate::default(),
@@ -69,6 +72,17 @@
         self.turn = turn.map(|turn| NextTurn::reported(turn, now));
     }
 
+    /// How long work takes at its server.
+    #[must_use]
+    pub fn pace(&self, now: Instant) -> KnownPace {
+        self.pace.map_or(KnownPace::Unheard, |(pace, heard)| KnownPace::reported(pace, heard, now))
+    }
+
+    /// Records what it reports of its server's pace.
+    pub(super) fn note_pace(&mut self, pace: Option<ServerPace>, now: Instant) {
+        self.pace = Some((pace, now));
+    }
+
     /// A call is sent to it.
     pub(super) fn note_sent(&mut self, now: Instant) {
         if let Some(turn) = &mut self.turn {
@@ -128,6 +142,8 @@
             self.leaves_at = clock::now().plus(left);
         }
         self.server = Some(pulse.server);
-        self.note_turn(pulse.turn, clock::now());
+        let now = clock::now();
+        self.note_turn(pulse.turn, now);
+        self.note_pace(pulse.pace, now);
     }
 }
--- a/crates/seamhatchd/src/peer_server/call/answer.rs
+++ b/crates/seamhatchd/src/peer_server/call/answer.rs
@@ -62,6 +62,7 @@
             chain_floor: running.chain_floor(),
             turn: self.shared.server.notices.turn_of(self.from),
             notice: self.shared.server.notices.to_tell(),
+            pace: self.shared.server.gate.pace(),
         }
     }
 
--- a/crates/seamhatchd/src/peer_server/call/refusal.rs
+++ b/crates/seamhatchd/src/peer_server/call/refusal.rs
@@ -43,6 +43,7 @@
             crashes: self.shared.suspects.standing(self.head.request).crashes(),
             server,
             turn: self.shared.server.notices.turn_of(self.from),
+            pace: self.shared.server.gate.pace(),
         };
         self.send(PeerMessage::Refused { call: self.head.call, refusal });
     }
--- a/crates/seamhatchd/src/server/gate/mod.rs
+++ b/crates/seamhatchd/src/server/gate/mod.rs
@@ -10,13 +10,14 @@
 
 use crate::base::clock;
 use crate::base::lock::lock;
-use crate::base::metrics::{Metrics, seconds};
+use crate::base::metrics::{Metrics, NO_PACE, seconds};
 use log::info;
 use permit::{PermitEnd, WaitGuard};
 use seamhatch_core::Instant;
 use seamhatch_core::admission::{
     Admission, AdmissionPolicy, AdmissionQueue, AdmissionRequest, CallKind, Dequeued, Ticket,
 };
+use seamhatch_core::balance::ServerPace;
 use seamhatch_core::clock::Microseconds;
 use seamhatch_core::outcome::Reason;
 use seamhatch_core::priority::Priority;
@@ -168,6 +169,12 @@
         }
     }
 
+    /// How long work takes at the back end, as other daemons are told; none where it tells no figure.
+    #[must_use]
+    pub fn pace(&self) -> Option<ServerPace> {
+        self.lock().queue.pace(clock::now())
+    }
+
     /// When a refused caller should return, in microseconds before jitter.
     #[must_use]
     pub fn retry_after(&self) -> Microseconds {
@@ -197,6 +204,9 @@
         self.metrics.lost.set(state.queue.lost() as i64);
         self.metrics.limit.set(i64::from(state.queue.limit()));
         self.metrics.floor.set(i64::from(state.queue.floor().level));
+        let pace = state.queue.pace(now);
+        self.metrics.pace_percent.set(pace.map_or(NO_PACE, |pace| pace.time_percent.into()));
+        self.metrics.work_milliseconds.set(pace.map_or(NO_PACE, |pace| pace.work_ms.into()));
     }
 
     fn permit(self: &Arc<Self>, ticket: Ticket) -> Permit {
--- a/crates/seamhatchd/tests/operator_interface.rs
+++ b/crates/seamhatchd/tests/operator_interface.rs
@@ -169,6 +169,7 @@
         headers::TENANT,
         headers::BACKEND_RATE,
         headers::BACKEND_LEAVING,
+        headers::BACKEND_PACE,
         headers::IDEMPOTENCY_KEY,
     ];
     let call =
--- a/crates/seamhatchd/tests/rejections.rs
+++ b/crates/seamhatchd/tests/rejections.rs
@@ -71,6 +71,7 @@
         crashes: 0,
         server: ServerReport { load: 0, limit: 0, floor: AdmissionFloor::OPEN },
         turn: None,
+        pace: None,
     }
 }
 
