--- a/crates/seamhatchd/src/dispatch/candidates.rs
+++ b/crates/seamhatchd/src/dispatch/candidates.rs
@@ -3,10 +3,10 @@
 use super::Dispatcher;
 use crate::base::clock;
 use crate::filters::Rejection;
-use crate::peer::PeerConnection;
-use crate::shared::Shared;
+use crate::peer::{PeerConnection, PoolReader};
 use crate::snapshot::Server;
-use seamhatch_core::balance::{Candidate, CandidateStanding, pick};
+use seamhatch_core::Instant;
+use seamhatch_core::balance::{Candidate, CandidateStanding, KnownPace, pick};
 use seamhatch_core::clock::Microseconds;
 use seamhatch_core::identity::Address;
 use seamhatch_core::outcome::Reason;
@@ -31,7 +31,8 @@
     /// Whether the daemon takes calls for this service, by its own messages: the member's record may be older than the
     /// server that has its address now.
     fn can_serve(&self, connection: &PeerConnection) -> bool {
-        connection.view().intake != CallIntake::Closed && *connection.service == *self.request.service
+        connection.with_view(|view| view.intake != CallIntake::Closed)
+            && *connection.service == *self.request.service
     }
 
     fn choose(&self) -> Option<Address> {
@@ -39,8 +40,11 @@
         let servers = snapshot.servers.get(&self.request.service)?;
         let servers_left: Vec<&Server> =
             servers.iter().filter(|server| !self.tried.contains(&server.peer)).collect();
-        let candidates: Vec<Candidate> =
-            servers_left.iter().map(|server| candidate(self.shared, server)).collect();
+        let (now, own_zone) = (clock::now(), &self.shared.settings.zone);
+        let pool = self.shared.pool.read();
+        let read = |server: &&Server| candidate(server, own_zone, &pool, now);
+        let candidates: Vec<Candidate> = servers_left.iter().map(read).collect();
+        drop(pool);
         let index = self
             .home_of_suspect(&servers_left, &candidates)
             .or_else(|| pick(&candidates, |below| rand::random_range(0..below)))?;
@@ -49,11 +53,10 @@
 }
 
 /// A server as the choice sees it: by its own reports where there is a connection to its daemon, else by its record.
-fn candidate(shared: &Shared, server: &Server) -> Candidate {
-    let now = clock::now();
-    let same_zone = server.zone == shared.settings.zone;
-    let Some(connection) = shared.pool.existing(server.peer) else {
-        let failing = shared.pool.is_failing(server.peer, now);
+fn candidate(server: &Server, own_zone: &str, pool: &PoolReader<'_>, now: Instant) -> Candidate {
+    let same_zone = server.zone == own_zone;
+    let Some(connection) = pool.connection(server.peer) else {
+        let failing = pool.is_failing(server.peer, now);
         return Candidate {
             same_zone,
             slots: server.slots,
@@ -61,21 +64,24 @@
             reported_load: 0,
             success: 1.0,
             turn_in: None,
+            pace: KnownPace::Unheard,
             standing: if failing { CandidateStanding::Ejected } else { standing_by_record(server) },
         };
     };
-    let view = connection.view();
-    let turn_in = view.turn_in(now);
-    let reported = view.server.filter(|_| turn_in.is_none());
-    Candidate {
-        same_zone,
-        slots: reported.map_or(server.slots, |report| report.limit),
-        in_flight: connection.in_flight(),
-        reported_load: view.server.map_or(0, |report| report.load),
-        success: view.success(now),
-        turn_in,
-        standing: view.standing(now),
-    }
+    connection.with_view(|view| {
+        let turn_in = view.turn_in(now);
+        let reported = view.server.filter(|_| turn_in.is_none());
+        Candidate {
+            same_zone,
+            slots: reported.map_or(server.slots, |report| report.limit),
+            in_flight: connection.in_flight(),
+            reported_load: view.server.map_or(0, |report| report.load),
+            success: view.success(now),
+            turn_in,
+            pace: view.pace(now),
+            standing: view.standing(now),
+        }
+    })
 }
 
 /// The standing of a server whose daemon this one has no connection to. When a draining one ends is known only after its
--- a/crates/seamhatchd/tests/links.rs
+++ b/crates/seamhatchd/tests/links.rs
@@ -72,6 +72,7 @@
             proof: None,
             turn: None::<TurnReport>,
             notice: None,
+            pace: None,
             ends: false,
         }
     }
@@ -183,6 +184,7 @@
             chain_floor: None,
             turn: None,
             notice: None,
+            pace: None,
         };
         self.send(PeerMessage::AnswerHead(Box::new(head))).await;
         let (mut left, mut window, mut credit) = (bytes, BODY_WINDOW as i64, Vec::new());
@@ -314,6 +316,7 @@
             turn: None,
             notice: None,
             farewell: None,
+            pace: None,
         };
         for _heartbeat in 0..6 {
             peer.send(PeerMessage::Pulse(pulse.clone())).await;
