Requests are ordered by cost where a service sheds: rules of the core

The entry scales a request's bucket by what its kind uses of the bottleneck service over the mean of its class, bounded to 0.5 to 2. In the queue, calls of begun chains go before first calls of their class. Levels no longer follow the order of a line, so count_from_level and level_at look at levels alone.

--- a/crates/seamhatch-core/src/admission/queue/mod.rs
+++ b/crates/seamhatch-core/src/admission/queue/mod.rs
@@ -3,7 +3,8 @@
 //! A call runs at once where a slot is free and none waits. Else it waits while its turn can come in time, and is refused
 //! where it can't or where the queue is full of more important calls. A class that has used less than its share of the
 //! slots goes first, then the most important one that waits; within a class calls are ordered by bucket, so that every
-//! server of a chain prefers the same requests, and then by the age of the whole request. A back end that names a rate gets calls at that
+//! server of a chain prefers the same requests, and then by the age of the whole request. Where the deployment orders by cost,
+//! calls of chains that have begun elsewhere go before first calls of their class. A back end that names a rate gets calls at that
 //! rate, in the same order; what it shows then is not remembered.
 
 mod held;
@@ -20,7 +21,7 @@
 };
 use crate::clock::{Instant, Microseconds};
 use crate::outcome::Reason;
-use crate::priority::{AdmissionFloor, Priority, PriorityClass};
+use crate::priority::{AdmissionFloor, PriorityClass};
 use crate::return_time;
 
 /// Decides which calls run at one server, which wait and which are refused.
@@ -246,18 +247,19 @@
             return Ok(None);
         }
         let full = if self.held.is_some() { Reason::BackendRate } else { Reason::QueueFull };
-        let victim = self.victim(request.priority).ok_or(full)?;
+        let victim = self.victim(request).ok_or(full)?;
         self.expire(victim);
         Ok(Some(victim))
     }
 
-    /// The waiting call to evict for one of this priority: the last one of the least important class that has more places
-    /// than its share, if it is less important or the class of `priority` has fewer places than its own.
-    fn victim(&self, priority: Priority) -> Option<Ticket> {
-        let entitled = self.waiting.len_of(priority.class) < self.queue_share(priority.class);
+    /// The waiting call to evict for `request`: the last one of the least important class that has more places than its
+    /// share, if it is less important or the class of `request` has fewer places than its own.
+    fn victim(&self, request: &AdmissionRequest) -> Option<Ticket> {
+        let own = request.priority.class;
+        let entitled = self.waiting.len_of(own) < self.queue_share(own);
         let mut classes = PriorityClass::ALL.into_iter().rev();
         let class = classes.find(|class| self.waiting.len_of(*class) > self.queue_share(*class))?;
         let worst = self.waiting.last_of(class)?;
-        (entitled || worst.priority.level() > priority.level()).then_some(worst.ticket)
+        (entitled || worst.rank() > request.rank()).then_some(worst.ticket)
     }
 }
--- a/crates/seamhatch-core/src/admission/request.rs
+++ b/crates/seamhatch-core/src/admission/request.rs
@@ -51,6 +51,16 @@
     pub objective_end: Instant,
     /// Which calls' service times may be compared with its own.
     pub kind: CallKind,
+    /// It belongs to a chain that has begun at another server, and goes before first calls of its class: refusing it
+    /// wastes what the chain has used. Set only where the deployment orders by cost.
+    pub begun: bool,
+}
+
+impl AdmissionRequest {
+    /// Position in the order of eviction: class, then calls of begun chains, then bucket. Smaller is more important.
+    pub(super) fn rank(&self) -> (usize, bool, u8) {
+        (self.priority.class.rank(), !self.begun, self.priority.bucket)
+    }
 }
 
 /// The answer to a call that asks to run.
--- a/crates/seamhatch-core/src/admission/waiting.rs
+++ b/crates/seamhatch-core/src/admission/waiting.rs
@@ -1,31 +1,31 @@
-//! Calls that wait for a slot, ordered by class and, within it, by bucket and age.
+//! Calls that wait for a slot, ordered by class and, within it, calls of begun chains first, then by bucket and age.
 //!
 //! Owns a line for each class. Used by [`super::AdmissionQueue`] alone.
 
 use super::{AdmissionRequest, Ticket};
 use crate::clock::Instant;
-use crate::priority::{Priority, PriorityClass};
+use crate::priority::PriorityClass;
 use std::collections::{BTreeMap, HashMap};
 
-/// Place of a call within its class: bucket, age of its root, ticket.
-type Place = (u8, Instant, Ticket);
+/// Place of a call within its class: whether it is the first call of its request, bucket, age of its root, ticket.
+type Place = (bool, u8, Instant, Ticket);
 
 /// Waiting calls, a line for each class.
 #[derive(Debug, Default)]
 pub(super) struct WaitingLines {
     lines: [BTreeMap<Place, AdmissionRequest>; PriorityClass::ALL.len()],
-    priorities: HashMap<Ticket, (Priority, Instant)>,
+    places: HashMap<Ticket, (PriorityClass, Place)>,
 }
 
 impl WaitingLines {
     /// Calls that wait.
     pub(super) fn len(&self) -> usize {
-        self.priorities.len()
+        self.places.len()
     }
 
     /// Whether none waits.
     pub(super) fn is_empty(&self) -> bool {
-        self.priorities.is_empty()
+        self.places.is_empty()
     }
 
     /// Calls of `class` that wait.
@@ -58,36 +58,46 @@
         self.lines[..class.rank()].iter().map(BTreeMap::len).sum()
     }
 
-    /// Calls of `class` at this `level` or a less important one.
+    /// Calls of `class` at this `level` or a less important one. Levels do not follow the order of a line that begun
+    /// chains lead, so all its calls are looked at.
     pub(super) fn count_from_level(&self, class: PriorityClass, level: u16) -> usize {
-        let below = |request: &&AdmissionRequest| request.priority.level() < level;
-        self.len_of(class) - self.lines[class.rank()].values().take_while(below).count()
+        self.line(class).filter(|request| request.priority.level() >= level).count()
     }
 
-    /// The level of the call in this place of the whole, in the order of importance.
+    /// The level in this place of all waiting calls, ordered by level alone: a floor below it admits that many of them.
     pub(super) fn level_at(&self, index: usize) -> Option<u16> {
-        self.lines.iter().flat_map(BTreeMap::values).nth(index).map(|request| request.priority.level())
+        let mut before = 0;
+        for class in PriorityClass::ALL {
+            if index < before + self.len_of(class) {
+                let mut levels: Vec<u16> = self.line(class).map(|request| request.priority.level()).collect();
+                levels.sort_unstable();
+                return levels.get(index - before).copied();
+            }
+            before += self.len_of(class);
+        }
+        None
     }
 
     /// Adds a call.
     pub(super) fn insert(&mut self, request: AdmissionRequest) {
-        self.priorities.insert(request.ticket, (request.priority, request.root_admitted));
-        self.lines[request.priority.class.rank()].insert(place(&request), request);
+        let class = request.priority.class;
+        self.places.insert(request.ticket, (class, place(&request)));
+        self.lines[class.rank()].insert(place(&request), request);
     }
 
     /// Removes a call; none when it doesn't wait.
     pub(super) fn remove(&mut self, ticket: Ticket) -> Option<AdmissionRequest> {
-        let (priority, root_admitted) = self.priorities.remove(&ticket)?;
-        self.lines[priority.class.rank()].remove(&(priority.bucket, root_admitted, ticket))
+        let (class, place) = self.places.remove(&ticket)?;
+        self.lines[class.rank()].remove(&place)
     }
 
     /// Removes all calls.
     pub(super) fn clear(&mut self) -> Vec<Ticket> {
         self.lines.iter_mut().for_each(BTreeMap::clear);
-        self.priorities.drain().map(|(ticket, _)| ticket).collect()
+        self.places.drain().map(|(ticket, _)| ticket).collect()
     }
 }
 
 fn place(request: &AdmissionRequest) -> Place {
-    (request.priority.bucket, request.root_admitted, request.ticket)
+    (!request.begun, request.priority.bucket, request.root_admitted, request.ticket)
 }
--- /dev/null
+++ b/crates/seamhatch-core/src/chain_cost.rs
@@ -0,0 +1,162 @@
+//! What a request of each kind costs: the slot time that its chain of calls uses at each service.
+//!
+//! Decides the bucket of a request from outside where a service on its way sheds. Inputs: the usage that answers report
+//! (slot time by service, summed along the chain), the kind and class of a request, the uniform draw from its root id, and
+//! the service that binds it. Within a class, of two kinds the one that uses less of that service is shed less, in
+//! proportion: a kind of cost `c` is admitted as often as `mean / c`, with the factor bounded on both sides.
+//!
+//! It protects the number of answers at a service that is full: a request that makes eight calls there takes the place of
+//! eight that make one. Usage comes from other daemons and may be wrong: one answer moves a mean by its weight only, a
+//! sample is bounded, and the factor has bounds, so that no kind is starved. Alternatives:
+//! docs/DESIGN.md#order-by-cost. The daemon's part is `seamhatchd::limits::chain_costs`.
+
+use crate::clock::{Instant, Microseconds, SECOND};
+use crate::identity::RootId;
+use crate::priority::{Priority, PriorityClass};
+use std::collections::HashMap;
+
+/// Costs that were not confirmed for this long are forgotten, as the service may have been removed or the route changed.
+/// Chosen, not measured.
+const COST_LIFETIME: Microseconds = 60 * SECOND;
+
+/// Kinds of requests that are remembered at most; all are forgotten when there are more.
+const MOST_KINDS: usize = 4_096;
+
+/// Services that are remembered for each kind at most: as many as an answer reports.
+const MOST_SERVICES: usize = 16;
+
+/// Weight of one answer in the mean of its kind, once there are enough. Chosen, not measured.
+const ANSWER_WEIGHT: f64 = 1.0 / 16.0;
+
+/// Weight of one request in the mean of its class, once there are enough. Chosen, not measured: at 28 requests a second, as
+/// one daemon of the conference deployment takes, the mean follows within some seconds.
+const REQUEST_WEIGHT: f64 = 1.0 / 64.0;
+
+/// Most slot time that one answer may report of a service, in milliseconds. What is above counts as this much, so that a
+/// wrong report is outweighed by the answers that follow.
+const MOST_SLOT_MS: u32 = 60_000;
+
+/// Bounds of the factor on a bucket. With them, the dearest kind of a class is admitted at least a quarter as often as the
+/// cheapest.
+const FACTOR_BOUNDS: (f64, f64) = (0.5, 2.0);
+
+/// What the kinds of requests cost that come in here.
+#[derive(Debug, Default)]
+pub struct ChainCostTable {
+    /// Slot time in milliseconds by kind and service, over answered requests.
+    kinds: HashMap<String, HashMap<String, LearntMean>>,
+    /// The same by service and class, over requests that were admitted or refused.
+    classes: HashMap<String, [LearntMean; PriorityClass::ALL.len()]>,
+}
+
+/// One learnt cost, for operators.
+#[derive(Debug, Clone, PartialEq)]
+pub struct KindCost {
+    /// Kind of request.
+    pub kind: String,
+    /// Service whose slots it uses.
+    pub service: String,
+    /// Slot time for each answered request, in milliseconds.
+    pub slot_ms: f64,
+}
+
+impl ChainCostTable {
+    /// Records the slot time in milliseconds that an answered request of this kind used at each service. A service that it
+    /// does not name keeps its mean.
+    pub fn learn<'a>(&mut self, kind: &str, usage: impl IntoIterator<Item = (&'a str, u32)>, now: Instant) {
+        let mut usage = usage.into_iter().peekable();
+        if usage.peek().is_none() {
+            return;
+        }
+        if self.kinds.len() >= MOST_KINDS && !self.kinds.contains_key(kind) {
+            self.kinds.clear();
+        }
+        let costs = self.kinds.entry(kind.to_owned()).or_default();
+        costs.retain(|_, cost| cost.is_fresh(now));
+        for (service, slot_ms) in usage {
+            let sample = f64::from(slot_ms.min(MOST_SLOT_MS));
+            if let Some(cost) = costs.get_mut(service) {
+                cost.add(sample, ANSWER_WEIGHT, now);
+            } else if costs.len() < MOST_SERVICES {
+                costs.entry(service.to_owned()).or_default().add(sample, ANSWER_WEIGHT, now);
+            }
+        }
+    }
+
+    /// Forgets what was not confirmed for [`COST_LIFETIME`]; to be called now and then.
+    pub fn forget_old(&mut self, now: Instant) {
+        for costs in self.kinds.values_mut() {
+            costs.retain(|_, cost| cost.is_fresh(now));
+        }
+        self.kinds.retain(|_, costs| !costs.is_empty());
+        self.classes.retain(|_, means| means.iter().any(|mean| mean.is_fresh(now)));
+    }
+
+    /// The priority of a request from outside. `bottleneck` is the service with the lowest floor on its way, none where no
+    /// service sheds. The request counts in the mean of its class, whether it is admitted then or not.
+    pub fn priority(
+        &mut self,
+        kind: &str,
+        class: PriorityClass,
+        root: RootId,
+        bottleneck: Option<&str>,
+        now: Instant,
+    ) -> Priority {
+        let factor = bottleneck.and_then(|service| self.factor(kind, class, service, now));
+        Priority::scaled(class, root, factor.unwrap_or(1.0))
+    }
+
+    /// The costs that are known at `now`, the dearest first.
+    #[must_use]
+    pub fn costs(&self, now: Instant) -> Vec<KindCost> {
+        let mut known: Vec<KindCost> = Vec::new();
+        for (kind, costs) in &self.kinds {
+            let fresh = costs.iter().filter(|(_, cost)| cost.is_fresh(now));
+            known.extend(fresh.map(|(service, cost)| KindCost {
+                kind: kind.clone(),
+                service: service.clone(),
+                slot_ms: cost.mean,
+            }));
+        }
+        known.sort_by(|left, right| {
+            let dearest = right.slot_ms.total_cmp(&left.slot_ms);
+            dearest.then_with(|| (&left.kind, &left.service).cmp(&(&right.kind, &right.service)))
+        });
+        known
+    }
+
+    /// Cost of the kind over the mean cost of its class at this service; none where its cost is not known.
+    fn factor(&mut self, kind: &str, class: PriorityClass, service: &str, now: Instant) -> Option<f64> {
+        let cost = self.kinds.get(kind)?.get(service).filter(|cost| cost.is_fresh(now))?.mean;
+        if !self.classes.contains_key(service) {
+            self.classes.insert(service.to_owned(), Default::default());
+        }
+        let mean = &mut self.classes.get_mut(service)?[class.rank()];
+        mean.add(cost, REQUEST_WEIGHT, now);
+        (mean.mean > 0.0).then(|| (cost / mean.mean).clamp(FACTOR_BOUNDS.0, FACTOR_BOUNDS.1))
+    }
+}
+
+/// A mean of the first samples, then an exponential one.
+#[derive(Debug, Clone, Copy, Default)]
+struct LearntMean {
+    mean: f64,
+    samples: u32,
+    confirmed: Instant,
+}
+
+impl LearntMean {
+    /// Adds a sample. What was learnt too long ago counts for nothing.
+    fn add(&mut self, sample: f64, weight: f64, now: Instant) {
+        if !self.is_fresh(now) {
+            *self = Self::default();
+        }
+        self.samples = self.samples.saturating_add(1);
+        self.mean += (sample - self.mean) * weight.max(1.0 / f64::from(self.samples));
+        self.confirmed = now;
+    }
+
+    fn is_fresh(&self, now: Instant) -> bool {
+        self.samples > 0 && now.since(self.confirmed) <= COST_LIFETIME
+    }
+}
--- a/crates/seamhatch-core/src/entry.rs
+++ b/crates/seamhatch-core/src/entry.rs
@@ -91,6 +91,15 @@
         self.closed_floors(kind, priority, now).next().is_none()
     }
 
+    /// The service with the lowest floor among those that bound this kind of request; none where all are open.
+    #[must_use]
+    pub fn bottleneck(&self, kind: &str, now: Instant) -> Option<&str> {
+        let services = self.by_kind.get(kind)?.iter();
+        let floors = services.filter_map(|service| Some((self.by_service.get(service)?.at(now), service)));
+        let closed = floors.filter(|(floor, _)| !floor.is_open());
+        closed.min_by_key(|(floor, _)| *floor).map(|(_, service)| service.as_str())
+    }
+
     /// When a refused request of this kind and priority should return, before jitter; `objective` is the latency
     /// objective of its route in microseconds.
     #[must_use]
--- a/crates/seamhatch-core/src/lib.rs
+++ b/crates/seamhatch-core/src/lib.rs
@@ -11,6 +11,7 @@
 //! | Does this daemon still serve callers, and may its back end get calls? | [`drain`], [`intake`] |
 //! | May the tenant's key be trusted, or may the configuration be out of date? | [`freshness`] |
 //! | How important is the request? | [`priority`] |
+//! | What does it cost where a service sheds? | [`chain_cost`] |
 //! | Would a service further down refuse it? | [`entry`], from what [`service_floor`] reports |
 //! | Is the tenant within its limit? | [`quota`] |
 //! | Has it crashed servers, so that it runs alone or not at all? | [`crashes`] |
@@ -35,6 +36,7 @@
 pub mod admission;
 pub mod answer_times;
 pub mod balance;
+pub mod chain_cost;
 pub mod claims;
 pub mod clock;
 pub mod crashes;
--- a/crates/seamhatch-core/src/priority.rs
+++ b/crates/seamhatch-core/src/priority.rs
@@ -79,8 +79,9 @@
 
 /// A request's place in the order of shedding: class first, then bucket.
 ///
-/// The bucket comes from the root id alone, so every daemon of a chain gives
-/// one request the same verdict. Smaller is more important.
+/// The entry draws the bucket from the root id, in some deployments scaled by
+/// the request's cost, and it travels with each call, so every daemon of a
+/// chain gives one request the same verdict. Smaller is more important.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Readable, Writable, Serialize, Deserialize,
 )]
@@ -95,8 +96,20 @@
     /// The priority of a request of `class` with this root id.
     #[must_use]
     pub fn new(class: PriorityClass, root: RootId) -> Self {
+        Self::scaled(class, root, 1.0)
+    }
+
+    /// The same with the bucket scaled by `factor`: below 1 the request is shed later than one of factor 1, above 1
+    /// earlier.
+    #[must_use]
+    pub fn scaled(class: PriorityClass, root: RootId, factor: f64) -> Self {
         let hash = xxhash_rust::xxh3::xxh3_64(&root.0.to_le_bytes());
-        Self { class, bucket: (hash % u64::from(BUCKETS)) as u8 }
+        let buckets = u64::from(BUCKETS);
+        // The rest of the hash is the fraction within the bucket, so that a stretched range has no gaps.
+        let fraction = (hash / buckets) as f64 / (u64::MAX / buckets) as f64;
+        let drawn = (hash % buckets) as f64 + fraction.min(0.999);
+        // The conversion saturates.
+        Self { class, bucket: ((drawn * factor) as u8).min(BUCKETS - 1) }
     }
 
     /// Position on a single scale from 0 (most important) upward: class first, then bucket.
