--- a/crates/seamhatch-core/src/chain_cost.rs
+++ b/crates/seamhatch-core/src/chain_cost.rs
@@ -13,6 +13,7 @@
 use crate::clock::{Instant, Microseconds, SECOND};
 use crate::identity::RootId;
 use crate::priority::{Priority, PriorityClass};
+use speedy::{Readable, Writable};
 use std::collections::HashMap;
 
 /// Costs that were not confirmed for this long are forgotten, as the service may have been removed or the route changed.
@@ -22,8 +23,8 @@
 /// Kinds of requests that are remembered at most; all are forgotten when there are more.
 const MOST_KINDS: usize = 4_096;
 
-/// Services that are remembered for each kind at most: as many as an answer reports.
-const MOST_SERVICES: usize = 16;
+/// Services that an answer reports, and that are remembered for each kind, at most.
+pub const MOST_SERVICES: usize = 16;
 
 /// Weight of one answer in the mean of its kind, once there are enough. Chosen, not measured.
 const ANSWER_WEIGHT: f64 = 1.0 / 16.0;
@@ -40,6 +41,44 @@
 /// cheapest.
 const FACTOR_BOUNDS: (f64, f64) = (0.5, 2.0);
 
+/// What a call and the calls below it have used of one service.
+#[derive(Debug, Clone, PartialEq, Eq, Readable, Writable)]
+pub struct ServiceUsage {
+    /// The service.
+    pub service: String,
+    /// Calls to it.
+    pub calls: u32,
+    /// Time in milliseconds for which they held their slots, waits for their own calls included.
+    pub slot_ms: u32,
+}
+
+/// Sum of what the answers to the calls of one call report.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ChainUsage(Vec<ServiceUsage>);
+
+impl ChainUsage {
+    /// Adds what one answer reports. Of more services than [`MOST_SERVICES`] the greatest are kept.
+    pub fn add(&mut self, reported: &[ServiceUsage]) {
+        for usage in reported.iter().take(MOST_SERVICES) {
+            match self.0.iter_mut().find(|known| known.service == usage.service) {
+                Some(known) => {
+                    known.calls = known.calls.saturating_add(usage.calls);
+                    known.slot_ms = known.slot_ms.saturating_add(usage.slot_ms);
+                }
+                None => self.0.push(usage.clone()),
+            }
+        }
+        self.0.sort_by(|left, right| (right.slot_ms, &left.service).cmp(&(left.slot_ms, &right.service)));
+        self.0.truncate(MOST_SERVICES);
+    }
+
+    /// The sum, the greatest first.
+    #[must_use]
+    pub fn services(&self) -> &[ServiceUsage] {
+        &self.0
+    }
+}
+
 /// What the kinds of requests cost that come in here.
 #[derive(Debug, Default)]
 pub struct ChainCostTable {
@@ -47,6 +86,8 @@
     kinds: HashMap<String, HashMap<String, LearntMean>>,
     /// The same by service and class, over requests that were admitted or refused.
     classes: HashMap<String, [LearntMean; PriorityClass::ALL.len()]>,
+    /// When old costs were last forgotten.
+    swept: Instant,
 }
 
 /// One learnt cost, for operators.
@@ -61,30 +102,31 @@
 }
 
 impl ChainCostTable {
-    /// Records the slot time in milliseconds that an answered request of this kind used at each service. A service that it
-    /// does not name keeps its mean.
-    pub fn learn<'a>(&mut self, kind: &str, usage: impl IntoIterator<Item = (&'a str, u32)>, now: Instant) {
-        let mut usage = usage.into_iter().peekable();
-        if usage.peek().is_none() {
+    /// Records what an answered request of this kind used. A service that is not reported keeps its mean.
+    pub fn learn(&mut self, kind: &str, usage: &[ServiceUsage], now: Instant) {
+        if usage.is_empty() {
             return;
         }
+        if now.since(self.swept) > COST_LIFETIME {
+            self.forget_old(now);
+        }
         if self.kinds.len() >= MOST_KINDS && !self.kinds.contains_key(kind) {
             self.kinds.clear();
         }
         let costs = self.kinds.entry(kind.to_owned()).or_default();
         costs.retain(|_, cost| cost.is_fresh(now));
-        for (service, slot_ms) in usage {
-            let sample = f64::from(slot_ms.min(MOST_SLOT_MS));
+        for ServiceUsage { service, slot_ms, .. } in usage {
+            let sample = f64::from((*slot_ms).min(MOST_SLOT_MS));
             if let Some(cost) = costs.get_mut(service) {
                 cost.add(sample, ANSWER_WEIGHT, now);
             } else if costs.len() < MOST_SERVICES {
-                costs.entry(service.to_owned()).or_default().add(sample, ANSWER_WEIGHT, now);
+                costs.entry(service.clone()).or_default().add(sample, ANSWER_WEIGHT, now);
             }
         }
     }
 
-    /// Forgets what was not confirmed for [`COST_LIFETIME`]; to be called now and then.
-    pub fn forget_old(&mut self, now: Instant) {
+    fn forget_old(&mut self, now: Instant) {
+        self.swept = now;
         for costs in self.kinds.values_mut() {
             costs.retain(|_, cost| cost.is_fresh(now));
         }
--- a/crates/seamhatch-core/tests/chain_cost.rs
+++ b/crates/seamhatch-core/tests/chain_cost.rs
@@ -4,7 +4,7 @@
 use seamhatch_core::admission::{
     Admission, AdmissionPolicy, AdmissionQueue, AdmissionRequest, CallKind, Dequeued, Ticket,
 };
-use seamhatch_core::chain_cost::ChainCostTable;
+use seamhatch_core::chain_cost::{ChainCostTable, ChainUsage, MOST_SERVICES, ServiceUsage};
 use seamhatch_core::clock::{MILLISECOND, SECOND};
 use seamhatch_core::entry::EntryFloorTable;
 use seamhatch_core::identity::RootId;
@@ -18,6 +18,10 @@
     START.plus(seconds * SECOND)
 }
 
+fn usage(service: &str, slot_ms: u32) -> ServiceUsage {
+    ServiceUsage { service: service.to_owned(), calls: 1, slot_ms }
+}
+
 /// Mean bucket of 2,000 requests of a kind, drawn in turn with those of the others.
 fn mean_buckets(
     table: &mut ChainCostTable,
@@ -119,7 +123,7 @@
     for case in cases {
         let mut table = ChainCostTable::default();
         for (kind, service, slot_ms) in case.reports {
-            table.learn(kind, [(service, slot_ms)], START);
+            table.learn(kind, &[usage(service, slot_ms)], START);
         }
         let means = mean_buckets(&mut table, &["cheap", "dear"], case.bottleneck, after(case.later));
         for (mean, expected) in means.iter().zip(case.expected) {
@@ -147,14 +151,14 @@
     let mut table = ChainCostTable::default();
     let cost = |table: &ChainCostTable| table.costs(START)[0].slot_ms;
     for _ in 0..100 {
-        table.learn("kind", [("deep", 100)], START);
+        table.learn("kind", &[usage("deep", 100)], START);
     }
-    table.learn("kind", [("deep", 0)], START);
+    table.learn("kind", &[usage("deep", 0)], START);
     assert!((90.0..100.0).contains(&cost(&table)), "{}", cost(&table));
-    table.learn("kind", [("deep", u32::MAX)], START);
+    table.learn("kind", &[usage("deep", u32::MAX)], START);
     assert!(cost(&table) < 4_000.0, "{}", cost(&table));
     for _ in 0..100 {
-        table.learn("kind", [("deep", 100)], START);
+        table.learn("kind", &[usage("deep", 100)], START);
     }
     assert!((99.0..110.0).contains(&cost(&table)), "{}", cost(&table));
 }
@@ -164,18 +168,38 @@
 fn what_is_remembered_is_bounded() {
     let mut table = ChainCostTable::default();
     for kind in 0..4_096 {
-        table.learn(&format!("kind {kind}"), [("deep", 1)], START);
+        table.learn(&format!("kind {kind}"), &[usage("deep", 1)], START);
     }
     assert_eq!(table.costs(START).len(), 4_096);
-    table.learn("kind 0", [("deep", 1)], START);
+    table.learn("kind 0", &[usage("deep", 1)], START);
     assert_eq!(table.costs(START).len(), 4_096);
-    table.learn("another", [("deep", 1)], START);
+    table.learn("another", &[usage("deep", 1)], START);
     assert_eq!(table.costs(START).len(), 1);
-    let services: Vec<String> = (0..40).map(|service| format!("service {service}")).collect();
-    table.learn("another", services.iter().map(|service| (service.as_str(), 1)), START);
-    assert_eq!(table.costs(START).len(), 16);
-    table.forget_old(after(61));
-    assert!(table.costs(START).is_empty());
+    let services: Vec<ServiceUsage> =
+        (0..40).map(|service| usage(&format!("service {service}"), 1)).collect();
+    table.learn("another", &services, START);
+    assert_eq!(table.costs(START).len(), MOST_SERVICES);
+    table.learn("a third", &[usage("deep", 1)], after(61));
+    assert_eq!(table.costs(START).len(), 1);
+}
+
+/// Guards against answers whose reports grow with the calls of a chain, or that lose what a service used twice.
+#[test]
+fn usage_is_summed_along_a_chain() {
+    let mut chain = ChainUsage::default();
+    chain.add(&[usage("deep", 40), usage("middle", 50)]);
+    chain.add(&[usage("deep", 40)]);
+    chain.add(&[]);
+    let deep = ServiceUsage { calls: 2, ..usage("deep", 80) };
+    assert_eq!(chain.services(), [deep, usage("middle", 50)]);
+    let most = ServiceUsage { calls: u32::MAX, ..usage("deep", u32::MAX) };
+    chain.add(std::slice::from_ref(&most));
+    assert_eq!(chain.services()[0], most);
+    for service in 0..40 {
+        chain.add(&[usage(&format!("service {service}"), 60 + service)]);
+    }
+    assert_eq!(chain.services().len(), MOST_SERVICES);
+    assert_eq!((chain.services()[0].service.as_str(), chain.services()[1].slot_ms), ("deep", 99));
 }
 
 /// Guards against a bottleneck that is taken from a service that has opened again, or not from the lowest floor.
@@ -387,7 +411,11 @@
                 continue;
             }
             self.ends[request.kind].served += u32::from(request.counts);
-            self.costs.learn(self.kinds[request.kind].name, [("deep", request.slot_ms as u32)], self.now);
+            self.costs.learn(
+                self.kinds[request.kind].name,
+                &[usage("deep", request.slot_ms as u32)],
+                self.now,
+            );
         }
     }
 
