--- a/crates/seamhatch-policy/src/configuration.rs
+++ b/crates/seamhatch-policy/src/configuration.rs
@@ -6,7 +6,8 @@
 //! rank, its decisions are made here, ahead of the requests.
 
 use crate::document::{
-    CrashSettings, Document, LimitSettings, RouteSettings, Sample, ServiceSettings, WeightedService,
+    AdmissionSettings, CrashSettings, Document, LimitSettings, RouteSettings, Sample, ServiceSettings,
+    WeightedService,
 };
 use crate::error::ConfigurationError;
 use crate::host::host_name;
@@ -110,6 +111,7 @@
     policy: PolicyProgram,
     limits: LimitSettings,
     crashes: CrashSettings,
+    admission: AdmissionSettings,
     tenants: TenantTable,
 }
 
@@ -143,8 +145,16 @@
         for of_host in routes.values_mut() {
             of_host.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
-        let Document { services, limits, crashes, .. } = document;
-        Ok(Self { services: services.clone(), routes, policy, limits: *limits, crashes: *crashes, tenants })
+        let Document { services, limits, crashes, admission, .. } = document;
+        Ok(Self {
+            services: services.clone(),
+            routes,
+            policy,
+            limits: *limits,
+            crashes: *crashes,
+            admission: *admission,
+            tenants,
+        })
     }
 
     /// The policy program.
@@ -165,6 +175,12 @@
         &self.crashes
     }
 
+    /// How requests are ordered where a service sheds.
+    #[must_use]
+    pub fn admission(&self) -> &AdmissionSettings {
+        &self.admission
+    }
+
     /// Who may send requests.
     #[must_use]
     pub fn tenants(&self) -> &TenantTable {
--- a/crates/seamhatch-policy/src/document.rs
+++ b/crates/seamhatch-policy/src/document.rs
@@ -37,6 +37,18 @@
     /// How requests that crash servers are treated.
     #[serde(default)]
     pub crashes: CrashSettings,
+    /// How requests are ordered where a service sheds.
+    #[serde(default)]
+    pub admission: AdmissionSettings,
+}
+
+/// How requests are ordered where a service sheds.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct AdmissionSettings {
+    /// Whether, within a class, requests that use more of the service are shed earlier, and calls of begun chains go before
+    /// first calls. It takes effect where servers report their pace.
+    pub by_cost: bool,
 }
 
 /// How requests that crash servers are treated.
--- a/crates/seamhatch-policy/src/lib.rs
+++ b/crates/seamhatch-policy/src/lib.rs
@@ -15,8 +15,8 @@
 
 pub use configuration::{Configuration, Route};
 pub use document::{
-    CrashSettings, Document, LimitSettings, RouteAttributes, RouteSettings, Sample, ServiceSettings,
-    WeightedService,
+    AdmissionSettings, CrashSettings, Document, LimitSettings, RouteAttributes, RouteSettings, Sample,
+    ServiceSettings, WeightedService,
 };
 pub use error::ConfigurationError;
 pub use host::host_name;
--- a/crates/seamhatch-policy/tests/document.rs
+++ b/crates/seamhatch-policy/tests/document.rs
@@ -41,6 +41,22 @@
     insta::assert_snapshot!(report);
 }
 
+/// Guards against a deployment whose requests are ordered by cost though its operator never asked for that.
+#[test]
+fn requests_are_ordered_by_cost_only_where_the_document_says_so() {
+    let cases = [
+        ("", false),
+        ("[admission]", false),
+        ("[admission]\nby_cost = false", false),
+        ("[admission]\nby_cost = true", true),
+    ];
+    for (rest, by_cost) in cases {
+        let configuration = Configuration::compile(&document("", rest)).expect("valid");
+        assert_eq!(configuration.admission().by_cost, by_cost, "{rest}");
+    }
+    assert!(error(&document("", "[admission]\ncost = true")).contains("cost"));
+}
+
 #[test]
 fn a_function_that_fails_at_run_time_leaves_its_safe_default() {
     let program = PolicyProgram::compile(
