Answers report usage, entries learn costs, begun chains go first

AnswerHead has the field usage at its end. The entry learns from successful answers and scales buckets while a service on the way sheds; seamhatch status shows the learnt costs. At a server whose daemon reports usage, calls of depth 1 and more go before first calls of their class. Until servers report a pace, the switch alone decides.

--- a/crates/seamhatch-wire/src/message/answer.rs
+++ b/crates/seamhatch-wire/src/message/answer.rs
@@ -2,6 +2,7 @@
 
 use super::{HeaderField, ServerReport};
 use seamhatch_core::balance::TurnReport;
+use seamhatch_core::chain_cost::ServiceUsage;
 use seamhatch_core::clock::Microseconds;
 use seamhatch_core::identity::CallId;
 use seamhatch_core::notice::BackEndNotice;
@@ -66,6 +67,10 @@
     /// What the server says of itself, for the sender of the call to hand back.
     #[speedy(default_on_eof)]
     pub notice: Option<BackEndNotice>,
+    /// What the call and the calls below it have used, by service, the greatest first; empty where the deployment doesn't
+    /// order by cost, or the server reports no pace.
+    #[speedy(default_on_eof)]
+    pub usage: Vec<ServiceUsage>,
 }
 
 /// The end of an answer.
--- a/crates/seamhatch-wire/tests/hostile.rs
+++ b/crates/seamhatch-wire/tests/hostile.rs
@@ -4,6 +4,7 @@
 use proptest::prelude::*;
 use seamhatch_core::Instant;
 use seamhatch_core::balance::TurnReport;
+use seamhatch_core::chain_cost::ServiceUsage;
 use seamhatch_core::crashes::{InstanceDigest, MOST_MARKS, SuspectRecord, SuspectReport};
 use seamhatch_core::freshness::FreshnessProof;
 use seamhatch_core::generation::Generation;
@@ -99,6 +100,7 @@
         chain_floor: None,
         turn: None,
         notice: Some(notice()),
+        usage: vec![ServiceUsage { service: "s".into(), calls: 1, slot_ms: 2 }],
     };
     let pulse = Pulse {
         clock: Instant(1),
--- a/crates/seamhatch-wire/tests/wire_format.rs
+++ b/crates/seamhatch-wire/tests/wire_format.rs
@@ -4,6 +4,7 @@
 
 use seamhatch_core::Instant;
 use seamhatch_core::balance::TurnReport;
+use seamhatch_core::chain_cost::ServiceUsage;
 use seamhatch_core::claims::{Claim, ClaimHolder, ClaimKey, ClaimReply, Epoch};
 use seamhatch_core::crashes::{InstanceDigest, SuspectRecord, SuspectReport};
 use seamhatch_core::freshness::FreshnessProof;
@@ -49,6 +50,10 @@
     ServerReport { load: 7, limit: 9, floor: floor() }
 }
 
+fn usage() -> ServiceUsage {
+    ServiceUsage { service: "desk".into(), calls: 40, slot_ms: 41 }
+}
+
 fn claim() -> Claim {
     Claim { key: ClaimKey(0x0102), request: Fingerprint(0x0304), holder: holder() }
 }
@@ -159,6 +164,7 @@
         chain_floor: Some(ChainFloor { floor: floor(), service: "desk".into() }),
         turn: Some(turn()),
         notice: Some(notice()),
+        usage: vec![usage()],
     };
     vec![
         ("call", PeerMessage::Call(Box::new(head))),
@@ -377,6 +383,7 @@
         chain_floor: None,
         turn: None,
         notice: None,
+        usage: Vec::new(),
     };
     let refusal = Refusal {
         outcome: Outcome::NotRun,
@@ -390,7 +397,7 @@
     let cases = [
         AdditionCase { name: "hello", message: added_to_hello, added: 3 },
         AdditionCase { name: "pulse", message: pulse(CallIntake::Open, None), added: 3 },
-        AdditionCase { name: "answer head", message: PeerMessage::AnswerHead(Box::new(head)), added: 2 },
+        AdditionCase { name: "answer head", message: PeerMessage::AnswerHead(Box::new(head)), added: 6 },
         AdditionCase {
             name: "refused",
             message: PeerMessage::Refused { call: CallId(1), refusal },
--- a/crates/seamhatch/src/output.rs
+++ b/crates/seamhatch/src/output.rs
@@ -38,6 +38,12 @@
         text.push_str(&format!(" {}:{}/{}", shard.epoch, shard.serving, shard.witnesses.len()));
     }
     text.push('\n');
+    if !report.costs.is_empty() {
+        text.push_str("\nslot time of an answered request, by kind and service:\n");
+    }
+    for cost in &report.costs {
+        text.push_str(&format!("{:>8} ms  {} at {}\n", cost.slot_ms, cost.kind, cost.service));
+    }
     text
 }
 
--- a/crates/seamhatchd/src/control/mod.rs
+++ b/crates/seamhatchd/src/control/mod.rs
@@ -17,5 +17,5 @@
 };
 pub use findings::{Discovery, TransitionResult};
 pub use handle::ControlHandle;
-pub use status::{MemberStatus, ShardStatus, StatusReport};
+pub use status::{CostStatus, MemberStatus, ShardStatus, StatusReport};
 pub use submission::{SubmitError, SubmitRequest};
--- a/crates/seamhatchd/src/control/status.rs
+++ b/crates/seamhatchd/src/control/status.rs
@@ -41,6 +41,17 @@
     pub serving: usize,
 }
 
+/// What requests of one kind use of one service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CostStatus {
+    /// Kind of request.
+    pub kind: String,
+    /// The service.
+    pub service: String,
+    /// Slot time for each answered request, in milliseconds.
+    pub slot_ms: u64,
+}
+
 /// The whole state.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StatusReport {
@@ -60,4 +71,7 @@
     pub members: Vec<MemberStatus>,
     /// Witnesses of the claims.
     pub shards: Vec<ShardStatus>,
+    /// What requests cost that came in there, the dearest first; empty where the deployment doesn't order by cost.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub costs: Vec<CostStatus>,
 }
--- a/crates/seamhatchd/src/controllers/status.rs
+++ b/crates/seamhatchd/src/controllers/status.rs
@@ -2,12 +2,13 @@
 //!
 //! A task of the control thread, as it waits for other daemons. It keeps nothing.
 
-use crate::control::{MemberStatus, ShardStatus, StatusReport};
+use crate::control::{CostStatus, MemberStatus, ShardStatus, StatusReport};
 use crate::controllers::ask::ask_generation;
 use crate::shared::Shared;
 use futures_util::StreamExt;
 use futures_util::future::join_all;
 use futures_util::stream;
+use seamhatch_core::chain_cost::KindCost;
 use seamhatch_core::generation::Generation;
 use seamhatch_core::membership::MemberRecord;
 use seamhatch_core::priority::AdmissionFloor;
@@ -19,6 +20,9 @@
 /// Members that are asked at the same time.
 const ASKED_AT_ONCE: usize = 32;
 
+/// Costs that are shown at most, the dearest ones.
+const MOST_COSTS: usize = 32;
+
 /// What the control thread knows for the report.
 pub struct StatusInput {
     /// This daemon's record.
@@ -53,9 +57,17 @@
         floor: floor.level,
         members,
         shards: join_all(shards).await,
+        costs: costs(&shared),
     }
 }
 
+fn costs(shared: &Shared) -> Vec<CostStatus> {
+    let known = shared.chain_costs.costs().into_iter().take(MOST_COSTS);
+    let status =
+        |KindCost { kind, service, slot_ms }| CostStatus { kind, service, slot_ms: slot_ms.round() as u64 };
+    known.map(status).collect()
+}
+
 async fn ask_member(shared: Arc<Shared>, record: MemberRecord) -> MemberStatus {
     if !record.is_live() {
         return member_status(&record, None);
--- a/crates/seamhatchd/src/dispatch/mod.rs
+++ b/crates/seamhatchd/src/dispatch/mod.rs
@@ -23,7 +23,7 @@
 
 use crate::base::clock;
 use crate::claims::Claimed;
-use crate::filters::{Rejection, RequestState};
+use crate::filters::{Entry, Rejection, RequestState};
 use crate::peer::{AnswerBody, CallStream, PeerConnection};
 use crate::server::running::RunningCall;
 use crate::shared::Shared;
@@ -154,6 +154,7 @@
     fn answer(self, head: AnswerHead, stream: CallStream, server: Address) -> CallResult {
         self.learn_floor(head.chain_floor.clone());
         self.learn_service_floor();
+        self.learn_usage(&head);
         let recording = self.claimed.is_some().then(Vec::new);
         CallResult::Answered(Box::new(Answer {
             head,
@@ -192,6 +193,16 @@
         self.learn_floor(self.shared.limits.service_floors.of(&self.request.service, clock::now()));
     }
 
+    /// Records what the call has used: for its parent, or for a successful request from outside as the cost of its kind.
+    fn learn_usage(&self, head: &AnswerHead) {
+        let is_root = self.request.entry != Entry::Egress && self.parent.depth == 0;
+        if !is_root {
+            self.parent.add_usage(&head.usage);
+        } else if (200..300).contains(&head.status) {
+            self.shared.chain_costs.learn(&self.request.entry_key, &head.usage);
+        }
+    }
+
     fn learn_floor(&self, floor: Option<ChainFloor>) {
         if let Some(floor) = floor {
             self.parent.lower_chain_floor(&floor);
--- a/crates/seamhatchd/src/filters/classification.rs
+++ b/crates/seamhatchd/src/filters/classification.rs
@@ -37,7 +37,7 @@
         request.repeatable = decision.repeatable;
         request.parent = Some(Arc::new(RunningCall::new(
             request.root,
-            Priority::new(decision.class, request.root),
+            root_priority(shared, &configuration, request),
             now,
             now.plus(decision.deadline),
             0,
@@ -79,7 +79,7 @@
                     request.objective_left = objective.saturating_sub(now.since(request.arrived));
                     request.objective = objective;
                 }
-                let priority = Priority::new(decision.class, request.root);
+                let priority = root_priority(shared, &configuration, request);
                 RunningCall::new(request.root, priority, now, now.plus(deadline), 0, ledger)
             }
         };
@@ -115,6 +115,16 @@
     }
 }
 
+/// The priority of a request from outside. Where the operator orders by cost and a service on the request's way sheds, its
+/// bucket depends on what its kind uses there.
+fn root_priority(shared: &Shared, configuration: &Configuration, request: &RequestState) -> Priority {
+    if !configuration.admission().by_cost {
+        return Priority::new(request.class, request.root);
+    }
+    let bottleneck = shared.entry_floors.bottleneck(&request.entry_key);
+    shared.chain_costs.priority(&request.entry_key, request.class, request.root, bottleneck.as_deref())
+}
+
 /// The request as the policy sees it. Header fields that are no text are left out.
 fn policy_request(configuration: &Configuration, request: &RequestState) -> PolicyRequest {
     let headers: BTreeMap<String, String> = request
--- a/crates/seamhatchd/src/limits/entry_floors.rs
+++ b/crates/seamhatchd/src/limits/entry_floors.rs
@@ -38,6 +38,12 @@
         self.lock().admits(kind, priority, clock::now())
     }
 
+    /// The service with the lowest floor among those that bound this kind of request; none where all are open.
+    #[must_use]
+    pub fn bottleneck(&self, kind: &str) -> Option<String> {
+        self.lock().bottleneck(kind, clock::now()).map(str::to_owned)
+    }
+
     /// When a refused request of this kind and priority should return, before jitter.
     #[must_use]
     pub fn return_after(&self, kind: &str, priority: Priority, objective: Microseconds) -> Microseconds {
--- a/crates/seamhatchd/src/limits/mod.rs
+++ b/crates/seamhatchd/src/limits/mod.rs
@@ -4,6 +4,7 @@
 //! The request path asks here; the control thread and the connections between daemons feed it.
 
 pub mod call_times;
+pub mod chain_costs;
 pub mod entry_floors;
 pub mod freshness;
 pub mod peer_notices;
--- a/crates/seamhatchd/src/peer_server/call/answer.rs
+++ b/crates/seamhatchd/src/peer_server/call/answer.rs
@@ -1,11 +1,15 @@
 //! Passing a back end's answer on to the daemon that sent the call.
 
 use super::ServerCall;
+use crate::base::clock;
 use crate::conventions::headers;
 use crate::peer::BODY_PIECE;
 use crate::server::backend::{BackendAnswer, BackendError};
 use crate::server::running::RunningCall;
 use bytes::Bytes;
+use seamhatch_core::Instant;
+use seamhatch_core::chain_cost::ServiceUsage;
+use seamhatch_core::clock::MILLISECOND;
 use seamhatch_wire::{AnswerHead, AnswerTail, PeerMessage};
 
 /// Part of an answer that is read before its head is passed on, in bytes. Where the whole answer fits, one that breaks
@@ -34,14 +38,15 @@
 }
 
 impl ServerCall {
-    /// Passes the answer on; true when it was complete.
+    /// Passes the answer of a call that got its slot at `started` on; true when it was complete.
     pub(super) async fn pass_answer(
         &self,
         running: &RunningCall,
+        started: Instant,
         mut answer: BackendAnswer,
         start: AnswerStart,
     ) -> bool {
-        self.send(PeerMessage::AnswerHead(Box::new(self.answer_head(running, &answer))));
+        self.send(PeerMessage::AnswerHead(Box::new(self.answer_head(running, started, &answer))));
         for piece in start.pieces {
             self.send_pieces(piece).await;
         }
@@ -52,7 +57,7 @@
         true
     }
 
-    fn answer_head(&self, running: &RunningCall, answer: &BackendAnswer) -> AnswerHead {
+    fn answer_head(&self, running: &RunningCall, started: Instant, answer: &BackendAnswer) -> AnswerHead {
         let conventions = &self.shared.conventions;
         AnswerHead {
             call: self.head.call,
@@ -62,9 +67,23 @@
             chain_floor: running.chain_floor(),
             turn: self.shared.server.notices.turn_of(self.from),
             notice: self.shared.server.notices.to_tell(),
+            usage: if self.reports_usage() { self.usage(running, started) } else { Vec::new() },
         }
     }
 
+    /// What the call and the calls below it have used. A body that is still on its way adds nothing.
+    fn usage(&self, running: &RunningCall, started: Instant) -> Vec<ServiceUsage> {
+        let held = clock::now().since(started) / MILLISECOND;
+        let own = ServiceUsage {
+            service: self.head.service.clone(),
+            calls: 1,
+            slot_ms: u32::try_from(held).unwrap_or(u32::MAX),
+        };
+        let mut usage = running.usage();
+        usage.add(&[own]);
+        usage.services().to_vec()
+    }
+
     /// Passes on what follows the start; true when the body came to its end.
     async fn pass_rest(&self, answer: &mut BackendAnswer) -> bool {
         loop {
--- a/crates/seamhatchd/src/peer_server/call/execute.rs
+++ b/crates/seamhatchd/src/peer_server/call/execute.rs
@@ -161,7 +161,7 @@
         self.reach(RequestStage::Answering);
         let status = answer.status.as_u16();
         let passed = tokio::select! {
-            complete = self.pass_answer(running, answer, start) => Some(complete),
+            complete = self.pass_answer(running, run.started, answer, start) => Some(complete),
             () = self.given_up() => None,
         };
         let complete = passed == Some(true);
--- a/crates/seamhatchd/src/peer_server/call/mod.rs
+++ b/crates/seamhatchd/src/peer_server/call/mod.rs
@@ -129,6 +129,7 @@
             expiry: running.expiry,
             objective_end,
             kind: call_kind(running),
+            begun: self.head.context.depth > 0 && self.reports_usage(),
         };
         tokio::select! {
             permit = self.shared.server.gate.admit(request) => permit,
@@ -136,6 +137,12 @@
         }
     }
 
+    /// Whether answers report what calls have used, and calls of begun chains go before first calls.
+    fn reports_usage(&self) -> bool {
+        let snapshot = self.shared.snapshot();
+        snapshot.configuration().is_some_and(|configuration| configuration.admission().by_cost)
+    }
+
     /// Checks that the call is for this service, and that the daemon takes calls that end when this one does.
     fn check_intake(&self, running: &RunningCall) -> Result<(), Reason> {
         if self.head.service != self.shared.settings.service {
--- a/crates/seamhatchd/src/server/gate/mod.rs
+++ b/crates/seamhatchd/src/server/gate/mod.rs
@@ -39,6 +39,8 @@
     pub objective_end: Instant,
     /// Which calls' service times may be compared with its own.
     pub kind: CallKind,
+    /// It goes before first calls of its class, as its chain has begun elsewhere.
+    pub begun: bool,
 }
 
 #[derive(Debug)]
@@ -109,6 +111,7 @@
             expiry: request.expiry,
             objective_end: request.objective_end,
             kind: request.kind,
+            begun: request.begun,
         };
         let Some(turn) = self.offer(offered, arrived)? else {
             return Ok(self.permit(ticket));
--- a/crates/seamhatchd/src/server/running.rs
+++ b/crates/seamhatchd/src/server/running.rs
@@ -1,12 +1,13 @@
 //! Calls that run on the back end, and the context header that names them.
 //!
 //! [`RunningCalls`] owns the table of running calls, from which filters find the parent of a call that the back end makes. A
-//! [`RunningCall`] holds what its own calls inherit: priority, deadline, retry tokens and tenant.
+//! [`RunningCall`] holds what its own calls inherit (priority, deadline, retry tokens and tenant), and sums what they use.
 
 use crate::base::lock::lock;
 use base64::Engine as _;
 use base64::engine::general_purpose::URL_SAFE_NO_PAD;
 use seamhatch_core::Instant;
+use seamhatch_core::chain_cost::{ChainUsage, ServiceUsage};
 use seamhatch_core::identity::{Incarnation, RootId};
 use seamhatch_core::priority::Priority;
 use seamhatch_core::retry::RetryLedger;
@@ -33,6 +34,8 @@
     pub repeats: bool,
     ledger: Mutex<RetryLedger>,
     chain_floor: Mutex<Option<ChainFloor>>,
+    /// What its own calls have used.
+    usage: Mutex<ChainUsage>,
     cause: Option<Arc<RunningCall>>,
     /// Name of the tenant whose request it belongs to.
     tenant: Option<String>,
@@ -60,6 +63,7 @@
             depth,
             ledger,
             chain_floor: Mutex::default(),
+            usage: Mutex::default(),
             cause: None,
             tenant: None,
             repeats: false,
@@ -109,6 +113,23 @@
         lock(&self.chain_floor).clone()
     }
 
+    /// What its own calls have used so far, as their answers report.
+    #[must_use]
+    pub fn usage(&self) -> ChainUsage {
+        lock(&self.usage).clone()
+    }
+
+    /// Records what one of its own calls has used, for itself and for its cause.
+    pub fn add_usage(&self, reported: &[ServiceUsage]) {
+        if reported.is_empty() {
+            return;
+        }
+        if let Some(cause) = &self.cause {
+            cause.add_usage(reported);
+        }
+        lock(&self.usage).add(reported);
+    }
+
     /// Records an admission floor met below, for itself and for its cause.
     pub fn lower_chain_floor(&self, floor: &ChainFloor) {
         if let Some(cause) = &self.cause {
--- a/crates/seamhatchd/src/shared.rs
+++ b/crates/seamhatchd/src/shared.rs
@@ -12,6 +12,7 @@
 use crate::intake::RequestIntake;
 use crate::lifecycle::DaemonLifecycle;
 use crate::limits::SharedLimits;
+use crate::limits::chain_costs::ChainCosts;
 use crate::limits::entry_floors::EntryFloors;
 use crate::limits::quota::QuotaContext;
 use crate::peer::{Farewells, PeerPool, UnwrittenMessages};
@@ -58,6 +59,8 @@
     pub limits: Arc<SharedLimits>,
     /// Floors met below the entry routes.
     pub entry_floors: EntryFloors,
+    /// What requests of each kind cost below the entry routes.
+    pub chain_costs: ChainCosts,
     /// The control thread.
     pub control: ControlHandle,
     /// The state that the control thread published last.
--- a/crates/seamhatchd/src/startup.rs
+++ b/crates/seamhatchd/src/startup.rs
@@ -11,6 +11,7 @@
 use crate::lifecycle::DaemonLifecycle;
 use crate::limits::SharedLimits;
 use crate::limits::call_times::CallTimes;
+use crate::limits::chain_costs::ChainCosts;
 use crate::limits::entry_floors::EntryFloors;
 use crate::limits::freshness::Freshness;
 use crate::limits::peer_notices::PeerNotices;
@@ -181,6 +182,7 @@
         claimant,
         limits: Arc::new(shared_limits(&settings)),
         entry_floors: EntryFloors::default(),
+        chain_costs: ChainCosts::default(),
         control,
         published,
         lifecycle: DaemonLifecycle::starting(settings.grace),
--- a/crates/seamhatchd/tests/gate.rs
+++ b/crates/seamhatchd/tests/gate.rs
@@ -21,7 +21,14 @@
     let root = RootId(1);
     let priority = Priority::new(PriorityClass::Normal, root);
     let expiry = now.plus(lifetime);
-    GateRequest { priority, root_admitted: now, expiry, objective_end: expiry, kind: CallKind::default() }
+    GateRequest {
+        priority,
+        root_admitted: now,
+        expiry,
+        objective_end: expiry,
+        kind: CallKind::default(),
+        begun: false,
+    }
 }
 
 /// Seen behind a link that was reset: a call was cancelled at the moment in
--- a/crates/seamhatchd/tests/operator_interface.rs
+++ b/crates/seamhatchd/tests/operator_interface.rs
@@ -10,7 +10,7 @@
 use seamhatch_core::outcome::{Outcome, Reason};
 use seamhatch_core::priority::PriorityClass;
 use seamhatchd::base::metrics::{BadInput, Metrics};
-use seamhatchd::control::{MemberStatus, ShardStatus, StatusReport};
+use seamhatchd::control::{CostStatus, MemberStatus, ShardStatus, StatusReport};
 use seamhatchd::conventions::headers;
 use seamhatchd::conventions::{AnswerMark, BackEndCall, HttpConventions, OwnAnswer, OwnConventions};
 use seamhatchd::server::crashes::{CrashReport, SuspectStatus};
@@ -144,6 +144,7 @@
         floor: 8,
         members: vec![member],
         shards: vec![shard],
+        costs: vec![CostStatus { kind: "GET search".into(), service: "s".into(), slot_ms: 9 }],
     };
     let suspect = SuspectStatus {
         digest: "0a0b".into(),
--- a/crates/seamhatchd/tests/running.rs
+++ b/crates/seamhatchd/tests/running.rs
@@ -1,6 +1,7 @@
 //! Calls that run beside a daemon, and what they tell the call that caused them.
 
 use seamhatch_core::Instant;
+use seamhatch_core::chain_cost::ServiceUsage;
 use seamhatch_core::identity::{Incarnation, RootId};
 use seamhatch_core::priority::{AdmissionFloor, Priority, PriorityClass};
 use seamhatch_core::retry::RetryLedger;
@@ -27,6 +28,18 @@
     assert_eq!((caused.chain_floor(), cause.chain_floor()), (Some(told.clone()), Some(told)));
 }
 
+/// Without it the entry learns only the first call of a chain as its cost.
+#[test]
+fn what_a_caused_call_uses_is_told_to_its_cause() {
+    let cause = call(1_000);
+    let caused = RunningCall::caused_by(cause.clone(), Instant(5_000), RetryLedger::new(0, false));
+    let usage = |calls, slot_ms| ServiceUsage { service: "stock".into(), calls, slot_ms };
+    caused.add_usage(&[usage(1, 40)]);
+    cause.add_usage(&[usage(2, 50)]);
+    assert_eq!(caused.usage().services(), [usage(1, 40)]);
+    assert_eq!(cause.usage().services(), [usage(3, 90)]);
+}
+
 #[test]
 fn a_call_is_found_by_its_name_until_it_ends() {
     let calls = RunningCalls::new(Incarnation(1));
