--- a/crates/seamhatch-lab/src/backends/behaviour.rs
+++ b/crates/seamhatch-lab/src/backends/behaviour.rs
@@ -4,6 +4,9 @@
 use seamhatchd::conventions::headers::{BACKEND_LEAVING, BACKEND_RATE};
 use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU32, Ordering};
 
+/// Field of the product's conventions for the pace of a server.
+const BACKEND_PACE: &str = "backend-pace";
+
 /// Stands for no rate in [`Behaviour::rate_millis`].
 pub const NO_RATE: i64 = -1;
 
@@ -20,6 +23,8 @@
     pub forges_outcome: AtomicBool,
     /// Names this rate in its answers, in thousandths of a call a second; [`NO_RATE`] for none.
     pub rate_millis: AtomicI64,
+    /// Pace that it reports in its answers, in percent; 0 for none.
+    pub pace_percent: AtomicU32,
     /// Says in its answers that it leaves.
     pub leaving: AtomicBool,
     /// Times that it repeats a failed call by itself.
@@ -36,6 +41,10 @@
                 HeaderValue::try_from(rate).map(|rate| (HeaderName::from_static(BACKEND_RATE), rate)),
             );
         }
+        let pace = self.pace_percent.load(Ordering::Relaxed);
+        if pace != 0 {
+            fields.insert(HeaderName::from_static(BACKEND_PACE), HeaderValue::from(pace));
+        }
         if self.leaving.load(Ordering::Relaxed) {
             fields.insert(BACKEND_LEAVING, HeaderValue::from_static("1"));
         }
@@ -50,6 +59,7 @@
             cuts_answers: AtomicBool::new(false),
             forges_outcome: AtomicBool::new(false),
             rate_millis: AtomicI64::new(NO_RATE),
+            pace_percent: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
             own_retries: AtomicU32::new(0),
         }
