--- a/crates/seamhatch-core/tests/chain_cost.rs
+++ b/crates/seamhatch-core/tests/chain_cost.rs
@@ -265,6 +265,8 @@
     service_ms: u64,
     /// Its call comes from outside, not from a chain that has begun above.
     first: bool,
+    /// Slot time that its answers report in place of what it used.
+    wrong_ms: Option<u32>,
 }
 
 /// What became of the requests of a kind.
@@ -411,11 +413,9 @@
                 continue;
             }
             self.ends[request.kind].served += u32::from(request.counts);
-            self.costs.learn(
-                self.kinds[request.kind].name,
-                &[usage("deep", request.slot_ms as u32)],
-                self.now,
-            );
+            let kind = self.kinds[request.kind];
+            let reported = kind.wrong_ms.unwrap_or(request.slot_ms as u32);
+            self.costs.learn(kind.name, &[usage("deep", reported)], self.now);
         }
     }
 
@@ -433,7 +433,8 @@
 /// of the other kind of its class: 500 requests a second of each, twice the capacity together.
 #[test]
 fn a_full_service_answers_more_requests_when_the_cheaper_kind_is_shed_less() {
-    let kind = |name, service_ms| Kind { name, per_second: 500, calls: 1, service_ms, first: false };
+    let kind =
+        |name, service_ms| Kind { name, per_second: 500, calls: 1, service_ms, first: false, wrong_ms: None };
     let kinds = [kind("cheap", 40), kind("dear", 120)];
     let (before, after) = (simulate(&kinds, false), simulate(&kinds, true));
     println!("one call each, 40 and 120 ms, before: {before:?}, by cost: {after:?}");
@@ -447,13 +448,31 @@
     );
 }
 
+/// Guards against usage that is wrong at all servers: the cheap kind is taken for one that is dear without bounds, and is not
+/// starved all the same.
+#[test]
+fn wrong_usage_starves_no_kind() {
+    let kind = |name, service_ms, wrong_ms| Kind {
+        name,
+        per_second: 500,
+        calls: 1,
+        service_ms,
+        first: false,
+        wrong_ms,
+    };
+    let ends = simulate(&[kind("cheap", 40, Some(u32::MAX)), kind("dear", 120, None)], true);
+    println!("cheap kind reported as dear: {ends:?}");
+    // A quarter by the bounds of the factor, less what the queue sheds by itself.
+    assert!(ends[0].share() > ends[1].share() / 5.0, "starved: {ends:?}");
+}
+
 /// Guards against begun chains of four calls that fail at a later call because first calls of their class take the places:
 /// the chains need the whole service, the first calls four fifths of it.
 #[test]
 fn fewer_begun_chains_fail_where_first_calls_come_at_once() {
     let kinds = [
-        Kind { name: "chain", per_second: 250, calls: 4, service_ms: 40, first: false },
-        Kind { name: "single", per_second: 800, calls: 1, service_ms: 40, first: true },
+        Kind { name: "chain", per_second: 250, calls: 4, service_ms: 40, first: false, wrong_ms: None },
+        Kind { name: "single", per_second: 800, calls: 1, service_ms: 40, first: true, wrong_ms: None },
     ];
     let (before, after) = (simulate(&kinds, false), simulate(&kinds, true));
     println!("chains of four and first calls, before: {before:?}, by cost: {after:?}");
@@ -465,7 +484,8 @@
 /// Guards against costs that change anything at a service with room for all: nothing is shed, whatever the costs.
 #[test]
 fn a_service_that_does_not_shed_serves_all_kinds() {
-    let kind = |name, service_ms| Kind { name, per_second: 150, calls: 1, service_ms, first: false };
+    let kind =
+        |name, service_ms| Kind { name, per_second: 150, calls: 1, service_ms, first: false, wrong_ms: None };
     let ends = simulate(&[kind("cheap", 40), kind("dear", 120)], true);
     assert!(ends.iter().all(|ends| ends.share() > 0.98 && ends.wasted == 0), "{ends:?}");
 }
