--- a/crates/seamhatch-lab/tests/chain_cost.rs
+++ b/crates/seamhatch-lab/tests/chain_cost.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::start;
+use seamhatch_lab::backends::{Behaviour, NO_PACE};
 use seamhatch_lab::load::{self, CallerRetries, KindResult, LoadPlan};
 use seamhatch_lab::report;
 use seamhatch_lab::topology::{RequestKind, Topology, call, endpoint, service};
@@ -10,7 +11,10 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-const DURATION: Duration = Duration::from_secs(10);
+/// Length of the load where shares are compared.
+const LONG: Duration = Duration::from_secs(10);
+/// Length of the load where only what is learnt matters.
+const SHORT: Duration = Duration::from_secs(3);
 
 /// The deep service has four slots of 40 ms: 100 calls a second. One kind of request makes one call there, the other three.
 fn topology(by_cost: bool) -> Topology {
@@ -53,15 +57,17 @@
     }
 }
 
-/// 55 requests a second of each kind, 220 calls at a service that does 100.
-async fn run(by_cost: bool) -> Outcome {
+/// 55 requests a second of each kind, 220 calls at a service that does 100. Servers report this pace in percent.
+async fn run(by_cost: bool, pace: u32, duration: Duration) -> Outcome {
     let (deployment, _turn) = start(topology(by_cost), false).await;
-    deployment.backends.change("front", |behaviour| behaviour.pace_percent.store(100, Ordering::Relaxed));
-    deployment.backends.change("deep", |behaviour| behaviour.pace_percent.store(100, Ordering::Relaxed));
+    for service in ["front", "deep"] {
+        let change = |behaviour: &Behaviour| behaviour.pace_percent.store(pace, Ordering::Relaxed);
+        deployment.backends.change(service, change);
+    }
     let kind = |name, path| RequestKind { name, method: "GET", path, share: 0.5, keyed: false };
     let plan = LoadPlan {
         rate: 110.0,
-        duration: DURATION,
+        duration,
         kinds: vec![kind("single", "/in/single"), kind("triple", "/in/triple")],
         targets: vec![deployment.ingresses()],
         surge: None,
@@ -69,7 +75,7 @@
         name: "cost".into(),
     };
     let result = load::run(plan).await;
-    println!("by cost: {by_cost}\n{}", report::load_table(&result, DURATION));
+    println!("by cost: {by_cost}, pace {pace}\n{}", report::load_table(&result, duration));
     let status = deployment.client(0, &["--json", "status"]).expect("client starts");
     let status = serde_json::from_slice(&status.stdout).expect("a status report");
     let [(_, single), (_, triple)] = result.try_into().expect("two kinds");
@@ -80,8 +86,8 @@
 /// against a kind that is starved.
 #[tokio::test(flavor = "multi_thread")]
 async fn the_cheaper_of_two_kinds_is_shed_less_where_the_document_says_so() {
-    let before = run(false).await;
-    let by_cost = run(true).await;
+    let before = run(false, 100, LONG).await;
+    let by_cost = run(true, 100, LONG).await;
     let ([single_before, triple_before], [single, triple]) = (before.shares(), by_cost.shares());
     println!(
         "answered before: single {single_before:.3} triple {triple_before:.3}, by cost: {single:.3} {triple:.3}"
@@ -92,3 +98,11 @@
     let costs: Vec<&str> = by_cost.status.costs.iter().map(|cost| cost.service.as_str()).collect();
     assert!(costs.contains(&"deep") && costs.contains(&"front"), "{:?}", by_cost.status.costs);
 }
+
+/// Guards against order by cost on deployments whose servers report no pace.
+#[tokio::test(flavor = "multi_thread")]
+async fn nothing_is_learnt_where_servers_report_no_pace() {
+    let outcome = run(true, NO_PACE, SHORT).await;
+    assert!(outcome.single.good > 0 && outcome.triple.good > 0, "nothing was answered");
+    assert!(outcome.status.costs.is_empty(), "{:?}", outcome.status.costs);
+}
--- a/crates/seamhatch-wire/src/message/answer.rs
+++ b/crates/seamhatch-wire/src/message/answer.rs
@@ -1,7 +1,7 @@
 //! What comes back for a call: an answer in pieces, or a refusal.
 
 use super::{HeaderField, ServerReport};
-use seamhatch_core::balance::TurnReport;
+use seamhatch_core::balance::{ServerPace, TurnReport};
 use seamhatch_core::chain_cost::ServiceUsage;
 use seamhatch_core::clock::Microseconds;
 use seamhatch_core::identity::CallId;
@@ -28,6 +28,9 @@
     /// When the server has a turn for the sender of the call, where it names a rate.
     #[speedy(default_on_eof)]
     pub turn: Option<TurnReport>,
+    /// How long work takes at the server, where it tells that.
+    #[speedy(default_on_eof)]
+    pub pace: Option<ServerPace>,
 }
 
 /// An admission floor below [`AdmissionFloor::OPEN`], and the service whose server reported it.
@@ -67,6 +70,9 @@
     /// What the server says of itself, for the sender of the call to hand back.
     #[speedy(default_on_eof)]
     pub notice: Option<BackEndNotice>,
+    /// How long work takes at the server, where it tells that.
+    #[speedy(default_on_eof)]
+    pub pace: Option<ServerPace>,
     /// What the call and the calls below it have used, by service, the greatest first; empty where the deployment doesn't
     /// order by cost, or the server reports no pace.
     #[speedy(default_on_eof)]
--- a/crates/seamhatch-wire/tests/hostile.rs
+++ b/crates/seamhatch-wire/tests/hostile.rs
@@ -3,7 +3,7 @@
 
 use proptest::prelude::*;
 use seamhatch_core::Instant;
-use seamhatch_core::balance::TurnReport;
+use seamhatch_core::balance::{ServerPace, TurnReport};
 use seamhatch_core::chain_cost::ServiceUsage;
 use seamhatch_core::crashes::{InstanceDigest, MOST_MARKS, SuspectRecord, SuspectReport};
 use seamhatch_core::freshness::FreshnessProof;
@@ -69,6 +69,10 @@
     }))
 }
 
+fn pace() -> ServerPace {
+    ServerPace { time_percent: 1, age_ms: 2, work_ms: 3 }
+}
+
 fn turn() -> TurnReport {
     TurnReport { turn_in: 3, round: 4 }
 }
@@ -91,6 +95,7 @@
         crashes: 2,
         server: report(),
         turn: Some(turn()),
+        pace: Some(pace()),
     };
     let head = AnswerHead {
         call: CallId(2),
@@ -100,6 +105,7 @@
         chain_floor: None,
         turn: None,
         notice: Some(notice()),
+        pace: Some(pace()),
         usage: vec![ServiceUsage { service: "s".into(), calls: 1, slot_ms: 2 }],
     };
     let pulse = Pulse {
@@ -111,6 +117,7 @@
         turn: Some(turn()),
         notice: Some(notice()),
         farewell: Some(Farewell::Said),
+        pace: Some(pace()),
     };
     let hello = Hello {
         cluster: "c".into(),
--- a/crates/seamhatchd/src/peer_server/call/answer.rs
+++ b/crates/seamhatchd/src/peer_server/call/answer.rs
@@ -59,6 +59,8 @@
 
     fn answer_head(&self, running: &RunningCall, started: Instant, answer: &BackendAnswer) -> AnswerHead {
         let conventions = &self.shared.conventions;
+        let pace = self.shared.server.gate.pace();
+        let reports_usage = pace.is_some() && self.is_ordered_by_cost();
         AnswerHead {
             call: self.head.call,
             status: answer.status.as_u16(),
@@ -67,7 +69,8 @@
             chain_floor: running.chain_floor(),
             turn: self.shared.server.notices.turn_of(self.from),
             notice: self.shared.server.notices.to_tell(),
-            usage: if self.reports_usage() { self.usage(running, started) } else { Vec::new() },
+            pace,
+            usage: if reports_usage { self.usage(running, started) } else { Vec::new() },
         }
     }
 
--- a/crates/seamhatchd/src/peer_server/call/mod.rs
+++ b/crates/seamhatchd/src/peer_server/call/mod.rs
@@ -129,7 +129,7 @@
             expiry: running.expiry,
             objective_end,
             kind: call_kind(running),
-            begun: self.head.context.depth > 0 && self.reports_usage(),
+            begun: self.goes_first(),
         };
         tokio::select! {
             permit = self.shared.server.gate.admit(request) => permit,
@@ -137,12 +137,18 @@
         }
     }
 
-    /// Whether answers report what calls have used, and calls of begun chains go before first calls.
-    fn reports_usage(&self) -> bool {
+    /// Whether the operator orders requests by cost.
+    fn is_ordered_by_cost(&self) -> bool {
         let snapshot = self.shared.snapshot();
         snapshot.configuration().is_some_and(|configuration| configuration.admission().by_cost)
     }
 
+    /// Whether the call goes before first calls of its class: its chain has begun above, at a server that reports usage.
+    fn goes_first(&self) -> bool {
+        let has_begun = self.head.context.depth > 0;
+        has_begun && self.is_ordered_by_cost() && self.shared.server.gate.pace().is_some()
+    }
+
     /// Checks that the call is for this service, and that the daemon takes calls that end when this one does.
     fn check_intake(&self, running: &RunningCall) -> Result<(), Reason> {
         if self.head.service != self.shared.settings.service {
