--- a/crates/seamhatch-core/src/lib.rs
+++ b/crates/seamhatch-core/src/lib.rs
@@ -12,6 +12,7 @@
 //! | When is a request that was sent ahead on its connection read, started and answered? | [`pipeline`] |
 //! | May the tenant's key be trusted, or may the configuration be out of date? | [`freshness`] |
 //! | How important is the request? | [`priority`] |
+//! | What does it cost where a service sheds? | [`chain_cost`] |
 //! | Would a service further down refuse it? | [`entry`], from what [`service_floor`] reports |
 //! | Is the tenant within its limit? | [`quota`] |
 //! | Has it crashed servers, so that it runs alone or not at all? | [`crashes`] |
@@ -39,6 +40,7 @@
 pub mod answer_times;
 pub mod balance;
 pub mod body_credit;
+pub mod chain_cost;
 pub mod claims;
 pub mod clock;
 pub mod crashes;
--- a/crates/seamhatch-wire/src/message/answer.rs
+++ b/crates/seamhatch-wire/src/message/answer.rs
@@ -2,6 +2,7 @@
 
 use super::{HeaderField, ServerReport};
 use seamhatch_core::balance::{ServerPace, TurnReport};
+use seamhatch_core::chain_cost::ServiceUsage;
 use seamhatch_core::clock::Microseconds;
 use seamhatch_core::identity::CallId;
 use seamhatch_core::notice::BackEndNotice;
@@ -72,6 +73,10 @@
     /// How long work takes at the server, where it tells that.
     #[speedy(default_on_eof)]
     pub pace: Option<ServerPace>,
+    /// What the call and the calls below it have used, by service, the greatest first; empty where the deployment doesn't
+    /// order by cost, or the server reports no pace.
+    #[speedy(default_on_eof)]
+    pub usage: Vec<ServiceUsage>,
 }
 
 /// The end of an answer.
--- a/crates/seamhatch-wire/tests/wire_format.rs
+++ b/crates/seamhatch-wire/tests/wire_format.rs
@@ -4,6 +4,7 @@
 
 use seamhatch_core::Instant;
 use seamhatch_core::balance::{ServerPace, TurnReport};
+use seamhatch_core::chain_cost::ServiceUsage;
 use seamhatch_core::claims::{Claim, ClaimHolder, ClaimKey, ClaimReply, Epoch};
 use seamhatch_core::crashes::{InstanceDigest, SuspectRecord, SuspectReport};
 use seamhatch_core::freshness::FreshnessProof;
@@ -49,6 +50,10 @@
     ServerReport { load: 7, limit: 9, floor: floor() }
 }
 
+fn usage() -> ServiceUsage {
+    ServiceUsage { service: "desk".into(), calls: 40, slot_ms: 41 }
+}
+
 fn claim() -> Claim {
     Claim { key: ClaimKey(0x0102), request: Fingerprint(0x0304), holder: holder() }
 }
@@ -166,6 +171,7 @@
         turn: Some(turn()),
         notice: Some(notice()),
         pace: Some(pace()),
+        usage: vec![usage()],
     };
     vec![
         ("call", PeerMessage::Call(Box::new(head))),
@@ -361,6 +367,8 @@
     name: &'static str,
     message: PeerMessage,
     added: usize,
+    /// Bytes of the last addition.
+    last: usize,
 }
 
 /// Guards against daemons of two releases that end each other's connections during an upgrade.
@@ -385,6 +393,7 @@
         turn: None,
         notice: None,
         pace: None,
+        usage: Vec::new(),
     };
     let refusal = Refusal {
         outcome: Outcome::NotRun,
@@ -397,19 +406,25 @@
         pace: None,
     };
     let cases = [
-        AdditionCase { name: "hello", message: added_to_hello, added: 3 },
-        AdditionCase { name: "pulse", message: pulse(CallIntake::Open, None), added: 4 },
-        AdditionCase { name: "answer head", message: PeerMessage::AnswerHead(Box::new(head)), added: 3 },
+        AdditionCase { name: "hello", message: added_to_hello, added: 3, last: 1 },
+        AdditionCase { name: "pulse", message: pulse(CallIntake::Open, None), added: 4, last: 1 },
+        AdditionCase {
+            name: "answer head",
+            message: PeerMessage::AnswerHead(Box::new(head)),
+            added: 7,
+            last: 4,
+        },
         AdditionCase {
             name: "refused",
             message: PeerMessage::Refused { call: CallId(1), refusal },
             added: 2,
+            last: 1,
         },
     ];
-    for AdditionCase { name, message, added } in cases {
+    for AdditionCase { name, message, added, last } in cases {
         let mut bytes = message.write_to_vec().expect("encodes");
         // Without all additions, and without the last one only.
-        for missing in [added, 1] {
+        for missing in [added, last] {
             let earlier = &bytes[..bytes.len() - missing];
             assert_eq!(
                 PeerMessage::read_from_buffer(earlier).expect(name),
--- a/crates/seamhatchd/src/base/logging/queue.rs
+++ b/crates/seamhatchd/src/base/logging/queue.rs
@@ -15,6 +15,8 @@
 const HALF_FULL: usize = QUEUE / 2;
 /// How long lines are collected for one write: a wake-up and a write for each line cost an eighth of a daemon's processor time.
 const COLLECT: Duration = Duration::from_millis(50);
+/// Most bytes of one write, but for a longer line: a pipe takes so many whole (`PIPE_BUF`), and readers that take no more at once get whole lines.
+const LARGEST_WRITE: usize = 4096;
 /// Largest buffer that is kept for the next lines.
 const LARGEST_KEPT: usize = 64 * 1024;
 
@@ -107,8 +109,10 @@
                 let now = humantime::format_rfc3339_millis(SystemTime::now());
                 batch.push_str(&format!("{now} WARN log lines dropped count={dropped}\n"));
             }
-            // The reader may have gone away, and there is no other place to report that.
-            let _ = output.write_all(batch.as_bytes()).and_then(|()| output.flush());
+            for lines in by_lines(&batch) {
+                // The reader may have gone away, and there is no other place to report that.
+                let _ = output.write_all(lines.as_bytes()).and_then(|()| output.flush());
+            }
             batch.clear();
             batch.shrink_to(LARGEST_KEPT);
             lock(&self.state).written += lines as u64;
@@ -136,6 +140,18 @@
     }
 }
 
+/// Splits whole lines into parts of at most [`LARGEST_WRITE`]; a longer line is a part of its own.
+fn by_lines(mut text: &str) -> impl Iterator<Item = &str> {
+    std::iter::from_fn(move || {
+        let reach = text.len().min(LARGEST_WRITE);
+        let last_end = text.as_bytes()[..reach].iter().rposition(|byte| *byte == b'\n');
+        let end = last_end.or_else(|| text.find('\n')).map_or(text.len(), |end| end + 1);
+        let (part, rest) = text.split_at(end);
+        text = rest;
+        (!part.is_empty()).then_some(part)
+    })
+}
+
 impl Default for LineQueue {
     fn default() -> Self {
         Self::new()
