--- a/crates/seamhatch-lab/tests/called_link.rs
+++ b/crates/seamhatch-lab/tests/called_link.rs
@@ -161,7 +161,9 @@
     let mut waits = CallingPeer::connect(&deployment).await;
     let mut answered = CallingPeer::connect(&deployment).await;
     waits.call(1, "/slow/waits").await;
-    answered.call(2, "/quick/answered").await;
+    // One call of this peer is in progress all the time, and others are answered beside it.
+    answered.call(2, "/slow/answered").await;
+    answered.call(3, "/quick/answered").await;
     let time = Duration::from_millis(3300);
     let (idle, waits, answered) = tokio::join!(
         idle.heartbeats_within(time, None),
