--- a/crates/seamhatchd/tests/links.rs
+++ b/crates/seamhatchd/tests/links.rs
@@ -185,6 +185,7 @@
             turn: None,
             notice: None,
             pace: None,
+            usage: Vec::new(),
         };
         self.send(PeerMessage::AnswerHead(Box::new(head))).await;
         let (mut left, mut window, mut credit) = (bytes, BODY_WINDOW as i64, Vec::new());
