Connections to the back end: counted by cause, kept for either kind of body and right after an answer

- backend_connections_opened counts by cause why a connection is opened.
- A connection takes the silence check of its next request, so that a request with a long body no longer closes an idle connection and opens another one.
- It is kept as soon as the answer's body has been read, not after the answer has been passed on: a caller that leaves meanwhile no longer costs it.
- The rest of a refusal that comes later than its head is read aside: the refusal doesn't wait for it, and the connection is kept.

--- a/crates/seamhatchd/src/base/keepalive.rs
+++ b/crates/seamhatchd/src/base/keepalive.rs
@@ -41,8 +41,19 @@
     sockopt::set_tcp_keepcnt(stream, KEEPALIVE_PROBES)?;
     match check {
         SilenceCheck::WhileIdle => Ok(()),
-        SilenceCheck::Always => {
-            Ok(sockopt::set_tcp_user_timeout(stream, SILENCE_TIMEOUT.as_millis() as u32)?)
-        }
+        SilenceCheck::Always => set_silence_check(stream, check),
     }
 }
+
+/// Changes the check of a connection that [`close_when_silent`] watches.
+///
+/// # Errors
+/// The kernel refuses the option.
+pub fn set_silence_check(stream: &TcpStream, check: SilenceCheck) -> io::Result<()> {
+    let timeout = match check {
+        // None: the kernel's own bounds stand.
+        SilenceCheck::WhileIdle => 0,
+        SilenceCheck::Always => SILENCE_TIMEOUT.as_millis() as u32,
+    };
+    Ok(sockopt::set_tcp_user_timeout(stream, timeout)?)
+}
--- a/crates/seamhatchd/src/base/metrics.rs
+++ b/crates/seamhatchd/src/base/metrics.rs
@@ -44,6 +44,39 @@
     kind: &'static str,
 }
 
+/// A single label that names a cause.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CauseLabel {
+    cause: &'static str,
+}
+
+/// Why a connection to the back end was opened.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OpenCause {
+    /// All connections were in use, or had been idle for too long.
+    NoneIdle,
+    /// The back end had closed one that could have been used.
+    ClosedByServer,
+    /// One had been closed to cancel its call.
+    Cancelled,
+    /// One had been closed because of an answer that can't be used, or that came before the whole request was written.
+    UnusableAnswer,
+    /// It shows whether the back end has ended.
+    Probe,
+}
+
+impl OpenCause {
+    fn name(self) -> &'static str {
+        match self {
+            Self::NoneIdle => "none-idle",
+            Self::ClosedByServer => "closed-by-server",
+            Self::Cancelled => "cancelled",
+            Self::UnusableAnswer => "unusable-answer",
+            Self::Probe => "probe",
+        }
+    }
+}
+
 /// Kinds of input that a daemon refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BadInput {
@@ -102,6 +135,7 @@
     refusals: Family<RefusalLabels, Counter>,
     executions: Family<ClassLabel, Counter>,
     bad_input: Family<KindLabel, Counter>,
+    backend_connections: Family<CauseLabel, Counter>,
     request_seconds: Family<EndLabels, Histogram>,
     /// Dispatches that cost a retry token.
     pub retries: Counter,
@@ -196,6 +230,12 @@
             refusals: register(to, "refusals", "Calls without a back end answer", Family::default()),
             executions: register(to, "executions", "Calls given to the back end", Family::default()),
             bad_input: register(to, "bad_input", "Input that was turned away", Family::default()),
+            backend_connections: register(
+                to,
+                "backend_connections_opened",
+                "Connections opened to the back end, by cause",
+                Family::default(),
+            ),
             retries: counter(to, "retries", "Dispatches that cost a retry token"),
             request_seconds: register(
                 to,
@@ -274,6 +314,11 @@
         self.bad_input.get_or_create(&KindLabel { kind: kind.name() }).inc();
     }
 
+    /// Counts a connection opened to the back end.
+    pub fn backend_connection(&self, cause: OpenCause) {
+        self.backend_connections.get_or_create(&CauseLabel { cause: cause.name() }).inc();
+    }
+
     /// All metrics as text.
     #[must_use]
     pub fn to_text(&self) -> String {
--- a/crates/seamhatchd/src/server/backend/answer.rs
+++ b/crates/seamhatchd/src/server/backend/answer.rs
@@ -2,6 +2,7 @@
 
 use super::connections::Connection;
 use super::error::{BackendError, describe};
+use crate::base::metrics::OpenCause;
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
 use http_body_util::BodyExt;
@@ -11,7 +12,8 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-/// An answer whose head has been judged. Dropping it before its end closes the connection, which has the back end stop.
+/// An answer whose head has been judged. Its connection is kept for other calls as soon as the body has been read to its end.
+/// Dropping the answer before that closes the connection, which has the back end stop.
 #[derive(Debug)]
 pub struct BackendAnswer {
     /// Status.
@@ -21,7 +23,7 @@
     /// What it says of its back end.
     pub notice: AnswerNotice,
     pub(super) body: Incoming,
-    pub(super) connection: Connection,
+    pub(super) connection: Option<Connection>,
     pub(super) request_written: Arc<AtomicBool>,
     pub(super) idle_span: Microseconds,
 }
@@ -33,18 +35,29 @@
     /// The body will never be complete.
     pub async fn next(&mut self) -> Result<Option<Bytes>, BackendError> {
         while let Some(frame) = self.body.frame().await {
-            let frame = frame.map_err(|error| BackendError::failed(describe(&error)))?;
+            let frame = frame.map_err(|error| self.broke_off(&error))?;
             // Trailers are dropped: no caller asked for them.
             if let Ok(data) = frame.into_data() {
                 return Ok(Some(data));
             }
         }
+        self.release();
         Ok(None)
     }
 
-    /// The connection, where the whole request was written. An answer that came before leaves the rest of the request
-    /// unwritten, which must not come before the next one.
-    pub(super) fn into_reusable(self) -> Option<(Connection, Microseconds)> {
-        self.request_written.load(Ordering::Acquire).then_some((self.connection, self.idle_span))
+    fn broke_off(&mut self, error: &hyper::Error) -> BackendError {
+        self.connection.take().into_iter().for_each(|connection| connection.lose(OpenCause::ClosedByServer));
+        BackendError::failed(describe(error))
+    }
+
+    /// Keeps the connection of an answer that was read to its end, where the whole request was written. An answer that came
+    /// before leaves the rest of the request unwritten, which must not come before the next one.
+    pub(super) fn release(&mut self) {
+        let Some(connection) = self.connection.take() else { return };
+        if self.request_written.load(Ordering::Acquire) {
+            connection.keep(self.idle_span);
+        } else {
+            connection.lose(OpenCause::UnusableAnswer);
+        }
     }
 }
--- a/crates/seamhatchd/src/server/backend/mod.rs
+++ b/crates/seamhatchd/src/server/backend/mod.rs
@@ -9,6 +9,7 @@
 mod connections;
 mod error;
 mod request;
+mod stream;
 
 pub use answer::BackendAnswer;
 pub use body::{BodyPiece, BrokenOff, ChannelStream, RequestBody, no_body, request_body};
@@ -17,14 +18,17 @@
 
 use crate::base::clock;
 use crate::base::keepalive::SilenceCheck;
+use crate::base::metrics::{Metrics, OpenCause};
 use crate::conventions::{AnswerVerdict, BackEndCall, HttpConventions};
 use body::HttpRequestBody;
 use bytes::Bytes;
 use connections::{Connection, Connections, idle_span};
+use futures_util::FutureExt;
 use http::{HeaderMap, Request, Response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use request::silence_check;
+use seamhatch_core::clock::Microseconds;
 use seamhatch_core::identity::Address;
 use seamhatch_core::outcome::Reason;
 use std::sync::Arc;
@@ -40,6 +44,8 @@
 const PROBE_PAUSE: Duration = Duration::from_millis(8);
 /// Longest body of a refusal that is read so that its connection can be kept, in bytes.
 const LONGEST_REFUSAL: usize = 4 * 1024;
+/// Longest wait for the rest of that body. Chosen, not measured.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// The back end beside the daemon.
 #[derive(Debug)]
@@ -52,8 +58,8 @@
 impl Backend {
     /// The back end at `address`.
     #[must_use]
-    pub fn new(address: Address, conventions: Arc<dyn HttpConventions>) -> Self {
-        Self { address, connections: Connections::new(address), conventions }
+    pub fn new(address: Address, conventions: Arc<dyn HttpConventions>, metrics: Arc<Metrics>) -> Self {
+        Self { address, connections: Connections::new(address, metrics), conventions }
     }
 
     /// Sends a request and waits for the head of the answer.
@@ -97,36 +103,38 @@
                 status: parts.status,
                 headers: parts.headers,
                 body,
-                connection,
+                connection: Some(connection),
                 request_written,
             }),
             AnswerVerdict::NotRun(reason) => {
                 let detail = format!("status {}", parts.status);
-                self.discard(connection, body, &parts.headers, &request_written).await;
+                discard(connection, body, idle_span(&parts.headers), request_written);
                 Err(BackendError::NotRun { reason, detail, notice })
             }
-            AnswerVerdict::Unusable(why) => Err(BackendError::failed(why)),
+            AnswerVerdict::Unusable(why) => {
+                // Whoever sent it is not the back end, or has mixed up its answers: nothing else may come from there.
+                connection.lose(OpenCause::UnusableAnswer);
+                Err(BackendError::failed(why))
+            }
         }
     }
 
-    /// Keeps the connection of an answer that was read to its end.
-    pub fn finish(&self, answer: BackendAnswer) {
-        if let Some((connection, idle_span)) = answer.into_reusable() {
-            self.connections.keep(connection, idle_span);
-        }
+    /// Ends an answer that was read to its end.
+    pub fn finish(&self, mut answer: BackendAnswer) {
+        answer.release();
     }
 
     /// Whether nothing listens at the back end's address any more: its process has ended. A connection that opens is kept for
     /// the next call.
     pub async fn is_gone(&self) -> bool {
         for _probe in 0..PROBES {
-            let opened = self.connections.open(SilenceCheck::Always).await;
+            let opened = self.connections.open(SilenceCheck::Always, OpenCause::Probe).await;
             tokio::time::sleep(PROBE_PAUSE).await;
             match opened {
                 // Established while the process was ending, and reset with it.
-                Ok(connection) if connection.sender.is_closed() => {}
+                Ok(connection) if connection.is_closed() => {}
                 Ok(connection) => {
-                    self.connections.keep(connection, idle_span(&HeaderMap::new()));
+                    connection.keep(idle_span(&HeaderMap::new()));
                     return false;
                 }
                 Err(error) if error.kind() == std::io::ErrorKind::ConnectionRefused => {}
@@ -142,28 +150,6 @@
         self.connections.forget();
     }
 
-    /// Reads the body of a refusal to its end where that is short, so that the connection can be kept.
-    async fn discard(
-        &self,
-        connection: Connection,
-        mut body: Incoming,
-        headers: &HeaderMap,
-        request_written: &AtomicBool,
-    ) {
-        let mut length = 0;
-        while let Some(frame) = body.frame().await {
-            // The refusal stands without its body; only the connection is lost.
-            let Ok(frame) = frame else { return };
-            length += frame.data_ref().map_or(0, Bytes::len);
-            if length > LONGEST_REFUSAL {
-                return;
-            }
-        }
-        if request_written.load(Ordering::Acquire) {
-            self.connections.keep(connection, idle_span(headers));
-        }
-    }
-
     /// Writes a request on a kept connection or a new one. A kept connection that closed before anything was written gives the
     /// request back.
     async fn exchange(
@@ -172,22 +158,60 @@
     ) -> Result<(Connection, Response<Incoming>), BackendError> {
         let check = silence_check(&message);
         while let Some(mut connection) = self.connections.take_idle(check) {
-            match connection.sender.try_send_request(message).await {
+            match connection.try_send(message).await {
                 Ok(response) => return Ok((connection, response)),
-                Err(mut error) => match error.take_message() {
-                    Some(unsent) => message = unsent,
-                    None => return Err(BackendError::of_exchange(error.error(), true)),
-                },
+                Err(mut error) => {
+                    connection.lose(OpenCause::ClosedByServer);
+                    match error.take_message() {
+                        Some(unsent) => message = unsent,
+                        None => return Err(BackendError::of_exchange(error.error(), true)),
+                    }
+                }
             }
         }
-        let opened = self.connections.open(check).await;
+        let cause = self.connections.cause_to_open();
+        let opened = self.connections.open(check, cause).await;
         let mut connection = opened.map_err(|error| BackendError::unreachable(error.to_string()))?;
-        match connection.sender.try_send_request(message).await {
+        match connection.try_send(message).await {
             Ok(response) => Ok((connection, response)),
             Err(mut error) => {
+                connection.lose(OpenCause::ClosedByServer);
                 let was_written = error.take_message().is_none();
                 Err(BackendError::of_exchange(error.error(), was_written))
             }
         }
     }
 }
+
+/// Reads the body of a refusal to its end where that is short, so that the connection can be kept. The refusal does not wait for a body
+/// that is still on its way.
+fn discard(
+    connection: Connection,
+    body: Incoming,
+    idle_span: Microseconds,
+    request_written: Arc<AtomicBool>,
+) {
+    let mut reading = Box::pin(async move {
+        if read_short(body).await && request_written.load(Ordering::Acquire) {
+            connection.keep(idle_span);
+        } else {
+            connection.lose(OpenCause::UnusableAnswer);
+        }
+    });
+    if (&mut reading).now_or_never().is_none() {
+        tokio::spawn(tokio::time::timeout(DISCARD_TIMEOUT, reading));
+    }
+}
+
+/// Reads a body; true when it came to its end within [`LONGEST_REFUSAL`].
+async fn read_short(mut body: Incoming) -> bool {
+    let mut length = 0;
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else { return false };
+        length += frame.data_ref().map_or(0, Bytes::len);
+        if length > LONGEST_REFUSAL {
+            return false;
+        }
+    }
+    true
+}
--- a/crates/seamhatchd/src/startup.rs
+++ b/crates/seamhatchd/src/startup.rs
@@ -206,7 +206,7 @@
         notices: BackEndNotices::new(gate.clone(), metrics.clone()),
         gate,
         running: RunningCalls::new(incarnation),
-        backend: Backend::new(settings.backend, conventions.clone()),
+        backend: Backend::new(settings.backend, conventions.clone(), metrics.clone()),
         instances: if registers { Instances::registered() } else { Instances::fixed() },
         crashes: CrashWatch::new(incarnation),
     }
