--- a/crates/seamhatchd/src/base/metrics.rs
+++ b/crates/seamhatchd/src/base/metrics.rs
@@ -121,7 +121,7 @@
     pub cut_requests: Counter,
     /// Requests started before the answers to earlier ones on their connections were written.
     pub started_ahead: Counter,
-    /// Requests cancelled because their clients disconnected.
+    /// Requests whose clients disconnected before they had the whole answer. All but those with a claim are cancelled.
     pub left_requests: Counter,
     /// Requests that are refused because they crash servers.
     pub condemned: Gauge,
@@ -223,7 +223,11 @@
                 "started_ahead",
                 "Requests started while earlier ones of their connection were unanswered",
             ),
-            left_requests: counter(to, "left_requests", "Requests cancelled as their clients disconnected"),
+            left_requests: counter(
+                to,
+                "left_requests",
+                "Requests whose clients disconnected before the whole answer",
+            ),
             condemned: gauge(to, "condemned_requests", "Requests turned away as they crash servers"),
             running: gauge(to, "running_calls", "Calls the back end works on"),
             waiting: gauge(to, "waiting_calls", "Calls that wait for a slot"),
--- a/crates/seamhatchd/src/listeners/connection.rs
+++ b/crates/seamhatchd/src/listeners/connection.rs
@@ -29,7 +29,7 @@
     state: Mutex<ConnectionState>,
     /// A request has been read.
     begun: AtomicBool,
-    /// Nothing is started ahead any more.
+    /// Nothing is started ahead any more, and no head is due.
     none_ahead: Notify,
 }
 
@@ -41,12 +41,20 @@
     ahead: VecDeque<AheadRequest>,
     /// The library works on a request.
     in_progress: bool,
+    /// The library may be given the next head, of which something was read, and has not asked for it yet.
+    head_due: bool,
     /// The caller has closed the connection, or it was reset.
     left: bool,
     /// Polls the connection again when there is something to do for its stream.
     reader: Option<Waker>,
 }
 
+impl ConnectionState {
+    fn has_none_ahead(&self) -> bool {
+        self.ahead.is_empty() && !self.head_due
+    }
+}
+
 impl ConnectionRequests {
     /// The library has read a request: returns what was done for it ahead.
     pub fn reach(&self, parts: &Parts, body: &Incoming) -> Option<AheadRequest> {
@@ -95,19 +103,19 @@
         self.lock().pipeline.close_after_this()
     }
 
-    /// Starts nothing more ahead, and waits until the library has reached all that was.
+    /// Starts nothing more ahead, and waits until the library has reached all that was and all that it may have by now.
     pub async fn until_none_ahead(&self) {
         self.lock().pipeline.stop_starting();
         loop {
             let changed = self.none_ahead.notified();
-            if self.lock().ahead.is_empty() {
+            if self.lock().has_none_ahead() {
                 return;
             }
             changed.await;
         }
     }
 
-    /// Cancels all requests of a connection that has ended. Returns how many had no answer because their caller has left.
+    /// Cancels all requests of a connection that has ended. Returns how many had no whole answer when their caller left.
     pub fn end(&self) -> usize {
         let mut state = self.lock();
         let ahead = std::mem::take(&mut state.ahead);
@@ -117,8 +125,14 @@
         left
     }
 
+    /// What the library, which asks, may be given next.
     pub(super) fn turn(&self) -> Turn {
-        self.lock().pipeline.turn()
+        let mut state = self.lock();
+        let turn = state.pipeline.turn();
+        if turn == Turn::NextHead && std::mem::take(&mut state.head_due) {
+            self.note_none_ahead(&state);
+        }
+        turn
     }
 
     pub(super) fn give_head(&self, body_bytes: u64) {
@@ -134,6 +148,7 @@
         let mut state = self.lock();
         state.pipeline.give_up();
         state.ahead.clear();
+        state.head_due = false;
         self.note_none_ahead(&state);
     }
 
@@ -167,6 +182,7 @@
         let mut state = self.lock();
         let released = state.pipeline.flush();
         let reader = if released { state.reader.take() } else { None };
+        state.head_due |= reader.is_some();
         let mut unwritten = std::mem::take(&mut state.unwritten);
         drop(state);
         // Requests are let go without the lock: the intake has one of its own.
@@ -184,7 +200,7 @@
     }
 
     fn note_none_ahead(&self, state: &ConnectionState) {
-        if state.ahead.is_empty() {
+        if state.has_none_ahead() {
             self.none_ahead.notify_waiters();
         }
     }
