Pace: a first sample is one of several, old and failed ones don't count; costs are read under a short lock

Found in review: one slow first call could keep a server out of the choice for good, and a server that fails at once looked fast. The usual service time is a mean of the first samples and is unknown after 10 s without one; answers of 500 and above are no samples; a new instance begins anew.

--- a/crates/seamhatch-core/src/admission/lost.rs
+++ b/crates/seamhatch-core/src/admission/lost.rs
@@ -11,9 +11,9 @@
 /// What a back end reports beside an answer.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct BackEndLoad {
-    /// Calls there; none where it reports none that can be read.
+    /// Calls there; none where the field is missing or malformed.
     pub calls: Option<CallsThere>,
-    /// How long work takes there at this moment, in percent of the usual; none where it tells no figure that counts.
+    /// How long work takes there at this moment, in percent of the usual; none where the figure is missing or not valid.
     pub time_percent: Option<u16>,
 }
 
--- a/crates/seamhatch-core/src/admission/queue/mod.rs
+++ b/crates/seamhatch-core/src/admission/queue/mod.rs
@@ -111,6 +111,7 @@
         self.policy.initial_slots = initial_slots;
         self.limit = self.limit.restarted(self.policy);
         self.knee = KneeFinder::new(slots);
+        self.pace.forget_work();
     }
 
     /// Removes all waiting calls, as nothing will run here any more.
@@ -178,7 +179,8 @@
         if succeeded {
             self.limit.observe(finished.service_time);
             self.service_times.observe(finished.kind, finished.service_time);
-            self.pace.note_success((!finished.makes_calls).then_some(finished.service_time), now);
+            let is_own_work = !finished.makes_calls && !finished.failed;
+            self.pace.note_success(is_own_work.then_some(finished.service_time), now);
             finished.mark.into_iter().for_each(|mark| self.knee.observe(mark, finished.service_time));
         }
     }
@@ -205,6 +207,11 @@
         self.slots.note_calls_made(ticket);
     }
 
+    /// The back end answers a running call with a failure: how soon it fails does not show how fast it works.
+    pub fn fails(&mut self, ticket: Ticket) {
+        self.slots.note_failure(ticket);
+    }
+
     /// Moves the floor; to be called at a steady pace (every 100 ms).
     pub fn tick(&mut self) {
         let healthy = (f64::from(self.capacity()) * HIGH_FILL) as usize;
--- a/crates/seamhatch-core/src/admission/slots.rs
+++ b/crates/seamhatch-core/src/admission/slots.rs
@@ -21,6 +21,8 @@
     has_turn: bool,
     /// It makes calls of its own.
     makes_calls: bool,
+    /// The back end answers it with a failure.
+    failed: bool,
     /// Its answer seems to be lost; it holds no slot any more.
     lost: bool,
 }
@@ -32,6 +34,7 @@
     pub(super) service_time: Microseconds,
     pub(super) mark: Option<ProbeMark>,
     pub(super) makes_calls: bool,
+    pub(super) failed: bool,
 }
 
 /// Slots in use.
@@ -76,6 +79,7 @@
             mark,
             has_turn,
             makes_calls: false,
+            failed: false,
             lost: false,
         };
         self.running.insert(request.ticket, slot);
@@ -100,6 +104,7 @@
             service_time: now.since(slot.started),
             mark: slot.mark,
             makes_calls: slot.makes_calls,
+            failed: slot.failed,
         })
     }
 
@@ -111,6 +116,13 @@
         }
     }
 
+    /// The back end answers a running call with a failure.
+    pub(super) fn note_failure(&mut self, ticket: Ticket) {
+        if let Some(slot) = self.running.get_mut(&ticket) {
+            slot.failed = true;
+        }
+    }
+
     /// Records the load that the back end reports beside an answer. The oldest calls that are overdue, as many as are
     /// surely not at the back end, lose their slot. `typical` is the typical service time.
     pub(super) fn note_load(&mut self, calls: CallsThere, typical: Microseconds, now: Instant) {
--- a/crates/seamhatch-core/src/admission/waiting.rs
+++ b/crates/seamhatch-core/src/admission/waiting.rs
@@ -58,13 +58,14 @@
         self.lines[..class.rank()].iter().map(BTreeMap::len).sum()
     }
 
-    /// Calls of `class` at this `level` or a less important one. Levels do not follow the order of a line that begun
-    /// chains lead, so all its calls are looked at.
+    /// Calls of `class` at this `level` or a less important one. Calls of begun chains go first whatever their level, so the whole line
+    /// is searched.
     pub(super) fn count_from_level(&self, class: PriorityClass, level: u16) -> usize {
         self.line(class).filter(|request| request.priority.level() >= level).count()
     }
 
-    /// The level in this place of all waiting calls, ordered by level alone: a floor below it admits that many of them.
+    /// Level of the call in this place if all waiting calls were sorted by level: a floor there admits at most so many of them, besides
+    /// those in kept buckets.
     pub(super) fn level_at(&self, index: usize) -> Option<u16> {
         let mut before = 0;
         for class in PriorityClass::ALL {
--- a/crates/seamhatch-core/src/balance/measure.rs
+++ b/crates/seamhatch-core/src/balance/measure.rs
@@ -17,18 +17,21 @@
 /// Load over slots below which a server starts a call about at once.
 const SPILL_COST: f64 = 0.8;
 
-/// How much more load over slots a server in the own zone may have than one in another zone: about the part of a service
-/// time that a call waits longer so that its bytes stay in the zone. Without it all calls are spread over all zones as
-/// soon as a service is full everywhere.
+/// How much costlier a server in the own zone may be than one in another zone before a call goes there: in load over slots, or in mean
+/// service times where completion times are compared. It keeps calls, and their bytes, in the zone while all zones are about equally
+/// full.
 const ZONE_SPILL_MARGIN: f64 = 0.5;
 
 /// Wait for its turn that makes a server which names a rate as costly as one whose slots are all taken.
 const COSTLY_TURN: Microseconds = 100 * MILLISECOND;
 
-/// Least service time of a server that counts in full, in units of the mean of all: a server that fails at once also has short service
-/// times, and must not draw all calls. Servers of one service differ by a factor of up to three, so one of half the mean is genuine.
+/// Least service time that counts in full, in units of the mean of all. A server that fails at once also has short service times, and must
+/// not draw all calls.
 const LEAST_TIME: f64 = 0.5;
 
+/// Greatest service time that counts in full, in units of the mean of all, so that a server of which a wrong one is known still gets calls.
+const MOST_TIME: f64 = 4.0;
+
 /// How candidates are compared.
 pub(super) enum Measure {
     /// By load over slots.
@@ -96,7 +99,7 @@
         else {
             return 1.0;
         };
-        (work.unwrap_or(*mean_work) * factor / mean_time).max(LEAST_TIME)
+        (work.unwrap_or(*mean_work) * factor / mean_time).clamp(LEAST_TIME, MOST_TIME)
     }
 }
 
--- a/crates/seamhatch-core/src/balance/pace.rs
+++ b/crates/seamhatch-core/src/balance/pace.rs
@@ -19,10 +19,13 @@
 /// Age from which on a figure counts as the usual. Figures change many times a second.
 const FIGURE_LIFETIME: Microseconds = SECOND;
 
-/// Weight of a new sample in the usual service time. With 0.05, calls to equal servers at 95 % of their capacity took 4 % longer in the
-/// simulation than by load over slots, as chance in the samples unbalanced the servers.
+/// Weight of a new sample in the usual service time, once there are enough. It is small, so that chance in the samples does not make
+/// equal servers look different.
 const WORK_WEIGHT: f64 = 0.02;
 
+/// Age of the last sample from which on the usual service time counts as unknown, so that a server that gets no calls is tried again.
+const WORK_LIFETIME: Microseconds = 10 * SECOND;
+
 /// Answers without a figure after which a server counts as one that tells none, where its last figure is old too.
 const ANSWERS_WITHOUT_FIGURE: u32 = 8;
 
@@ -49,8 +52,8 @@
     (1..=GREATEST_PERCENT).contains(&percent)
 }
 
-/// A figure of this age as it counts, 1 for the usual.
-fn counted(percent: u16, age: Microseconds) -> f64 {
+/// What a figure of this age counts for, 1 for the usual.
+fn factor_of(percent: u16, age: Microseconds) -> f64 {
     let percent = if age >= FIGURE_LIFETIME { USUAL_PERCENT } else { percent.max(LEAST_PERCENT) };
     f64::from(percent) / f64::from(USUAL_PERCENT)
 }
@@ -62,8 +65,31 @@
     figure: Option<(u16, Instant)>,
     /// Calls that succeeded since then.
     answers_since: u32,
-    /// Usual service time in microseconds; none before the first sample.
-    work: Option<f64>,
+    /// None before the first sample.
+    work: Option<UsualWork>,
+}
+
+/// The usual service time: a mean of the first samples, then an exponential one.
+#[derive(Debug, Clone, Copy)]
+struct UsualWork {
+    /// In microseconds.
+    mean: f64,
+    samples: u32,
+    /// When the last sample came.
+    last: Instant,
+}
+
+impl UsualWork {
+    fn with(known: Option<Self>, sample: f64, now: Instant) -> Self {
+        let (mean, samples) = known.map_or((0.0, 0), |known| (known.mean, known.samples));
+        let samples = samples.saturating_add(1);
+        let weight = WORK_WEIGHT.max(1.0 / f64::from(samples));
+        Self { mean: mean + weight * (sample - mean), samples, last: now }
+    }
+
+    fn is_fresh(&self, now: Instant) -> bool {
+        now.since(self.last) < WORK_LIFETIME
+    }
 }
 
 impl PaceRecord {
@@ -84,8 +110,9 @@
         let Some((percent, heard)) = self.figure else { return };
         let age = now.since(heard);
         if let Some(service_time) = service_time {
-            let sample = service_time as f64 / counted(percent, age);
-            self.work = Some(self.work.map_or(sample, |work| work + WORK_WEIGHT * (sample - work)));
+            let sample = service_time as f64 / factor_of(percent, age);
+            let known = self.work.filter(|work| work.is_fresh(now));
+            self.work = Some(UsualWork::with(known, sample, now));
         }
         if age >= FIGURE_LIFETIME && self.answers_since > ANSWERS_WITHOUT_FIGURE {
             *self = Self::default();
@@ -97,10 +124,16 @@
     pub fn report(&self, now: Instant) -> Option<ServerPace> {
         let (time_percent, heard) = self.figure?;
         let age_ms = u16::try_from(now.since(heard) / MILLISECOND).unwrap_or(u16::MAX);
+        let work = self.work.filter(|work| work.is_fresh(now));
         // The conversion saturates.
-        let work_ms = self.work.map_or(0, |work| (work / MILLISECOND as f64).ceil() as u32);
+        let work_ms = work.map_or(0, |work| (work.mean / MILLISECOND as f64).ceil() as u32);
         Some(ServerPace { time_percent, age_ms, work_ms })
     }
+
+    /// Forgets the usual service time, as another instance of the server runs now. The figure stays until that tells one.
+    pub fn forget_work(&mut self) {
+        self.work = None;
+    }
 }
 
 /// What a daemon that sends calls knows of a server's pace.
@@ -111,7 +144,7 @@
     Unheard,
     /// Its daemon reports none.
     NotTold,
-    /// It takes this long for a call.
+    /// Its daemon reports this.
     Told {
         /// Usual service time in milliseconds; none before the first.
         work: Option<f64>,
@@ -127,6 +160,6 @@
         let Some(pace) = report.filter(|pace| is_figure(pace.time_percent)) else { return Self::NotTold };
         let age = Microseconds::from(pace.age_ms) * MILLISECOND + now.since(heard);
         let work = (pace.work_ms > 0).then_some(f64::from(pace.work_ms));
-        Self::Told { work, factor: counted(pace.time_percent, age) }
+        Self::Told { work, factor: factor_of(pace.time_percent, age) }
     }
 }
--- a/crates/seamhatch-core/src/chain_cost.rs
+++ b/crates/seamhatch-core/src/chain_cost.rs
@@ -17,7 +17,6 @@
 use std::collections::HashMap;
 
 /// Costs that were not confirmed for this long are forgotten, as the service may have been removed or the route changed.
-/// Chosen, not measured.
 const COST_LIFETIME: Microseconds = 60 * SECOND;
 
 /// Kinds of requests that are remembered at most; all are forgotten when there are more.
@@ -26,11 +25,11 @@
 /// Services that an answer reports, and that are remembered for each kind, at most.
 pub const MOST_SERVICES: usize = 16;
 
-/// Weight of one answer in the mean of its kind, once there are enough. Chosen, not measured.
+/// Weight of one answer in the mean of its kind, once there are enough: a wrong answer moves the mean by a sixteenth of the difference.
 const ANSWER_WEIGHT: f64 = 1.0 / 16.0;
 
-/// Weight of one request in the mean of its class, once there are enough. Chosen, not measured: at 28 requests a second, as
-/// one daemon of the conference deployment takes, the mean follows within some seconds.
+/// Weight of one request in the mean of its class, once there are enough. It is smaller than that of an answer, as the costs of the kinds
+/// of a class differ.
 const REQUEST_WEIGHT: f64 = 1.0 / 64.0;
 
 /// Most slot time that one answer may report of a service, in milliseconds. What is above counts as this much, so that a
@@ -148,23 +147,26 @@
         Priority::scaled(class, root, factor.unwrap_or(1.0))
     }
 
-    /// The costs that are known at `now`, the dearest first.
+    /// The `most` dearest of the costs that are known at `now`, the dearest first.
     #[must_use]
-    pub fn costs(&self, now: Instant) -> Vec<KindCost> {
-        let mut known: Vec<KindCost> = Vec::new();
+    pub fn costs(&self, most: usize, now: Instant) -> Vec<KindCost> {
+        let mut known: Vec<(f64, &str, &str)> = Vec::new();
         for (kind, costs) in &self.kinds {
             let fresh = costs.iter().filter(|(_, cost)| cost.is_fresh(now));
-            known.extend(fresh.map(|(service, cost)| KindCost {
-                kind: kind.clone(),
-                service: service.clone(),
-                slot_ms: cost.mean,
-            }));
+            known.extend(fresh.map(|(service, cost)| (cost.mean, kind.as_str(), service.as_str())));
         }
         known.sort_by(|left, right| {
-            let dearest = right.slot_ms.total_cmp(&left.slot_ms);
-            dearest.then_with(|| (&left.kind, &left.service).cmp(&(&right.kind, &right.service)))
+            let dearest = right.0.total_cmp(&left.0);
+            dearest.then_with(|| (left.1, left.2).cmp(&(right.1, right.2)))
         });
-        known
+        // Only what is shown is copied: requests wait for the lock meanwhile.
+        known.truncate(most);
+        let owned = |(slot_ms, kind, service): (f64, &str, &str)| KindCost {
+            kind: kind.into(),
+            service: service.into(),
+            slot_ms,
+        };
+        known.into_iter().map(owned).collect()
     }
 
     /// Cost of the kind over the mean cost of its class at this service; none where its cost is not known.
--- a/crates/seamhatch-core/src/priority.rs
+++ b/crates/seamhatch-core/src/priority.rs
@@ -77,6 +77,9 @@
 /// Buckets in a class. Chosen, not measured.
 pub const BUCKETS: u8 = 128;
 
+/// Fractions are below 1, so that a factor of 1 leaves the bucket unchanged.
+const GREATEST_FRACTION: f64 = 0.999;
+
 /// A request's place in the order of shedding: class first, then bucket.
 ///
 /// The entry draws the bucket from the root id, in some deployments scaled by
@@ -100,14 +103,14 @@
     }
 
     /// The same with the bucket scaled by `factor`: below 1 the request is shed later than one of factor 1, above 1
-    /// earlier.
+    /// earlier. What exceeds the last bucket is put into it, so a floor there sheds all of that at once.
     #[must_use]
     pub fn scaled(class: PriorityClass, root: RootId, factor: f64) -> Self {
         let hash = xxhash_rust::xxh3::xxh3_64(&root.0.to_le_bytes());
         let buckets = u64::from(BUCKETS);
-        // The rest of the hash is the fraction within the bucket, so that a stretched range has no gaps.
+        // The upper bits of the hash give a fraction within the bucket, so that scaled values reach every bucket.
         let fraction = (hash / buckets) as f64 / (u64::MAX / buckets) as f64;
-        let drawn = (hash % buckets) as f64 + fraction.min(0.999);
+        let drawn = (hash % buckets) as f64 + fraction.min(GREATEST_FRACTION);
         // The conversion saturates.
         Self { class, bucket: ((drawn * factor) as u8).min(BUCKETS - 1) }
     }
--- a/crates/seamhatch-core/tests/chain_cost.rs
+++ b/crates/seamhatch-core/tests/chain_cost.rs
@@ -149,7 +149,7 @@
 #[test]
 fn wrong_usage_of_one_answer_is_outweighed() {
     let mut table = ChainCostTable::default();
-    let cost = |table: &ChainCostTable| table.costs(START)[0].slot_ms;
+    let cost = |table: &ChainCostTable| table.costs(usize::MAX, START)[0].slot_ms;
     for _ in 0..100 {
         table.learn("kind", &[usage("deep", 100)], START);
     }
@@ -170,17 +170,17 @@
     for kind in 0..4_096 {
         table.learn(&format!("kind {kind}"), &[usage("deep", 1)], START);
     }
-    assert_eq!(table.costs(START).len(), 4_096);
+    assert_eq!(table.costs(usize::MAX, START).len(), 4_096);
     table.learn("kind 0", &[usage("deep", 1)], START);
-    assert_eq!(table.costs(START).len(), 4_096);
+    assert_eq!(table.costs(usize::MAX, START).len(), 4_096);
     table.learn("another", &[usage("deep", 1)], START);
-    assert_eq!(table.costs(START).len(), 1);
+    assert_eq!(table.costs(usize::MAX, START).len(), 1);
     let services: Vec<ServiceUsage> =
         (0..40).map(|service| usage(&format!("service {service}"), 1)).collect();
     table.learn("another", &services, START);
-    assert_eq!(table.costs(START).len(), MOST_SERVICES);
+    assert_eq!(table.costs(usize::MAX, START).len(), MOST_SERVICES);
     table.learn("a third", &[usage("deep", 1)], after(61));
-    assert_eq!(table.costs(START).len(), 1);
+    assert_eq!(table.costs(usize::MAX, START).len(), 1);
 }
 
 /// Guards against answers whose reports grow with the calls of a chain, or that lose what a service used twice.
--- a/crates/seamhatchd/src/controllers/status.rs
+++ b/crates/seamhatchd/src/controllers/status.rs
@@ -62,7 +62,7 @@
 }
 
 fn costs(shared: &Shared) -> Vec<CostStatus> {
-    let known = shared.chain_costs.costs().into_iter().take(MOST_COSTS);
+    let known = shared.chain_costs.costs(MOST_COSTS).into_iter();
     let status =
         |KindCost { kind, service, slot_ms }| CostStatus { kind, service, slot_ms: slot_ms.round() as u64 };
     known.map(status).collect()
--- a/crates/seamhatchd/src/filters/classification.rs
+++ b/crates/seamhatchd/src/filters/classification.rs
@@ -121,8 +121,10 @@
     if !configuration.admission().by_cost {
         return Priority::new(request.class, request.root);
     }
-    let bottleneck = shared.entry_floors.bottleneck(&request.entry_key);
-    shared.chain_costs.priority(&request.entry_key, request.class, request.root, bottleneck.as_deref())
+    let Some(bottleneck) = shared.entry_floors.bottleneck(&request.entry_key) else {
+        return Priority::new(request.class, request.root);
+    };
+    shared.chain_costs.priority(&request.entry_key, request.class, request.root, &bottleneck)
 }
 
 /// The request as the policy sees it. Header fields that are no text are left out.
--- a/crates/seamhatchd/src/limits/chain_costs.rs
+++ b/crates/seamhatchd/src/limits/chain_costs.rs
@@ -22,22 +22,16 @@
         }
     }
 
-    /// The priority of a request from outside; `bottleneck` is the service with the lowest floor on its way.
+    /// The priority of a request from outside on whose way a service sheds; `bottleneck` is the one with the lowest floor.
     #[must_use]
-    pub fn priority(
-        &self,
-        kind: &str,
-        class: PriorityClass,
-        root: RootId,
-        bottleneck: Option<&str>,
-    ) -> Priority {
-        self.lock().priority(kind, class, root, bottleneck, clock::now())
+    pub fn priority(&self, kind: &str, class: PriorityClass, root: RootId, bottleneck: &str) -> Priority {
+        self.lock().priority(kind, class, root, Some(bottleneck), clock::now())
     }
 
-    /// The costs that are known, the dearest first.
+    /// The `most` dearest of the known costs, the dearest first.
     #[must_use]
-    pub fn costs(&self) -> Vec<KindCost> {
-        self.lock().costs(clock::now())
+    pub fn costs(&self, most: usize) -> Vec<KindCost> {
+        self.lock().costs(most, clock::now())
     }
 
     fn lock(&self) -> MutexGuard<'_, ChainCostTable> {
--- a/crates/seamhatchd/src/peer_server/call/answer.rs
+++ b/crates/seamhatchd/src/peer_server/call/answer.rs
@@ -60,7 +60,7 @@
     fn answer_head(&self, running: &RunningCall, started: Instant, answer: &BackendAnswer) -> AnswerHead {
         let conventions = &self.shared.conventions;
         let pace = self.shared.server.gate.pace();
-        let reports_usage = pace.is_some() && self.is_ordered_by_cost();
+        let usage = if self.counts_costs(pace) { self.usage(running, started) } else { Vec::new() };
         AnswerHead {
             call: self.head.call,
             status: answer.status.as_u16(),
@@ -70,7 +70,7 @@
             turn: self.shared.server.notices.turn_of(self.from),
             notice: self.shared.server.notices.to_tell(),
             pace,
-            usage: if reports_usage { self.usage(running, started) } else { Vec::new() },
+            usage,
         }
     }
 
--- a/crates/seamhatchd/src/peer_server/call/execute.rs
+++ b/crates/seamhatchd/src/peer_server/call/execute.rs
@@ -168,6 +168,9 @@
         if running.has_calls() {
             permit.mark_calls_made();
         }
+        if status >= 500 {
+            permit.mark_failed();
+        }
         if complete {
             permit.mark_succeeded();
             self.shared.metrics.backend_seconds.observe(seconds(clock::now().since(run.started)));
--- a/crates/seamhatchd/src/peer_server/call/mod.rs
+++ b/crates/seamhatchd/src/peer_server/call/mod.rs
@@ -22,6 +22,7 @@
 use crate::shared::Shared;
 use seamhatch_core::Instant;
 use seamhatch_core::admission::CallKind;
+use seamhatch_core::balance::ServerPace;
 use seamhatch_core::identity::Address;
 use seamhatch_core::outcome::{Outcome, Reason};
 use seamhatch_core::priority::PriorityClass;
@@ -143,10 +144,14 @@
         snapshot.configuration().is_some_and(|configuration| configuration.admission().by_cost)
     }
 
-    /// Whether the call goes before first calls of its class: its chain has begun above, at a server that reports usage.
+    /// Whether costs count here: the operator orders by cost, and the server reports this pace.
+    fn counts_costs(&self, pace: Option<ServerPace>) -> bool {
+        pace.is_some() && self.is_ordered_by_cost()
+    }
+
+    /// Whether the call goes before first calls of its class: its chain has begun at another server, and costs count here.
     fn goes_first(&self) -> bool {
-        let has_begun = self.head.context.depth > 0;
-        has_begun && self.is_ordered_by_cost() && self.shared.server.gate.pace().is_some()
+        self.head.context.depth > 0 && self.counts_costs(self.shared.server.gate.pace())
     }
 
     /// Checks that the call is for this service, and that the daemon takes calls that end when this one does.
--- a/crates/seamhatchd/src/server/gate/permit.rs
+++ b/crates/seamhatchd/src/server/gate/permit.rs
@@ -46,6 +46,11 @@
     pub fn mark_calls_made(&mut self) {
         self.gate.lock().queue.makes_calls(self.ticket);
     }
+
+    /// The back end answers the call with a failure.
+    pub fn mark_failed(&mut self) {
+        self.gate.lock().queue.fails(self.ticket);
+    }
 }
 
 impl Drop for Permit {
