Review: bounded bytes of waiting log lines, causes of lost connections, requests dropped without the lock

Found in review, by reading: waiting log lines were bounded in number only; a value that fails to format left invalid JSON; probes and late refusals counted as cancelled calls; a probe's making room closed healthy idle connections for calls; requests taken ahead were dropped under the connection's lock.

--- a/crates/seamhatch-core/src/body_credit.rs
+++ b/crates/seamhatch-core/src/body_credit.rs
@@ -3,8 +3,8 @@
 //! Decides how many bytes of credit go out after a piece of a body was taken. Inputs are the sender's window, which both
 //! ends know, and the size of each piece.
 //!
-//! Credit goes out once half of the window is owed. A credit message for each piece cost both daemons a wake-up, also for the
-//! bodies that fit into the window, which need none. The sender never stops for good: when it has used its window, at
+//! Credit goes out once half of the window is owed. A message for each piece would wake both daemons each time, even for
+//! bodies that fit into the window and need no credit. The sender never stops for good: when it has used its window, at
 //! least half of that is owed. The daemon's part is `seamhatchd::peer::credit`.
 
 /// Bytes of one body that were taken and that its sender has got no credit for.
--- a/crates/seamhatch-core/src/pipeline.rs
+++ b/crates/seamhatch-core/src/pipeline.rs
@@ -3,12 +3,12 @@
 //! A server library answers one request at a time and takes all bytes that it is given. So it is given the bytes of one request, and the next head
 //! once the answer before it was written ([`Pipeline::turn`]). What is sent meanwhile is read ahead, and a request there is started
 //! where it and all unanswered ones before it are repeatable ([`Pipeline::may_start`]). An answer ends the connection only where nothing
-//! that was started is unanswered behind it ([`Pipeline::close_after_this`]): a request that reached a server would be cut off.
+//! that was started is unanswered behind it ([`Pipeline::try_close_after_this`]): a request that reached a server would be cut off.
 //!
-//! The library's word on where a request ends counts: where it differs from what the reader assumed, the connection
-//! is served without any of this for its remaining time ([`Turn::All`]).
+//! Where the library finds another end of a request than the reader, the connection is served without any of this from then on
+//! ([`Turn::All`]).
 
-/// Requests of one connection that may be started ahead and not answered, at most. Chosen, not measured: more than any client is known to send.
+/// Most requests of one connection that may be started ahead and not answered. Bounds the slots and memory that one connection takes.
 pub const MOST_AHEAD: usize = 16;
 
 /// The body of a request, as the library understands its head.
@@ -27,7 +27,8 @@
 pub enum Turn {
     /// The next head.
     NextHead,
-    /// The rest of a head that it has been given in part. Where it has been given in whole, the library is of another mind.
+    /// The rest of a head that it has been given in part. Where it has been given in whole and the library asks for more, the two
+    /// disagree on where it ends.
     RestOfHead,
     /// At most this many bytes of the body of the request in progress.
     Body(u64),
@@ -42,7 +43,7 @@
 pub enum ReachedRequest {
     /// The first of those that were started ahead.
     StartedAhead,
-    /// One that nothing was done for yet. Nothing that was started ahead counts any more.
+    /// One that nothing was done for yet. What was started ahead is to be cancelled.
     New,
 }
 
@@ -125,7 +126,7 @@
             self.ahead = was_ahead - 1;
             return ReachedRequest::StartedAhead;
         }
-        // Until the filters say so.
+        // Not known before the filters have run; see [`Self::note_repeatable`].
         self.all_repeatable = false;
         ReachedRequest::New
     }
@@ -186,9 +187,10 @@
         self.closing = true;
     }
 
-    /// Whether the answer to the request in progress may be the last one of the connection. Nothing more is started then.
+    /// Ends the connection with the answer to the request in progress, where nothing was started behind it; starts nothing more then.
+    /// Returns whether it does.
     #[must_use]
-    pub fn close_after_this(&mut self) -> bool {
+    pub fn try_close_after_this(&mut self) -> bool {
         self.closing |= self.ahead == 0;
         self.ahead == 0
     }
--- a/crates/seamhatch-core/src/service_floor.rs
+++ b/crates/seamhatch-core/src/service_floor.rs
@@ -33,8 +33,8 @@
     services: HashMap<String, ServiceReports>,
 }
 
-/// The last reports of the servers of one service, and their sums. Reports come with each answer, so that a mean over all servers
-/// for each of them costs more the larger the service is.
+/// The last reports of the servers of one service, and their sums. Reports come with each answer, so the mean is kept as sums and costs
+/// the same for any number of servers.
 #[derive(Debug, Default)]
 struct ServiceReports {
     reports: HashMap<Address, ServerFloor>,
@@ -44,7 +44,7 @@
     oldest: Option<Instant>,
 }
 
-/// Sums of floors, each times the slots of its server. Whole numbers, so that what was added can be taken away without a rest.
+/// Sums of floors, each times the slots of its server. Whole numbers, so that a report can be subtracted exactly.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 struct FloorSums {
     slots: u64,
--- a/crates/seamhatch-core/tests/pipeline.rs
+++ b/crates/seamhatch-core/tests/pipeline.rs
@@ -136,14 +136,14 @@
 fn an_answer_closes_only_where_nothing_started_lies_behind_it() {
     let mut pipeline = in_progress();
     pipeline.start(true);
-    assert!(!pipeline.close_after_this());
+    assert!(!pipeline.try_close_after_this());
     pipeline.stop_starting();
     assert!(!pipeline.may_start());
     answer(&mut pipeline);
     pipeline.give_head(0);
     assert_eq!(pipeline.reach(RequestBody::None, true), ReachedRequest::StartedAhead);
-    assert!(pipeline.close_after_this());
+    assert!(pipeline.try_close_after_this());
     let mut last = in_progress();
-    assert!(last.close_after_this());
+    assert!(last.try_close_after_this());
     assert!(!last.may_start(), "the connection ends with this answer");
 }
--- a/crates/seamhatch-model/src/stops.rs
+++ b/crates/seamhatch-model/src/stops.rs
@@ -283,7 +283,7 @@
                     let connection = &mut next.connection;
                     connection.answering = true;
                     connection.last |= is_draining
-                        && (connection.pipeline.close_after_this()
+                        && (connection.pipeline.try_close_after_this()
                             || self.fault == StopsFault::ClosesBeforeAll);
                 });
             }
--- a/crates/seamhatchd/src/base/logging/line.rs
+++ b/crates/seamhatchd/src/base/logging/line.rs
@@ -13,11 +13,13 @@
 pub fn append_line(out: &mut String, format: LogFormat, time: SystemTime, record: &Record<'_>) {
     let mut fields = Fields(Vec::with_capacity(USUAL_FIELDS));
     let (time, level) = (humantime::format_rfc3339_millis(time), record.level().as_str());
-    // Neither a string nor the collector fails; a value whose own formatting fails is cut short.
+    // Neither a string nor the collector fails.
     let _ = match format {
         LogFormat::Text => {
             let _ = record.key_values().visit(&mut fields);
-            write!(out, "{time} {level} {}", record.args()).and_then(|()| fields.append_text(out))
+            // A message whose own formatting fails is cut short.
+            let _ = write!(out, "{time} {level} {}", record.args());
+            fields.append_text(out)
         }
         LogFormat::Json => {
             fields.insert("level", FieldValue::Text(&level));
@@ -92,9 +94,10 @@
 /// Appends a text as a JSON string.
 fn append_quoted(out: &mut String, text: &(impl Display + ?Sized)) -> fmt::Result {
     out.push('"');
-    let written = write!(Escaping(out), "{text}");
+    // A value whose own formatting fails is cut short; the line stays whole.
+    let _ = write!(Escaping(out), "{text}");
     out.push('"');
-    written
+    Ok(())
 }
 
 /// Escapes what is written as RFC 8259 requires, with the short forms where there are any.
--- a/crates/seamhatchd/src/base/logging/mod.rs
+++ b/crates/seamhatchd/src/base/logging/mod.rs
@@ -15,7 +15,7 @@
 use std::cell::RefCell;
 use std::time::{Duration, SystemTime};
 
-/// Longest wait for the queue to empty when the process ends. Chosen, not measured.
+/// Longest wait for the queue to empty when the process ends, so that a reader that has stopped does not delay the end.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
 /// Room for a line before its buffer grows; lines of calls have some 300 bytes.
 const USUAL_LINE: usize = 512;
@@ -61,6 +61,8 @@
 
 fn enqueue(format: LogFormat, record: &Record<'_>) {
     let build = |buffer: &mut String| {
+        // A value whose formatting panicked may have left a part of a line.
+        buffer.clear();
         append_line(buffer, format, SystemTime::now(), record);
         LINES.push(buffer, record.level() <= Level::Warn);
         buffer.clear();
--- a/crates/seamhatchd/src/base/logging/queue.rs
+++ b/crates/seamhatchd/src/base/logging/queue.rs
@@ -1,7 +1,7 @@
 //! Lines on their way to the thread that writes them.
 //!
-//! The thread is not woken for each line: it sleeps for [`COLLECT`] and writes what has come meanwhile at once. A line that can't wait
-//! wakes it, and so does a queue that is half full.
+//! The thread is not woken for each line. The first line after a quiet time wakes it; it then collects lines for [`COLLECT`] and writes them
+//! together. An urgent line, a flush, or a queue that is half full ends the collection at once.
 
 use crate::base::lock::lock;
 use std::io::Write;
@@ -9,11 +9,13 @@
 use std::sync::{Condvar, Mutex, PoisonError};
 use std::time::{Duration, SystemTime};
 
-/// Lines that may wait to be written. Chosen, not measured.
+/// Lines that may wait to be written.
 const QUEUE: usize = 1024;
+/// Bytes that may wait to be written.
+const MOST_BYTES: usize = 1024 * 1024;
 /// Lines that wake the thread before the time, so that the queue does not overflow while the thread sleeps.
 const HALF_FULL: usize = QUEUE / 2;
-/// How long lines are collected for one write: a wake-up and a write for each line cost an eighth of a daemon's processor time.
+/// How long lines are collected, so that a line does not cost a wake-up and a write of its own.
 const COLLECT: Duration = Duration::from_millis(50);
 /// Most bytes of one write, but for a longer line: a pipe takes so many whole (`PIPE_BUF`), and readers that take no more at once get whole lines.
 const LARGEST_WRITE: usize = 4096;
@@ -63,14 +65,14 @@
     /// together with everything before it.
     pub fn push(&self, line: &str, urgent: bool) {
         let mut state = lock(&self.state);
-        if state.lines >= QUEUE {
+        if state.lines >= QUEUE || state.text.len() + line.len() > MOST_BYTES {
             self.dropped.fetch_add(1, Ordering::Relaxed);
             return;
         }
         state.text.push_str(line);
         state.lines += 1;
         state.queued += 1;
-        let hurry = urgent || state.lines == HALF_FULL;
+        let hurry = urgent || state.lines == HALF_FULL || state.text.len() >= MOST_BYTES / 2;
         let wake = state.idle || (hurry && !state.urgent);
         state.urgent |= hurry;
         state.idle = false;
--- a/crates/seamhatchd/src/listeners/connection.rs
+++ b/crates/seamhatchd/src/listeners/connection.rs
@@ -2,7 +2,7 @@
 //!
 //! [`ConnectionRequests`] owns them; [`Pipeline`] decides in which order they are read, started and answered. The connection's stream
 //! (`read_ahead`) asks it what the HTTP library may read and starts requests; the library's service reports each request that the library has read.
-//! All of that happens on the task of the connection; the lock is there for the tasks that drop an answer's body elsewhere.
+//! All of that happens on the task of the connection. The lock is never contended; it lets the parts of the connection share the state.
 //!
 //! The HTTP library takes an answer long before a slow caller does. It flushes its stream once everything that it holds was written; of each
 //! flush [`ConnectionRequests`] is told, lets go of the requests that nothing works on any more, and releases the next head.
@@ -60,20 +60,23 @@
     pub fn reach(&self, parts: &Parts, body: &Incoming) -> Option<AheadRequest> {
         self.begun.store(true, Ordering::Relaxed);
         let goes_on = head::goes_on_after(parts);
+        // Dropped after the lock: the intake has one of its own.
+        let mut cancelled = VecDeque::new();
         let mut state = self.lock();
         state.in_progress = true;
         let reached = state.pipeline.reach(body_of(parts, body), goes_on);
         if reached == ReachedRequest::StartedAhead
             && let Some(ahead) = state.ahead.pop_front()
-            && ahead.line.0 == parts.method
-            && ahead.line.1 == parts.uri
         {
-            self.note_none_ahead(&state);
-            return Some(ahead);
+            if ahead.line.0 == parts.method && ahead.line.1 == parts.uri {
+                self.note_none_ahead(&state);
+                return Some(ahead);
+            }
+            cancelled.push_back(ahead);
         }
         if !state.ahead.is_empty() {
             state.pipeline.give_up();
-            state.ahead.clear();
+            cancelled.append(&mut state.ahead);
         }
         self.note_none_ahead(&state);
         None
@@ -95,12 +98,14 @@
         state.pipeline.note_repeatable(repeatable);
         let reader = state.reader.take();
         drop(state);
-        reader.into_iter().for_each(Waker::wake);
+        if let Some(reader) = reader {
+            reader.wake();
+        }
     }
 
-    /// Whether the answer to the request in progress may be the last one.
-    pub fn close_after_this(&self) -> bool {
-        self.lock().pipeline.close_after_this()
+    /// Ends the connection with the answer to the request in progress, where nothing was started behind it. Returns whether it does.
+    pub fn try_close_after_this(&self) -> bool {
+        self.lock().pipeline.try_close_after_this()
     }
 
     /// Starts nothing more ahead, and waits until the library has reached all that was and all that it may have by now.
@@ -115,7 +120,8 @@
         }
     }
 
-    /// Cancels all requests of a connection that has ended. Returns how many had no whole answer when their caller left.
+    /// Cancels the requests that were taken ahead on a connection that has ended. Returns how many requests, the one in progress
+    /// included, had no whole answer when their caller left; 0 where the caller did not leave.
     pub fn end(&self) -> usize {
         let mut state = self.lock();
         let ahead = std::mem::take(&mut state.ahead);
@@ -147,9 +153,12 @@
     pub(super) fn give_up(&self) {
         let mut state = self.lock();
         state.pipeline.give_up();
-        state.ahead.clear();
+        let cancelled = std::mem::take(&mut state.ahead);
         state.head_due = false;
         self.note_none_ahead(&state);
+        drop(state);
+        // Without the lock: the intake has one of its own.
+        drop(cancelled);
     }
 
     pub(super) fn may_start(&self) -> bool {
@@ -190,7 +199,9 @@
         if !unwritten.is_empty() {
             self.lock().unwritten.append(&mut unwritten);
         }
-        reader.into_iter().for_each(Waker::wake);
+        if let Some(reader) = reader {
+            reader.wake();
+        }
     }
 
     fn end_answer(&self) {
--- a/crates/seamhatchd/src/listeners/proxy.rs
+++ b/crates/seamhatchd/src/listeners/proxy.rs
@@ -80,7 +80,7 @@
             None => self.clone().answer_read(request, &connection).await,
         };
         // Read before the connection is asked: nothing is started ahead while the daemon drains.
-        if self.shared.is_draining() && connection.close_after_this() {
+        if self.shared.is_draining() && connection.try_close_after_this() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(response.map(|body| WatchedBody::new(body, connection)))
--- a/crates/seamhatchd/src/server/backend/answer.rs
+++ b/crates/seamhatchd/src/server/backend/answer.rs
@@ -46,7 +46,9 @@
     }
 
     fn broke_off(&mut self, error: &hyper::Error) -> BackendError {
-        self.connection.take().into_iter().for_each(|connection| connection.lose(OpenCause::ClosedByServer));
+        if let Some(connection) = self.connection.take() {
+            connection.lose(OpenCause::ClosedByServer);
+        }
         BackendError::failed(describe(error))
     }
 
--- a/crates/seamhatchd/src/server/backend/connections.rs
+++ b/crates/seamhatchd/src/server/backend/connections.rs
@@ -33,7 +33,7 @@
 const IDLE_MARGIN: Microseconds = SECOND;
 /// Longest wait for a connection to be done with an exchange that has ended. Chosen, not measured.
 const SETTLE_TIMEOUT: Duration = Duration::from_millis(500);
-/// Lost connections that are remembered as causes to open others; more than are in use at once. Chosen, not measured.
+/// Most lost connections that are remembered as causes to open others. Bounds the memory; more than this are not in use at once.
 const MOST_LOSSES: usize = 256;
 
 /// An open connection; dropping it closes it at once, whatever is in progress on it.
@@ -62,7 +62,7 @@
     /// Writes a request and waits for the head of the answer.
     ///
     /// # Errors
-    /// There is none; the error has the request where nothing of it was written.
+    /// No answer came. The error holds the request where nothing of it was written.
     pub async fn try_send(
         &mut self,
         message: Request<HttpRequestBody>,
@@ -89,7 +89,8 @@
         tokio::spawn(async move {
             match tokio::time::timeout(SETTLE_TIMEOUT, link.sender.ready()).await {
                 Ok(Ok(())) => pool.add(link, idle_span),
-                Ok(Err(_)) | Err(_) => pool.note_loss(OpenCause::ClosedByServer),
+                Ok(Err(_)) => pool.note_loss(OpenCause::ClosedByServer),
+                Err(_) => pool.note_loss(OpenCause::UnusableAnswer),
             }
         });
     }
@@ -174,12 +175,16 @@
         lost.map_or(OpenCause::NoneIdle, |loss| loss.cause)
     }
 
-    /// Opens a connection, in place of the one that has been idle for longest, if any: the back end takes only so many connections.
+    /// Closes the connection that has been idle for longest, if any: the back end takes only so many connections.
+    pub fn make_room(&self) {
+        self.lock().idle.pop_front();
+    }
+
+    /// Opens a connection.
     ///
     /// # Errors
     /// It was refused or did not come up in time; nothing was written.
     pub async fn open(&self, check: SilenceCheck, cause: OpenCause) -> std::io::Result<Connection> {
-        self.lock().idle.pop_front();
         self.metrics.backend_connection(cause);
         let connecting = TcpStream::connect(SocketAddr::from(self.address));
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await??;
--- a/crates/seamhatchd/src/server/backend/mod.rs
+++ b/crates/seamhatchd/src/server/backend/mod.rs
@@ -44,7 +44,7 @@
 const PROBE_PAUSE: Duration = Duration::from_millis(8);
 /// Longest body of a refusal that is read so that its connection can be kept, in bytes.
 const LONGEST_REFUSAL: usize = 4 * 1024;
-/// Longest wait for the rest of that body. Chosen, not measured.
+/// Longest wait for the rest of that body. Until then its connection serves no other call.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// The back end beside the daemon.
@@ -128,11 +128,12 @@
     /// the next call.
     pub async fn is_gone(&self) -> bool {
         for _probe in 0..PROBES {
+            self.connections.make_room();
             let opened = self.connections.open(SilenceCheck::Always, OpenCause::Probe).await;
             tokio::time::sleep(PROBE_PAUSE).await;
             match opened {
                 // Established while the process was ending, and reset with it.
-                Ok(connection) if connection.is_closed() => {}
+                Ok(connection) if connection.is_closed() => connection.lose(OpenCause::ClosedByServer),
                 Ok(connection) => {
                     connection.keep(idle_span(&HeaderMap::new()));
                     return false;
@@ -192,14 +193,15 @@
     request_written: Arc<AtomicBool>,
 ) {
     let mut reading = Box::pin(async move {
-        if read_short(body).await && request_written.load(Ordering::Acquire) {
+        let read = tokio::time::timeout(DISCARD_TIMEOUT, read_short(body)).await;
+        if read == Ok(true) && request_written.load(Ordering::Acquire) {
             connection.keep(idle_span);
         } else {
             connection.lose(OpenCause::UnusableAnswer);
         }
     });
     if (&mut reading).now_or_never().is_none() {
-        tokio::spawn(tokio::time::timeout(DISCARD_TIMEOUT, reading));
+        tokio::spawn(reading);
     }
 }
 
--- a/crates/seamhatchd/tests/logging.rs
+++ b/crates/seamhatchd/tests/logging.rs
@@ -102,7 +102,7 @@
     writes.recv_timeout(Duration::from_secs(20)).expect("a write")
 }
 
-/// Guards against a wake-up and a write for each line, which took an eighth of a daemon's processor time.
+/// Guards against a wake-up and a write for each line.
 #[test]
 fn lines_are_collected_for_one_write() {
     let (queue, writes) = writing_queue();
