--- a/crates/seamhatchd/tests/links.rs
+++ b/crates/seamhatchd/tests/links.rs
@@ -334,7 +334,8 @@
     assert!(pool.read().connection(address).is_some());
     assert!(!accepting.is_finished(), "a second connection was opened beside one that is heard");
     let both = tokio::time::timeout(Duration::from_secs(10), accepting).await;
-    both.expect("a second connection is opened in time").expect("accepts");
+    // Held until the end: the first connection closes with the peer's end of it.
+    let _both = both.expect("a second connection is opened in time").expect("accepts");
     assert!(first.with_view(|view| view.is_silent(clock::now())));
     assert!(first.is_open(), "calls on the silent connection go on");
 }
