Requests decided by an outdated configuration are logged and counted; proofs name who provided them

Cause: names the generation that decided a request, but not the newest one known then, since when and from whom, nor age and source of the proof, so that a change learnt late can't be told from one that is held and not used.

--- a/crates/seamhatch/src/output.rs
+++ b/crates/seamhatch/src/output.rs
@@ -20,12 +20,17 @@
 
 /// The state of a deployment.
 pub fn status(report: &StatusReport) -> String {
+    let proof = report.proof.as_ref();
     let mut text = format!(
-        "asked {}: {}{}, generation {}, {} in progress\n\n",
+        "asked {}: {}{}, generation {}{}, {} in progress\n\n",
         report.member,
         if report.ready { "ready" } else { "not ready" },
         if report.draining { ", draining" } else { "" },
         report.generation,
+        proof.map_or_else(String::new, |proof| format!(
+            " (newest {} ms ago by {})",
+            proof.age_ms, proof.source
+        )),
         report.in_flight,
     );
     text.push_str(&format!(
--- a/crates/seamhatchd/src/base/metrics.rs
+++ b/crates/seamhatchd/src/base/metrics.rs
@@ -113,6 +113,24 @@
     }
 }
 
+/// Why a configuration that decides a request may be outdated.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OutdatedCause {
+    /// A newer one is known here and not in force yet.
+    NewerKnown,
+    /// There is no recent proof that it is the newest.
+    NoProof,
+}
+
+impl OutdatedCause {
+    fn name(self) -> &'static str {
+        match self {
+            Self::NewerKnown => "newer-known",
+            Self::NoProof => "no-proof",
+        }
+    }
+}
+
 /// Buckets from half a millisecond to about four seconds, doubling.
 fn latency_histogram() -> Histogram {
     Histogram::new(exponential_buckets(0.0005, 2.0, 14))
@@ -124,6 +142,9 @@
 /// Value of [`Metrics::pace_percent`] and [`Metrics::work_milliseconds`] when the back end reports no percentage.
 pub const NO_PACE: i64 = -1;
 
+/// Value of [`Metrics::proof_age`] when there is no proof.
+pub const NO_PROOF: i64 = -1;
+
 /// Converts a span to seconds, the unit of the histograms.
 #[must_use]
 pub fn seconds(span: Microseconds) -> f64 {
@@ -139,6 +160,7 @@
     executions: Family<ClassLabel, Counter>,
     bad_input: Family<KindLabel, Counter>,
     backend_connections: Family<CauseLabel, Counter>,
+    outdated_decisions: Family<CauseLabel, Counter>,
     request_seconds: Family<EndLabels, Histogram>,
     /// Dispatches that consumed a retry token.
     pub retries: Counter,
@@ -183,6 +205,8 @@
     pub generation: Gauge,
     /// Newest generation that this daemon holds; higher than the one in force when it can't be used.
     pub newest_generation: Gauge,
+    /// Age of the proof that the configuration in force is the newest, in milliseconds; -1 without one.
+    pub proof_age: Gauge,
     /// Live members.
     pub members: Gauge,
     /// Gossip bytes sent.
@@ -248,6 +272,12 @@
                 "Connections opened to the back end, by cause",
                 Family::default(),
             ),
+            outdated_decisions: register(
+                to,
+                "outdated_decisions",
+                "Requests decided by a configuration that may be outdated, by cause",
+                Family::default(),
+            ),
             retries: counter(to, "retries", "Dispatches that cost a retry token"),
             request_seconds: register(
                 to,
@@ -302,6 +332,12 @@
             ),
             generation: gauge(to, "generation", "Configuration in force"),
             newest_generation: gauge(to, "newest_generation", "Newest configuration held"),
+            proof_age: gauge_or_none(
+                to,
+                "proof_age_milliseconds",
+                "Age of the proof that the configuration in force is the newest; -1 without one",
+                NO_PROOF,
+            ),
             members: gauge(to, "live_members", "Live members, this one included"),
             gossip_sent_bytes: counter(to, "gossip_sent_bytes", "Gossip sent"),
             gossip_received_bytes: counter(to, "gossip_received_bytes", "Gossip received"),
@@ -358,6 +394,11 @@
         self.backend_connections.get_or_create(&CauseLabel { cause: cause.name() }).inc();
     }
 
+    /// Counts a request that a configuration decides which may be outdated.
+    pub fn outdated_decision(&self, cause: OutdatedCause) {
+        self.outdated_decisions.get_or_create(&CauseLabel { cause: cause.name() }).inc();
+    }
+
     /// All metrics as text.
     #[must_use]
     pub fn to_text(&self) -> String {
--- a/crates/seamhatchd/src/control/handle.rs
+++ b/crates/seamhatchd/src/control/handle.rs
@@ -8,6 +8,7 @@
     Retirement, RosterEvent, StatusReport, SubmitError, SubmitRequest, SuspectEvent,
 };
 use crate::base::clock;
+use crate::base::lock::lock;
 use seamhatch_core::Instant;
 use seamhatch_core::clock::{Microseconds, SECOND};
 use seamhatch_core::generation::Generation;
@@ -17,9 +18,10 @@
 use seamhatch_core::roster::WitnessDuty;
 use seamhatch_policy::StoredConfiguration;
 use seamhatch_wire::{ControlReply, ControlRequest};
+use std::fmt;
 use std::future::Future;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 
@@ -35,10 +37,45 @@
 pub struct ControlHandle {
     events: mpsc::UnboundedSender<ControlEvent>,
     generation_in_force: Arc<AtomicU64>,
-    /// The newest generation that any daemon has reported.
+    /// The newest generation that has been reported.
     generation_reported: Arc<AtomicU64>,
-    /// Time of its first report, in microseconds of the boot clock.
-    reported_at: Arc<AtomicU64>,
+    /// Its first report.
+    first_report: Arc<Mutex<Option<GenerationReport>>>,
+}
+
+/// How this daemon learnt that a generation exists.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReportSource {
+    /// A heartbeat of the daemon with this peer address.
+    Heartbeat(Address),
+    /// A call of another daemon.
+    Call,
+    /// A gossip message of the daemon with this gossip address.
+    Gossip(Address),
+    /// The configuration itself was received here.
+    Received,
+}
+
+impl fmt::Display for ReportSource {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Heartbeat(peer) => write!(formatter, "heartbeat of {peer}"),
+            Self::Call => formatter.write_str("call"),
+            Self::Gossip(member) => write!(formatter, "gossip of {member}"),
+            Self::Received => formatter.write_str("received here"),
+        }
+    }
+}
+
+/// The first report of a generation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct GenerationReport {
+    /// The generation.
+    pub generation: Generation,
+    /// When the report arrived.
+    pub at: Instant,
+    /// Who reported it.
+    pub source: ReportSource,
 }
 
 impl ControlHandle {
@@ -50,7 +87,7 @@
             events,
             generation_in_force: Arc::default(),
             generation_reported: Arc::default(),
-            reported_at: Arc::default(),
+            first_report: Arc::default(),
         };
         (handle, receiver)
     }
@@ -63,12 +100,12 @@
 
     /// Handles a generation that a daemon reported. Cheap unless it is newer than the one in force.
     pub fn note_peer_generation(&self, peer: Address, generation: Generation) {
-        self.note_generation(Some(peer), generation);
+        self.note_generation(Some(peer), generation, ReportSource::Heartbeat(peer));
     }
 
     /// Handles the generation that a call carried from its sender.
     pub fn note_call_generation(&self, generation: Generation) {
-        self.note_generation(None, generation);
+        self.note_generation(None, generation, ReportSource::Call);
     }
 
     /// Requests a roster check after a claim or a configuration found no majority of witnesses; `newer_witness` is a daemon that
@@ -181,28 +218,39 @@
         let _ = tokio::time::timeout(STOP_TIMEOUT, receiver).await;
     }
 
-    fn note_generation(&self, peer: Option<Address>, generation: Generation) {
-        if self.record_generation(generation, clock::now()) {
+    fn note_generation(&self, peer: Option<Address>, generation: Generation, source: ReportSource) {
+        if self.record_generation(generation, source, clock::now()) {
             self.send(ConfigurationEvent::PeerGeneration { peer, generation });
         }
     }
 
-    /// Records a generation that a daemon reported. Returns true when it is newer than the one in force.
-    pub fn record_generation(&self, generation: Generation, now: Instant) -> bool {
+    /// Records a generation that was reported. Returns true when it is newer than the one in force.
+    pub fn record_generation(&self, generation: Generation, source: ReportSource, at: Instant) -> bool {
         let newer = generation.0 > self.generation_in_force.load(Ordering::Relaxed);
         if newer && self.generation_reported.fetch_max(generation.0, Ordering::Relaxed) < generation.0 {
-            self.reported_at.store(now.0, Ordering::Relaxed);
+            let mut first = lock(&self.first_report);
+            if first.is_none_or(|report| report.generation < generation) {
+                *first = Some(GenerationReport { generation, at, source });
+            }
         }
         newer
     }
 
-    /// Whether a daemon has recently reported a newer generation than the one in force.
+    /// The first report of the newest generation, if it was recent and that generation is not in force here.
+    #[must_use]
+    pub fn newer_generation(&self, now: Instant) -> Option<GenerationReport> {
+        let in_force = self.generation_in_force.load(Ordering::Relaxed);
+        if self.generation_reported.load(Ordering::Relaxed) <= in_force {
+            return None;
+        }
+        let report = (*lock(&self.first_report))?;
+        (report.generation.0 > in_force && now.since(report.at) < MAX_GENERATION_LAG).then_some(report)
+    }
+
+    /// Whether a newer generation than the one in force was reported recently.
     #[must_use]
     pub fn is_behind(&self, now: Instant) -> bool {
-        let reported = self.generation_reported.load(Ordering::Relaxed);
-        let reported_at = Instant(self.reported_at.load(Ordering::Relaxed));
-        reported > self.generation_in_force.load(Ordering::Relaxed)
-            && now.since(reported_at) < MAX_GENERATION_LAG
+        self.newer_generation(now).is_some()
     }
 
     /// The generation in force.
--- a/crates/seamhatchd/src/control/mod.rs
+++ b/crates/seamhatchd/src/control/mod.rs
@@ -16,6 +16,6 @@
     MemberEvent, OperatorEvent, Retirement, RosterEvent, SuspectEvent,
 };
 pub use findings::{Discovery, TransitionResult};
-pub use handle::ControlHandle;
-pub use status::{CostStatus, MemberStatus, ShardStatus, StatusReport};
+pub use handle::{ControlHandle, GenerationReport, ReportSource};
+pub use status::{CostStatus, MemberStatus, ProofStatus, ShardStatus, StatusReport};
 pub use submission::{SubmitError, SubmitRequest};
--- a/crates/seamhatchd/src/control/status.rs
+++ b/crates/seamhatchd/src/control/status.rs
@@ -27,6 +27,15 @@
     pub rate_millis: Option<u64>,
 }
 
+/// Proof that the reporting daemon's configuration is the newest.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProofStatus {
+    /// Its age, in milliseconds.
+    pub age_ms: u64,
+    /// Who provided it: `store`, or the peer address of a daemon.
+    pub source: String,
+}
+
 /// The witnesses of one shard.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ShardStatus {
@@ -64,6 +73,9 @@
     pub in_flight: usize,
     /// Configuration in force there.
     pub generation: u64,
+    /// Proof that no newer configuration has been accepted; none without a followed store, and before the first proof.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub proof: Option<ProofStatus>,
     /// First priority level that it refuses for its server; 512 admits all.
     pub floor: u16,
     /// All members known to it.
--- a/crates/seamhatchd/src/controllers/control_thread/configuration.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/configuration.rs
@@ -2,9 +2,10 @@
 
 use super::ControlThread;
 use crate::base::clock;
-use crate::control::{ConfigurationEvent, ConfigurationSource, SubmitError, SubmitRequest};
+use crate::control::{ConfigurationEvent, ConfigurationSource, ReportSource, SubmitError, SubmitRequest};
 use crate::controllers::ask::ask_generation;
 use crate::controllers::submission::Submission;
+use crate::limits::freshness::ProofSource;
 use crate::ports::Backing;
 use log::warn;
 use seamhatch_core::generation::{AskedPeers, Generation, Offer};
@@ -63,7 +64,9 @@
                 self.exchanges.end_all();
                 self.offer_series(series, source);
             }
-            ConfigurationEvent::Proved(proof) => self.shared.limits.freshness.record(proof),
+            ConfigurationEvent::Proved(proof) => {
+                self.shared.limits.freshness.record(proof, ProofSource::Store);
+            }
             ConfigurationEvent::StoreRead(result) => self.store_read(result),
             ConfigurationEvent::FollowedStoreRead => self.followed_store_read(),
             ConfigurationEvent::Verified => self.verified(),
@@ -90,7 +93,7 @@
         if self.configuration.has_refused(version) {
             // This daemon doesn't know what the refused configuration allows, so the earlier one must not reject requests
             // permanently.
-            self.shared.control.record_generation(version.generation, clock::now());
+            self.shared.control.record_generation(version.generation, ReportSource::Received, clock::now());
         }
         if offer != Offer::Adopt {
             return offer;
@@ -101,7 +104,7 @@
         self.publish();
         // Recorded after the snapshot is published, and only for a usable generation: until then this daemon counts as
         // behind.
-        self.shared.control.record_generation(generation, clock::now());
+        self.shared.control.record_generation(generation, ReportSource::Received, clock::now());
         if let Some((in_force, configuration)) = self.configuration.in_force() {
             self.shared.control.set_generation(in_force);
             self.apply_tenants(in_force, &configuration);
@@ -173,7 +176,8 @@
 
     /// Compares the configuration and roster versions in a datagram with those held here, and requests newer ones.
     pub(super) fn note_versions(&mut self, message: &GossipMessage) {
-        self.shared.control.record_generation(message.generation, clock::now());
+        let source = ReportSource::Gossip(message.from);
+        self.shared.control.record_generation(message.generation, source, clock::now());
         if message.generation > self.configuration.generation() {
             let peer = self.membership.state.member(message.from).map(|record| record.info.peer);
             match self.backing {
--- a/crates/seamhatchd/src/controllers/control_thread/publishing.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/publishing.rs
@@ -2,6 +2,7 @@
 
 use super::ControlThread;
 use crate::base::clock;
+use crate::base::metrics::NO_PROOF;
 use crate::controllers::publish;
 use rustix::time::{ClockId, clock_gettime};
 use seamhatch_core::Instant;
@@ -68,6 +69,8 @@
         let metrics = &self.shared.metrics;
         metrics.generation.set(self.configuration.generation_in_force().0 as i64);
         metrics.newest_generation.set(self.configuration.newest_offered().0 as i64);
+        let proof = self.shared.limits.freshness.standing(clock::now());
+        metrics.proof_age.set(proof.map_or(NO_PROOF, |proof| (proof.age / MILLISECOND) as i64));
         metrics.members.set(self.membership.state.live_count() as i64);
         metrics.condemned.set(self.shared.suspects.condemned() as i64);
         metrics.claims.set(self.shared.claims.witnesses.forget_old() as i64);
--- a/crates/seamhatchd/src/controllers/status.rs
+++ b/crates/seamhatchd/src/controllers/status.rs
@@ -2,13 +2,15 @@
 //!
 //! Runs as a task that the control thread starts, since it waits for other daemons. It keeps no state.
 
-use crate::control::{CostStatus, MemberStatus, ShardStatus, StatusReport};
+use crate::base::clock;
+use crate::control::{CostStatus, MemberStatus, ProofStatus, ShardStatus, StatusReport};
 use crate::controllers::ask::ask_generation;
 use crate::shared::Shared;
 use futures_util::StreamExt;
 use futures_util::future::join_all;
 use futures_util::stream;
 use seamhatch_core::chain_cost::KindCost;
+use seamhatch_core::clock::MILLISECOND;
 use seamhatch_core::generation::Generation;
 use seamhatch_core::membership::MemberRecord;
 use seamhatch_core::priority::AdmissionFloor;
@@ -55,6 +57,7 @@
         draining: shared.is_draining(),
         in_flight: shared.intake.count(),
         generation: input.generation.0,
+        proof: proof(&shared),
         floor: floor.level,
         members,
         shards: join_all(shards).await,
@@ -62,6 +65,11 @@
     }
 }
 
+fn proof(shared: &Shared) -> Option<ProofStatus> {
+    let proof = shared.limits.freshness.standing(clock::now())?;
+    Some(ProofStatus { age_ms: proof.age / MILLISECOND, source: proof.source.to_string() })
+}
+
 fn costs(shared: &Shared) -> Vec<CostStatus> {
     let known = shared.chain_costs.costs(MAX_COSTS).into_iter();
     let status =
--- a/crates/seamhatchd/src/filters/mod.rs
+++ b/crates/seamhatchd/src/filters/mod.rs
@@ -12,6 +12,7 @@
 mod idempotency;
 mod identity;
 mod limits;
+mod outdated;
 mod readiness;
 mod rejection;
 mod request;
@@ -131,6 +132,7 @@
     // meanwhile.
     let has_newest = shared.lifecycle.is_ready() && !shared.control.is_behind(clock::now());
     let rejected = chain.iter().try_for_each(|filter| filter.apply(shared, request));
+    outdated::report(shared, request);
     rejected.map_err(|rejection| {
         if has_newest || !rejection.depends_on_configuration() {
             return rejection;
--- a/crates/seamhatchd/src/limits/freshness.rs
+++ b/crates/seamhatchd/src/limits/freshness.rs
@@ -12,6 +12,7 @@
 use seamhatch_core::freshness::{FreshnessProof, FreshnessTracker};
 use seamhatch_core::generation::Generation;
 use seamhatch_core::identity::Address;
+use std::fmt;
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -20,10 +21,60 @@
 pub struct Freshness {
     /// Maximum age of a proof for requests that use a tenant's key; `None` if any age is accepted.
     max_age: Option<Microseconds>,
-    tracker: Mutex<FreshnessTracker>,
+    state: Mutex<ProofState>,
     relay_position: Mutex<ProofRelayPosition>,
 }
 
+/// Who provided a proof.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ProofSource {
+    /// A read of the store by this daemon.
+    Store,
+    /// A heartbeat of the daemon with this peer address.
+    Peer(Address),
+}
+
+impl fmt::Display for ProofSource {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Store => formatter.write_str("store"),
+            Self::Peer(address) => address.fmt(formatter),
+        }
+    }
+}
+
+/// The most recent proof of the configuration in force, as shown to operators.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ProofStanding {
+    /// Its age in microseconds.
+    pub age: Microseconds,
+    /// Who provided it.
+    pub source: ProofSource,
+}
+
+#[derive(Debug, Default)]
+struct ProofState {
+    tracker: FreshnessTracker,
+    /// Source of the proof that counts.
+    source: Option<ProofSource>,
+    /// Source of the most recent proof of a generation that is not in force yet.
+    pending_source: Option<ProofSource>,
+}
+
+impl ProofState {
+    /// Changes the tracker. If its proof has become more recent, `source` has provided it.
+    fn update(&mut self, source: Option<ProofSource>, change: impl FnOnce(&mut FreshnessTracker)) -> bool {
+        let proved_at = |tracker: &FreshnessTracker| tracker.proof().map(|proof| proof.at);
+        let before = proved_at(&self.tracker);
+        change(&mut self.tracker);
+        let is_newer = proved_at(&self.tracker) > before;
+        if is_newer {
+            self.source = source;
+        }
+        is_newer
+    }
+}
+
 /// Position of a daemon in the relay of freshness proofs, in the order of all live members.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ProofRelayPosition {
@@ -40,36 +91,48 @@
     #[must_use]
     pub fn new(max_age: Option<Duration>) -> Self {
         let max_age = max_age.map(|age| age.as_micros() as Microseconds);
-        Self { max_age, tracker: Mutex::default(), relay_position: Mutex::default() }
+        Self { max_age, state: Mutex::default(), relay_position: Mutex::default() }
     }
 
     /// Records the configuration in force.
     pub fn set_in_force(&self, generation: Generation) {
-        self.lock().set_in_force(generation);
+        let mut state = self.lock();
+        let pending = state.pending_source;
+        state.update(pending, |tracker| tracker.set_in_force(generation));
     }
 
     /// Records a proof, whose time is in the local boot clock.
-    pub fn record(&self, proof: FreshnessProof) {
-        self.lock().record(proof);
+    pub fn record(&self, proof: FreshnessProof, source: ProofSource) {
+        let mut state = self.lock();
+        if !state.update(Some(source), |tracker| tracker.record(proof)) {
+            state.pending_source = Some(source);
+        }
+    }
+
+    /// The most recent proof at `now`; `None` without a proof.
+    #[must_use]
+    pub fn standing(&self, now: Instant) -> Option<ProofStanding> {
+        let state = self.lock();
+        Some(ProofStanding { age: state.tracker.age(now)?, source: state.source? })
     }
 
     /// Whether the keys of the configuration may be accepted.
     #[must_use]
     pub fn is_fresh(&self) -> bool {
         let Some(max_age) = self.max_age else { return true };
-        self.lock().is_fresh(max_age, clock::now())
+        self.lock().tracker.is_fresh(max_age, clock::now())
     }
 
     /// Returns the proof that is relayed to other daemons.
     #[must_use]
     pub fn proof(&self) -> Option<FreshnessProof> {
-        self.lock().proof()
+        self.lock().tracker.proof()
     }
 
     /// Returns the age of the proof in microseconds; `None` without a proof.
     #[must_use]
     pub fn age(&self, now: Instant) -> Option<Microseconds> {
-        self.lock().age(now)
+        self.lock().tracker.age(now)
     }
 
     /// Sets this daemon's position in the order of all live members.
@@ -83,7 +146,7 @@
         *lock(&self.relay_position)
     }
 
-    fn lock(&self) -> MutexGuard<'_, FreshnessTracker> {
-        lock(&self.tracker)
+    fn lock(&self) -> MutexGuard<'_, ProofState> {
+        lock(&self.state)
     }
 }
--- a/crates/seamhatchd/src/link_host.rs
+++ b/crates/seamhatchd/src/link_host.rs
@@ -3,6 +3,7 @@
 
 use crate::base::clock;
 use crate::base::metrics::BadInput;
+use crate::limits::freshness::ProofSource;
 use crate::peer::{LinkHost, LocalState, UnwrittenMessages};
 use crate::shared::Shared;
 use seamhatch_core::crashes::SuspectReport;
@@ -53,7 +54,10 @@
     }
 
     fn heartbeat_received(&self, service: &str, peer: Address, pulse: &Pulse) {
-        pulse.proof.into_iter().for_each(|proof| self.limits.freshness.record(proof));
+        pulse
+            .proof
+            .into_iter()
+            .for_each(|proof| self.limits.freshness.record(proof, ProofSource::Peer(peer)));
         if pulse.intake == CallIntake::Closed {
             self.limits.service_floors.forget(service, peer);
         } else {
--- a/crates/seamhatchd/src/peer_server/session.rs
+++ b/crates/seamhatchd/src/peer_server/session.rs
@@ -8,6 +8,7 @@
 use crate::base::lock::lock;
 use crate::base::metrics::BadInput;
 use crate::intake::RequestEntry;
+use crate::limits::freshness::ProofSource;
 use crate::limits::quota;
 use crate::peer::{CreditWindow, Outbox, PendingShutdownAck, owed_credit};
 use crate::peer_server::call::ServerCall;
@@ -110,7 +111,9 @@
         if heartbeat.farewell == Some(Farewell::Heard) {
             self.shutdown_ack.acknowledge();
         }
-        heartbeat.proof.into_iter().for_each(|proof| self.shared.limits.freshness.record(proof));
+        let freshness = &self.shared.limits.freshness;
+        let source = ProofSource::Peer(self.hello.peer);
+        heartbeat.proof.into_iter().for_each(|proof| freshness.record(proof, source));
         self.shared.control.note_peer_generation(self.hello.peer, heartbeat.generation);
     }
 
--- a/crates/seamhatchd/tests/behind.rs
+++ b/crates/seamhatchd/tests/behind.rs
@@ -3,7 +3,7 @@
 use seamhatch_core::Instant;
 use seamhatch_core::clock::SECOND;
 use seamhatch_core::generation::Generation;
-use seamhatchd::control::ControlHandle;
+use seamhatchd::control::{ControlHandle, ReportSource};
 
 struct BehindCase {
     name: &'static str,
@@ -37,9 +37,9 @@
         let (control, _events) = ControlHandle::new();
         let now = Instant(100 * SECOND);
         control.set_generation(Generation(case.in_force));
-        control.record_generation(Generation(case.reported), now);
+        control.record_generation(Generation(case.reported), ReportSource::Call, now);
         // A repeated report must not restart the period in which the daemon counts as behind.
-        control.record_generation(Generation(case.reported), now.plus(case.elapsed));
+        control.record_generation(Generation(case.reported), ReportSource::Call, now.plus(case.elapsed));
         assert_eq!(control.is_behind(now.plus(case.elapsed)), case.behind, "{}", case.name);
     }
 }
--- a/crates/seamhatchd/tests/operator_interface.rs
+++ b/crates/seamhatchd/tests/operator_interface.rs
@@ -10,7 +10,7 @@
 use seamhatch_core::outcome::{Outcome, Reason};
 use seamhatch_core::priority::PriorityClass;
 use seamhatchd::base::metrics::{BadInput, Metrics};
-use seamhatchd::control::{CostStatus, MemberStatus, ShardStatus, StatusReport};
+use seamhatchd::control::{CostStatus, MemberStatus, ProofStatus, ShardStatus, StatusReport};
 use seamhatchd::conventions::headers;
 use seamhatchd::conventions::{AnswerMark, BackEndCall, HttpConventions, OwnAnswer, OwnConventions};
 use seamhatchd::server::crashes::{CrashReport, SuspectStatus};
@@ -141,6 +141,7 @@
         draining: false,
         in_flight: 6,
         generation: 7,
+        proof: Some(ProofStatus { age_ms: 12, source: "store".into() }),
         floor: 8,
         members: vec![member],
         shards: vec![shard],
