Every wait on the path of a request ends at its deadline; one attempt to connect is shared

Cause: the time-out of the route bounded the claim and the wait for the head, and nothing else. The wait for a connection took 0.8 s for each server, and as concurrent requests opened theirs one after the other, the n-th waited n times as long. The class: an await on the path of a request that its deadline doesn't bound. Change: connecting, quota and body end at the deadline; a request that is still open 0.1 s later is answered whatever it waits for, so that a wait that is added later can't hold it. An attempt to connect is a task whose result all share: it goes on without its callers, whose deadlines may be shorter than it, so that failures are recorded and the server is ejected.

--- a/crates/seamhatchd/src/dispatch/attempt.rs
+++ b/crates/seamhatchd/src/dispatch/attempt.rs
@@ -15,6 +15,8 @@
 /// The deadline sent to the receiving daemon is earlier by this margin, so that its refusal arrives
 /// in time.
 const EXPIRY_MARGIN: Microseconds = 5 * MILLISECOND;
+/// Shortest time in which an attempt can succeed, in microseconds; with less left, none is made.
+pub(super) const MIN_ATTEMPT_TIME: Microseconds = 20 * MILLISECOND;
 
 /// Why an attempt at one server produced no answer.
 pub(super) enum AttemptFailure {
--- a/crates/seamhatchd/src/dispatch/candidates.rs
+++ b/crates/seamhatchd/src/dispatch/candidates.rs
@@ -1,6 +1,7 @@
 //! Choice of the next server for a call, among those that have not been tried yet.
 
 use super::Dispatcher;
+use super::attempt::MIN_ATTEMPT_TIME;
 use crate::base::clock;
 use crate::filters::Rejection;
 use crate::peer::{PeerConnection, PoolReader};
@@ -14,16 +15,24 @@
 
 impl Dispatcher<'_> {
     /// Returns a connection to a server that has not been tried yet.
+    ///
+    /// # Errors
+    /// Returns the rejection of a call for which no server can be reached in time.
     pub(super) async fn connect(&mut self) -> Result<PeerConnection, Rejection> {
+        let latest = self.parent.expiry.minus(MIN_ATTEMPT_TIME);
         loop {
             let Some(server) = self.choose() else {
                 let detail = "no server of this service can be reached; come back later";
                 return Err(Rejection::not_run(Reason::NoServer, detail));
             };
-            match self.shared.pool.get(server).await {
-                Ok(connection) if self.can_serve(&connection) => return Ok(connection),
+            match clock::timeout_at(latest, self.shared.pool.get(server)).await {
+                Some(Ok(connection)) if self.can_serve(&connection) => return Ok(connection),
                 // The pool counts connection failures and excludes such a server for a while.
-                Ok(_) | Err(_) => self.tried.push(server),
+                Some(Ok(_) | Err(_)) => self.tried.push(server),
+                None => {
+                    let detail = "no server could be reached before the deadline; come back later";
+                    return Err(Rejection::not_run(Reason::DeadlineExceeded, detail));
+                }
             }
         }
     }
--- a/crates/seamhatchd/src/filters/request.rs
+++ b/crates/seamhatchd/src/filters/request.rs
@@ -152,6 +152,20 @@
         }
     }
 
+    /// Returns when the request must be answered; `None` before the filters have set it.
+    #[must_use]
+    pub fn expiry(&self) -> Option<Instant> {
+        self.parent.as_ref().map(|parent| parent.expiry)
+    }
+
+    /// Waits for `work` until the deadline of the request; `None` when that passes first.
+    pub async fn in_time<T>(&self, work: impl Future<Output = T>) -> Option<T> {
+        match self.expiry() {
+            Some(expiry) => clock::timeout_at(expiry, work).await,
+            None => Some(work.await),
+        }
+    }
+
     /// Returns the kind of the request, under which its answer times are recorded.
     #[must_use]
     pub fn kind(&self) -> &str {
--- a/crates/seamhatchd/src/listeners/proxy.rs
+++ b/crates/seamhatchd/src/listeners/proxy.rs
@@ -9,6 +9,7 @@
 use crate::dispatch::{self, Answer, CallResult, ReplayBody};
 use crate::filters::{self, Entry, FilterChain, Rejection, RequestState};
 use crate::intake::{AcceptedRequest, RequestEntry, RequestStage};
+use crate::limits::quota::QuotaPermit;
 use crate::listeners::body::{self, CallerBody};
 use crate::listeners::connection::{ConnectionRequests, TrackedBody};
 use crate::listeners::pipelined::PipelinedRequest;
@@ -18,6 +19,7 @@
 use http::request::Parts;
 use http::{HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
+use seamhatch_core::clock::{MILLISECOND, Microseconds};
 use seamhatch_core::identity::RootId;
 use seamhatch_core::outcome::{Outcome, Reason};
 use seamhatch_policy::{LimitSettings, host_name};
@@ -29,6 +31,10 @@
 /// Interval between two checks whether a starting daemon can route requests.
 const START_POLL: Duration = Duration::from_millis(5);
 
+/// Time after its deadline at which a request is answered whatever it waits for, in microseconds. Each wait ends at the
+/// deadline by itself and knows best what became of the request.
+const OVERDUE_MARGIN: Microseconds = 100 * MILLISECOND;
+
 /// Handles the requests of one listener.
 pub struct RequestHandler {
     pub(super) shared: Arc<Shared>,
@@ -129,6 +135,7 @@
             biased;
             response = answering => response,
             () = self.shared.intake.until_cut() => self.reject(&request, &cut_off(&request)),
+            () = until_overdue(&request) => self.reject(&request, &overdue(&request)),
         }
     }
 
@@ -167,17 +174,23 @@
         body: Option<Incoming>,
         accepted: AcceptedRequest,
     ) -> Response<CallerBody> {
-        let permit = match self.shared.quota_context().admit(request.tenant.as_ref()).await {
-            Ok(permit) => permit,
-            Err(refusal) => return self.reject(request, &refusal.into()),
+        let quota = self.shared.quota_context();
+        let permit = match request.in_time(quota.admit(request.tenant.as_ref())).await {
+            Some(Ok(permit)) => permit,
+            Some(Err(refusal)) => return self.reject(request, &refusal.into()),
+            None => return self.reject(request, &too_late("the tenant's limit could not be asked")),
         };
         let body = match body {
-            Some(body) => ReplayBody::read_prefix(body).await,
-            None => Ok(ReplayBody::empty()),
+            Some(body) => request.in_time(ReplayBody::read_prefix(body)).await,
+            None => Some(Ok(ReplayBody::empty())),
         };
+        let body = body.unwrap_or_else(|| Err(too_late("the request body did not arrive")));
         let body = match body {
             Ok(body) => body,
-            Err(rejection) => return self.reject(request, &rejection),
+            Err(rejection) => {
+                self.refund(permit);
+                return self.reject(request, &rejection);
+            }
         };
         let result = dispatch::dispatch(&self.shared, request, body).await;
         self.learn_floor(request);
@@ -189,13 +202,20 @@
             CallResult::Recorded(recorded) => self.replay(request, recorded),
             CallResult::Rejected(rejection) => {
                 if rejection.outcome == Outcome::NotRun {
-                    permit.into_iter().for_each(|permit| permit.refund(&self.shared.limits.quota));
+                    self.refund(permit);
                 }
                 self.reject(request, &rejection)
             }
         }
     }
 
+    /// Returns the charge of a request that has not run.
+    fn refund(&self, permit: Option<QuotaPermit>) {
+        if let Some(permit) = permit {
+            permit.refund(&self.shared.limits.quota);
+        }
+    }
+
     /// Records the lowest admission floor that the request's chain of calls met.
     fn learn_floor(&self, request: &RequestState) {
         let Some(parent) = &request.parent else { return };
@@ -238,6 +258,32 @@
     Rejection::unknown(Reason::PeerLost, detail)
 }
 
+/// Resolves when a request should have been answered for [`OVERDUE_MARGIN`].
+async fn until_overdue(request: &RequestState) {
+    match request.expiry() {
+        Some(expiry) => clock::sleep_until(expiry.plus(OVERDUE_MARGIN)).await,
+        None => std::future::pending().await,
+    }
+}
+
+/// The rejection of a request that is still not answered [`OVERDUE_MARGIN`] after its deadline.
+fn overdue(request: &RequestState) -> Rejection {
+    // A request with a key continues on its own task and may still be sent.
+    if request.progress.stage() == RequestStage::Waiting && request.claim_text.is_none() {
+        return too_late("the request could not be sent to a server");
+    }
+    Rejection::unknown(
+        Reason::DeadlineExceeded,
+        "no answer came before the deadline; its result is not known",
+    )
+}
+
+/// The rejection of a request whose deadline passed before it was sent.
+fn too_late(what: &str) -> Rejection {
+    let detail = format!("{what} before the deadline; come back after Retry-After");
+    Rejection::not_run(Reason::DeadlineExceeded, detail)
+}
+
 /// The host of a request. A host in the request target takes precedence over the `Host` field
 /// (RFC 9112, section 3.2.2).
 fn host_of(parts: &Parts) -> Option<String> {
--- a/crates/seamhatchd/src/peer/pool.rs
+++ b/crates/seamhatchd/src/peer/pool.rs
@@ -9,6 +9,8 @@
 use crate::peer::connection::PeerConnection;
 use crate::peer::handshake;
 use crate::peer::host::LinkHost;
+use futures_util::FutureExt;
+use futures_util::future::{BoxFuture, Shared};
 use seamhatch_core::Instant;
 use seamhatch_core::balance::{CallEnd, Ejection};
 use seamhatch_core::identity::Address;
@@ -20,6 +22,7 @@
 use std::time::Duration;
 use thiserror::Error;
 use tokio::runtime::Handle;
+use tokio::task::JoinError;
 
 /// Time limit for a control request, including the time to connect.
 const ASK_TIMEOUT: Duration = Duration::from_millis(800);
@@ -34,11 +37,14 @@
     pub detail: String,
 }
 
+/// An attempt to open a connection, whose result all that wait for it share.
+type Opening = Shared<BoxFuture<'static, Result<PeerConnection, PeerUnreachable>>>;
+
 #[derive(Debug, Default)]
 struct PoolEntry {
     connection: Option<PeerConnection>,
-    /// Held by the task that opens a connection, so that concurrent requests wait for that connection.
-    opening: Arc<tokio::sync::Mutex<()>>,
+    /// The attempt in progress.
+    opening: Option<Opening>,
     failures: Ejection,
 }
 
@@ -58,22 +64,43 @@
         Arc::new(Self { runtime, host, entries: Mutex::default() })
     }
 
-    /// Returns the usable connection to a daemon, or opens one.
+    /// Returns the usable connection to a daemon, or opens one. All concurrent requests share one attempt, which goes on
+    /// when none waits for it any more.
     ///
     /// # Errors
     /// [`PeerUnreachable`] if no connection can be opened.
     pub async fn get(self: &Arc<Self>, address: Address) -> Result<PeerConnection, PeerUnreachable> {
-        if let Some(connection) = self.usable(address) {
-            return Ok(connection);
+        match self.usable(address) {
+            Some(connection) => Ok(connection),
+            None => self.opening(address).await,
         }
-        let opening = self.lock().entry(address).or_default().opening.clone();
-        let _opening_guard = opening.lock().await;
-        if let Some(connection) = self.usable(address) {
-            return Ok(connection);
+    }
+
+    /// Joins the attempt to connect to a daemon that is in progress, or starts one.
+    fn opening(self: &Arc<Self>, address: Address) -> Opening {
+        let mut entries = self.lock();
+        let entry = entries.entry(address).or_default();
+        // A finished attempt is still here only if its task has failed.
+        if let Some(opening) = entry.opening.as_ref().filter(|opening| opening.peek().is_none()) {
+            return opening.clone();
         }
-        let opened = self.open(address).await;
+        let pool = self.clone();
+        let opened = self.runtime.spawn(async move { pool.open(address).await });
+        let ended = move |error: JoinError| PeerUnreachable { address, detail: error.to_string() };
+        let opening = opened.map(move |opened| opened.map_err(ended).flatten()).boxed().shared();
+        entry.opening = Some(opening.clone());
+        opening
+    }
+
+    /// Opens a connection and records the result.
+    async fn open(self: &Arc<Self>, address: Address) -> Result<PeerConnection, PeerUnreachable> {
+        let opened = match self.host.upgrade() {
+            Some(host) => handshake::open(self, &host, address).await.map_err(|error| error.to_string()),
+            None => Err("this daemon has ended".to_owned()),
+        };
         let mut entries = self.lock();
         let entry = entries.entry(address).or_default();
+        entry.opening = None;
         match opened {
             Ok(connection) => {
                 entry.connection = Some(connection.clone());
@@ -87,16 +114,6 @@
         }
     }
 
-    async fn open(self: &Arc<Self>, address: Address) -> Result<PeerConnection, String> {
-        let Some(host) = self.host.upgrade() else { return Err("this daemon has ended".to_owned()) };
-        let pool = self.clone();
-        let opening = self.runtime.spawn(async move { handshake::open(&pool, &host, address).await });
-        match opening.await {
-            Ok(opened) => opened.map_err(|error| error.to_string()),
-            Err(error) => Err(error.to_string()),
-        }
-    }
-
     /// Returns a connection to a witness, or none if the daemon is unreachable or runs as another incarnation.
     pub async fn get_witness(self: &Arc<Self>, witness: WitnessId) -> Option<PeerConnection> {
         // An unreachable witness counts as one that does not answer.
