A call is not sent again when no server can answer in time

Cause: a call was sent again as long as its deadline hadn't passed. Change: an attempt needs 20 ms, the margin of the deadline at each end and as much again for the exchange.

--- a/crates/seamhatch-core/src/retry/resend.rs
+++ b/crates/seamhatch-core/src/retry/resend.rs
@@ -28,7 +28,7 @@
     pub overload_refusals: u32,
     /// The whole body is still available.
     pub can_replay: bool,
-    /// The deadline has not passed.
+    /// The time left until the deadline is enough for another attempt.
     pub in_time: bool,
 }
 
--- a/crates/seamhatchd/src/dispatch/retries.rs
+++ b/crates/seamhatchd/src/dispatch/retries.rs
@@ -3,6 +3,7 @@
 //! The rules are in [`seamhatch_core::retry`].
 
 use super::Dispatcher;
+use super::attempt::MIN_ATTEMPT_TIME;
 use crate::base::clock;
 use crate::filters::{Rejection, check_entry_floor};
 use seamhatch_core::outcome::Reason;
@@ -19,7 +20,7 @@
             repeatable: self.request.repeatable,
             overload_refusals: self.overload_refusals,
             can_replay: self.body.can_replay(),
-            in_time: clock::now() < self.parent.expiry,
+            in_time: clock::now().plus(MIN_ATTEMPT_TIME) < self.parent.expiry,
         };
         match attempt.resend() {
             Resend::No => return false,
