Documents with impossible values are refused whole, with the field's name

What callers saw: none reported; an operator's document with a time-out of 0 or -5 ms came into force and let each request of the route die, one of 1e300 ms panicked on the control thread in a build with overflow checks and wrapped in a release build, of two services with one name the last won. Cause: numbers were made to fit (negative ones to 0, large ones by saturation and a wrapping product), and a map took doubled names. The class: a value is adapted where it should be refused. The product's own documents went the same way.

--- a/crates/seamhatch-policy/src/document.rs
+++ b/crates/seamhatch-policy/src/document.rs
@@ -13,6 +13,14 @@
 const LARGEST_DOCUMENT: usize = 256 * 1024;
 /// Largest sum of the weights of a route: a number below it is drawn for each request.
 const LARGEST_WEIGHTS: f64 = u32::MAX as f64;
+/// Longest span that a document may name, in milliseconds.
+const LONGEST_SPAN_MS: f64 = 86_400_000.0;
+/// [`LONGEST_SPAN_MS`] as errors show it.
+const SPAN_RANGE: &str = "1 to 86400000";
+/// Largest head of a request that a document may allow, in bytes.
+const LARGEST_HEAD: f64 = 1_073_741_824.0;
+/// [`LARGEST_HEAD`] as errors show it.
+const HEAD_RANGE: &str = "1 to 1073741824";
 
 /// One configuration as written in TOML.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -191,6 +199,16 @@
         single.into_iter().chain(self.weighted.iter().cloned())
     }
 
+    fn check_numbers(&self) -> Result<(), ConfigurationError> {
+        let key = |field: &str| format!("routes.{}.{field}", self.place());
+        self.timeout_ms.map_or(Ok(()), |span| check_span(key("timeout_ms"), span))?;
+        self.objective_ms.map_or(Ok(()), |span| check_span(key("objective_ms"), span))?;
+        match self.dispatches {
+            Some(0) => Err(out_of_range(key("dispatches"), 0, "1 to 4294967295")),
+            _ => Ok(()),
+        }
+    }
+
     /// Host and prefix, as errors show them.
     fn place(&self) -> String {
         format!("{}{}", self.host.as_deref().unwrap_or_default(), self.prefix)
@@ -238,9 +256,19 @@
     pub fn check(&self) -> Result<(), ConfigurationError> {
         self.check_services()?;
         self.check_crashes()?;
+        self.check_limits()?;
         self.check_routes()
     }
 
+    fn check_limits(&self) -> Result<(), ConfigurationError> {
+        let LimitSettings { head_bytes, path_bytes, body_bytes: _, head_timeout_ms, idle_timeout_ms } =
+            self.limits;
+        check_range("limits.head_bytes".into(), head_bytes as f64, 1.0, LARGEST_HEAD, HEAD_RANGE)?;
+        check_range("limits.path_bytes".into(), path_bytes as f64, 1.0, LARGEST_HEAD, HEAD_RANGE)?;
+        check_span("limits.head_timeout_ms".into(), head_timeout_ms)?;
+        check_span("limits.idle_timeout_ms".into(), idle_timeout_ms)
+    }
+
     fn check_crashes(&self) -> Result<(), ConfigurationError> {
         let CrashSettings { limit, pause_ms, .. } = self.crashes;
         check_range("crashes.limit".into(), f64::from(limit), 3.0, 16.0, "3 to 16")?;
@@ -253,6 +281,9 @@
             check_range(key("queue_per_slot"), f64::from(service.queue_per_slot), 0.0, 1000.0, "0 to 1000")?;
             check_range(key("retry_ratio"), service.retry_ratio, 0.0, 1.0, "0 to 1")?;
             check_range(key("retry_burst"), service.retry_burst, 0.0, 10_000.0, "0 to 10000")?;
+            if service.connections == Some(0) {
+                return Err(out_of_range(key("connections"), 0, "1 to 4294967295"));
+            }
         }
         Ok(())
     }
@@ -267,6 +298,7 @@
                 return Err(ConfigurationError::DuplicateRoute { prefix: route.place() });
             }
             self.check_targets(route)?;
+            route.check_numbers()?;
         }
         Ok(())
     }
@@ -301,5 +333,13 @@
     if (low..=high).contains(&value) {
         return Ok(());
     }
-    Err(ConfigurationError::OutOfRange { key, value: value.to_string(), range })
+    Err(out_of_range(key, value, range))
+}
+
+fn check_span(key: String, milliseconds: u64) -> Result<(), ConfigurationError> {
+    check_range(key, milliseconds as f64, 1.0, LONGEST_SPAN_MS, SPAN_RANGE)
+}
+
+fn out_of_range(key: String, value: impl ToString, range: &'static str) -> ConfigurationError {
+    ConfigurationError::OutOfRange { key, value: value.to_string(), range }
 }
--- a/crates/seamhatch-policy/src/error.rs
+++ b/crates/seamhatch-policy/src/error.rs
@@ -82,6 +82,12 @@
         /// The other.
         second: String,
     },
+    /// Two services have one name.
+    #[error("two services have the name {name:?}; remove one")]
+    DuplicateService {
+        /// The name.
+        name: String,
+    },
     /// Two routes have one prefix.
     #[error("two routes have the prefix {prefix:?}; remove one")]
     DuplicateRoute {
--- a/crates/seamhatch-policy/src/program/decision.rs
+++ b/crates/seamhatch-policy/src/program/decision.rs
@@ -73,7 +73,7 @@
 
 /// A deadline within the route's time-out.
 pub(super) fn bounded_deadline(deadline: Microseconds, attributes: &RouteAttributes) -> Microseconds {
-    attributes.timeout_ms.map_or(deadline, |timeout| deadline.min(timeout * MILLISECOND))
+    attributes.timeout_ms.map_or(deadline, |timeout| deadline.min(timeout.saturating_mul(MILLISECOND)))
 }
 
 /// Whether a request may run more than once. `otherwise` decides where neither the route nor the policy does.
