A read that proves the configuration is repeated when its answer is late; its times are one rule with a checked sum

What callers saw: nothing shown. By reckoning, a change that only an own read brings was in force 2.8 s (lost SYN) to 3.1 s (lost answer) after its acknowledgement where one packet was lost, 3.4 s after trouble of the store, and a single refusal cost 1.2 s however short the pause; 2 and 3 s are allowed. Cause: the age at which a daemon reads, the read's time-out and the pauses were set beside each other, and nothing checked their sum. Change: the times are in one pure rule of the core; a read that isn't answered after 0.3 s is repeated on another connection while the first goes on; reads for a proof end after 0.7 s, pauses after 1.2 s; after a failure the pause alone decides.

--- a/crates/seamhatch-core/src/lib.rs
+++ b/crates/seamhatch-core/src/lib.rs
@@ -11,7 +11,7 @@
 //! | --- | --- |
 //! | Does this daemon still serve callers, and may its back end get calls? | [`drain`], [`intake`] |
 //! | When is a pipelined request read, started and answered? | [`pipeline`] |
-//! | May the tenant's key be trusted, or may the configuration be out of date? | [`freshness`] |
+//! | May the tenant's key be trusted, or may the configuration be out of date? | [`freshness`], [`proof_schedule`] |
 //! | Which priority does the request have? | [`priority`] |
 //! | What does the request cost at a service that sheds load? | [`chain_cost`] |
 //! | Would a service further down its chain of calls refuse it? | [`entry_floor`], from what [`service_floor`] reports |
@@ -60,6 +60,7 @@
 pub mod outcome;
 pub mod pipeline;
 pub mod priority;
+pub mod proof_schedule;
 pub mod quota;
 pub mod rate;
 pub mod refusal;
--- a/crates/seamhatchd/src/controllers/follow/freshness.rs
+++ b/crates/seamhatchd/src/controllers/follow/freshness.rs
@@ -7,42 +7,31 @@
 //! The daemons' heartbeats carry the proofs, so that few daemons have to ask: the first in an order that all members derive
 //! from the membership, and each later one only if it has received no recent proof by then. A daemon whose proof becomes too
 //! old opens a connection to its upstream member in that order. No daemon has to know which one is the first, and the next
-//! in the order replaces one that the store refuses or that is cut off from the others. [`crate::limits::freshness`] owns the
-//! proof.
+//! in the order replaces one that the store refuses or that is cut off from the others. [`seamhatch_core::proof_schedule`] decides
+//! when a read is due, and [`crate::limits::freshness`] owns the proof.
 
-use super::store_calls::{Backoff, call_store};
+use super::store_calls::call_store_within;
 use crate::base::clock;
 use crate::base::metrics::Metrics;
 use crate::control::{ConfigurationEvent, ConfigurationSource, ControlHandle};
 use crate::limits::SharedLimits;
-use crate::limits::freshness::Freshness;
 use crate::peer::PeerPool;
 use crate::ports::{DocumentFormat, FollowedStore};
 use crate::store::StoreError;
+use futures_util::FutureExt;
+use futures_util::future::select_ok;
 use log::debug;
-use seamhatch_core::Instant;
 use seamhatch_core::clock::{MILLISECOND, Microseconds};
 use seamhatch_core::freshness::FreshnessProof;
+use seamhatch_core::proof_schedule::{HEDGE_DELAY, POLL_INTERVAL, ProofSchedule, READ_TIMEOUT};
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Interval between two checks of the age of the proof.
-const POLL_INTERVAL: Duration = Duration::from_millis(100);
-/// Age of the proof in microseconds at which a daemon asks the store, by its rank; all further ranks use the last value.
-///
-/// A configuration must be in force 2 s after it was accepted: the last age leaves 0.7 s for the poll, the read and the
-/// compilation. A proof reaches a direct peer of the first daemon within the age at which the first one asks, a poll and a
-/// heartbeat: 0.9 s.
-const REFRESH_AGES: [Microseconds; 4] =
-    [400 * MILLISECOND, 1050 * MILLISECOND, 1150 * MILLISECOND, 1200 * MILLISECOND];
 /// Age of the proof in microseconds at which a daemon opens a connection to its upstream member: just above the age that a
 /// working connection allows.
 const CONNECT_AGE: Microseconds = 950 * MILLISECOND;
 /// Interval in microseconds between two attempts to connect to the upstream member.
 const CONNECT_INTERVAL: Microseconds = 500 * MILLISECOND;
-/// Number of first ranks that retry at short fixed pauses. After an outage the other daemons receive the proof from them.
-const FIXED_PAUSE_RANKS: usize = 3;
-
 /// Dependencies of the task that keeps the freshness proof recent.
 pub struct ProofKeeper {
     /// The store to ask.
@@ -62,45 +51,46 @@
 /// Keeps the proof recent until the process ends.
 pub async fn keep_proof_fresh(keeper: ProofKeeper) {
     let freshness = &keeper.limits.freshness;
-    let mut backoff = Backoff::default();
     // The watch starts with a read, which yields a proof.
-    let mut asked = clock::now();
+    let mut schedule = ProofSchedule::new(clock::now());
     let mut connected = clock::now();
     loop {
-        tokio::time::sleep(POLL_INTERVAL).await;
+        tokio::time::sleep(Duration::from_micros(POLL_INTERVAL)).await;
         let now = clock::now();
-        if is_older(freshness, CONNECT_AGE, now) && now.since(connected) >= CONNECT_INTERVAL {
+        let (age, rank) = (freshness.age(now), freshness.relay_position().rank);
+        if age.is_none_or(|age| age >= CONNECT_AGE) && now.since(connected) >= CONNECT_INTERVAL {
             connected = now;
             keeper.connect_upstream();
         }
-        if !is_due(freshness, asked, now) {
+        if !schedule.is_due(rank, age, now) {
             continue;
         }
-        asked = now;
-        match keeper.ask().await {
-            Ok(()) => backoff.succeeded(),
+        match hedged(|| keeper.ask()).await {
+            Ok(()) => schedule.answered(rank, now),
             Err(error) => {
                 keeper.metrics.store_failures.inc();
                 debug!(error = error.to_string().as_str(); "the store can't be asked whether the configuration is the newest");
-                if freshness.relay_position().rank < FIXED_PAUSE_RANKS {
-                    backoff.fixed_pause().await;
-                } else {
-                    backoff.pause().await;
-                }
+                schedule.failed(rank, clock::now(), rand::random());
             }
         }
     }
 }
 
-/// Whether both the proof and the last attempt to get one are too old. An attempt may yield no proof, for example if the
-/// store has no configuration.
-fn is_due(freshness: &Freshness, asked: Instant, now: Instant) -> bool {
-    let refresh_age = REFRESH_AGES[freshness.relay_position().rank.min(REFRESH_AGES.len() - 1)];
-    now.since(asked) >= refresh_age && is_older(freshness, refresh_age, now)
-}
-
-fn is_older(freshness: &Freshness, than: Microseconds, now: Instant) -> bool {
-    freshness.age(now).is_none_or(|age| age >= than)
+/// Makes a read, and repeats it if it is not answered within [`HEDGE_DELAY`]. Returns the first success, or the last failure.
+async fn hedged<T>(read: impl Fn() -> T) -> T::Output
+where
+    T: Future<Output = Result<(), StoreError>>,
+{
+    let first = read();
+    tokio::pin!(first);
+    tokio::select! {
+        biased;
+        result = &mut first => return result,
+        () = tokio::time::sleep(Duration::from_micros(HEDGE_DELAY)) => {}
+    }
+    let second = read();
+    tokio::pin!(second);
+    select_ok([first.left_future(), second.right_future()]).await.map(|(answer, _)| answer)
 }
 
 impl ProofKeeper {
@@ -115,7 +105,8 @@
     async fn ask(&self) -> Result<(), StoreError> {
         let sent = clock::now();
         let reading = self.followed.store.get(&self.followed.configuration_key);
-        let Some(item) = call_store(&self.metrics, reading).await?.found else { return Ok(()) };
+        let limit = Duration::from_micros(READ_TIMEOUT);
+        let Some(item) = call_store_within(limit, &self.metrics, reading).await?.found else { return Ok(()) };
         // The watch logs an unreadable configuration, which proves nothing.
         let Ok(stored) = self.documents.read(&item.value) else { return Ok(()) };
         let proof = FreshnessProof { generation: stored.generation, at: sent };
--- a/crates/seamhatchd/src/controllers/follow/store_calls.rs
+++ b/crates/seamhatchd/src/controllers/follow/store_calls.rs
@@ -23,7 +23,16 @@
     metrics: &Metrics,
     call: impl Future<Output = Result<T, StoreError>>,
 ) -> Result<T, StoreError> {
-    let answer = metrics.time_store_call(tokio::time::timeout(STORE_TIMEOUT, call)).await;
+    call_store_within(STORE_TIMEOUT, metrics, call).await
+}
+
+/// Like [`call_store`], with another time-out.
+pub(super) async fn call_store_within<T>(
+    limit: Duration,
+    metrics: &Metrics,
+    call: impl Future<Output = Result<T, StoreError>>,
+) -> Result<T, StoreError> {
+    let answer = metrics.time_store_call(tokio::time::timeout(limit, call)).await;
     answer.unwrap_or_else(|_| Err(StoreError::timed_out()))
 }
 
