Model: how soon a daemon that nobody helps learns of a configuration

The schedule that the daemon runs, a silent watch, no other daemon, and one lost packet at any moment or trouble of the store (refusals and silence) of up to 3 s: a change is in force within 2 s, and 3 s after trouble, for the ranks 0 to 3 and 500.

--- a/crates/seamhatch-core/src/proof_schedule.rs
+++ b/crates/seamhatch-core/src/proof_schedule.rs
@@ -32,7 +32,7 @@
 pub const LONGEST_PAUSE: Microseconds = MAX_PAUSE * 3 / 2;
 
 /// Decides when one daemon reads the store for a proof.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct ProofSchedule {
     next: Instant,
     failures: u32,
--- a/crates/seamhatch-model/src/lib.rs
+++ b/crates/seamhatch-model/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod departures;
 pub mod freshness;
 pub mod handover;
+pub mod learning;
 pub mod notices;
 pub mod quota_shards;
 pub mod retries;
