--- a/crates/seamhatch-policy/src/lib.rs
+++ b/crates/seamhatch-policy/src/lib.rs
@@ -5,6 +5,7 @@
 //! with, and [`StoredConfiguration`] is the form in the store and between daemons. The crate keeps no state and does
 //! no input or output. The daemon's controllers compile, its filters decide; the operators' client checks with it.
 
+mod checks;
 mod configuration;
 mod document;
 mod error;
