--- a/review/standin/deployment.rs
+++ b/review/standin/deployment.rs
@@ -338,6 +338,24 @@
             }
         });
     }
+
+    /// Ends the server's heartbeats.
+    pub fn stop_beating(&self) {
+        self.beats.lock().unwrap().running = false;
+    }
+
+    /// Says that the server leaves. Returns the status of the answer; 0 if there was none within a second.
+    pub fn goodbye(&self) -> u16 {
+        let (instance, ip) = (&self.server.instance, self.ip);
+        let request = format!("DELETE /v1/instances/{instance} HTTP/1.1\r\nHost: {ip}\r\n\r\n");
+        let answer = exchange(self.ip, CONTROL, request.as_bytes(), Duration::from_secs(1));
+        answer.map_or(0, |(head, _)| head.status())
+    }
+
+    /// Key of the daemon's record in the store.
+    pub fn record_key(&self) -> String {
+        format!("seamhatch/members/{}:{INNER}", self.ip)
+    }
 }
 
 /// The command of the deploy file's role.
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -4,8 +4,8 @@
 //! Exits with 1 if the rule of the case was broken, 0 if it held, and 2 if the case could not run. With `TROUBLE=0` in the
 //! environment it does the same without the disruption.
 
-mod chunks;
 mod client;
+mod departure;
 mod deployment;
 mod http;
 mod json;
@@ -42,9 +42,9 @@
     };
     let record = Record::new();
     let verdict = match case.as_str() {
+        "departure" => departure::run(&record),
         "memory" => memory::run(&record),
         "slots" => slots::run(&record),
-        "chunks" => chunks::run(&record),
         _ => Verdict::NotRun("there is no such case"),
     };
     record.note(format!("{verdict:?}"));
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -55,6 +55,13 @@
         changed.notify_all();
     }
 
+    /// What it holds under a key.
+    pub fn text(&self, key: &str) -> String {
+        let state = self.state.0.lock().unwrap();
+        let value = state.items.get(key).map(|item| from_base64(&item.value)).unwrap_or_default();
+        String::from_utf8_lossy(&value).into_owned()
+    }
+
     fn serve(&self, mut wire: Wire) {
         while let Ok(Some(head)) = wire.read_head() {
             let Ok(body) = wire.read_body(&head, false) else { return };
@@ -207,3 +214,21 @@
     }
     text
 }
+
+/// Reads standard base64.
+fn from_base64(text: &str) -> Vec<u8> {
+    let value = |sign: u8| match sign {
+        b'A'..=b'Z' => u32::from(sign - b'A'),
+        b'a'..=b'z' => u32::from(sign - b'a') + 26,
+        b'0'..=b'9' => u32::from(sign - b'0') + 52,
+        b'+' => 62,
+        _ => 63,
+    };
+    let mut bytes = Vec::new();
+    for four in text.trim_end_matches('=').as_bytes().chunks(4) {
+        let number =
+            four.iter().fold(0u32, |number, sign| number << 6 | value(*sign)) << (6 * (4 - four.len()));
+        bytes.extend_from_slice(&number.to_be_bytes()[1..four.len()]);
+    }
+    bytes
+}
