Test of a trace waits for the lines of all daemons

The test waited for one line of the trace, traced again and missed the line of another daemon, which had answered and not yet written its log.

--- a/crates/seamhatch-lab/tests/soak_logs.rs
+++ b/crates/seamhatch-lab/tests/soak_logs.rs
@@ -27,12 +27,20 @@
             command.args(["client", "trace", "soak-7"]).args(logs).output().expect("the client starts");
         String::from_utf8_lossy(&output.stdout).into_owned()
     };
-    // Daemons answer first and write their logs shortly after.
-    eventually("the request is traced", async || trace().contains("cause: answered with status 200")).await;
-    let told = trace();
-    let told_of =
-        ["soak-7 request answered", "soak-7.evidence call ran", "soak-7.evidence.fieldbook call ran"];
-    for part in told_of {
-        assert!(told.contains(part), "{part} is not in\n{told}");
-    }
+    let parts = [
+        "cause: answered with status 200",
+        "soak-7 request answered",
+        "soak-7.evidence call ran",
+        "soak-7.evidence.fieldbook call ran",
+    ];
+    // Each daemon answers first and writes its log shortly after, so the lines of several daemons come in any order.
+    eventually("the request is traced", async || {
+        let told = trace();
+        let missing: Vec<&str> = parts.into_iter().filter(|part| !told.contains(part)).collect();
+        if !missing.is_empty() {
+            println!("not yet traced: {missing:?}");
+        }
+        missing.is_empty()
+    })
+    .await;
 }
