The log says who recorded a departure, and after how long

The line has recorded_by (store, daemon, nobody) and waited_ms in place of remembered. No logic changes.

--- a/crates/seamhatchd/src/controllers/control_thread/departures.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/departures.rs
@@ -8,7 +8,7 @@
 use super::ControlThread;
 use crate::base::clock;
 use crate::control::{InstanceAnswer, InstanceEvent};
-use crate::controllers::follow::{ask_departures, remember_departure};
+use crate::controllers::follow::{DepartureRecorder, ask_departures, remember_departure};
 use log::{info, warn};
 use seamhatch_core::Instant;
 use seamhatch_core::clock::{MILLISECOND, Microseconds};
@@ -158,14 +158,19 @@
         tokio::spawn(async move {
             let (pool, metrics) = (shared.pool.clone(), shared.metrics.clone());
             let gossip = shared.settings.advertise.gossip;
-            let remembered =
-                remember_departure(pool, metrics, followed, gossip, instance.clone(), peers).await;
-            info!(instance = instance.name.as_str(), remembered = remembered; "departure of an instance");
-            let answer = if remembered {
-                shared.control.send(InstanceEvent::DepartureRemembered(instance));
-                InstanceAnswer::Acknowledged
-            } else {
-                InstanceAnswer::NotRemembered
+            let begun = clock::now();
+            let recorder = remember_departure(pool, metrics, followed, gossip, instance.clone(), peers).await;
+            let waited_ms = clock::now().since(begun) / MILLISECOND;
+            info!(
+                instance = instance.name.as_str(), recorded_by = recorder.name(), waited_ms = waited_ms;
+                "departure of an instance"
+            );
+            let answer = match recorder {
+                DepartureRecorder::Nobody => InstanceAnswer::NotRemembered,
+                DepartureRecorder::Store | DepartureRecorder::Daemon => {
+                    shared.control.send(InstanceEvent::DepartureRemembered(instance));
+                    InstanceAnswer::Acknowledged
+                }
             };
             // Fails if the back end has disconnected.
             let _ = reply.send(answer);
--- a/crates/seamhatchd/src/controllers/follow/departures.rs
+++ b/crates/seamhatchd/src/controllers/follow/departures.rs
@@ -24,8 +24,31 @@
 /// this time.
 const HOLDER_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Records in the store and at `peers` that an instance of this daemon's back end has departed. Returns true if the store or
-/// at least one peer did so within [`REMEMBER_TIMEOUT`]. The write to the store is retried beyond that.
+/// Who recorded a departure first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DepartureRecorder {
+    /// The store.
+    Store,
+    /// Another daemon, in its memory.
+    Daemon,
+    /// Neither in time.
+    Nobody,
+}
+
+impl DepartureRecorder {
+    /// Name of the recorder in logs.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Store => "store",
+            Self::Daemon => "daemon",
+            Self::Nobody => "nobody",
+        }
+    }
+}
+
+/// Records in the store and at `peers` that an instance of this daemon's back end has departed. Returns who did so first
+/// within [`REMEMBER_TIMEOUT`]. The write to the store is retried beyond that.
 ///
 /// `gossip` is this daemon's gossip address.
 pub async fn remember_departure(
@@ -35,7 +58,7 @@
     gossip: Address,
     instance: InstanceId,
     peers: Vec<Address>,
-) -> bool {
+) -> DepartureRecorder {
     let (done, written) = oneshot::channel();
     tokio::spawn(write_until_done(metrics, followed, gossip, instance.clone(), done));
     let stored = tokio::time::timeout(REMEMBER_TIMEOUT, written);
@@ -43,8 +66,16 @@
     tokio::pin!(stored, held);
     // The first success suffices; after a failure the other result decides. A time-out counts as a failure.
     tokio::select! {
-        done = &mut stored => matches!(done, Ok(Ok(()))) || held.await.unwrap_or(false),
-        done = &mut held => done.unwrap_or(false) || matches!(stored.await, Ok(Ok(()))),
+        done = &mut stored => match done {
+            Ok(Ok(())) => DepartureRecorder::Store,
+            _ if held.await.unwrap_or(false) => DepartureRecorder::Daemon,
+            _ => DepartureRecorder::Nobody,
+        },
+        done = &mut held => match done {
+            Ok(true) => DepartureRecorder::Daemon,
+            _ if matches!(stored.await, Ok(Ok(()))) => DepartureRecorder::Store,
+            _ => DepartureRecorder::Nobody,
+        },
     }
 }
 
