A departure is acknowledged once the store has it

Cause: the first of two ended the wait, the write to the store or one other daemon that held the departure in its memory. The daemon answered within 2 ms, the store needed two calls of 4 ms, so the acknowledgement rested on memory that the same kill takes. Shown by the log (recorded_by daemon, waited_ms 0) and by the record in the store, which was empty. Ruled out: a record that is replaced, a start that does not wait for the store.

Change: only the store ends the wait. Other daemons still hold a departure, for a restart while the store is out. With the store out nothing is acknowledged, and the server says it again. A daemon knows its record and revision from its registration on, so a departure takes one store call in place of two. One write runs for a departure, however often it is told. Departures read at the start count as recorded.

The model has a loss of all daemons, and finds the old logic (AcknowledgedByHolder).

--- a/crates/seamhatch-model/src/departures.rs
+++ b/crates/seamhatch-model/src/departures.rs
@@ -1,8 +1,9 @@
-//! Departures of back end instances through restarts of the daemon beside them, late heartbeats and
-//! late writes: an instance whose departure was acknowledged never takes work again.
+//! Departures of back end instances through restarts of the daemon beside them, losses of all
+//! daemons, late heartbeats and late writes: an instance whose departure was acknowledged never takes
+//! work again, and neither does one whose departure another daemon holds.
 //!
-//! Bounds: two instances, one after the other; one daemon that holds departures and is not lost; the
-//! store and the holder answer a starting daemon within its patience.
+//! Bounds: two instances, one after the other; one daemon that holds departures; the store and the
+//! holder answer a starting daemon within its patience.
 
 use crate::search::{Model, SearchResult, Step, action, search};
 use seamhatch_core::Instant;
@@ -17,6 +18,8 @@
     None,
     /// A departure is acknowledged before anybody else has noted it.
     AcknowledgedAtOnce,
+    /// A departure is acknowledged once another daemon holds it.
+    AcknowledgedByHolder,
     /// The store's word alone settles what departed before a start.
     StoreAlone,
     /// A write replaces the record, whatever lies there.
@@ -28,7 +31,7 @@
 /// Bounds of a search.
 #[derive(Debug, Clone, Copy)]
 pub struct DeparturesModel {
-    /// Restarts of the daemon.
+    /// Restarts of the daemon, alone or together with the holder.
     pub restarts: u8,
     /// Heartbeats in which each instance says that it is ready.
     pub heartbeats: u64,
@@ -118,9 +121,11 @@
     }
 
     fn violation(&self, state: &DeparturesState) -> Option<&'static str> {
-        let open = state.daemon.registry.open()?;
-        let gone = state.acknowledged[instance_number(&open.id)];
-        gone.then_some("an instance whose departure was acknowledged takes work")
+        let open = instance_number(&state.daemon.registry.open()?.id);
+        if state.acknowledged[open] {
+            return Some("an instance whose departure was acknowledged takes work");
+        }
+        state.held.contains(&open).then_some("an instance whose departure another daemon holds takes work")
     }
 }
 
@@ -188,7 +193,7 @@
         for &instance in &state.daemon.pending {
             Step::add(steps, state, action("the holder notes instance", instance, 0), |next| {
                 next.held.insert(instance);
-                next.acknowledged[instance] = true;
+                next.acknowledged[instance] |= self.fault == DeparturesFault::AcknowledgedByHolder;
             });
             let in_flight = |write: &StoreWrite| {
                 write.instance == instance && write.incarnation == state.daemon.incarnation
@@ -227,9 +232,10 @@
 
     fn start_steps(&self, state: &DeparturesState, steps: &mut Steps) {
         if state.daemon.incarnation < self.restarts {
-            Step::add(steps, state, action("the daemon restarts", 0, 0), |next| {
-                next.daemon =
-                    DaemonState { incarnation: next.daemon.incarnation + 1, ..DaemonState::default() };
+            Step::add(steps, state, action("the daemon restarts", 0, 0), DeparturesState::restart);
+            Step::add(steps, state, action("all daemons restart", 0, 0), |next| {
+                next.restart();
+                next.held.clear();
             });
         }
         if state.daemon.settled {
@@ -267,6 +273,11 @@
         self.messages.insert(Heartbeat { instance, sequence, state, slots: 1, cold_for: 0 });
     }
 
+    /// Replaces the daemon by its next incarnation, which knows nothing.
+    fn restart(&mut self) {
+        self.daemon = DaemonState { incarnation: self.daemon.incarnation + 1, ..DaemonState::default() };
+    }
+
     fn land(&mut self, index: usize) {
         let write = self.writes.remove(index);
         if write.expected.is_some_and(|expected| expected != self.revision) {
--- a/crates/seamhatch-model/tests/departures.rs
+++ b/crates/seamhatch-model/tests/departures.rs
@@ -1,4 +1,4 @@
-//! Departures: acknowledged ones hold through restarts, and each seeded fault is found.
+//! Departures: acknowledged ones hold through restarts and losses of all daemons, and each seeded fault is found.
 
 mod common;
 
@@ -17,7 +17,7 @@
 }
 
 #[test]
-fn an_acknowledged_departure_holds_through_restarts() {
+fn an_acknowledged_departure_holds_through_restarts_and_losses_of_all_daemons() {
     for (restarts, heartbeats) in BOUNDS {
         let model = DeparturesModel { restarts, heartbeats, fault: DeparturesFault::None };
         assert_holds(model, &model.search(LIMIT));
@@ -28,6 +28,7 @@
 fn each_seeded_fault_is_found() {
     let cases = [
         FaultCase { fault: DeparturesFault::AcknowledgedAtOnce, restarts: 1 },
+        FaultCase { fault: DeparturesFault::AcknowledgedByHolder, restarts: 1 },
         FaultCase { fault: DeparturesFault::StoreAlone, restarts: 1 },
         FaultCase { fault: DeparturesFault::TrustedAtOnce, restarts: 1 },
         FaultCase { fault: DeparturesFault::ReplacedRecord, restarts: 2 },
--- a/crates/seamhatchd/src/base/metrics.rs
+++ b/crates/seamhatchd/src/base/metrics.rs
@@ -44,6 +44,12 @@
     kind: &'static str,
 }
 
+/// A single label that says whether the store had recorded something.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RecordedLabel {
+    recorded: &'static str,
+}
+
 /// A single label that names a cause.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct CauseLabel {
@@ -161,6 +167,7 @@
     bad_input: Family<KindLabel, Counter>,
     backend_connections: Family<CauseLabel, Counter>,
     outdated_decisions: Family<CauseLabel, Counter>,
+    departure_answers: Family<RecordedLabel, Counter>,
     request_seconds: Family<EndLabels, Histogram>,
     /// Dispatches that consumed a retry token.
     pub retries: Counter,
@@ -168,6 +175,8 @@
     pub backend_seconds: Histogram,
     /// Time that the store took to answer, excluding watches, in seconds.
     pub store_seconds: Histogram,
+    /// Time until the store had recorded a departure of the back end, or the attempts had failed, in seconds.
+    pub departure_seconds: Histogram,
     /// Time that calls waited for a slot, in seconds.
     pub queue_seconds: Histogram,
     /// Crashes of the back end.
@@ -278,6 +287,12 @@
                 "Requests decided by a configuration that may be outdated, by cause",
                 Family::default(),
             ),
+            departure_answers: register(
+                to,
+                "departure_answers",
+                "Answers to a back end that leaves, by whether the store had recorded it in time",
+                Family::default(),
+            ),
             retries: counter(to, "retries", "Dispatches that cost a retry token"),
             request_seconds: register(
                 to,
@@ -287,6 +302,7 @@
             ),
             backend_seconds: latency(to, "backend_seconds", "Time the back end took"),
             store_seconds: latency(to, "store_seconds", "Time the key-value service took"),
+            departure_seconds: latency(to, "departure_seconds", "Time until a departure was recorded"),
             queue_seconds: latency(to, "queue_seconds", "Wait for a slot"),
             crashes: counter(to, "crashes", "Crashes of the back end"),
             crashed_calls: counter(to, "crashed_calls", "Calls that ran on the back end when it crashed"),
@@ -394,6 +410,12 @@
         self.backend_connections.get_or_create(&CauseLabel { cause: cause.name() }).inc();
     }
 
+    /// Counts an answer to a back end that leaves. An answer is an acknowledgement only if the store has recorded the departure.
+    pub fn departure_answered(&self, is_recorded: bool) {
+        let labels = RecordedLabel { recorded: if is_recorded { "yes" } else { "no" } };
+        self.departure_answers.get_or_create(&labels).inc();
+    }
+
     /// Counts a request that a configuration decides which may be outdated.
     pub fn outdated_decision(&self, cause: OutdatedCause) {
         self.outdated_decisions.get_or_create(&CauseLabel { cause: cause.name() }).inc();
--- a/crates/seamhatchd/src/control/events.rs
+++ b/crates/seamhatchd/src/control/events.rs
@@ -71,8 +71,13 @@
     LeftUnnamed,
     /// The instance could not be reached, or another instance answered in its place.
     Lost(InstanceId, Reason),
-    /// The store or another daemon has recorded the departure of the instance.
-    DepartureRemembered(InstanceId),
+    /// The attempts to record a departure in the store have ended.
+    DepartureWritten {
+        /// The departed instance.
+        instance: InstanceId,
+        /// Whether the store has recorded it.
+        recorded: bool,
+    },
     /// Instances that departed before this daemon started, and who reported them.
     DeparturesLearned(DepartureSource, Vec<InstanceId>),
     /// None of the daemons that may hold departures answered.
@@ -82,10 +87,10 @@
 /// Reply to a message of a back end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum InstanceAnswer {
-    /// The message took effect and, where necessary, was recorded elsewhere.
+    /// The message took effect and, where necessary, was recorded in the store.
     Acknowledged,
-    /// The departure took effect here, but neither the store nor another daemon has recorded it yet.
-    NotRemembered,
+    /// The departure took effect here, but the store has not recorded it yet.
+    NotRecorded,
 }
 
 /// Concerns requests that were running when servers crashed.
--- a/crates/seamhatchd/src/control/handle.rs
+++ b/crates/seamhatchd/src/control/handle.rs
@@ -136,18 +136,18 @@
         async { receiver.await.unwrap_or(ControlReply::Declined) }
     }
 
-    /// Forwards a heartbeat of the back end; the answer is `NotRemembered` when the control thread has ended.
+    /// Forwards a heartbeat of the back end; the answer is `NotRecorded` when the control thread has ended.
     pub async fn heartbeat(&self, heartbeat: Heartbeat) -> InstanceAnswer {
         let (sender, receiver) = oneshot::channel();
         self.send(InstanceEvent::Heartbeat(heartbeat, sender));
-        receiver.await.unwrap_or(InstanceAnswer::NotRemembered)
+        receiver.await.unwrap_or(InstanceAnswer::NotRecorded)
     }
 
-    /// Forwards the deregistration of a back-end instance; the answer is `NotRemembered` when the control thread has ended.
+    /// Forwards the deregistration of a back-end instance; the answer is `NotRecorded` when the control thread has ended.
     pub async fn instance_departs(&self, instance: InstanceId) -> InstanceAnswer {
         let (sender, receiver) = oneshot::channel();
         self.send(InstanceEvent::Departs(instance, sender));
-        receiver.await.unwrap_or(InstanceAnswer::NotRemembered)
+        receiver.await.unwrap_or(InstanceAnswer::NotRecorded)
     }
 
     /// Reports that a back-end instance could not be reached.
--- a/crates/seamhatchd/src/controllers/control_thread/departures.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/departures.rs
@@ -2,13 +2,15 @@
 //! heartbeat.
 //!
 //! A daemon may restart and then receive a late heartbeat of an instance that has departed. A departure is therefore
-//! acknowledged only after the store or another daemon has recorded it, and a starting daemon asks both.
-//! [`seamhatch_core::departure`] decides when enough answers have arrived; [`Departures`] holds the known departures.
+//! acknowledged only after the store has recorded it, which a kill of all daemons does not undo. Other daemons hold it as well,
+//! and a starting daemon asks both. [`seamhatch_core::departure`] decides when enough answers have arrived; [`Departures`]
+//! holds the known departures.
 
 use super::ControlThread;
 use crate::base::clock;
+use crate::base::metrics::seconds;
 use crate::control::{InstanceAnswer, InstanceEvent};
-use crate::controllers::follow::{DepartureRecorder, ask_departures, remember_departure};
+use crate::controllers::follow::{OwnRecord, ask_departures, ask_to_hold, record_departure};
 use log::{info, warn};
 use seamhatch_core::Instant;
 use seamhatch_core::clock::{MILLISECOND, Microseconds};
@@ -19,8 +21,13 @@
 use seamhatch_core::rendezvous;
 use seamhatch_wire::ControlReply;
 use std::collections::{HashMap, HashSet};
-use tokio::sync::oneshot;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{oneshot, watch};
 
+/// Maximum wait of a back end for the store to record its departure. The users' platform treats an acknowledgement after 1 s
+/// as missing; the remaining 0.2 s are for its delivery.
+const RECORD_TIMEOUT: Duration = Duration::from_millis(800);
 /// Interval between two queries to other daemons about departures.
 const DEPARTURE_POLL_INTERVAL: Microseconds = 250 * MILLISECOND;
 /// Number of daemons asked to hold a departure. One is enough; the others cover daemons that restart or are unreachable.
@@ -43,8 +50,12 @@
     pub(super) early_heartbeat: Option<Heartbeat>,
     /// Departures held on behalf of other daemons, by their gossip address.
     held: HashMap<Address, Vec<InstanceId>>,
-    /// Instances whose departure the store or another daemon has recorded.
-    remembered: HashSet<InstanceId>,
+    /// This daemon's record in the store, if one is followed.
+    pub(super) own_record: Option<Arc<OwnRecord>>,
+    /// Instances whose departure the store has recorded.
+    recorded: HashSet<InstanceId>,
+    /// Departures that are being written to the store. A receiver turns true once the store has recorded it.
+    writes: HashMap<InstanceId, watch::Receiver<bool>>,
 }
 
 impl ControlThread {
@@ -55,6 +66,9 @@
         }
         self.departures.inquiry.note_answer(source);
         info!(source:? = source, instances = instances.len(); "received departures from before this start");
+        if source == DepartureSource::Store {
+            instances.iter().for_each(|instance| self.departures.note_recorded(instance.clone()));
+        }
         if self.shared.server.instances.depart(instances) {
             warn!("the registered instance had departed before this daemon started");
             self.availability_changed();
@@ -145,43 +159,83 @@
         ControlReply::Departures(self.departures.held.get(&member).cloned().unwrap_or_default())
     }
 
-    /// Answers the back end after the store or another daemon has recorded that an instance takes no more work.
-    pub(super) fn remember(&self, instance: InstanceId, reply: oneshot::Sender<InstanceAnswer>) {
-        let is_known = self.departures.remembered.contains(&instance);
-        let Some(followed) = self.followed().filter(|_| !is_known).cloned() else {
+    /// Answers the back end after the store has recorded that an instance takes no more work, or with
+    /// [`InstanceAnswer::NotRecorded`] after [`RECORD_TIMEOUT`]. The attempts to record it go on beyond that.
+    pub(super) fn acknowledge_departure(
+        &mut self,
+        instance: InstanceId,
+        reply: oneshot::Sender<InstanceAnswer>,
+    ) {
+        let metrics = self.shared.metrics.clone();
+        let Some(mut recorded) = self.record_departure(instance) else {
             // Fails if the back end has disconnected.
             let _ = reply.send(InstanceAnswer::Acknowledged);
             return;
         };
-        let peers = self.departure_peers(DEPARTURE_HOLDERS);
-        let shared = self.shared.clone();
         tokio::spawn(async move {
-            let (pool, metrics) = (shared.pool.clone(), shared.metrics.clone());
-            let gossip = shared.settings.advertise.gossip;
+            let waited = tokio::time::timeout(RECORD_TIMEOUT, recorded.wait_for(|recorded| *recorded)).await;
+            let is_recorded = matches!(waited, Ok(Ok(_)));
+            metrics.departure_answered(is_recorded);
+            let answer = if is_recorded { InstanceAnswer::Acknowledged } else { InstanceAnswer::NotRecorded };
+            // Fails if the back end has disconnected.
+            let _ = reply.send(answer);
+        });
+    }
+
+    /// Starts to record a departure unless that is under way. The receiver turns true once the store has recorded it, and
+    /// closes if that failed; none if the store already has it, or if no store is followed.
+    fn record_departure(&mut self, instance: InstanceId) -> Option<watch::Receiver<bool>> {
+        let own_record = self.departures.own_record.clone()?;
+        if self.departures.recorded.contains(&instance) {
+            return None;
+        }
+        if let Some(write) = self.departures.writes.get(&instance) {
+            return Some(write.clone());
+        }
+        let (sender, receiver) = watch::channel(false);
+        if self.departures.writes.len() >= REMEMBERED_DEPARTURES {
+            // The receiver is closed: the departure counts as not recorded, and is recorded when the back end repeats it.
+            return Some(receiver);
+        }
+        self.departures.writes.insert(instance.clone(), receiver.clone());
+        self.ask_to_hold(instance.clone());
+        let (metrics, control) = (self.shared.metrics.clone(), self.shared.control.clone());
+        tokio::spawn(async move {
             let begun = clock::now();
-            let recorder = remember_departure(pool, metrics, followed, gossip, instance.clone(), peers).await;
-            let waited_ms = clock::now().since(begun) / MILLISECOND;
+            let recorded = record_departure(&own_record, &instance).await;
+            let took = clock::now().since(begun);
+            metrics.departure_seconds.observe(seconds(took));
             info!(
-                instance = instance.name.as_str(), recorded_by = recorder.name(), waited_ms = waited_ms;
+                instance = instance.name.as_str(), recorded = recorded, took_ms = took / MILLISECOND;
                 "departure of an instance"
             );
-            let answer = match recorder {
-                DepartureRecorder::Nobody => InstanceAnswer::NotRemembered,
-                DepartureRecorder::Store | DepartureRecorder::Daemon => {
-                    shared.control.send(InstanceEvent::DepartureRemembered(instance));
-                    InstanceAnswer::Acknowledged
-                }
-            };
-            // Fails if the back end has disconnected.
-            let _ = reply.send(answer);
+            sender.send_replace(recorded);
+            control.send(InstanceEvent::DepartureWritten { instance, recorded });
         });
+        Some(receiver)
+    }
+
+    /// Asks other daemons to hold a departure, for a restart of this one while the store is out.
+    fn ask_to_hold(&self, instance: InstanceId) {
+        let gossip = self.shared.settings.advertise.gossip;
+        let peers = self.departure_peers(DEPARTURE_HOLDERS);
+        tokio::spawn(ask_to_hold(self.shared.pool.clone(), gossip, instance, peers));
     }
 
-    pub(super) fn departure_remembered(&mut self, instance: InstanceId) {
-        if self.departures.remembered.len() >= REMEMBERED_DEPARTURES {
+    pub(super) fn departure_written(&mut self, instance: InstanceId, is_recorded: bool) {
+        self.departures.writes.remove(&instance);
+        if is_recorded {
+            self.departures.note_recorded(instance);
+        }
+    }
+}
+
+impl Departures {
+    fn note_recorded(&mut self, instance: InstanceId) {
+        if self.recorded.len() >= REMEMBERED_DEPARTURES {
             // The set only avoids repeated writes: a departure removed here is recorded again on the next request.
-            self.departures.remembered.clear();
+            self.recorded.clear();
         }
-        self.departures.remembered.insert(instance);
+        self.recorded.insert(instance);
     }
 }
--- a/crates/seamhatchd/src/controllers/control_thread/followed.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/followed.rs
@@ -9,7 +9,8 @@
 use crate::control::{ConfigurationEvent, ConfigurationSource};
 use crate::controllers::ask::ask_generation;
 use crate::controllers::follow::{
-    ProofKeeper, ShardKeeper, ShardOwner, discover, follow_configuration, keep_proof_fresh, keep_quota_shards,
+    OwnRecord, ProofKeeper, ShardKeeper, ShardOwner, discover, follow_configuration, keep_proof_fresh,
+    keep_quota_shards,
 };
 use crate::limits::freshness::ProofRelayPosition;
 use crate::ports::{Backing, FollowedStore};
@@ -22,6 +23,7 @@
 use seamhatch_core::rendezvous;
 use seamhatch_wire::ControlReply;
 use std::cmp::Reverse;
+use std::sync::Arc;
 
 /// Delay before a generation reported by peers is requested from a peer, to let the watch of the store deliver it first.
 const PULL_DELAY: Microseconds = 300 * MILLISECOND;
@@ -93,8 +95,10 @@
             metrics.clone(),
         );
         tokio::spawn(keep_quota_shards(keeper));
-        self.start_keeping_evidence(followed.clone());
-        tokio::spawn(discover(followed, gossip, control, metrics));
+        let own_record = Arc::new(OwnRecord::new(followed.clone(), gossip, metrics.clone()));
+        self.departures.own_record = Some(own_record.clone());
+        self.start_keeping_evidence(own_record.clone());
+        tokio::spawn(discover(own_record, followed, gossip, control, metrics));
     }
 
     /// This daemon's identity as a holder of shards.
--- a/crates/seamhatchd/src/controllers/control_thread/instances.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/instances.rs
@@ -34,7 +34,9 @@
             InstanceEvent::LeftUnnamed => self.left_unnamed(),
             InstanceEvent::Lost(instance, Reason::OtherInstance) => self.refute_instance(&instance),
             InstanceEvent::Lost(instance, reason) => self.lost_instance(&instance, reason.name()),
-            InstanceEvent::DepartureRemembered(instance) => self.departure_remembered(instance),
+            InstanceEvent::DepartureWritten { instance, recorded } => {
+                self.departure_written(instance, recorded);
+            }
             InstanceEvent::DeparturesLearned(source, instances) => {
                 self.departures_learned(source, &instances);
             }
@@ -42,12 +44,13 @@
         }
     }
 
-    /// Applies a heartbeat of the back end. A heartbeat that reports draining is answered after the departure is recorded.
+    /// Applies a heartbeat of the back end. A heartbeat that reports draining is answered after the store has recorded the
+    /// departure.
     fn heartbeat(&mut self, heartbeat: Heartbeat, reply: oneshot::Sender<InstanceAnswer>) {
         let instance = self.shared.server.instances.resolve(heartbeat.instance.clone());
         if heartbeat.state == InstanceState::Draining {
             self.apply_heartbeat(heartbeat);
-            return self.remember(instance, reply);
+            return self.acknowledge_departure(instance, reply);
         }
         if self.departures.settled || self.followed().is_none() {
             self.apply_heartbeat(heartbeat);
@@ -118,7 +121,7 @@
             info!(instance = instance.name.as_str(); "instance closed: it announced its departure");
             self.availability_changed();
         }
-        self.remember(instance, reply);
+        self.acknowledge_departure(instance, reply);
     }
 
     /// Handles an answer in which the back end reported that it is leaving; its instance is already closed. No caller waits
@@ -128,7 +131,7 @@
         info!(instance = name; "instance closed: its answers report that it is leaving");
         self.availability_changed();
         match instance {
-            Some(instance) => self.remember(instance, oneshot::channel().0),
+            Some(instance) => self.acknowledge_departure(instance, oneshot::channel().0),
             None => self.wait_for_unnamed_exit(),
         }
     }
--- a/crates/seamhatchd/src/controllers/control_thread/suspects.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/suspects.rs
@@ -7,12 +7,12 @@
 
 use super::ControlThread;
 use crate::base::clock;
-use crate::controllers::follow::{EvidenceKeeper, EvidenceUpdate, keep_evidence};
-use crate::ports::FollowedStore;
+use crate::controllers::follow::{EvidenceKeeper, EvidenceUpdate, OwnRecord, keep_evidence};
 use seamhatch_core::Instant;
 use seamhatch_core::clock::{MILLISECOND, Microseconds, SECOND};
 use seamhatch_core::identity::RequestDigest;
 use seamhatch_core::membership::{GossipBody, GossipMessage, SUSPECTS_PER_MESSAGE};
+use std::sync::Arc;
 use tokio::sync::mpsc;
 
 /// Delay before an update is sent a second time. The cause of a loss on the link may be over by then.
@@ -46,13 +46,12 @@
         }
     }
 
-    /// Starts the task that keeps evidence in the followed store.
-    pub(super) fn start_keeping_evidence(&mut self, followed: FollowedStore) {
+    /// Starts the task that keeps evidence in this daemon's record in the followed store.
+    pub(super) fn start_keeping_evidence(&mut self, own_record: Arc<OwnRecord>) {
         let (sender, updates) = mpsc::unbounded_channel();
         self.suspect_updates.keeper = Some(sender);
-        let gossip = self.shared.settings.advertise.gossip;
         let (suspects, metrics) = (self.shared.suspects.clone(), self.shared.metrics.clone());
-        tokio::spawn(keep_evidence(EvidenceKeeper::new(followed, gossip, suspects, metrics, updates)));
+        tokio::spawn(keep_evidence(EvidenceKeeper::new(own_record, suspects, metrics, updates)));
     }
 
     /// Sends the updates whose resend is due, and removes expired records.
--- a/crates/seamhatchd/src/controllers/follow/discovery.rs
+++ b/crates/seamhatchd/src/controllers/follow/discovery.rs
@@ -3,19 +3,22 @@
 //! Each daemon has one key, whose value is its [`DaemonRecord`]. It writes its own key before it reads all others, so that of
 //! two daemons starting together at least one sees the other.
 
+use super::own_record::OwnRecord;
 use super::store_calls::{Backoff, call_store};
 use crate::base::clock::unix_milliseconds;
 use crate::base::metrics::Metrics;
 use crate::control::{ControlHandle, Discovery, InstanceEvent, MemberEvent};
 use crate::ports::FollowedStore;
-use crate::store::{DaemonRecord, Page, Revision, ShardRecord, StoreError, Write, WriteOutcome};
+use crate::store::{DaemonRecord, Page, ShardRecord, StoreError};
 use log::warn;
-use seamhatch_core::departure::{DepartureRecord, DepartureSource};
+use seamhatch_core::departure::DepartureSource;
 use seamhatch_core::identity::Address;
 use std::sync::Arc;
 
-/// Registers this daemon, then reads the records of all daemons. Retries each step until it succeeds.
+/// Registers this daemon, then reads the records of all daemons. Retries each step until it succeeds. `gossip` is this
+/// daemon's gossip address.
 pub async fn discover(
+    own_record: Arc<OwnRecord>,
     followed: FollowedStore,
     gossip: Address,
     control: ControlHandle,
@@ -23,7 +26,7 @@
 ) {
     let mut backoff = Backoff::default();
     let own_departures = loop {
-        match register(&followed, gossip, &metrics).await {
+        match own_record.register().await {
             Ok(departures) => break departures,
             Err(error) => {
                 metrics.store_failures.inc();
@@ -46,28 +49,6 @@
     }
 }
 
-/// Creates this daemon's record unless an earlier incarnation has done so. Returns the departures in the record.
-async fn register(
-    followed: &FollowedStore,
-    gossip: Address,
-    metrics: &Metrics,
-) -> Result<DepartureRecord, StoreError> {
-    let key = DaemonRecord::key(&followed.member_prefix, gossip);
-    let write = Write {
-        expect: vec![(key.clone(), Revision(0))],
-        put: vec![(key, DaemonRecord::default().to_bytes())],
-        ..Write::default()
-    };
-    match call_store(metrics, followed.store.write(&write)).await? {
-        WriteOutcome::Done(_) => Ok(DepartureRecord::default()),
-        WriteOutcome::Refused(items) => {
-            // A store that refuses a write returns the existing item; without one there are no departures.
-            let own = items.first().map(|item| DaemonRecord::read(item).departures);
-            Ok(own.unwrap_or_default())
-        }
-    }
-}
-
 async fn read_records(
     followed: &FollowedStore,
     gossip: Address,
--- a/crates/seamhatchd/src/controllers/follow/evidence.rs
+++ b/crates/seamhatchd/src/controllers/follow/evidence.rs
@@ -6,15 +6,15 @@
 //! from an older copy, and whether the request has been cleared. [`SuspectRegistry`] owns the evidence; this task owns only
 //! the set of recorded requests.
 
-use super::store_calls::{Backoff, STORE_TIMEOUT};
+use super::own_record::{OwnRecord, RecordChange};
+use super::store_calls::Backoff;
 use crate::base::clock::unix_milliseconds;
 use crate::base::metrics::Metrics;
-use crate::ports::FollowedStore;
 use crate::server::crashes::SuspectRegistry;
-use crate::store::{DaemonRecord, Revision, StoreError, Write, WriteOutcome};
+use crate::store::{DaemonRecord, StoreError};
 use log::{debug, info};
 use seamhatch_core::crashes::{CondemnedRecord, SuspectReport};
-use seamhatch_core::identity::{Address, RequestDigest};
+use seamhatch_core::identity::RequestDigest;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
@@ -38,8 +38,7 @@
 
 /// State and dependencies of the task that records evidence in the store.
 pub struct EvidenceKeeper {
-    followed: FollowedStore,
-    gossip: Address,
+    own_record: Arc<OwnRecord>,
     suspects: Arc<SuspectRegistry>,
     metrics: Arc<Metrics>,
     updates: mpsc::UnboundedReceiver<EvidenceUpdate>,
@@ -62,17 +61,15 @@
 }
 
 impl EvidenceKeeper {
-    /// Creates a keeper with no recorded requests. `gossip` is this daemon's gossip address; `updates` delivers requests whose
-    /// evidence may have to be recorded.
+    /// Creates a keeper with no recorded requests. `updates` delivers requests whose evidence may have to be recorded.
     pub fn new(
-        followed: FollowedStore,
-        gossip: Address,
+        own_record: Arc<OwnRecord>,
         suspects: Arc<SuspectRegistry>,
         metrics: Arc<Metrics>,
         updates: mpsc::UnboundedReceiver<EvidenceUpdate>,
     ) -> Self {
         let (recent, noted) = (BTreeSet::new(), BTreeSet::new());
-        Self { followed, gossip, suspects, metrics, updates, recent, noted }
+        Self { own_record, suspects, metrics, updates, recent, noted }
     }
 
     /// Waits for an update or the next check. Returns false when the channel is closed.
@@ -119,44 +116,27 @@
         let reports = self.suspects.reports(&noted);
         // Requests without a report were cleared or have expired.
         self.noted.retain(|request| reports.iter().any(|report| report.record.request == *request));
-        while !reports.is_empty() {
-            // The time-out covers the read and the write together.
-            let written = tokio::time::timeout(STORE_TIMEOUT, self.write(&reports)).await;
-            match written.unwrap_or_else(|_| Err(StoreError::timed_out()))? {
-                WriteOutcome::Done(_) => return Ok(()),
-                // A concurrent write changed the record; it is reread at once.
-                WriteOutcome::Refused(_) => {}
-            }
-        }
-        Ok(())
-    }
-
-    /// Adds the missing evidence to this daemon's record in the store.
-    async fn write(&self, reports: &[SuspectReport]) -> Result<WriteOutcome, StoreError> {
-        let key = DaemonRecord::key(&self.followed.member_prefix, self.gossip);
-        let reading = self.metrics.time_store_call(self.followed.store.get(&key)).await?;
-        let revision = reading.found.as_ref().map_or(Revision(0), |item| item.revision);
-        let mut record = reading.found.as_ref().map(DaemonRecord::read).unwrap_or_default();
-        if !add(&mut record, reports) {
-            return Ok(WriteOutcome::Done(revision));
+        if reports.is_empty() {
+            return Ok(());
         }
-        let write = Write {
-            expect: vec![(key.clone(), revision)],
-            put: vec![(key, record.to_bytes())],
-            ..Write::default()
-        };
-        let outcome = self.metrics.time_store_call(self.followed.store.write(&write)).await?;
-        if matches!(outcome, WriteOutcome::Done(_)) {
-            info!(requests = reports.len(); "evidence against requests recorded in the store");
+        // The store may have lost the record.
+        self.own_record.read().await?;
+        loop {
+            match self.own_record.change(&|record: &mut DaemonRecord| add(record, &reports)).await? {
+                RecordChange::Written => {
+                    info!(requests = reports.len(); "evidence against requests recorded in the store");
+                    return Ok(());
+                }
+                RecordChange::Unneeded => return Ok(()),
+                RecordChange::Conflict => {}
+            }
         }
-        Ok(outcome)
     }
 }
 
-/// Adds the missing parts of the reports to a record. Returns true if the record changed.
-fn add(record: &mut DaemonRecord, reports: &[SuspectReport]) -> bool {
+/// Adds the missing parts of the reports to a record.
+fn add(record: &mut DaemonRecord, reports: &[SuspectReport]) {
     let now = unix_milliseconds();
-    let mut changed = false;
     for report in reports {
         let index = record.condemned.iter().position(|known| known.record.request == report.record.request);
         let mut entry = CondemnedRecord::new(report, now);
@@ -169,11 +149,9 @@
             record.condemned.remove(index);
         }
         record.condemned.push(entry);
-        changed = true;
     }
     let dropped = record.condemned.len().saturating_sub(MAX_NOTED);
     // The stable sort keeps the oldest first within each kind.
     record.condemned.sort_by_key(|known| known.record.open_crashes() > 0);
     record.condemned.drain(..dropped);
-    changed
 }
--- a/crates/seamhatchd/src/controllers/follow/mod.rs
+++ b/crates/seamhatchd/src/controllers/follow/mod.rs
@@ -15,8 +15,9 @@
 mod store_calls;
 
 pub use configuration::follow_configuration;
-pub use departures::{DepartureRecorder, ask_departures, remember_departure};
+pub use departures::{ask_departures, ask_to_hold, record_departure};
 pub use discovery::discover;
 pub use evidence::{EvidenceKeeper, EvidenceUpdate, keep_evidence};
 pub use freshness::{ProofKeeper, keep_proof_fresh};
+pub use own_record::OwnRecord;
 pub use quota_shards::{ShardKeeper, ShardOwner, holder_of, keep_quota_shards};
--- a/crates/seamhatchd/src/listeners/registry.rs
+++ b/crates/seamhatchd/src/listeners/registry.rs
@@ -129,10 +129,10 @@
 fn answer(answer: InstanceAnswer) -> WebResponse {
     match answer {
         InstanceAnswer::Acknowledged => with_media_type(StatusCode::OK, "application/json", b"{}".to_vec()),
-        InstanceAnswer::NotRemembered => problem(
+        InstanceAnswer::NotRecorded => problem(
             StatusCode::SERVICE_UNAVAILABLE,
             "not-remembered",
-            "neither the store nor a daemon has noted that the instance leaves; say it again",
+            "the store has not recorded yet that the instance leaves; say it again",
         ),
     }
 }
