A starting daemon trusts no single heartbeat without the store's answer

Cause: two of one kind, a wait that ended before those that know could answer. The waits counted from the start: with a store that came back half a second later its answer settled the inquiry at once, though the daemons that held the departure were not known yet. And where the store didn't answer, the word of daemons that may have started just as late, or of nobody, was enough to take any heartbeat, late ones too.

Change: the wait for the holders counts from when the store's records name all daemons, and daemons asked before that are asked again. Without the store's answer an instance is opened by its second heartbeat, at least 0.5 s after the first one and with a greater sequence number: a late one comes alone. The verdict says so (Unconfirmed in place of GivenUp), and the store's answer settles it whenever it comes.

The model has a store that is silent to a starting daemon, and finds TrustedWithoutStore. Bounds of the model, said in its head: where the store is silent, one heartbeat of an instance may be late.

Cost: a server beside a daemon that restarts while the store is out gets calls a heartbeat later than before.

--- a/crates/seamhatch-model/src/departures.rs
+++ b/crates/seamhatch-model/src/departures.rs
@@ -2,12 +2,16 @@
 //! daemons, late heartbeats and late writes: an instance whose departure was acknowledged never takes
 //! work again, and neither does one whose departure another daemon holds.
 //!
-//! Bounds: two instances, one after the other; one daemon that holds departures; the store and the
-//! holder answer a starting daemon within its patience.
+//! Bounds: two instances, one after the other; one daemon that holds departures. With a store that
+//! may be silent to a starting daemon, one heartbeat of an instance may be late: the daemon takes two
+//! that are far enough apart for a sign of life.
 
 use crate::search::{Model, SearchResult, Step, action, search};
 use seamhatch_core::Instant;
-use seamhatch_core::departure::{DepartureInquiry, DepartureRecord, DepartureSource, InquiryVerdict};
+use seamhatch_core::departure::{
+    DepartureInquiry, DepartureRecord, DepartureSource, EarlyHeartbeats, INQUIRY_TIMEOUT, InquiryVerdict,
+    InquiryWait,
+};
 use seamhatch_core::instance::{Heartbeat, InstanceId, InstanceRegistry, InstanceState};
 use std::collections::BTreeSet;
 
@@ -26,6 +30,8 @@
     ReplacedRecord,
     /// Heartbeats count before it is known what departed.
     TrustedAtOnce,
+    /// A daemon that has waited in vain for the store trusts any heartbeat.
+    TrustedWithoutStore,
 }
 
 /// Bounds of a search.
@@ -35,12 +41,16 @@
     pub restarts: u8,
     /// Heartbeats in which each instance says that it is ready.
     pub heartbeats: u64,
+    /// Whether the store may leave a starting daemon without an answer for longer than that waits.
+    pub store_may_be_silent: bool,
     /// The seeded fault.
     pub fault: DeparturesFault,
 }
 
 const INSTANCES: usize = 2;
 const NOW: Instant = Instant(1);
+/// The wait of a daemon whose sources answer at once.
+const NO_WAIT: InquiryWait = InquiryWait { started: 0, members_known: Some(0), asking: false };
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 enum Phase {
@@ -63,8 +73,8 @@
     incarnation: u8,
     registry: InstanceRegistry,
     inquiry: DepartureInquiry,
-    settled: bool,
-    early: Option<Heartbeat>,
+    verdict: InquiryVerdict,
+    early: EarlyHeartbeats,
     /// Departures that this incarnation has to have noted.
     pending: BTreeSet<usize>,
 }
@@ -102,7 +112,7 @@
             sent: [0; INSTANCES],
             acknowledged: [false; INSTANCES],
             messages: BTreeSet::new(),
-            daemon: DaemonState { settled: true, ..DaemonState::default() },
+            daemon: DaemonState { verdict: InquiryVerdict::Settled, ..DaemonState::default() },
             revision: 0,
             record: DepartureRecord::default(),
             writes: Vec::new(),
@@ -182,10 +192,16 @@
             daemon.registry.heartbeat(message, NOW);
             daemon.pending.insert(instance);
             state.acknowledged[instance] |= self.fault == DeparturesFault::AcknowledgedAtOnce;
-        } else if daemon.settled || self.fault == DeparturesFault::TrustedAtOnce {
+            return;
+        }
+        let is_confirmed = daemon.early.note(message.clone(), NOW);
+        let is_trusted = match daemon.verdict {
+            InquiryVerdict::Wait => self.fault == DeparturesFault::TrustedAtOnce,
+            InquiryVerdict::Unconfirmed => is_confirmed || self.fault == DeparturesFault::TrustedWithoutStore,
+            InquiryVerdict::Settled => true,
+        };
+        if is_trusted {
             daemon.registry.heartbeat(message, NOW);
-        } else {
-            daemon.early = Some(message);
         }
     }
 
@@ -238,9 +254,14 @@
                 next.held.clear();
             });
         }
-        if state.daemon.settled {
+        if state.daemon.verdict == InquiryVerdict::Settled {
             return;
         }
+        if self.store_may_be_silent {
+            Step::add(steps, state, action("the daemon has waited for the store in vain", 0, 0), |next| {
+                self.judge(next, InquiryWait { started: INQUIRY_TIMEOUT + 1, ..NO_WAIT });
+            });
+        }
         Step::add(steps, state, action("the store answers the inquiry", 0, 0), |next| {
             let instances = next.record.instances.clone();
             self.tell(next, DepartureSource::Store, &instances);
@@ -257,9 +278,30 @@
             daemon.registry.depart(instance);
         }
         daemon.inquiry.note_answer(source);
-        let alone = self.fault == DeparturesFault::StoreAlone && source == DepartureSource::Store;
-        daemon.settled = alone || daemon.inquiry.verdict(0, false) == InquiryVerdict::Settled;
-        if let Some(heartbeat) = daemon.early.take_if(|_| daemon.settled) {
+        if self.fault == DeparturesFault::StoreAlone && source == DepartureSource::Store {
+            daemon.inquiry.note_answer(DepartureSource::Holders);
+        }
+        self.judge(state, NO_WAIT);
+    }
+
+    /// Applies the verdict of the inquiry, as the daemon's control thread does.
+    fn judge(&self, state: &mut DeparturesState, wait: InquiryWait) {
+        let daemon = &mut state.daemon;
+        let trusted = match daemon.inquiry.verdict(wait) {
+            InquiryVerdict::Wait => return,
+            InquiryVerdict::Settled => {
+                daemon.verdict = InquiryVerdict::Settled;
+                std::mem::take(&mut daemon.early).latest().cloned()
+            }
+            InquiryVerdict::Unconfirmed => {
+                daemon.verdict = InquiryVerdict::Unconfirmed;
+                match self.fault {
+                    DeparturesFault::TrustedWithoutStore => daemon.early.latest().cloned(),
+                    _ => daemon.early.latest_confirmed().cloned(),
+                }
+            }
+        };
+        if let Some(heartbeat) = trusted {
             daemon.registry.heartbeat(heartbeat, NOW);
         }
     }
--- a/crates/seamhatchd/src/controllers/control_thread/departures.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/departures.rs
@@ -14,7 +14,9 @@
 use log::{info, warn};
 use seamhatch_core::Instant;
 use seamhatch_core::clock::{MILLISECOND, Microseconds};
-use seamhatch_core::departure::{DepartureInquiry, DepartureSource, InquiryVerdict};
+use seamhatch_core::departure::{
+    DepartureInquiry, DepartureSource, EarlyHeartbeats, InquiryVerdict, InquiryWait,
+};
 use seamhatch_core::identity::Address;
 use seamhatch_core::instance::{Heartbeat, InstanceId, REMEMBERED_DEPARTURES};
 use seamhatch_core::membership::MemberRecord;
@@ -40,14 +42,16 @@
 /// Departed instances of this daemon's back end, and those held on behalf of other daemons.
 #[derive(Debug, Default)]
 pub(super) struct Departures {
-    /// Whether the departures before the start of this process are known as far as possible.
-    pub(super) settled: bool,
+    /// Whether heartbeats may be trusted: the departures before the start of this process are known as far as possible.
+    pub(super) verdict: InquiryVerdict,
     inquiry: DepartureInquiry,
+    /// When the store's records had named the other daemons.
+    members_known: Option<Instant>,
     /// Whether a query to the daemons that may hold departures is in progress.
     asking: bool,
     next_poll: Instant,
-    /// The last heartbeat that arrived before `settled` was set.
-    pub(super) early_heartbeat: Option<Heartbeat>,
+    /// Heartbeats that arrived before they could be trusted.
+    early: EarlyHeartbeats,
     /// Departures held on behalf of other daemons, by their gossip address.
     held: HashMap<Address, Vec<InstanceId>>,
     /// This daemon's record in the store, if one is followed.
@@ -61,7 +65,7 @@
 impl ControlThread {
     /// Applies departures from before the start of this process, reported by the store or by the daemons that hold them.
     pub(super) fn departures_learned(&mut self, source: DepartureSource, instances: &[InstanceId]) {
-        if source == DepartureSource::Holders {
+        if source != DepartureSource::Store {
             self.departures.asking = false;
         }
         self.departures.inquiry.note_answer(source);
@@ -83,36 +87,67 @@
     /// Queries the daemons that hold departures; a separate task reads the store. Either may have recorded a departure that
     /// the other lacks. The wait for each is bounded.
     pub(super) fn learn_departures(&mut self, now: Instant) {
-        if self.departures.settled {
+        if self.departures.verdict == InquiryVerdict::Settled {
             return;
         }
-        let waited = now.since(self.started);
-        match self.departures.inquiry.verdict(waited, self.departures.asking) {
-            InquiryVerdict::Settled => self.settle_departures(),
-            InquiryVerdict::GivenUp => {
-                warn!(
-                    "neither the store nor a peer reported the departures before this start; accepting the back end's heartbeats"
-                );
-                self.settle_departures();
-            }
-            InquiryVerdict::Wait => self.ask_holders(now),
+        let wait = InquiryWait {
+            started: now.since(self.started),
+            members_known: self.departures.members_known.map(|known| now.since(known)),
+            asking: self.departures.asking,
+        };
+        match self.departures.inquiry.verdict(wait) {
+            InquiryVerdict::Settled => return self.settle_departures(),
+            InquiryVerdict::Unconfirmed => self.trust_confirmed(),
+            InquiryVerdict::Wait => {}
         }
+        self.ask_holders(now);
     }
 
     /// Ends the inquiry; heartbeats of the back end are applied from now on.
     fn settle_departures(&mut self) {
-        if std::mem::replace(&mut self.departures.settled, true) {
+        self.departures.verdict = InquiryVerdict::Settled;
+        info!("departures from before this start are known");
+        let early = std::mem::take(&mut self.departures.early);
+        if let Some(heartbeat) = early.latest() {
+            self.apply_heartbeat(heartbeat.clone());
+        }
+    }
+
+    /// Trusts instances whose heartbeats show that they run, until the store answers.
+    fn trust_confirmed(&mut self) {
+        if std::mem::replace(&mut self.departures.verdict, InquiryVerdict::Unconfirmed)
+            == InquiryVerdict::Unconfirmed
+        {
             return;
         }
-        info!("departures from before this start are known");
-        if let Some(heartbeat) = self.departures.early_heartbeat.take() {
+        warn!(
+            "the store has not reported the departures before this start; an instance is opened by its second heartbeat"
+        );
+        if let Some(heartbeat) = self.departures.early.latest_confirmed() {
+            self.apply_heartbeat(heartbeat.clone());
+        }
+    }
+
+    /// Keeps a heartbeat that can't be trusted yet: its instance may have departed before this start.
+    pub(super) fn keep_early_heartbeat(&mut self, heartbeat: Heartbeat) {
+        let is_confirmed = self.departures.early.note(heartbeat.clone(), clock::now());
+        if is_confirmed && self.departures.verdict == InquiryVerdict::Unconfirmed {
             self.apply_heartbeat(heartbeat);
         }
     }
 
+    /// The store's records have named all daemons: the holders of departures are among them.
+    pub(super) fn holders_named(&mut self) {
+        let now = clock::now();
+        self.departures.members_known.get_or_insert(now);
+        self.departures.next_poll = now;
+    }
+
     fn ask_holders(&mut self, now: Instant) {
         let departures = &self.departures;
-        if departures.inquiry.holders_answered() || departures.asking || now < departures.next_poll {
+        let members_known = departures.members_known.is_some();
+        let is_needed = departures.inquiry.needs_holders(members_known);
+        if !is_needed || departures.asking || now < departures.next_poll {
             return;
         }
         let peers = self.departure_peers(DEPARTURE_QUERY_FANOUT);
@@ -123,9 +158,10 @@
         self.departures.asking = true;
         let (pool, control) = (self.shared.pool.clone(), self.shared.control.clone());
         let gossip = self.shared.settings.advertise.gossip;
+        let source = if members_known { DepartureSource::Holders } else { DepartureSource::FirstHolders };
         tokio::spawn(async move {
             control.send(match ask_departures(pool, gossip, peers).await {
-                Some(instances) => InstanceEvent::DeparturesLearned(DepartureSource::Holders, instances),
+                Some(instances) => InstanceEvent::DeparturesLearned(source, instances),
                 None => InstanceEvent::DeparturesNotLearned,
             });
         });
--- a/crates/seamhatchd/src/controllers/control_thread/followed.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/followed.rs
@@ -17,7 +17,7 @@
 use log::info;
 use seamhatch_core::Instant;
 use seamhatch_core::clock::{MILLISECOND, Microseconds};
-use seamhatch_core::departure::STORE_ANSWER_TIMEOUT;
+use seamhatch_core::departure::{InquiryVerdict, STORE_ANSWER_TIMEOUT};
 use seamhatch_core::generation::Generation;
 use seamhatch_core::identity::Address;
 use seamhatch_core::rendezvous;
@@ -68,7 +68,7 @@
         let Some(followed) = self.followed().cloned() else { return };
         if self.shared.settings.first_start {
             // On the first start of a deployment, no daemon can have recorded a departure.
-            self.departures.settled = true;
+            self.departures.verdict = InquiryVerdict::Settled;
         }
         let documents = self.configuration.documents().clone();
         let (control, metrics) = (self.shared.control.clone(), self.shared.metrics.clone());
--- a/crates/seamhatchd/src/controllers/control_thread/instances.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/instances.rs
@@ -10,6 +10,7 @@
 use log::{info, warn};
 use seamhatch_core::Instant;
 use seamhatch_core::clock::{Microseconds, SECOND};
+use seamhatch_core::departure::InquiryVerdict;
 use seamhatch_core::instance::{
     HEARTBEAT_TIMEOUT, Heartbeat, HeartbeatVerdict, InstanceId, InstanceState, Refutation,
 };
@@ -52,11 +53,10 @@
             self.apply_heartbeat(heartbeat);
             return self.acknowledge_departure(instance, reply);
         }
-        if self.departures.settled || self.followed().is_none() {
+        if self.departures.verdict == InquiryVerdict::Settled || self.followed().is_none() {
             self.apply_heartbeat(heartbeat);
         } else {
-            // The instance may have departed before this start, so the heartbeat is kept until the departures are known.
-            self.departures.early_heartbeat = Some(heartbeat);
+            self.keep_early_heartbeat(heartbeat);
         }
         // Fails if the back end has disconnected.
         let _ = reply.send(InstanceAnswer::Acknowledged);
--- a/crates/seamhatchd/src/controllers/control_thread/members.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/members.rs
@@ -27,6 +27,7 @@
         self.remember_evidence(EvidenceUpdate::InOwnRecord(own_evidence));
         self.learn_quota_shards(&shards);
         info!(members = members.len(); "read the daemons' records");
+        self.holders_named();
         let own = self.shared.settings.advertise.gossip;
         let mut others: Vec<Address> = members.iter().copied().filter(|member| *member != own).collect();
         let mut sync_targets: Vec<Address> = Vec::new();
