An answer that announces a departure waits for the store's record, for at most 50 ms

Cause: as for acknowledgements. The gate was closed in memory and the answer forwarded while the write to the store was under way.

Change: such an answer is forwarded once the store has recorded the departure, or after 50 ms. It is ready and its caller waits, so it isn't held back for a slow store; there the server's next answer says it again, and at most what is under way by then has reached it.

--- a/crates/seamhatchd/src/control/events.rs
+++ b/crates/seamhatchd/src/control/events.rs
@@ -67,6 +67,9 @@
     Departs(InstanceId, oneshot::Sender<InstanceAnswer>),
     /// The instance announced in an answer that it leaves; `None` for an unnamed instance.
     SaysLeaving(Option<InstanceId>),
+    /// Asks whether the store has recorded that the instance, which announced in an answer that it leaves, has departed.
+    /// Replied once the store has, or could not be reached for long.
+    AwaitRecord(InstanceId, oneshot::Sender<bool>),
     /// An unnamed instance that had announced that it leaves has ended, or still listens after 60 s.
     LeftUnnamed,
     /// The instance could not be reached, or another instance answered in its place.
--- a/crates/seamhatchd/src/control/handle.rs
+++ b/crates/seamhatchd/src/control/handle.rs
@@ -160,6 +160,14 @@
         self.send(InstanceEvent::SaysLeaving(instance));
     }
 
+    /// Waits until the store has recorded the departure of an instance. Returns false if that failed for long, or when the control
+    /// thread has ended.
+    pub async fn departure_recorded(&self, instance: InstanceId) -> bool {
+        let (sender, receiver) = oneshot::channel();
+        self.send(InstanceEvent::AwaitRecord(instance, sender));
+        receiver.await.unwrap_or(false)
+    }
+
     /// Reports that the evidence about these requests has changed here.
     pub fn suspects_changed(&self, requests: Vec<RequestDigest>) {
         self.send(SuspectEvent::Changed(requests));
--- a/crates/seamhatchd/src/controllers/control_thread/departures.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/departures.rs
@@ -39,6 +39,25 @@
 /// Rendezvous hashing seed for the choice of these daemons. Must differ from the other seeds.
 const DEPARTURE_SEED: u64 = 3;
 
+/// How far the record of a departure has come.
+#[derive(Debug, Clone)]
+pub(super) enum DepartureRecording {
+    /// The store has it, or no store is followed.
+    Done,
+    /// Turns true once the store has it, and closes if the attempts have failed.
+    UnderWay(watch::Receiver<bool>),
+}
+
+impl DepartureRecording {
+    /// Returns true once the store has the departure, and false if the attempts have failed.
+    async fn wait(self) -> bool {
+        match self {
+            Self::Done => true,
+            Self::UnderWay(mut recorded) => recorded.wait_for(|recorded| *recorded).await.is_ok(),
+        }
+    }
+}
+
 /// Departed instances of this daemon's back end, and those held on behalf of other daemons.
 #[derive(Debug, Default)]
 pub(super) struct Departures {
@@ -203,14 +222,9 @@
         reply: oneshot::Sender<InstanceAnswer>,
     ) {
         let metrics = self.shared.metrics.clone();
-        let Some(mut recorded) = self.record_departure(instance) else {
-            // Fails if the back end has disconnected.
-            let _ = reply.send(InstanceAnswer::Acknowledged);
-            return;
-        };
+        let recorded = tokio::time::timeout(RECORD_TIMEOUT, self.record_departure(instance).wait());
         tokio::spawn(async move {
-            let waited = tokio::time::timeout(RECORD_TIMEOUT, recorded.wait_for(|recorded| *recorded)).await;
-            let is_recorded = matches!(waited, Ok(Ok(_)));
+            let is_recorded = recorded.await.unwrap_or(false);
             metrics.departure_answered(is_recorded);
             let answer = if is_recorded { InstanceAnswer::Acknowledged } else { InstanceAnswer::NotRecorded };
             // Fails if the back end has disconnected.
@@ -218,20 +232,28 @@
         });
     }
 
-    /// Starts to record a departure unless that is under way. The receiver turns true once the store has recorded it, and
-    /// closes if that failed; none if the store already has it, or if no store is followed.
-    fn record_departure(&mut self, instance: InstanceId) -> Option<watch::Receiver<bool>> {
-        let own_record = self.departures.own_record.clone()?;
+    /// Replies once the store has recorded a departure, or the attempts have failed.
+    pub(super) fn await_record(&mut self, instance: InstanceId, reply: oneshot::Sender<bool>) {
+        let recorded = self.record_departure(instance).wait();
+        tokio::spawn(async move {
+            // Fails if nobody waits any more.
+            let _ = reply.send(recorded.await);
+        });
+    }
+
+    /// Starts to record a departure in the followed store, if there is one, unless that is done or under way.
+    pub(super) fn record_departure(&mut self, instance: InstanceId) -> DepartureRecording {
+        let Some(own_record) = self.departures.own_record.clone() else { return DepartureRecording::Done };
         if self.departures.recorded.contains(&instance) {
-            return None;
+            return DepartureRecording::Done;
         }
         if let Some(write) = self.departures.writes.get(&instance) {
-            return Some(write.clone());
+            return DepartureRecording::UnderWay(write.clone());
         }
         let (sender, receiver) = watch::channel(false);
         if self.departures.writes.len() >= REMEMBERED_DEPARTURES {
-            // The receiver is closed: the departure counts as not recorded, and is recorded when the back end repeats it.
-            return Some(receiver);
+            // Counts as failed, as the sender is dropped; it is recorded when the back end repeats it.
+            return DepartureRecording::UnderWay(receiver);
         }
         self.departures.writes.insert(instance.clone(), receiver.clone());
         self.ask_to_hold(instance.clone());
@@ -248,7 +270,7 @@
             sender.send_replace(recorded);
             control.send(InstanceEvent::DepartureWritten { instance, recorded });
         });
-        Some(receiver)
+        DepartureRecording::UnderWay(receiver)
     }
 
     /// Asks other daemons to hold a departure, for a restart of this one while the store is out.
--- a/crates/seamhatchd/src/controllers/control_thread/instances.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/instances.rs
@@ -32,6 +32,7 @@
             InstanceEvent::Heartbeat(heartbeat, reply) => self.heartbeat(heartbeat, reply),
             InstanceEvent::Departs(instance, reply) => self.instance_departs(instance, reply),
             InstanceEvent::SaysLeaving(instance) => self.says_leaving(instance),
+            InstanceEvent::AwaitRecord(instance, reply) => self.await_record(instance, reply),
             InstanceEvent::LeftUnnamed => self.left_unnamed(),
             InstanceEvent::Lost(instance, Reason::OtherInstance) => self.refute_instance(&instance),
             InstanceEvent::Lost(instance, reason) => self.lost_instance(&instance, reason.name()),
@@ -124,14 +125,13 @@
         self.acknowledge_departure(instance, reply);
     }
 
-    /// Handles an answer in which the back end reported that it is leaving; its instance is already closed. No caller waits
-    /// for the departure to be recorded; the write to the store is retried in the background.
+    /// Handles an answer in which the back end reported that it is leaving; its instance is already closed.
     fn says_leaving(&mut self, instance: Option<InstanceId>) {
         let name = instance.as_ref().map_or("", |instance| instance.name.as_str());
         info!(instance = name; "instance closed: its answers report that it is leaving");
         self.availability_changed();
         match instance {
-            Some(instance) => self.acknowledge_departure(instance, oneshot::channel().0),
+            Some(instance) => drop(self.record_departure(instance)),
             None => self.wait_for_unnamed_exit(),
         }
     }
--- a/crates/seamhatchd/src/peer_server/call/execute.rs
+++ b/crates/seamhatchd/src/peer_server/call/execute.rs
@@ -24,6 +24,11 @@
 use seamhatch_core::outcome::{Outcome, Reason};
 use seamhatch_core::return_time;
 use std::sync::Arc;
+use std::time::Duration;
+
+/// Maximum time for which an answer that announces a departure waits for the store. Such an answer is ready and its caller
+/// waits, so it is not held back for a slow store.
+const MAX_RECORD_WAIT: Duration = Duration::from_millis(50);
 
 /// One execution of a call on the back end.
 struct BackendRun {
@@ -78,8 +83,9 @@
         self.refuse(running, Outcome::NotRun, reason, "");
     }
 
-    /// Records the rate limit and departure that the back end announces, before its answer is forwarded.
-    fn record_notice(&self, run: &BackendRun, answered: &Result<BackendAnswer, BackendError>) {
+    /// Records the rate limit and departure that the back end announces, before its answer is forwarded. A departure is
+    /// in the store by then, for at most [`MAX_RECORD_WAIT`]: a kill of all daemons must not undo what callers saw.
+    async fn record_notice(&self, run: &BackendRun, answered: &Result<BackendAnswer, BackendError>) {
         let notice = match answered {
             Ok(answer) => answer.notice,
             Err(BackendError::NotRun { notice, .. }) => *notice,
@@ -88,6 +94,11 @@
         self.shared.server.notices.note_answer(run.instance.as_ref(), notice, run.started);
         if notice.leaving {
             self.shared.note_leaving(run.instance.as_ref());
+            if let Some(instance) = run.instance.clone() {
+                let recorded = self.shared.control.departure_recorded(instance);
+                // After the time-out, the back end's next answer says it again.
+                let _ = tokio::time::timeout(MAX_RECORD_WAIT, recorded).await;
+            }
         }
     }
 
@@ -133,7 +144,7 @@
             instance: run.instance.as_ref(),
         };
         let answered = self.shared.server.backend.send(&request, body).await;
-        self.record_notice(run, &answered);
+        self.record_notice(run, &answered).await;
         let mut answer = answered?;
         let start = AnswerStart::read(&mut answer).await?;
         Ok((answer, start))
