Answers without end are cut off, and a call that nobody waits for keeps no slot

What callers saw: a server that sends bytes without end (a head, interim responses, chunks) in answer to calls that may run only once kept their connections and slots for good; with as many such calls as slots it was used by nobody any more. Interim responses without end cost a daemon's processor until the deadline.

Cause: a call that must not be repeated was not ended by its sender's cancellation, and nothing else ended it: the answer was read on, or waited for credit that nobody grants. The cancellation was a notification that its first reader used up. Only the library's buffer limited a head, and nothing the interim responses before it.

Change: a head, with the interim responses before it, is at most 64 KiB. An answer that has begun is cut off a second after the call's deadline, or after its first byte where that comes later; a back end that is silent may still work, and is left as before. Once its sender has cancelled or is gone, the rest of an answer to a call that must not be repeated is read and dropped, at most 1 MiB, in place of a wait for credit. A cancellation stays set.

--- a/crates/seamhatchd/src/peer_server/call/answer.rs
+++ b/crates/seamhatchd/src/peer_server/call/answer.rs
@@ -17,6 +17,9 @@
 /// partial answer.
 const ANSWER_START_BYTES: usize = 64 * 1024;
 
+/// Number of bytes of an answer that are read though nobody waits for them.
+const MAX_DISCARDED_BYTES: usize = 1024 * 1024;
+
 /// The buffered start of an answer's body.
 pub(super) struct AnswerStart {
     pieces: Vec<Bytes>,
@@ -38,24 +41,34 @@
     }
 }
 
+/// Reads the rest of an answer that nobody waits for any more, so that the back end is not cut off while it works on a call that
+/// must not be repeated. Returns whether the body was complete; false after [`MAX_DISCARDED_BYTES`].
+pub(super) async fn discard_rest(answer: &mut BackendAnswer) -> bool {
+    let mut discarded = 0;
+    while discarded < MAX_DISCARDED_BYTES {
+        match answer.next().await {
+            Ok(Some(piece)) => discarded += piece.len(),
+            Ok(None) => return true,
+            Err(_) => return false,
+        }
+    }
+    false
+}
+
 impl ServerCall {
     /// Forwards the answer of a call that got its slot at `started`. Returns whether the answer was complete.
     pub(super) async fn forward_answer(
         &self,
         running: &RunningCall,
         started: Instant,
-        mut answer: BackendAnswer,
+        answer: &mut BackendAnswer,
         start: AnswerStart,
     ) -> bool {
-        self.send(PeerMessage::AnswerHead(Box::new(self.answer_head(running, started, &answer))));
+        self.send(PeerMessage::AnswerHead(Box::new(self.answer_head(running, started, answer))));
         for piece in start.pieces {
             self.send_pieces(piece).await;
         }
-        if !start.is_whole && !self.forward_rest(&mut answer).await {
-            return false;
-        }
-        self.shared.server.backend.finish(answer);
-        true
+        start.is_whole || self.forward_rest(answer).await
     }
 
     fn answer_head(&self, running: &RunningCall, started: Instant, answer: &BackendAnswer) -> AnswerHead {
--- a/crates/seamhatchd/src/peer_server/call/execute.rs
+++ b/crates/seamhatchd/src/peer_server/call/execute.rs
@@ -6,7 +6,7 @@
 //! reason depends on the result.
 
 use super::ServerCall;
-use super::answer::AnswerStart;
+use super::answer::{AnswerStart, discard_rest};
 use crate::base::clock;
 use crate::base::metrics::seconds;
 use crate::intake::RequestStage;
@@ -153,7 +153,7 @@
     /// Resolves when the sender has cancelled a repeatable call. A call that is not repeatable runs to its end,
     /// because its effect is wanted or can't be undone.
     async fn until_abandoned(&self) {
-        self.cancelled.notified().await;
+        self.cancellation.cancelled().await;
         if !self.head.context.repeatable {
             std::future::pending::<()>().await;
         }
@@ -165,7 +165,7 @@
         running: &RunningCall,
         run: &BackendRun,
         mut permit: Permit,
-        answer: BackendAnswer,
+        mut answer: BackendAnswer,
         start: AnswerStart,
     ) {
         if let Some(load) = self.shared.conventions.back_end_load(&answer.headers) {
@@ -174,9 +174,15 @@
         self.set_stage(RequestStage::Answering);
         let status = answer.status.as_u16();
         let forwarded = tokio::select! {
-            complete = self.forward_answer(running, run.started, answer, start) => Some(complete),
-            () = self.until_abandoned() => None,
+            complete = self.forward_answer(running, run.started, &mut answer, start) => Some(complete),
+            () = self.cancellation.cancelled() => None,
         };
+        let forwarded = match forwarded {
+            None if !self.head.context.repeatable => Some(discard_rest(&mut answer).await),
+            forwarded => forwarded,
+        };
+        // Closes the connection of an answer that was not read to its end.
+        drop(answer);
         let complete = forwarded == Some(true);
         if running.has_calls() {
             permit.mark_calls_made();
--- a/crates/seamhatchd/src/peer_server/call/mod.rs
+++ b/crates/seamhatchd/src/peer_server/call/mod.rs
@@ -14,6 +14,7 @@
 use crate::intake::{AcceptedRequest, RequestProgress, RequestStage};
 use crate::peer::CreditWindow;
 use crate::peer::Outbox;
+use crate::peer_server::cancellation::Cancellation;
 use crate::peer_server::incoming_calls::IncomingCalls;
 use crate::server::backend;
 use crate::server::crashes::{self, TrialRun};
@@ -29,7 +30,6 @@
 use seamhatch_core::retry::RetryLedger;
 use seamhatch_wire::{CallHead, CallIntake, PeerMessage};
 use std::sync::Arc;
-use tokio::sync::Notify;
 
 /// One incoming call for the back end beside this daemon.
 pub(super) struct ServerCall {
@@ -38,8 +38,7 @@
     pub(super) calls: IncomingCalls,
     /// Flow-control window of the answer's body.
     pub(super) window: Arc<CreditWindow>,
-    /// Notified once when the sender cancels the call.
-    pub(super) cancelled: Arc<Notify>,
+    pub(super) cancellation: Arc<Cancellation>,
     pub(super) head: CallHead,
     /// Peer address of the daemon that sent it.
     pub(super) from: Address,
@@ -135,7 +134,7 @@
         };
         tokio::select! {
             permit = self.shared.server.gate.admit(request) => permit,
-            () = self.cancelled.notified() => Err(Reason::Cancelled),
+            () = self.cancellation.cancelled() => Err(Reason::Cancelled),
         }
     }
 
@@ -189,7 +188,7 @@
             admitted = clock::timeout_at(latest, admitted) => {
                 admitted.unwrap_or(Err(Reason::DeadlineExceeded))
             }
-            () = self.cancelled.notified() => Err(Reason::Cancelled),
+            () = self.cancellation.cancelled() => Err(Reason::Cancelled),
         }
     }
 
--- a/crates/seamhatchd/src/peer_server/incoming_calls.rs
+++ b/crates/seamhatchd/src/peer_server/incoming_calls.rs
@@ -7,13 +7,14 @@
 
 use crate::base::lock::lock;
 use crate::peer::CreditWindow;
+use crate::peer_server::cancellation::Cancellation;
 use crate::server::backend::{BodyAborted, BodyPiece};
 use bytes::Bytes;
 use seamhatch_core::body_credit::OwedCredit;
 use seamhatch_core::identity::CallId;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::mpsc;
 
 /// The session's handle to a call in progress.
 pub(super) struct IncomingCall {
@@ -23,8 +24,7 @@
     pub(super) owed: OwedCredit,
     /// Flow-control window of the answer's body.
     pub(super) window: Arc<CreditWindow>,
-    /// Notified once when the sender cancels the call.
-    pub(super) cancelled: Arc<Notify>,
+    pub(super) cancellation: Arc<Cancellation>,
 }
 
 /// The calls in progress on one connection, by call number. Cheap to clone.
@@ -96,6 +96,6 @@
             // read.
             let _ = body.send(Err(BodyAborted));
         }
-        self.cancelled.notify_one();
+        self.cancellation.cancel();
     }
 }
--- a/crates/seamhatchd/src/peer_server/mod.rs
+++ b/crates/seamhatchd/src/peer_server/mod.rs
@@ -6,6 +6,7 @@
 //! cluster.
 
 mod call;
+mod cancellation;
 mod incoming_calls;
 mod session;
 
--- a/crates/seamhatchd/src/peer_server/session.rs
+++ b/crates/seamhatchd/src/peer_server/session.rs
@@ -12,6 +12,7 @@
 use crate::limits::quota;
 use crate::peer::{CreditWindow, Outbox, PendingShutdownAck, owed_credit};
 use crate::peer_server::call::ServerCall;
+use crate::peer_server::cancellation::Cancellation;
 use crate::peer_server::incoming_calls::{IncomingCall, IncomingCalls};
 use crate::server::backend;
 use crate::shared::Shared;
@@ -26,7 +27,6 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::net::tcp::OwnedReadHalf;
-use tokio::sync::Notify;
 
 /// Time without a message after which the connection is closed; the sending end uses the same value.
 const CLOSE_AFTER_SILENCE: Duration = Duration::from_secs(20);
@@ -126,12 +126,12 @@
             (None, backend::no_body())
         };
         let window = Arc::new(CreditWindow::default());
-        let cancelled = Arc::new(Notify::new());
+        let cancellation = Arc::new(Cancellation::default());
         let entry = IncomingCall {
             body: body_sender,
             owed: owed_credit(),
             window: window.clone(),
-            cancelled: cancelled.clone(),
+            cancellation: cancellation.clone(),
         };
         if !self.calls.add(head.call, entry) {
             self.shared.metrics.bad_input(BadInput::PeerConnection);
@@ -141,7 +141,7 @@
             outbox: self.outbox.clone(),
             calls: self.calls.clone(),
             window,
-            cancelled,
+            cancellation,
             head,
             from: self.hello.peer,
             additions: self.hello.additions,
--- a/crates/seamhatchd/src/server/backend/answer.rs
+++ b/crates/seamhatchd/src/server/backend/answer.rs
@@ -2,11 +2,13 @@
 
 use super::connections::Connection;
 use super::error::{BackendError, describe};
+use super::progress::AnswerProgress;
 use crate::base::metrics::OpenCause;
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Frame, Incoming};
+use seamhatch_core::Instant;
 use seamhatch_core::clock::Microseconds;
 use seamhatch_core::notice::AnswerNotice;
 use std::sync::Arc;
@@ -27,15 +29,18 @@
     pub(super) connection: Option<Connection>,
     pub(super) request_written: Arc<AtomicBool>,
     pub(super) idle_timeout: Microseconds,
+    pub(super) progress: AnswerProgress,
+    /// Deadline of the call, in the local boot clock.
+    pub(super) expiry: Instant,
 }
 
 impl BackendAnswer {
     /// Returns the next piece of the body, or `None` at its end. Cancel-safe.
     ///
     /// # Errors
-    /// Returns a [`BackendError`] if the body will never be complete.
+    /// Returns a [`BackendError`] if the body will never be complete, or goes on for too long after the call's deadline.
     pub async fn next(&mut self) -> Result<Option<Bytes>, BackendError> {
-        while let Some(frame) = self.body.frame().await {
+        while let Some(frame) = self.next_frame().await? {
             let frame = frame.map_err(|error| self.body_error(&error))?;
             // Trailers are dropped: no caller has asked for them.
             if let Ok(data) = frame.into_data() {
@@ -46,6 +51,22 @@
         Ok(None)
     }
 
+    async fn next_frame(&mut self) -> Result<Option<Result<Frame<Bytes>, hyper::Error>>, BackendError> {
+        let cut_off = self.progress.until_cut_off(self.expiry);
+        let frame = tokio::select! {
+            // An answer that never pauses is cut off, too.
+            biased;
+            () = cut_off => None,
+            frame = self.body.frame() => Some(frame),
+        };
+        frame.ok_or_else(|| {
+            if let Some(connection) = self.connection.take() {
+                connection.close(OpenCause::UnusableAnswer);
+            }
+            BackendError::endless_answer()
+        })
+    }
+
     fn body_error(&mut self, error: &hyper::Error) -> BackendError {
         if let Some(connection) = self.connection.take() {
             connection.close(OpenCause::ClosedByServer);
--- a/crates/seamhatchd/src/server/backend/connections.rs
+++ b/crates/seamhatchd/src/server/backend/connections.rs
@@ -6,6 +6,7 @@
 //! back end learns of the cancellation.
 
 use super::body::HttpRequestBody;
+use super::progress::AnswerProgress;
 use super::stream::{CheckedStream, SharedCheck};
 use crate::base::clock;
 use crate::base::keepalive::{SilenceCheck, close_when_silent};
@@ -46,6 +47,7 @@
     sender: SendRequest<HttpRequestBody>,
     task: JoinHandle<()>,
     check: SharedCheck,
+    progress: AnswerProgress,
 }
 
 impl Drop for Link {
@@ -72,10 +74,16 @@
         &mut self,
         message: Request<HttpRequestBody>,
     ) -> Result<Response<Incoming>, TrySendError<Request<HttpRequestBody>>> {
-        match &mut self.link {
-            Some(link) => link.sender.try_send_request(message).await,
-            None => unreachable!("a connection is used up only by value"),
-        }
+        let Some(link) = &mut self.link else { unreachable!("a connection is used up only by value") };
+        link.progress.begin();
+        let answered = link.sender.try_send_request(message).await;
+        link.progress.end_head();
+        answered
+    }
+
+    /// The progress of the answer on this connection.
+    pub fn progress(&self) -> AnswerProgress {
+        self.link.as_ref().map(|link| link.progress.clone()).unwrap_or_default()
     }
 
     /// Whether nothing can be sent any more.
@@ -201,11 +209,13 @@
         stream.set_nodelay(true)?;
         close_when_silent(&stream, check)?;
         let shared_check = SharedCheck::new(check);
-        let stream = CheckedStream::new(stream, shared_check.clone());
+        let progress = AnswerProgress::default();
+        let stream = CheckedStream::new(stream, shared_check.clone(), progress.clone());
         let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
         // The call on the connection gets its error, so the task's result is dropped.
         let task = tokio::spawn(async move { drop(connection.await) });
-        Ok(Connection { link: Some(Link { sender, task, check: shared_check }), pool: self.clone() })
+        let link = Link { sender, task, check: shared_check, progress };
+        Ok(Connection { link: Some(link), pool: self.clone() })
     }
 
     fn add(&self, link: Link, idle_timeout: Microseconds) {
--- a/crates/seamhatchd/src/server/backend/error.rs
+++ b/crates/seamhatchd/src/server/backend/error.rs
@@ -33,6 +33,11 @@
         Self::Failed { detail: detail.into() }
     }
 
+    /// Creates the error of an answer that goes on after the call's deadline.
+    pub(super) fn endless_answer() -> Self {
+        Self::failed("the answer goes on after the deadline")
+    }
+
     pub(super) fn unreachable(detail: impl Into<String>) -> Self {
         Self::not_sent(Reason::BackendUnreachable, detail)
     }
--- a/crates/seamhatchd/src/server/backend/mod.rs
+++ b/crates/seamhatchd/src/server/backend/mod.rs
@@ -9,12 +9,14 @@
 mod body;
 mod connections;
 mod error;
+mod progress;
 mod request;
 mod stream;
 
 pub use answer::BackendAnswer;
 pub use body::{BodyAborted, BodyPiece, ChannelStream, RequestBody, no_body, request_body};
 pub use error::BackendError;
+pub use progress::{AnswerProgress, MAX_ANSWER_HEAD_BYTES, MAX_ANSWER_OVERRUN};
 pub use request::BackendRequest;
 
 use crate::base::clock;
@@ -29,6 +31,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use request::silence_check;
+use seamhatch_core::Instant;
 use seamhatch_core::clock::Microseconds;
 use seamhatch_core::identity::Address;
 use seamhatch_core::outcome::Reason;
@@ -84,7 +87,7 @@
         let message = request
             .message(&call, &*self.conventions, self.address, body.http)
             .map_err(|error| BackendError::not_sent(Reason::BadRequest, error.to_string()))?;
-        let (connection, response) = self.exchange(message).await?;
+        let (connection, response) = self.exchange(message, request.expiry).await?;
         self.check_response(&call, connection, response, body.written).await
     }
 
@@ -106,6 +109,8 @@
                 status: parts.status,
                 headers: parts.headers,
                 body,
+                progress: connection.progress(),
+                expiry: call.expiry,
                 connection: Some(connection),
                 request_written,
             }),
@@ -160,30 +165,63 @@
     async fn exchange(
         &self,
         mut message: Request<HttpRequestBody>,
+        expiry: Instant,
     ) -> Result<(Connection, Response<Incoming>), BackendError> {
         let check = silence_check(&message);
-        while let Some(mut connection) = self.connections.take_idle(check) {
-            match connection.try_send(message).await {
-                Ok(response) => return Ok((connection, response)),
-                Err(mut error) => {
-                    connection.close(OpenCause::ClosedByServer);
-                    match error.take_message() {
-                        Some(unsent) => message = unsent,
-                        None => return Err(BackendError::of_exchange(error.error(), true)),
-                    }
-                }
+        while let Some(connection) = self.connections.take_idle(check) {
+            match send_on(connection, message, expiry).await {
+                Ok(answered) => return Ok(answered),
+                Err(SendFailure::Unsent { message: unsent, .. }) => message = *unsent,
+                Err(SendFailure::Written(error)) => return Err(error),
             }
         }
         let cause = self.connections.open_cause();
         let opened = self.connections.open(check, cause).await;
-        let mut connection = opened.map_err(|error| BackendError::unreachable(error.to_string()))?;
-        match connection.try_send(message).await {
-            Ok(response) => Ok((connection, response)),
-            Err(mut error) => {
-                connection.close(OpenCause::ClosedByServer);
-                let was_written = error.take_message().is_none();
-                Err(BackendError::of_exchange(error.error(), was_written))
-            }
+        let connection = opened.map_err(|error| BackendError::unreachable(error.to_string()))?;
+        match send_on(connection, message, expiry).await {
+            Ok(answered) => Ok(answered),
+            Err(SendFailure::Unsent { error, .. }) => Err(BackendError::of_exchange(&error, false)),
+            Err(SendFailure::Written(error)) => Err(error),
+        }
+    }
+}
+
+/// Why a request got no answer on a connection, which is closed.
+#[derive(Debug)]
+enum SendFailure {
+    /// Nothing was written; the request can be sent on another connection.
+    Unsent { message: Box<Request<HttpRequestBody>>, error: hyper::Error },
+    /// The request was written, at least in part.
+    Written(BackendError),
+}
+
+/// Writes a request on a connection and waits for the head of the answer. A head that goes on after
+/// the call's deadline is cut off.
+async fn send_on(
+    mut connection: Connection,
+    message: Request<HttpRequestBody>,
+    expiry: Instant,
+) -> Result<(Connection, Response<Incoming>), SendFailure> {
+    let progress = connection.progress();
+    let answered = tokio::select! {
+        biased;
+        answered = connection.try_send(message) => Some(answered),
+        () = progress.until_cut_off(expiry) => None,
+    };
+    match answered {
+        Some(Ok(response)) => Ok((connection, response)),
+        Some(Err(mut error)) => {
+            connection.close(OpenCause::ClosedByServer);
+            Err(match error.take_message() {
+                Some(message) => {
+                    SendFailure::Unsent { message: Box::new(message), error: error.into_error() }
+                }
+                None => SendFailure::Written(BackendError::of_exchange(error.error(), true)),
+            })
+        }
+        None => {
+            connection.close(OpenCause::UnusableAnswer);
+            Err(SendFailure::Written(BackendError::endless_answer()))
         }
     }
 }
--- a/crates/seamhatchd/src/server/backend/stream.rs
+++ b/crates/seamhatchd/src/server/backend/stream.rs
@@ -5,6 +5,7 @@
 //! check of the next request before it writes, so that requests with different checks share the idle
 //! connections.
 
+use super::progress::AnswerProgress;
 use crate::base::keepalive::{SilenceCheck, set_silence_check};
 use std::io::{self, IoSlice};
 use std::pin::Pin;
@@ -34,18 +35,19 @@
     }
 }
 
-/// A stream that applies the requested check before it writes.
+/// A stream that applies the requested check before it writes, and limits what it reads of an answer's head.
 #[derive(Debug)]
 pub struct CheckedStream {
     stream: TcpStream,
+    progress: AnswerProgress,
     requested: SharedCheck,
     applied: SilenceCheck,
 }
 
 impl CheckedStream {
     /// Wraps a stream that already has the requested check.
-    pub fn new(stream: TcpStream, requested: SharedCheck) -> Self {
-        Self { stream, applied: requested.get(), requested }
+    pub fn new(stream: TcpStream, requested: SharedCheck, progress: AnswerProgress) -> Self {
+        Self { stream, progress, applied: requested.get(), requested }
     }
 
     fn apply_requested_check(&mut self) -> io::Result<Pin<&mut TcpStream>> {
@@ -64,7 +66,11 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        self.progress.check_head()?;
+        let filled = buffer.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
+        self.progress.note_read(buffer.filled().len() - filled);
+        polled
     }
 }
 
