A store's answer may have 16 interim responses and a head of 64 KiB

Bytes that are no answer may come without end, also from the store. Bodies were limited (8 MiB) and calls have time-outs; interim responses were limited by neither until the time-out, which is 25 s and more for a watch. The request is given up at the 17th.

--- a/crates/seamhatchd/src/base/http_client.rs
+++ b/crates/seamhatchd/src/base/http_client.rs
@@ -14,6 +14,8 @@
 
 /// Timeout for opening a TCP connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Maximum length of the head of an answer, in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -59,5 +61,6 @@
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(IDLE_TIMEOUT)
         .pool_max_idle_per_host(max_idle)
+        .http1_max_buf_size(MAX_HEAD_BYTES)
         .build(connector)
 }
--- a/crates/seamhatchd/src/store/exchange.rs
+++ b/crates/seamhatchd/src/store/exchange.rs
@@ -1,18 +1,27 @@
-//! HTTP exchanges with a store, independent of the store's protocol: detects half-open connections, limits the size of answers, and
-//! distinguishes a request that was never sent from one whose answer was lost.
+//! HTTP exchanges with a store, independent of the store's protocol: detects half-open connections, limits the size of answers and
+//! the number of interim responses before them, and distinguishes a request that was never sent from one whose answer was lost.
 
 use super::StoreError;
 use crate::base::http_client::{HttpClient, probing_http_client};
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::ext::on_informational;
+use hyper_util::client::legacy::Error;
 use seamhatch_core::identity::Address;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use std::future::Future;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use tokio::sync::Notify;
 
 /// Maximum size of an answer.
 const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 
+/// Maximum number of interim responses (status 1xx) before an answer.
+const MAX_INTERIM_RESPONSES: u32 = 16;
+
 /// An HTTP client of one store; cheap to clone.
 #[derive(Debug, Clone)]
 pub struct StoreExchange {
@@ -82,18 +91,35 @@
         format!("http://{}{path_and_query}", self.address)
     }
 
-    async fn send(&self, request: Request<Full<Bytes>>) -> Result<StoreReply, StoreError> {
-        let response = self.client.request(request).await.map_err(|error| {
-            let detail = error.to_string();
-            if error.is_connect() {
-                StoreError::Unreachable { detail }
-            } else {
-                StoreError::AnswerLost { detail }
+    async fn send(&self, mut request: Request<Full<Bytes>>) -> Result<StoreReply, StoreError> {
+        let too_many_interim = limit_interim_responses(&mut request);
+        let response = tokio::select! {
+            response = self.client.request(request) => response.map_err(exchange_error)?,
+            () = too_many_interim => {
+                let detail = format!("more than {MAX_INTERIM_RESPONSES} interim responses");
+                return Err(StoreError::AnswerLost { detail });
             }
-        })?;
+        };
         let status = response.status();
         let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await;
         let body = body.map_err(|error| StoreError::AnswerLost { detail: error.to_string() })?.to_bytes();
         Ok(StoreReply { status, body })
     }
 }
+
+fn exchange_error(error: Error) -> StoreError {
+    let detail = error.to_string();
+    if error.is_connect() { StoreError::Unreachable { detail } } else { StoreError::AnswerLost { detail } }
+}
+
+/// Counts the interim responses to a request. The returned future resolves when there are more than [`MAX_INTERIM_RESPONSES`].
+fn limit_interim_responses(request: &mut Request<Full<Bytes>>) -> impl Future<Output = ()> + Send + use<> {
+    let exceeded = Arc::new(Notify::new());
+    let (notify, count) = (exceeded.clone(), AtomicU32::new(0));
+    on_informational(request, move |_response| {
+        if count.fetch_add(1, Ordering::Relaxed) == MAX_INTERIM_RESPONSES {
+            notify.notify_one();
+        }
+    });
+    async move { exceeded.notified().await }
+}
