A daemon whose store names no other daemons trusts its back end after 4 s

A store that had told the daemon of its own departures, and then never answered the read of all records, left the daemon to wait for second heartbeats. All that was acknowledged is known by then.

--- a/crates/seamhatch-core/src/departure/mod.rs
+++ b/crates/seamhatch-core/src/departure/mod.rs
@@ -20,7 +20,8 @@
 pub const HOLDERS_ANSWER_TIMEOUT: Microseconds = 500 * MILLISECOND;
 /// How long a starting daemon waits for the store before it relies on the holders.
 pub const STORE_ANSWER_TIMEOUT: Microseconds = 800 * MILLISECOND;
-/// How long a starting daemon that reaches neither the store nor a holder waits before it relies on its back end.
+/// How long a starting daemon waits at most, whichever sources it reaches, before it relies on those that have answered and on
+/// its back end.
 pub const INQUIRY_TIMEOUT: Microseconds = 4 * SECOND;
 
 /// Where a starting daemon learns of earlier departures.
@@ -106,12 +107,13 @@
         let holders_overdue =
             !wait.asking && wait.members_known.is_some_and(|known| known > HOLDERS_ANSWER_TIMEOUT);
         let any_holder_answered = self.holders_answered || self.first_holders_answered;
+        let is_over = wait.started > INQUIRY_TIMEOUT;
         match self.store_answered {
-            true if self.holders_answered || holders_overdue => InquiryVerdict::Settled,
+            true if self.holders_answered || holders_overdue || is_over => InquiryVerdict::Settled,
             false if any_holder_answered && wait.started > STORE_ANSWER_TIMEOUT => {
                 InquiryVerdict::Unconfirmed
             }
-            _ if wait.started > INQUIRY_TIMEOUT => InquiryVerdict::Unconfirmed,
+            false if is_over => InquiryVerdict::Unconfirmed,
             _ => InquiryVerdict::Wait,
         }
     }
--- a/crates/seamhatch-model/src/departures.rs
+++ b/crates/seamhatch-model/src/departures.rs
@@ -2,7 +2,8 @@
 //! daemons, late heartbeats and late writes: an instance whose departure was acknowledged never takes
 //! work again, and neither does one whose departure another daemon holds.
 //!
-//! Bounds: two instances, one after the other; one daemon that holds departures. With a store that
+//! Bounds: two instances, one after the other; one daemon that holds departures, and answers a
+//! starting daemon within its patience, as the store does unless it may be silent. With a store that
 //! may be silent to a starting daemon, one heartbeat of an instance may be late: the daemon takes two
 //! that are far enough apart for a sign of life.
 
@@ -75,6 +76,8 @@
     inquiry: DepartureInquiry,
     verdict: InquiryVerdict,
     early: EarlyHeartbeats,
+    /// The store has answered the inquiry.
+    store_answered: bool,
     /// Departures that this incarnation has to have noted.
     pending: BTreeSet<usize>,
 }
@@ -257,7 +260,7 @@
         if state.daemon.verdict == InquiryVerdict::Settled {
             return;
         }
-        if self.store_may_be_silent {
+        if self.store_may_be_silent && !state.daemon.store_answered {
             Step::add(steps, state, action("the daemon has waited for the store in vain", 0, 0), |next| {
                 self.judge(next, InquiryWait { started: INQUIRY_TIMEOUT + 1, ..NO_WAIT });
             });
@@ -278,6 +281,7 @@
             daemon.registry.depart(instance);
         }
         daemon.inquiry.note_answer(source);
+        daemon.store_answered |= source == DepartureSource::Store;
         if self.fault == DeparturesFault::StoreAlone && source == DepartureSource::Store {
             daemon.inquiry.note_answer(DepartureSource::Holders);
         }
