A repeated word of a server that leaves tries the store at once

A server says again that it leaves when it got no acknowledgement. Since one write runs for a departure, its repeated word waited for a call that the store had left unanswered, up to 1.5 s and a pause, though the store was back: not acknowledged a second time (found by a test of lifecycle.rs, run by hand before the landing). The repeated word now makes an attempt of its own, whose success ends the wait of all. The test is unchanged: a_goodbye_that_nobody_remembers_is_not_acknowledged.

--- a/crates/seamhatchd/src/controllers/control_thread/departures.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/departures.rs
@@ -10,7 +10,9 @@
 use crate::base::clock;
 use crate::base::metrics::seconds;
 use crate::control::{InstanceAnswer, InstanceEvent};
-use crate::controllers::follow::{OwnRecord, ask_departures, ask_to_hold, record_departure};
+use crate::controllers::follow::{
+    OwnRecord, ask_departures, ask_to_hold, record_departure, try_to_record_departure,
+};
 use log::{info, warn};
 use seamhatch_core::Instant;
 use seamhatch_core::clock::{MILLISECOND, Microseconds};
@@ -77,8 +79,8 @@
     pub(super) own_record: Option<Arc<OwnRecord>>,
     /// Instances whose departure the store has recorded.
     recorded: HashSet<InstanceId>,
-    /// Departures that are being written to the store. A receiver turns true once the store has recorded it.
-    writes: HashMap<InstanceId, watch::Receiver<bool>>,
+    /// Departures that are being written to the store. Each channel turns true once the store has recorded it.
+    writes: HashMap<InstanceId, watch::Sender<bool>>,
 }
 
 impl ControlThread {
@@ -248,14 +250,16 @@
             return DepartureRecording::Done;
         }
         if let Some(write) = self.departures.writes.get(&instance) {
-            return DepartureRecording::UnderWay(write.clone());
+            let recorded = write.subscribe();
+            self.retry_record(own_record, instance);
+            return DepartureRecording::UnderWay(recorded);
         }
         let (sender, receiver) = watch::channel(false);
         if self.departures.writes.len() >= REMEMBERED_DEPARTURES {
             // Counts as failed, as the sender is dropped; it is recorded when the back end repeats it.
             return DepartureRecording::UnderWay(receiver);
         }
-        self.departures.writes.insert(instance.clone(), receiver.clone());
+        self.departures.writes.insert(instance.clone(), sender);
         self.ask_to_hold(instance.clone());
         let (metrics, control) = (self.shared.metrics.clone(), self.shared.control.clone());
         tokio::spawn(async move {
@@ -267,12 +271,21 @@
                 instance = instance.name.as_str(), recorded = recorded, took_ms = took / MILLISECOND;
                 "departure of an instance"
             );
-            sender.send_replace(recorded);
             control.send(InstanceEvent::DepartureWritten { instance, recorded });
         });
         DepartureRecording::UnderWay(receiver)
     }
 
+    /// Tries again to record a departure that the back end has repeated.
+    fn retry_record(&self, own_record: Arc<OwnRecord>, instance: InstanceId) {
+        let control = self.shared.control.clone();
+        tokio::spawn(async move {
+            if try_to_record_departure(&own_record, &instance).await {
+                control.send(InstanceEvent::DepartureWritten { instance, recorded: true });
+            }
+        });
+    }
+
     /// Asks other daemons to hold a departure, for a restart of this one while the store is out.
     fn ask_to_hold(&self, instance: InstanceId) {
         let gossip = self.shared.settings.advertise.gossip;
@@ -281,8 +294,11 @@
     }
 
     pub(super) fn departure_written(&mut self, instance: InstanceId, is_recorded: bool) {
-        self.departures.writes.remove(&instance);
+        let write = self.departures.writes.remove(&instance);
         if is_recorded {
+            if let Some(write) = write {
+                write.send_replace(true);
+            }
             self.departures.note_recorded(instance);
         }
     }
--- a/crates/seamhatchd/src/controllers/follow/departures.rs
+++ b/crates/seamhatchd/src/controllers/follow/departures.rs
@@ -4,10 +4,10 @@
 //! before it is acknowledged: the memory of daemons is gone when all of them are killed. Other daemons hold it as well, for a
 //! restart while the store is out, and a starting daemon asks both.
 
-use super::own_record::OwnRecord;
+use super::own_record::{OwnRecord, RecordChange};
 use crate::peer::PeerPool;
 use futures_util::future::join_all;
-use log::warn;
+use log::{debug, warn};
 use seamhatch_core::identity::Address;
 use seamhatch_core::instance::InstanceId;
 use seamhatch_wire::{ControlReply, ControlRequest};
@@ -28,6 +28,19 @@
     is_recorded
 }
 
+/// Tries once to write a departure that is being recorded, since another attempt may wait for a store that has come back
+/// meanwhile. Returns true if the store has recorded it.
+pub async fn try_to_record_departure(record: &OwnRecord, instance: &InstanceId) -> bool {
+    match record.change(&|record| record.departures.add(instance)).await {
+        Ok(change) => change != RecordChange::Conflict,
+        // The other attempts go on.
+        Err(error) => {
+            debug!(error = error.to_string().as_str(); "this daemon's record can't be written; retrying");
+            false
+        }
+    }
+}
+
 /// Asks `peers` to hold a departure. `gossip` is this daemon's gossip address.
 pub async fn ask_to_hold(pool: Arc<PeerPool>, gossip: Address, instance: InstanceId, peers: Vec<Address>) {
     let request = ControlRequest::RememberDeparture { member: gossip, instance };
--- a/crates/seamhatchd/src/controllers/follow/mod.rs
+++ b/crates/seamhatchd/src/controllers/follow/mod.rs
@@ -15,7 +15,7 @@
 mod store_calls;
 
 pub use configuration::follow_configuration;
-pub use departures::{ask_departures, ask_to_hold, record_departure};
+pub use departures::{ask_departures, ask_to_hold, record_departure, try_to_record_departure};
 pub use discovery::discover;
 pub use evidence::{EvidenceKeeper, EvidenceUpdate, keep_evidence};
 pub use freshness::{ProofKeeper, keep_proof_fresh};
