--- a/crates/seamhatch-lab/tests/at_most_once.rs
+++ b/crates/seamhatch-lab/tests/at_most_once.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::{assert_ready, eventually, executions_by_request, request, start, until_answered};
+use common::{assert_ready, eventually, executions_by_request, log_lines_of, request, start, until_answered};
 use rustix::process::Signal;
 use seamhatch_lab::connection::Caller;
 use seamhatch_lab::deployment::Deployment;
@@ -81,7 +81,8 @@
             let answer = caller.send(deployment.daemons[4].machine.ingress(), payout).await;
             assert!(
                 answer.is_good() || answer.outcome == "duplicate" || answer.outcome == "unknown",
-                "{answer:?}"
+                "{answer:?}\n{}",
+                log_lines_of(&deployment, payout)
             );
         }
         if round % 2 == 0 {
--- a/crates/seamhatch-lab/tests/common/mod.rs
+++ b/crates/seamhatch-lab/tests/common/mod.rs
@@ -29,6 +29,16 @@
     (deployment, turn)
 }
 
+/// What all daemons logged of a request.
+pub fn log_lines_of(deployment: &Deployment, request: &CallerRequest) -> String {
+    let lines_of = |daemon: usize| {
+        let log = deployment.log(daemon);
+        let lines = log.lines().filter(|line| line.contains(&request.request));
+        lines.map(|line| format!("daemon {daemon}: {line}\n")).collect::<String>()
+    };
+    (0..deployment.daemons.len()).map(lines_of).collect()
+}
+
 /// A request of this name.
 pub fn request(method: &'static str, path: &str, name: &str, keyed: bool) -> CallerRequest {
     CallerRequest {
