Credit for a request body follows the server that takes it

Cause: credit was granted as a piece arrived from the other daemon, and the channel on to the server is unbounded, so the sender's window held nothing back. Change: the body's stream reports each piece that the connection to the server takes, and the credit is granted then (request_credit). Why it works: what arrived and isn't taken is at most the sender's window; the sender then stops reading its caller.

--- a/crates/seamhatchd/src/peer_server/incoming_calls.rs
+++ b/crates/seamhatchd/src/peer_server/incoming_calls.rs
@@ -10,7 +10,6 @@
 use crate::peer_server::cancellation::Cancellation;
 use crate::server::backend::{BodyAborted, BodyPiece};
 use bytes::Bytes;
-use seamhatch_core::body_credit::OwedCredit;
 use seamhatch_core::identity::CallId;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -20,8 +19,6 @@
 pub(super) struct IncomingCall {
     /// Channel of the request body; none for a call without a body, and after the body's end.
     pub(super) body: Option<mpsc::UnboundedSender<BodyPiece>>,
-    /// Credit for the request body that has not been granted to its sender yet.
-    pub(super) owed: OwedCredit,
     /// Flow-control window of the answer's body.
     pub(super) window: Arc<CreditWindow>,
     pub(super) cancellation: Arc<Cancellation>,
@@ -48,14 +45,13 @@
         self.lock().is_empty()
     }
 
-    /// Forwards a piece of a request body. Returns the credit to grant now, or none if no credit is due, the call
-    /// has ended, or its body is no longer read.
-    pub(super) fn feed(&self, call: CallId, bytes: Bytes) -> Option<u32> {
-        let mut calls = self.lock();
-        let entry = calls.get_mut(&call)?;
-        let size = bytes.len() as u32;
-        entry.body.as_ref()?.send(Ok(bytes)).ok()?;
-        entry.owed.take(size)
+    /// Forwards a piece of a request body. The piece is dropped if the call has ended or its body is no longer read.
+    pub(super) fn feed(&self, call: CallId, bytes: Bytes) {
+        let calls = self.lock();
+        if let Some(body) = calls.get(&call).and_then(|entry| entry.body.as_ref()) {
+            // Fails if the body is no longer read.
+            let _ = body.send(Ok(bytes));
+        }
     }
 
     /// Marks a request body as complete.
--- a/crates/seamhatchd/src/peer_server/mod.rs
+++ b/crates/seamhatchd/src/peer_server/mod.rs
@@ -8,6 +8,7 @@
 mod call;
 mod cancellation;
 mod incoming_calls;
+mod request_credit;
 mod session;
 
 use crate::base::metrics::BadInput;
--- a/crates/seamhatchd/src/peer_server/session.rs
+++ b/crates/seamhatchd/src/peer_server/session.rs
@@ -10,16 +10,16 @@
 use crate::intake::RequestEntry;
 use crate::limits::freshness::ProofSource;
 use crate::limits::quota;
-use crate::peer::{CreditWindow, Outbox, PendingShutdownAck, owed_credit};
+use crate::peer::{CreditWindow, Outbox, PendingShutdownAck};
 use crate::peer_server::call::ServerCall;
 use crate::peer_server::cancellation::Cancellation;
 use crate::peer_server::incoming_calls::{IncomingCall, IncomingCalls};
+use crate::peer_server::request_credit::RequestCredit;
 use crate::server::backend;
 use crate::shared::Shared;
 use bytes::Bytes;
 use seamhatch_core::Instant;
 use seamhatch_core::clock::PeerClock;
-use seamhatch_core::identity::CallId;
 use seamhatch_core::quota::QuotaGrant;
 use seamhatch_wire::{
     CallHead, ControlReply, ControlRequest, Farewell, FrameReader, Hello, PeerMessage, Pulse, WireError,
@@ -89,7 +89,7 @@
         match message {
             PeerMessage::Suspects(reports) => self.shared.suspects.merge(&reports),
             PeerMessage::Call(head) => self.start_call(*head),
-            PeerMessage::RequestChunk { call, bytes } => self.feed(call, Bytes::from(bytes)),
+            PeerMessage::RequestChunk { call, bytes } => self.calls.feed(call, Bytes::from(bytes)),
             PeerMessage::RequestEnd { call } => self.calls.end_body(call),
             PeerMessage::Cancel { call } => self.calls.cancel(call),
             PeerMessage::Credit { call, bytes } => self.calls.refill(call, bytes),
@@ -120,19 +120,16 @@
     fn start_call(&self, head: CallHead) {
         let accepted = self.shared.intake.accept(RequestEntry::Peer);
         let (body_sender, body) = if head.has_body {
-            let (sender, body) = backend::request_body();
+            let mut credit = RequestCredit::new(self.outbox.clone(), head.call);
+            let (sender, body) = backend::request_body(Box::new(move |bytes| credit.record_taken(bytes)));
             (Some(sender), body)
         } else {
             (None, backend::no_body())
         };
         let window = Arc::new(CreditWindow::default());
         let cancellation = Arc::new(Cancellation::default());
-        let entry = IncomingCall {
-            body: body_sender,
-            owed: owed_credit(),
-            window: window.clone(),
-            cancellation: cancellation.clone(),
-        };
+        let entry =
+            IncomingCall { body: body_sender, window: window.clone(), cancellation: cancellation.clone() };
         if !self.calls.add(head.call, entry) {
             self.shared.metrics.bad_input(BadInput::PeerConnection);
         }
@@ -154,14 +151,6 @@
         }
     }
 
-    /// Forwards a piece of a request body and grants its sender the credit that is due. The channel to the back
-    /// end is unbounded, so the credit alone limits how much it holds.
-    fn feed(&self, call: CallId, bytes: Bytes) {
-        if let Some(bytes) = self.calls.feed(call, bytes) {
-            self.send(PeerMessage::Credit { call, bytes });
-        }
-    }
-
     /// Answers a control request. Requests for quota tokens are answered here, all others by the control thread.
     fn answer_control(&self, exchange: u64, request: ControlRequest) {
         if let ControlRequest::GetTokens { shard, tenant, wanted } = request {
--- a/crates/seamhatchd/src/server/backend/body.rs
+++ b/crates/seamhatchd/src/server/backend/body.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use http_body_util::{Either, Empty, StreamBody};
 use hyper::body::Frame;
+use std::fmt;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -18,20 +19,31 @@
 /// A piece of a request body on its way to the back end.
 pub type BodyPiece = Result<Bytes, BodyAborted>;
 
+/// Called with the size in bytes of each piece that the connection to the back end takes.
+pub type TakenHook = Box<dyn FnMut(u32) + Send>;
+
 /// A request body fed through a channel. It ends when the channel closes.
-#[derive(Debug)]
 pub struct ChannelStream {
     pieces: mpsc::UnboundedReceiver<BodyPiece>,
+    on_taken: TakenHook,
     written: Arc<AtomicBool>,
 }
 
+impl fmt::Debug for ChannelStream {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.debug_struct("ChannelStream").field("written", &self.written).finish_non_exhaustive()
+    }
+}
+
 impl futures_util::Stream for ChannelStream {
     type Item = Result<Frame<Bytes>, BodyAborted>;
 
     fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
         let polled = self.pieces.poll_recv(context);
-        if matches!(polled, Poll::Ready(None)) {
-            self.written.store(true, Ordering::Release);
+        match &polled {
+            Poll::Ready(Some(Ok(piece))) => (self.on_taken)(piece.len() as u32),
+            Poll::Ready(None) => self.written.store(true, Ordering::Release),
+            Poll::Ready(Some(Err(BodyAborted))) | Poll::Pending => {}
         }
         polled.map(|piece| piece.map(|piece| piece.map(Frame::data)))
     }
@@ -47,12 +59,13 @@
     pub(super) written: Arc<AtomicBool>,
 }
 
-/// Returns a request body and the sender that feeds it.
+/// Returns a request body and the sender that feeds it. The channel between them is unbounded: whoever feeds it limits what it
+/// holds by what `on_taken` reports.
 #[must_use]
-pub fn request_body() -> (mpsc::UnboundedSender<BodyPiece>, RequestBody) {
+pub fn request_body(on_taken: TakenHook) -> (mpsc::UnboundedSender<BodyPiece>, RequestBody) {
     let (sender, pieces) = mpsc::unbounded_channel();
     let written = Arc::new(AtomicBool::new(false));
-    let stream = ChannelStream { pieces, written: written.clone() };
+    let stream = ChannelStream { pieces, on_taken, written: written.clone() };
     (sender, RequestBody { http: Either::Left(StreamBody::new(stream)), written })
 }
 
--- a/crates/seamhatchd/tests/backend_connections.rs
+++ b/crates/seamhatchd/tests/backend_connections.rs
@@ -234,7 +234,7 @@
     let fixture = Fixture::start().await;
     for _ in 0..3 {
         fixture.exchange("/ok").await;
-        let (pieces, body) = request_body();
+        let (pieces, body) = request_body(Box::new(|_| {}));
         pieces.send(Ok(Bytes::from_static(b"some"))).expect("is open");
         drop(pieces);
         let mut answer = fixture.send("/ok", body).await.expect("is answered");
@@ -292,7 +292,7 @@
 #[tokio::test]
 async fn a_connection_whose_request_was_not_written_to_its_end_is_closed() {
     let fixture = Fixture::start().await;
-    let (pieces, body) = request_body();
+    let (pieces, body) = request_body(Box::new(|_| {}));
     pieces.send(Ok(Bytes::from_static(b"some"))).expect("is open");
     let mut answer = fixture.send("/early", body).await.expect("is answered");
     while answer.next().await.expect("is whole").is_some() {}
