--- a/crates/seamhatch-lab/tests/at_most_once.rs
+++ b/crates/seamhatch-lab/tests/at_most_once.rs
@@ -79,11 +79,9 @@
         // `unknown`, or run the request if it was not claimed.
         for payout in &requests {
             let answer = caller.send(deployment.daemons[4].machine.ingress(), payout).await;
-            assert!(
-                answer.is_good() || answer.outcome == "duplicate" || answer.outcome == "unknown",
-                "{answer:?}\n{}",
-                log_lines_of(&deployment, payout)
-            );
+            let is_expected =
+                answer.is_good() || answer.outcome == "duplicate" || answer.outcome == "unknown";
+            assert!(is_expected, "{answer:?}\n{}", log_lines_of(&deployment, payout).await);
         }
         if round % 2 == 0 {
             deployment.restart(0).expect("starts");
--- a/crates/seamhatch-lab/tests/common/mod.rs
+++ b/crates/seamhatch-lab/tests/common/mod.rs
@@ -29,8 +29,12 @@
     (deployment, turn)
 }
 
+/// Time within which a line is in the file of its log.
+const LOG_DELAY: Duration = Duration::from_millis(300);
+
 /// What all daemons logged of a request.
-pub fn log_lines_of(deployment: &Deployment, request: &CallerRequest) -> String {
+pub async fn log_lines_of(deployment: &Deployment, request: &CallerRequest) -> String {
+    tokio::time::sleep(LOG_DELAY).await;
     let lines_of = |daemon: usize| {
         let log = deployment.log(daemon);
         let lines = log.lines().filter(|line| line.contains(&request.request));
