--- a/review/standin-2/deployment.rs
+++ b/review/standin-2/deployment.rs
@@ -55,6 +55,8 @@
     /// Runs them for so long, then makes one call through its daemon, and answers by what became of it. It goes on
     /// where the connection of the request has closed.
     Calls { after: Duration, host: String, path: String },
+    /// Runs them for so long and answers 200 with so many bytes. It cuts an answer off that stays unread for 5 s.
+    Sends { after: Duration, bytes: usize },
 }
 
 #[derive(Default)]
@@ -195,7 +197,14 @@
                 continue;
             }
             state.note_run(&id, &request);
+            let mut body = format!("answer to {id}").into_bytes();
             let status = match &manner {
+                Manner::Sends { after, bytes } => {
+                    std::thread::sleep(*after);
+                    body.resize(*bytes, b'.');
+                    out.set_write_timeout(Some(Duration::from_secs(5)))?;
+                    200
+                }
                 Manner::Works(span) => {
                     std::thread::sleep(*span);
                     200
@@ -214,9 +223,9 @@
             };
             let load = state.free_slot();
             let reason = if status == 200 { "OK" } else { "Internal Server Error" };
-            let body = format!("answer to {id}");
             let head = format!("HTTP/1.1 {status} {reason}\r\nX-Request-Id: {id}\r\nX-Response-Signature: s.{id}\r\nX-Server-Load: {load}");
-            out.write_all(format!("{head}\r\nContent-Length: {}\r\n\r\n{body}", body.len()).as_bytes())?;
+            out.write_all(format!("{head}\r\nContent-Length: {}\r\n\r\n", body.len()).as_bytes())?;
+            out.write_all(&body)?;
         }
         Ok(())
     }
@@ -369,6 +378,14 @@
         self.start();
     }
 
+    /// Resident memory of the daemon in KiB.
+    pub fn resident(&self) -> u64 {
+        let id = self.child.as_ref().map_or(0, Child::id);
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        line.and_then(|line| line.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+    }
+
     pub fn is_ready(&self) -> bool {
         let answer = send_plain(self.ip, READINESS, "GET", "/readyz", "", Duration::from_secs(1));
         answer.is_some_and(|answer| answer.status() == 200)
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -68,6 +68,11 @@
         Ok(Some(Message { line, fields, body: Vec::new() }))
     }
 
+    /// How many bytes were read beyond the last head or body.
+    pub fn rest(&self) -> usize {
+        self.buffer.len()
+    }
+
     fn take(&mut self, count: usize) -> io::Result<Vec<u8>> {
         while self.buffer.len() < count {
             if self.fill()? == 0 {
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -7,6 +7,7 @@
 mod hang;
 mod http;
 mod json;
+mod readers;
 mod store;
 
 fn main() {
@@ -22,6 +23,7 @@
     let played = std::panic::catch_unwind(|| match case.as_str() {
         "calls" => calls::play(&record, trouble),
         "departed" => departed::play(&record, trouble),
+        "readers" => readers::play(&record, trouble),
         "hang" => hang::play(&record, trouble),
         _ => deployment::cannot_run("there is no such case"),
     });
