--- a/crates/seamhatch-core/src/admission/queue/mod.rs
+++ b/crates/seamhatch-core/src/admission/queue/mod.rs
@@ -75,6 +75,12 @@
         self.slots.lost()
     }
 
+    /// Number of calls that hold a slot after their deadline.
+    #[must_use]
+    pub fn overdue(&self, now: Instant) -> usize {
+        self.slots.overdue(now)
+    }
+
     /// Number of waiting calls.
     #[must_use]
     pub fn waiting(&self) -> usize {
--- a/crates/seamhatch-core/src/admission/slots.rs
+++ b/crates/seamhatch-core/src/admission/slots.rs
@@ -15,6 +15,8 @@
     class: PriorityClass,
     kind: CallKind,
     started: Instant,
+    /// Deadline of the call.
+    expiry: Instant,
     /// Set while the call is part of a limit probe.
     mark: Option<ProbeMark>,
     /// The call has taken a turn of the rate limiter, during a limit or the ramp after it.
@@ -58,6 +60,11 @@
         self.lost
     }
 
+    /// Number of calls that hold a slot after their deadline.
+    pub(super) fn overdue(&self, now: Instant) -> usize {
+        self.running.values().filter(|slot| !slot.lost && slot.expiry <= now).count()
+    }
+
     pub(super) fn shares(&self) -> &ClassShares {
         &self.shares
     }
@@ -75,6 +82,7 @@
             class,
             kind: request.kind,
             started: now,
+            expiry: request.expiry,
             mark,
             has_turn,
             makes_calls: false,
--- a/crates/seamhatchd/src/base/metrics.rs
+++ b/crates/seamhatchd/src/base/metrics.rs
@@ -208,6 +208,8 @@
     pub work_milliseconds: Gauge,
     /// Calls whose answer appears to be lost and that no longer hold a slot.
     pub lost: Gauge,
+    /// Calls that hold a slot after their deadline.
+    pub overdue: Gauge,
     /// First refused priority level.
     pub floor: Gauge,
     /// Generation of the configuration in force.
@@ -326,6 +328,7 @@
             running: gauge(to, "running_calls", "Calls the back end works on"),
             waiting: gauge(to, "waiting_calls", "Calls that wait for a slot"),
             lost: gauge(to, "lost_calls", "Calls whose answer seems to be lost"),
+            overdue: gauge(to, "overdue_calls", "Calls without an answer after their deadline"),
             limit: gauge(to, "limit_calls", "Calls that may run at once"),
             floor: gauge(to, "admission_floor", "First refused priority level"),
             named_rate: gauge_or_none(
--- a/crates/seamhatchd/src/server/gate/mod.rs
+++ b/crates/seamhatchd/src/server/gate/mod.rs
@@ -52,6 +52,8 @@
     waiters: HashMap<Ticket, oneshot::Sender<Result<(), Reason>>>,
     /// Number of slots worth using, as last logged.
     logged_slots: u32,
+    /// Number of calls that hold a slot after their deadline, as last logged.
+    logged_overdue: usize,
     /// When a task checks for the turn of a waiting call, if the back end is rate-limited.
     wake_at: Option<Instant>,
 }
@@ -73,6 +75,16 @@
             self.logged_slots = slots;
         }
     }
+
+    /// Logs the number of calls that hold a slot after their deadline if it has changed. Returns the number.
+    fn log_overdue(&mut self, now: Instant) -> usize {
+        let overdue = self.queue.overdue(now);
+        if overdue != self.logged_overdue {
+            info!(calls = overdue, before = self.logged_overdue; "calls without an answer after their deadline");
+            self.logged_overdue = overdue;
+        }
+        overdue
+    }
 }
 
 /// Hands out the slots of the local back end.
@@ -91,7 +103,7 @@
     pub fn new(policy: AdmissionPolicy, metrics: Arc<Metrics>) -> Arc<Self> {
         let queue = AdmissionQueue::new(policy);
         let logged_slots = queue.worthwhile_slots();
-        let state = State { queue, waiters: HashMap::new(), logged_slots, wake_at: None };
+        let state = State { queue, waiters: HashMap::new(), logged_slots, logged_overdue: 0, wake_at: None };
         Arc::new_cyclic(|weak_self| Self {
             state: Mutex::new(state),
             next_ticket: AtomicU64::new(0),
@@ -211,6 +223,7 @@
         self.metrics.running.set(state.queue.running() as i64);
         self.metrics.waiting.set(state.queue.waiting() as i64);
         self.metrics.lost.set(state.queue.lost() as i64);
+        self.metrics.overdue.set(state.log_overdue(now) as i64);
         self.metrics.limit.set(i64::from(state.queue.limit()));
         self.metrics.floor.set(i64::from(state.queue.floor().level));
         let pace = state.queue.pace(now);
