A call that its back end doesn't answer ends by its deadline

Cause: for a call that may run only once nothing ended the wait for the first byte of its answer, so slot, connection and entries were held until the server closed. With all slots held no answer fed the detector of lost answers. Ruled out: senders that avoid the server, floors (used again within a second once the slots are back). Change: an answer that has not begun ends 1 s after the deadline that the server was given; an answer is forwarded no longer than that; after three calls without an answer the back end gets one call each 0.5 s until it answers one; the command line waits 5 s for a page, 20 s for a change. Counters, gauges, two log lines. Why it works: what holds a slot has an end that depends on nobody else, and a server stops its work at that deadline.

--- a/crates/seamhatch-core/src/admission/mod.rs
+++ b/crates/seamhatch-core/src/admission/mod.rs
@@ -10,6 +10,7 @@
 //! | [`KneeFinder`] | whether using the last slots raises throughput |
 //! | [`ClassShares`] | which class goes first |
 //! | `slots` | which calls hold a slot, and which have lost their answer |
+//! | `silence` | whether the back end has stopped answering, and gets single calls only |
 //! | `waiting` | which calls wait, and in which order |
 //! | `rate_limited` | when calls start at a back end that names a rate |
 //! | `service_times` | the median service time of each kind of call |
@@ -30,6 +31,7 @@
 mod request;
 mod service_times;
 mod shares;
+mod silence;
 mod slots;
 mod waiting;
 
--- a/crates/seamhatch-core/src/admission/queue/lateness.rs
+++ b/crates/seamhatch-core/src/admission/queue/lateness.rs
@@ -62,6 +62,6 @@
         let service_time = self.limit.average_service_time();
         let for_slot = service_time * (ahead as u64 + 1) / u64::from(self.limit().max(1));
         let for_rate = self.rate_limited.as_ref().map_or(0, |limited| limited.limiter().turn_in(ahead, now));
-        for_slot.max(for_rate)
+        for_slot.max(for_rate).max(self.silence.turn_in(ahead, now))
     }
 }
--- a/crates/seamhatch-core/src/admission/queue/mod.rs
+++ b/crates/seamhatch-core/src/admission/queue/mod.rs
@@ -14,6 +14,7 @@
 use super::floor::{FloorController, HIGH_FILL, Pressure};
 use super::rate_limited::RateLimitedBackEnd;
 use super::service_times::ServiceTimes;
+use super::silence::SilenceDetector;
 use super::slots::SlotTable;
 use super::waiting::WaitingCalls;
 use super::{
@@ -37,6 +38,7 @@
     floor: FloorController,
     service_times: ServiceTimes,
     pace: PaceTracker,
+    silence: SilenceDetector,
     /// Set while the back end names a rate, and during the ramp that follows.
     rate_limited: Option<RateLimitedBackEnd>,
 }
@@ -54,6 +56,7 @@
             floor: FloorController::default(),
             service_times: ServiceTimes::default(),
             pace: PaceTracker::default(),
+            silence: SilenceDetector::default(),
             rate_limited: None,
         }
     }
@@ -119,6 +122,7 @@
         self.limit = self.limit.for_new_instance(self.policy);
         self.knee = KneeFinder::new(slots);
         self.pace.reset_service_time();
+        self.silence = SilenceDetector::default();
     }
 
     /// Removes and returns all waiting calls, because the server takes no more calls.
@@ -220,6 +224,22 @@
         self.slots.note_failure(ticket);
     }
 
+    /// Records that the back end has answered a call, in whatever way.
+    pub fn note_answer(&mut self) {
+        self.silence.note_answer();
+    }
+
+    /// Records that the back end has not answered a running call, which will therefore never be answered.
+    pub fn note_unanswered(&mut self) {
+        self.silence.note_unanswered();
+    }
+
+    /// Whether the back end has stopped answering. It gets single calls then, until it answers one.
+    #[must_use]
+    pub fn is_silent(&self) -> bool {
+        self.silence.is_silent()
+    }
+
     /// Adjusts the admission floor; to be called every 100 ms.
     pub fn tick(&mut self) {
         let healthy_calls = (f64::from(self.capacity()) * HIGH_FILL) as usize;
@@ -257,6 +277,7 @@
                 None
             }
         };
+        self.silence.note_start(now);
         self.slots.start(request, mark, self.rate_limited.is_some(), now);
     }
 
--- a/crates/seamhatch-core/src/admission/queue/rate_limited.rs
+++ b/crates/seamhatch-core/src/admission/queue/rate_limited.rs
@@ -69,9 +69,13 @@
         if self.rate_limited.is_some() { Reason::BackendRate } else { Reason::DeadlineExceeded }
     }
 
-    /// Number of usable slots as reported to other daemons, which is lower while a rate limit leaves slots unused.
+    /// Number of usable slots as reported to other daemons, which is lower while a rate limit or a silent back end
+    /// leaves slots unused.
     #[must_use]
     pub fn reported_limit(&self) -> u32 {
+        if self.is_silent() {
+            return 1;
+        }
         (self.usable_slots().ceil() as u32).clamp(1, self.limit().max(1))
     }
 
@@ -96,9 +100,9 @@
         RequestRate::per_second(f64::from(self.limit()) / seconds).unwrap_or_default()
     }
 
-    /// Whether a slot is free and the rate limiter allows a call to start.
+    /// Whether a slot is free, and neither the rate limiter nor a silent back end holds the call back.
     pub(super) fn may_start(&self, now: Instant) -> bool {
         let is_due = self.rate_limited.as_ref().is_none_or(|limited| limited.limiter().is_due(now));
-        self.running() < self.limit() as usize && is_due
+        self.running() < self.limit() as usize && is_due && self.silence.may_start(now)
     }
 }
--- a/crates/seamhatch-core/tests/admission.rs
+++ b/crates/seamhatch-core/tests/admission.rs
@@ -542,3 +542,79 @@
         assert_eq!((queue.running(), queue.lost()), (0, 0), "{}", case.name);
     }
 }
+
+/// A queue with `slots` slots whose back end has left `unanswered` calls in a row unanswered, and has none now.
+fn after_unanswered_calls(slots: u32, unanswered: u64) -> AdmissionQueue {
+    let policy = AdmissionPolicy { slots, queue_per_slot: 2, initial_slots: slots };
+    let mut queue = AdmissionQueue::new(policy);
+    for ticket in 0..unanswered {
+        assert_eq!(queue.offer(request(ticket, PriorityClass::Normal, NOW), NOW), Admission::Run);
+        queue.note_unanswered();
+        queue.finish(Ticket(ticket), NOW, false);
+    }
+    queue
+}
+
+/// Offers calls each 100 ms for 2 s, none of which ends. Returns how many start.
+fn starts_in_two_seconds(queue: &mut AdmissionQueue) -> usize {
+    let mut started = 0;
+    for number in 0..20 {
+        let now = NOW.plus((number + 1) * 100 * MILLISECOND);
+        let offered = queue.offer(request(100 + number, PriorityClass::Normal, now), now);
+        started += usize::from(offered == Admission::Run);
+        started +=
+            std::iter::from_fn(|| queue.next(now)).filter(|next| matches!(next, Dequeued::Run(_))).count();
+    }
+    started
+}
+
+/// Guards against filling all slots of a back end that hangs, again and again, with calls that it never answers.
+#[test]
+fn a_back_end_that_answers_nothing_gets_single_calls_until_it_answers() {
+    struct SilenceCase {
+        name: &'static str,
+        unanswered: u64,
+        answers_then: bool,
+        starts: usize,
+    }
+    let cases = [
+        SilenceCase { name: "sound", unanswered: 0, answers_then: false, starts: 16 },
+        SilenceCase { name: "two lost answers", unanswered: 2, answers_then: false, starts: 16 },
+        SilenceCase { name: "silent", unanswered: 3, answers_then: false, starts: 4 },
+        SilenceCase { name: "long silent", unanswered: 40, answers_then: false, starts: 4 },
+        SilenceCase { name: "answers again", unanswered: 40, answers_then: true, starts: 16 },
+    ];
+    for case in cases {
+        let mut queue = after_unanswered_calls(16, case.unanswered.min(3));
+        (3..case.unanswered).for_each(|_| queue.note_unanswered());
+        if case.answers_then {
+            queue.note_answer();
+        }
+        let limit = if case.starts == 16 { 16 } else { 1 };
+        assert_eq!(queue.reported_limit(), limit, "{}", case.name);
+        assert_eq!(starts_in_two_seconds(&mut queue), case.starts, "{}", case.name);
+    }
+}
+
+/// Guards against calls that wait for a back end that hangs until their time has run out, though their callers could go elsewhere.
+#[test]
+fn calls_for_a_silent_back_end_wait_only_if_their_turn_comes_in_time() {
+    let mut queue = after_unanswered_calls(16, 3);
+    let hurried = |ticket, span| {
+        let expiry = NOW.plus(span);
+        AdmissionRequest { expiry, objective_end: expiry, ..request(ticket, PriorityClass::Normal, NOW) }
+    };
+    assert_eq!(queue.offer(hurried(10, 400 * MILLISECOND), NOW), Admission::Refuse(Reason::DeadlineExceeded));
+    assert_eq!(queue.offer(hurried(11, 800 * MILLISECOND), NOW), Admission::Wait { evicted: None });
+    assert_eq!(queue.offer(hurried(12, 800 * MILLISECOND), NOW), Admission::Refuse(Reason::DeadlineExceeded));
+    assert_eq!(queue.offer(hurried(13, 2 * SECOND), NOW), Admission::Wait { evicted: None });
+}
+
+/// Guards against a new instance that is held back because the one before it hung.
+#[test]
+fn another_instance_of_the_back_end_is_not_silent() {
+    let mut queue = after_unanswered_calls(16, 3);
+    assert!(queue.is_silent());
+    queue.set_slots(16, 16);
+    assert!(!queue.is_silent());
+}
--- a/crates/seamhatch/src/client.rs
+++ b/crates/seamhatch/src/client.rs
@@ -11,6 +11,12 @@
 use seamhatchd::base::http_client::{HttpClient, http_client};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// Longest wait for a page.
+const READ_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest wait for the answer to a change; a daemon takes up to 15 s for a submission.
+const CHANGE_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Why a daemon did not do what it was asked.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
@@ -111,6 +117,21 @@
         method: Method,
         path: &str,
         body: Bytes,
+    ) -> Result<AdminReply<T>, AdminFailure> {
+        let timeout = if method == Method::GET { READ_TIMEOUT } else { CHANGE_TIMEOUT };
+        let exchange = self.exchange(daemon, method, path, body);
+        tokio::time::timeout(timeout, exchange).await.unwrap_or_else(|_| {
+            let detail = format!("no answer within {} s", timeout.as_secs());
+            Err(AdminFailure::Lost(detail))
+        })
+    }
+
+    async fn exchange<T: DeserializeOwned>(
+        &self,
+        daemon: Address,
+        method: Method,
+        path: &str,
+        body: Bytes,
     ) -> Result<AdminReply<T>, AdminFailure> {
         let request = Request::builder()
             .method(method)
--- a/crates/seamhatch/tests/cli.rs
+++ b/crates/seamhatch/tests/cli.rs
@@ -2,6 +2,7 @@
 
 use std::io::Write;
 use std::process::{Command, Output};
+use std::time::{Duration, Instant};
 
 fn run(arguments: &[&str]) -> Output {
     let mut command = Command::new(env!("CARGO_BIN_EXE_seamhatch"));
@@ -63,6 +64,17 @@
     assert_eq!(output.status.code(), Some(6));
 }
 
+/// Guards against a command that waits for ever for a daemon that stands still: its system takes connections, and nothing answers.
+#[test]
+fn a_daemon_that_stands_still_exits_with_6() {
+    let frozen = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = frozen.local_addr().expect("is bound").to_string();
+    let begun = Instant::now();
+    let output = run(&["--daemon", &address, "status"]);
+    assert_eq!(output.status.code(), Some(6));
+    assert!(begun.elapsed() < Duration::from_secs(10), "{:?}", begun.elapsed());
+}
+
 /// Logs of two daemons: what the request met, and what one of them came to believe meanwhile.
 #[test]
 fn a_trace_shows_a_requests_path_through_the_logs_of_daemons() {
--- a/crates/seamhatchd/src/base/metrics.rs
+++ b/crates/seamhatchd/src/base/metrics.rs
@@ -65,6 +65,8 @@
     ClosedByServer,
     /// A connection had been closed to cancel its call.
     Cancelled,
+    /// A connection had been closed because its call was not answered by its deadline.
+    Unanswered,
     /// A connection had been closed because of an unusable answer, or an answer that arrived before the whole request was written.
     UnusableAnswer,
     /// The connection tests whether the back end has ended.
@@ -77,6 +79,7 @@
             Self::NoneIdle => "none-idle",
             Self::ClosedByServer => "closed-by-server",
             Self::Cancelled => "cancelled",
+            Self::Unanswered => "unanswered",
             Self::UnusableAnswer => "unusable-answer",
             Self::Probe => "probe",
         }
@@ -210,6 +213,10 @@
     pub lost: Gauge,
     /// Calls that hold a slot after their deadline.
     pub overdue: Gauge,
+    /// 1 while the back end has stopped answering.
+    pub silent: Gauge,
+    /// Calls that the back end had not answered by their deadline.
+    pub unanswered: Counter,
     /// First refused priority level.
     pub floor: Gauge,
     /// Generation of the configuration in force.
@@ -329,6 +336,12 @@
             waiting: gauge(to, "waiting_calls", "Calls that wait for a slot"),
             lost: gauge(to, "lost_calls", "Calls whose answer seems to be lost"),
             overdue: gauge(to, "overdue_calls", "Calls without an answer after their deadline"),
+            silent: gauge(to, "backend_silent", "1 while the back end answers no calls"),
+            unanswered: counter(
+                to,
+                "unanswered_calls",
+                "Calls that the back end had not answered by their deadline",
+            ),
             limit: gauge(to, "limit_calls", "Calls that may run at once"),
             floor: gauge(to, "admission_floor", "First refused priority level"),
             named_rate: gauge_or_none(
--- a/crates/seamhatchd/src/peer_server/call/execute.rs
+++ b/crates/seamhatchd/src/peer_server/call/execute.rs
@@ -89,7 +89,7 @@
         let notice = match answered {
             Ok(answer) => answer.notice,
             Err(BackendError::NotRun { notice, .. }) => *notice,
-            Err(BackendError::Failed { .. }) => return,
+            Err(BackendError::Failed { .. } | BackendError::Unanswered) => return,
         };
         self.shared.server.notices.note_answer(run.instance.as_ref(), notice, run.started);
         if notice.leaving {
@@ -150,8 +150,8 @@
         Ok((answer, start))
     }
 
-    /// Resolves when the sender has cancelled a repeatable call. A call that is not repeatable runs to its end,
-    /// because its effect is wanted or can't be undone.
+    /// Resolves when the sender has cancelled a repeatable call. A call that is not repeatable runs to its end, at the
+    /// latest until its answer is cut off, because its effect is wanted or can't be undone.
     async fn until_abandoned(&self) {
         self.cancellation.cancelled().await;
         if !self.head.context.repeatable {
@@ -168,14 +168,18 @@
         mut answer: BackendAnswer,
         start: AnswerStart,
     ) {
+        permit.note_answer();
         if let Some(load) = self.shared.conventions.back_end_load(&answer.headers) {
             permit.note_load(load);
         }
         self.set_stage(RequestStage::Answering);
         let status = answer.status.as_u16();
+        let cut_off = answer.until_cut_off();
         let forwarded = tokio::select! {
             complete = self.forward_answer(running, run.started, &mut answer, start) => Some(complete),
             () = self.cancellation.cancelled() => None,
+            // A sender that stands still takes nothing of the answer and can't cancel the call.
+            () = cut_off => None,
         };
         let forwarded = match forwarded {
             None if !self.head.context.repeatable => Some(discard_rest(&mut answer).await),
@@ -209,6 +213,9 @@
     async fn fail(&self, running: &RunningCall, run: &BackendRun, permit: &mut Permit, error: BackendError) {
         match error {
             BackendError::NotRun { reason, detail, notice } => {
+                if reason.reached_back_end() {
+                    permit.note_answer();
+                }
                 if reason == Reason::BackendUnreachable {
                     permit.mark_unsent();
                 }
@@ -225,14 +232,22 @@
                     self.has_crashed(run).await;
                 }
             }
-            BackendError::Failed { detail } => {
-                let crashed = self.has_crashed(run).await;
-                let reason = if crashed { Reason::BackendCrashed } else { Reason::BackendFailed };
-                self.refuse(running, Outcome::Unknown, reason, &detail);
+            BackendError::Failed { detail } => self.refuse_failed(running, run, &detail).await,
+            error @ BackendError::Unanswered => {
+                permit.note_unanswered();
+                self.shared.metrics.unanswered.inc();
+                self.refuse_failed(running, run, &error.to_string()).await;
             }
         }
     }
 
+    /// Refuses a call that the back end may have run.
+    async fn refuse_failed(&self, running: &RunningCall, run: &BackendRun, detail: &str) {
+        let crashed = self.has_crashed(run).await;
+        let reason = if crashed { Reason::BackendCrashed } else { Reason::BackendFailed };
+        self.refuse(running, Outcome::Unknown, reason, detail);
+    }
+
     /// Records that the back end did not start the call, and withdraws its trial run, if any.
     fn record_not_run(&self, run: &BackendRun) {
         run.tracked_run.finish(RunEnd::NotRun);
--- a/crates/seamhatchd/src/server/backend/answer.rs
+++ b/crates/seamhatchd/src/server/backend/answer.rs
@@ -51,6 +51,12 @@
         Ok(None)
     }
 
+    /// Resolves when the answer is no longer forwarded, because nobody waits for it any more.
+    pub fn until_cut_off(&self) -> impl Future<Output = ()> + Send + use<> {
+        let (progress, expiry) = (self.progress.clone(), self.expiry);
+        async move { progress.until_cut_off(expiry).await }
+    }
+
     async fn next_frame(&mut self) -> Result<Option<Result<Frame<Bytes>, hyper::Error>>, BackendError> {
         let cut_off = self.progress.until_cut_off(self.expiry);
         let frame = tokio::select! {
--- a/crates/seamhatchd/src/server/backend/error.rs
+++ b/crates/seamhatchd/src/server/backend/error.rs
@@ -20,6 +20,9 @@
         /// Notice of the back end in its answer.
         notice: AnswerNotice,
     },
+    /// The back end had the call and has sent nothing by the time at which it can't answer any more.
+    #[error("the back end did not answer by the call's deadline; check whether it hangs")]
+    Unanswered,
     /// The back end may have started to work on the call.
     #[error("the back end broke off: {detail}; its own log tells why")]
     Failed {
--- a/crates/seamhatchd/src/server/backend/mod.rs
+++ b/crates/seamhatchd/src/server/backend/mod.rs
@@ -195,8 +195,8 @@
     Written(BackendError),
 }
 
-/// Writes a request on a connection and waits for the head of the answer. A head that goes on after
-/// the call's deadline is cut off.
+/// Writes a request on a connection and waits for the head of the answer, at most until it is cut
+/// off.
 async fn send_on(
     mut connection: Connection,
     message: Request<HttpRequestBody>,
@@ -219,10 +219,14 @@
                 None => SendFailure::Written(BackendError::of_exchange(error.error(), true)),
             })
         }
-        None => {
+        None if progress.has_begun() => {
             connection.close(OpenCause::UnusableAnswer);
             Err(SendFailure::Written(BackendError::endless_answer()))
         }
+        None => {
+            connection.close(OpenCause::Unanswered);
+            Err(SendFailure::Written(BackendError::Unanswered))
+        }
     }
 }
 
--- a/crates/seamhatchd/src/server/backend/progress.rs
+++ b/crates/seamhatchd/src/server/backend/progress.rs
@@ -1,11 +1,11 @@
-//! How much of an answer has been read, and when it has gone on for too long.
+//! How much of an answer has been read, and when it is no longer waited for.
 //!
-//! A faulty back end may send bytes without end: in a head, in interim responses, or in a body. The head is limited in bytes, and
-//! an answer that has begun is limited in time, whoever still waits for it.
+//! A faulty back end may send nothing, or stop in the middle, or send bytes without end: in a head, in interim responses, or in a
+//! body. The head is limited in bytes, and every answer is limited in time, whoever still waits for it.
 
 use crate::base::clock;
 use seamhatch_core::Instant;
-use seamhatch_core::clock::{Microseconds, SECOND};
+use seamhatch_core::clock::{MILLISECOND, Microseconds, SECOND};
 use std::io;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -17,6 +17,12 @@
 /// is cut off.
 pub const MAX_ANSWER_OVERRUN: Microseconds = SECOND;
 
+/// Lateness of a wake-up from which on this process has stood still, in microseconds.
+const STANDSTILL: Microseconds = 50 * MILLISECOND;
+
+/// Time in microseconds for reading what arrived while this process stood still.
+const CATCH_UP: Microseconds = 50 * MILLISECOND;
+
 /// Value of [`Counts::first_byte`] before the first byte.
 const NONE: u64 = 0;
 
@@ -71,20 +77,36 @@
         Ok(())
     }
 
-    /// When an answer to a call with the deadline `expiry` is cut off; `None` before its first byte.
-    pub fn cut_off_at(&self, expiry: Instant) -> Option<Instant> {
-        let first_byte = self.0.first_byte.load(Ordering::Relaxed);
-        (first_byte != NONE).then(|| expiry.max(Instant(first_byte)).plus(MAX_ANSWER_OVERRUN))
+    /// Whether anything of the answer has been read.
+    pub fn has_begun(&self) -> bool {
+        self.0.first_byte.load(Ordering::Relaxed) != NONE
     }
 
-    /// Resolves when an answer that has begun is to be cut off. A back end that is silent may still work on the call.
+    /// When the answer to a call with the deadline `expiry` is cut off. A back end stops its work at the deadline, so one
+    /// that has sent nothing by then has nothing to send.
+    pub fn cut_off_at(&self, expiry: Instant) -> Instant {
+        let first_byte = Instant(self.0.first_byte.load(Ordering::Relaxed));
+        expiry.max(first_byte).plus(MAX_ANSWER_OVERRUN)
+    }
+
+    /// Resolves when the answer is to be cut off. If this process stood still past that time, what arrived meanwhile can be
+    /// read before.
     pub async fn until_cut_off(&self, expiry: Instant) {
+        let mut end = self.cut_off_at(expiry);
+        if end <= clock::now() {
+            return;
+        }
         loop {
+            clock::sleep_until(end).await;
             let now = clock::now();
-            match self.cut_off_at(expiry) {
-                Some(end) if now >= end => return,
-                Some(end) => clock::sleep_until(end).await,
-                None => clock::sleep_until(expiry.max(now).plus(MAX_ANSWER_OVERRUN)).await,
+            let due = self.cut_off_at(expiry);
+            if now < due {
+                // The first byte has come in the meantime.
+                end = due;
+            } else if now.since(end) > STANDSTILL {
+                end = now.plus(CATCH_UP);
+            } else {
+                return;
             }
         }
     }
--- a/crates/seamhatchd/src/server/gate/mod.rs
+++ b/crates/seamhatchd/src/server/gate/mod.rs
@@ -12,7 +12,7 @@
 use crate::base::clock;
 use crate::base::lock::lock;
 use crate::base::metrics::{Metrics, NO_PACE, seconds};
-use log::info;
+use log::{info, warn};
 use permit::{PermitEnd, WaitGuard};
 use seamhatch_core::Instant;
 use seamhatch_core::admission::{
@@ -54,6 +54,8 @@
     logged_slots: u32,
     /// Number of calls that hold a slot after their deadline, as last logged.
     logged_overdue: usize,
+    /// Whether the back end is silent, as last logged.
+    logged_silence: bool,
     /// When a task checks for the turn of a waiting call, if the back end is rate-limited.
     wake_at: Option<Instant>,
 }
@@ -76,6 +78,20 @@
         }
     }
 
+    /// Logs it when the back end stops answering, and when it answers again.
+    fn log_silence(&mut self) {
+        let is_silent = self.queue.is_silent();
+        if is_silent == self.logged_silence {
+            return;
+        }
+        self.logged_silence = is_silent;
+        if is_silent {
+            warn!(running = self.queue.running(); "the back end answers no calls; it gets single ones until it does");
+        } else {
+            info!("the back end answers again");
+        }
+    }
+
     /// Logs the number of calls that hold a slot after their deadline if it has changed. Returns the number.
     fn log_overdue(&mut self, now: Instant) -> usize {
         let overdue = self.queue.overdue(now);
@@ -103,7 +119,14 @@
     pub fn new(policy: AdmissionPolicy, metrics: Arc<Metrics>) -> Arc<Self> {
         let queue = AdmissionQueue::new(policy);
         let logged_slots = queue.worthwhile_slots();
-        let state = State { queue, waiters: HashMap::new(), logged_slots, logged_overdue: 0, wake_at: None };
+        let state = State {
+            queue,
+            waiters: HashMap::new(),
+            logged_slots,
+            logged_overdue: 0,
+            logged_silence: false,
+            wake_at: None,
+        };
         Arc::new_cyclic(|weak_self| Self {
             state: Mutex::new(state),
             next_ticket: AtomicU64::new(0),
@@ -223,6 +246,7 @@
         self.metrics.running.set(state.queue.running() as i64);
         self.metrics.waiting.set(state.queue.waiting() as i64);
         self.metrics.lost.set(state.queue.lost() as i64);
+        self.metrics.silent.set(i64::from(state.queue.is_silent()));
         self.metrics.overdue.set(state.log_overdue(now) as i64);
         self.metrics.limit.set(i64::from(state.queue.limit()));
         self.metrics.floor.set(i64::from(state.queue.floor().level));
--- a/crates/seamhatchd/src/server/gate/permit.rs
+++ b/crates/seamhatchd/src/server/gate/permit.rs
@@ -37,6 +37,24 @@
         self.end = PermitEnd::Unsent;
     }
 
+    /// Records that the back end has answered the call, in whatever way.
+    pub fn note_answer(&self) {
+        let mut state = self.gate.lock();
+        let was_silent = state.queue.is_silent();
+        state.queue.note_answer();
+        if was_silent {
+            state.log_silence();
+            self.gate.grant_slots(&mut state);
+        }
+    }
+
+    /// Records that the back end has not answered the call by its deadline and never will.
+    pub fn note_unanswered(&self) {
+        let mut state = self.gate.lock();
+        state.queue.note_unanswered();
+        state.log_silence();
+    }
+
     /// Records the load that the back end reports with the call's answer.
     pub fn note_load(&self, load: BackEndLoad) {
         let mut state = self.gate.lock();
