A call whose parent the daemon doesn't know isn't denied for good

Cause: that a call needs no key is known only from the table of running calls, in the memory of the daemon beside the server. The same 401 met calls of requests that were given up while the server went on, and, by reading, calls of a request that ran twice under one name once the later run had ended. In the product's own set-up it is 403 for a context of before the restart. Change: until the longest time-out since the start of a daemon has passed, a call with an unknown parent is told 503 (parent-unknown), unless it is the first start of the whole system; so is one whose parent ended without an answer, until its deadline. Runs under one name are all kept. Counter missing_parents by cause. The table can hold calls that senders hand back; nobody does so yet. Why it works: 401 is said only once no request of before can run.

--- a/crates/seamhatch-core/src/outcome.rs
+++ b/crates/seamhatch-core/src/outcome.rs
@@ -106,6 +106,8 @@
     NoQuotaShard,
     /// The back end has named a rate, and the call's turn would come too late.
     BackendRate,
+    /// The daemon does not know the call that makes this one, which may run all the same.
+    ParentUnknown,
 }
 
 impl Reason {
@@ -146,6 +148,7 @@
             Self::OverQuota => "over-quota",
             Self::NoQuotaShard => "no-quota-shard",
             Self::BackendRate => "backend-rate",
+            Self::ParentUnknown => "parent-unknown",
         }
     }
 }
--- a/crates/seamhatch-core/src/refusal.rs
+++ b/crates/seamhatch-core/src/refusal.rs
@@ -189,6 +189,7 @@
             Self::KeyMismatch => client_error(409),
             // Another attempt with the key runs or has run; its answer can be requested.
             Self::KeyHeld => with_return_time(ReturnTime::After(DEFAULT_RETURN), client_error(409)),
+            Self::ParentUnknown => failure(SENDER, NotRun),
             Self::NoProof => with_return_time(ReturnTime::After(PROOF_RETURN), failure(SENDER, NotRun)),
             Self::OverQuota => RefusalRule {
                 entry: Statuses { not_run: 429, unknown: 502 },
--- a/crates/seamhatch-policy/src/configuration.rs
+++ b/crates/seamhatch-policy/src/configuration.rs
@@ -13,6 +13,8 @@
 use crate::host::host_name;
 use crate::program::{Decision, PolicyProgram, PolicyRequest, RouteView, TenantView};
 use crate::tenant::{Tenant, TenantTable};
+use seamhatch_core::claims::MAX_REQUEST_LIFETIME;
+use seamhatch_core::clock::{MILLISECOND, Microseconds};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// Requests that every policy is tried on, besides the document's samples.
@@ -187,6 +189,16 @@
         &self.tenants
     }
 
+    /// The longest time-out that a request can have, in microseconds.
+    #[must_use]
+    pub fn longest_timeout(&self) -> Microseconds {
+        let timeouts = self.routes.values().flatten().map(|route| route.view.attributes.timeout_ms);
+        let longest = timeouts.map(|timeout| {
+            timeout.map_or(MAX_REQUEST_LIFETIME, |timeout| timeout.saturating_mul(MILLISECOND))
+        });
+        longest.max().unwrap_or(MAX_REQUEST_LIFETIME)
+    }
+
     /// The route of a request to a host, as [`host_name`] spells it: the longest prefix among those of its
     /// host, else among those of any host.
     #[must_use]
--- a/crates/seamhatch/src/trace/meaning.rs
+++ b/crates/seamhatch/src/trace/meaning.rs
@@ -3,7 +3,7 @@
 use super::{CALL_REFUSED, TraceLine};
 
 /// Meanings that need no figures of the line. `docs/OPERATIONS.md` has the same reasons.
-const MEANINGS: [(&str, &str); 24] = [
+const MEANINGS: [(&str, &str); 25] = [
     ("deadline-exceeded", "its time was over: follow its calls to the one that ran longest"),
     ("admission-floor", "a service on its way sheds requests of this priority: see `admission_floor`"),
     ("retry-ratio", "it would have had to be repeated, and no retry was left"),
@@ -26,6 +26,10 @@
     ("no-claim-majority", "no majority of the witnesses of its key answered: see `seamhatch status`"),
     ("key-held", "another request has its idempotency key"),
     ("key-mismatch", "another request has its idempotency key"),
+    (
+        "parent-unknown",
+        "it is a call of a request that the daemon does not know, as it has restarted or the request was given up",
+    ),
     ("no-key", "it brought no tenant's key, and its route needs one"),
     ("unknown-key", "no tenant of the configuration in force has its key: it is wrong, or was taken away"),
     (
--- a/crates/seamhatchd/src/base/metrics.rs
+++ b/crates/seamhatchd/src/base/metrics.rs
@@ -171,6 +171,7 @@
     backend_connections: Family<CauseLabel, Counter>,
     outdated_decisions: Family<CauseLabel, Counter>,
     departure_answers: Family<RecordedLabel, Counter>,
+    missing_parents: Family<CauseLabel, Counter>,
     request_seconds: Family<EndLabels, Histogram>,
     /// Dispatches that consumed a retry token.
     pub retries: Counter,
@@ -302,6 +303,12 @@
                 "Answers to a back end that leaves, by whether the store had recorded it in time",
                 Family::default(),
             ),
+            missing_parents: register(
+                to,
+                "missing_parents",
+                "Requests that name a parent call which this daemon does not know, by cause",
+                Family::default(),
+            ),
             retries: counter(to, "retries", "Dispatches that cost a retry token"),
             request_seconds: register(
                 to,
@@ -432,6 +439,11 @@
         self.departure_answers.get_or_create(&labels).inc();
     }
 
+    /// Counts a request that names a parent call which this daemon does not know.
+    pub fn missing_parent(&self, cause: &'static str) {
+        self.missing_parents.get_or_create(&CauseLabel { cause }).inc();
+    }
+
     /// Counts a request that a configuration decides which may be outdated.
     pub fn outdated_decision(&self, cause: OutdatedCause) {
         self.outdated_decisions.get_or_create(&CauseLabel { cause: cause.name() }).inc();
--- a/crates/seamhatchd/src/controllers/control_thread/instances.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/instances.rs
@@ -66,7 +66,7 @@
     pub(super) fn apply_heartbeat(&mut self, heartbeat: Heartbeat) {
         let (instance, sequence, now) = (heartbeat.instance.name.clone(), heartbeat.sequence, clock::now());
         let before = self.shared.server.instances.current();
-        let opened = |instance: &InstanceId| self.shared.server.notices.note_open(Some(instance));
+        let opened = |instance: &InstanceId| self.shared.server.note_open(instance);
         match self.shared.server.instances.heartbeat(heartbeat, now, opened) {
             HeartbeatVerdict::Opened => {
                 info!(instance = instance.as_str(), sequence = sequence; "instance opened");
@@ -169,7 +169,7 @@
 
     /// Handles an answer of the back end that names another instance than the registered one.
     fn refute_instance(&mut self, instance: &InstanceId) {
-        let opened = |instance: &InstanceId| self.shared.server.notices.note_open(Some(instance));
+        let opened = |instance: &InstanceId| self.shared.server.note_open(instance);
         let refutation = self.shared.server.instances.refute(instance, clock::now(), opened);
         if refutation == Refutation::Unchanged {
             return;
--- a/crates/seamhatchd/src/filters/identity.rs
+++ b/crates/seamhatchd/src/filters/identity.rs
@@ -5,7 +5,9 @@
 //! proof of the configuration is recent enough.
 
 use crate::conventions::{CallerCredential, field};
+use crate::filters::context::parent_unknown;
 use crate::filters::{Rejection, RequestFilter, RequestState};
+use crate::server::running::MissingParent;
 use crate::shared::Shared;
 use seamhatch_core::outcome::Reason;
 use seamhatch_policy::{Configuration, KeyDigest, Tenant};
@@ -41,8 +43,7 @@
         } else if let Some(parent) = &request.parent {
             request.headers.extend(parent.tenant().map(|name| field(tenant_field, name)));
         } else if !request.anonymous {
-            let detail = "the request needs a key; send it as `Authorization: Bearer KEY`";
-            return Err(Rejection::not_run(Reason::NoKey, detail));
+            return Err(without_key(request.missing_parent));
         }
         request.tenant = tenant;
         Ok(())
@@ -78,6 +79,18 @@
     configuration.tenants().holder(key).cloned().ok_or_else(unknown_key)
 }
 
+/// The rejection of a request without a key and without a known parent. It is final only if the daemon knows that the
+/// request has no parent that needs none.
+fn without_key(missing: Option<MissingParent>) -> Rejection {
+    match missing {
+        Some(missing @ (MissingParent::Abandoned | MissingParent::MayBeEarlier)) => parent_unknown(missing),
+        Some(MissingParent::Unknown) | None => {
+            let detail = "the request needs a key; send it as `Authorization: Bearer KEY`";
+            Rejection::not_run(Reason::NoKey, detail)
+        }
+    }
+}
+
 fn unknown_key() -> Rejection {
     Rejection::not_run(Reason::UnknownKey, "no tenant has this key; check it, or ask for a new one")
 }
--- a/crates/seamhatchd/src/filters/request.rs
+++ b/crates/seamhatchd/src/filters/request.rs
@@ -4,7 +4,7 @@
 use crate::conventions::CallerTerms;
 use crate::filters::Rejection;
 use crate::intake::{RequestEntry, RequestProgress};
-use crate::server::running::RunningCall;
+use crate::server::running::{MissingParent, RunningCall};
 use seamhatch_core::Instant;
 use seamhatch_core::clock::Microseconds;
 use seamhatch_core::generation::Generation;
@@ -83,6 +83,9 @@
     /// The call that causes the request; for a request from outside, the request itself as the
     /// parent of its calls.
     pub parent: Option<Arc<RunningCall>>,
+    /// Why the call that the request names as its parent is not known; `None` if it names none or it is
+    /// known.
+    pub missing_parent: Option<MissingParent>,
     /// Whether the route needs no key.
     pub anonymous: bool,
     /// Tenant whose key the request carries.
@@ -119,6 +122,7 @@
             class: PriorityClass::Normal,
             root: RootId(rand::random()),
             parent: None,
+            missing_parent: None,
             anonymous: false,
             tenant: None,
             repeatable: false,
--- a/crates/seamhatchd/src/peer_server/call/execute.rs
+++ b/crates/seamhatchd/src/peer_server/call/execute.rs
@@ -50,13 +50,13 @@
         body: backend::RequestBody,
     ) {
         let registration = self.shared.server.running.register(running.clone(), self.request_name());
-        let instance = match self.check_before_run(running) {
-            Ok(OpenInstance { id }) => id,
-            Err(reason) => return self.refuse_unsent(running, permit, reason),
-        };
-        let mode = match self.begin_run(trial) {
-            Ok(mode) => mode,
-            Err(reason) => return self.refuse_unsent(running, permit, reason),
+        let begun = self.check_before_run(running).and_then(|open| Ok((open.id, self.begin_run(trial)?)));
+        let (instance, mode) = match begun {
+            Ok(begun) => begun,
+            Err(reason) => {
+                registration.mark_ended();
+                return self.refuse_unsent(running, permit, reason);
+            }
         };
         self.shared.metrics.execution(running.priority.class);
         let tracked_run = self.shared.server.crashes.begin(instance.as_ref(), self.head.request, mode);
@@ -66,6 +66,9 @@
             exchanged = self.exchange(running, &run, registration.header(), body) => exchanged,
             () = self.until_abandoned() => return self.refuse(running, Outcome::Unknown, Reason::Cancelled, ""),
         };
+        if !matches!(exchanged, Err(BackendError::Failed { .. } | BackendError::Unanswered)) {
+            registration.mark_ended();
+        }
         match exchanged {
             Ok((answer, start)) => self.finish(running, &run, permit, answer, start).await,
             Err(error) => self.fail(running, &run, &mut permit, error).await,
--- a/crates/seamhatchd/src/server/mod.rs
+++ b/crates/seamhatchd/src/server/mod.rs
@@ -17,6 +17,7 @@
 use instances::Instances;
 use notices::BackEndNotices;
 use running::RunningCalls;
+use seamhatch_core::instance::InstanceId;
 use std::sync::Arc;
 
 /// The local back end, shared by all threads.
@@ -35,3 +36,11 @@
     /// Crashes of the back end, and the calls that were running then.
     pub crashes: CrashTracker,
 }
+
+impl LocalServer {
+    /// Records that an instance takes calls, before it receives the first.
+    pub fn note_open(&self, instance: &InstanceId) {
+        self.notices.note_open(Some(instance));
+        self.running.note_open(instance);
+    }
+}
--- a/crates/seamhatchd/src/server/running.rs
+++ b/crates/seamhatchd/src/server/running/call.rs
@@ -1,24 +1,17 @@
-//! Calls that run on the local back end, and the context header that identifies them.
-//!
-//! [`RunningCalls`] owns the table of running calls, in which the filters look up the parent of a
-//! call that the back end makes. A [`RunningCall`] holds what its child calls inherit (priority,
-//! deadline, retry tokens and tenant) and sums up their usage.
+//! A call that runs on the local back end, or a request from outside: the parent of further calls.
 
 use crate::base::lock::lock;
-use base64::Engine as _;
-use base64::engine::general_purpose::URL_SAFE_NO_PAD;
 use seamhatch_core::Instant;
 use seamhatch_core::chain_cost::{ChainUsage, ServiceUsage};
-use seamhatch_core::identity::{Incarnation, RootId};
+use seamhatch_core::identity::RootId;
 use seamhatch_core::priority::Priority;
 use seamhatch_core::retry::RetryLedger;
 use seamhatch_wire::ChainFloor;
-use speedy::{Readable, Writable};
-use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
-/// A call that runs here, or a request from outside: the parent of further calls.
+/// A call that runs here, or a request from outside. It holds what its child calls inherit (priority, deadline, retry
+/// tokens and tenant) and sums up their usage.
 #[derive(Debug)]
 pub struct RunningCall {
     /// Root request that the call belongs to.
@@ -144,120 +137,3 @@
         }
     }
 }
-
-/// Content of the context header. It only identifies a running call, whose rights stay in the
-/// daemon, so that a forged or copied header gains nothing.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Readable, Writable)]
-struct ContextToken {
-    incarnation: Incarnation,
-    handle: u64,
-    nonce: u64,
-}
-
-/// The calls that run on the local back end.
-#[derive(Debug)]
-pub struct RunningCalls {
-    incarnation: Incarnation,
-    next_handle: AtomicU64,
-    calls: Mutex<CallTable>,
-}
-
-#[derive(Debug, Default)]
-struct CallTable {
-    by_handle: HashMap<u64, Entry>,
-    handle_by_name: HashMap<String, u64>,
-}
-
-#[derive(Debug)]
-struct Entry {
-    nonce: u64,
-    call: Arc<RunningCall>,
-    name: Option<String>,
-}
-
-/// Keeps a call registered until it is dropped.
-#[derive(Debug)]
-pub struct Registration {
-    registry: Arc<RunningCalls>,
-    handle: u64,
-    header: String,
-}
-
-impl Registration {
-    /// Returns the value of the context header.
-    #[must_use]
-    pub fn header(&self) -> &str {
-        &self.header
-    }
-}
-
-impl Drop for Registration {
-    fn drop(&mut self) {
-        let mut calls = self.registry.lock();
-        let Some(entry) = calls.by_handle.remove(&self.handle) else { return };
-        let Some(name) = entry.name else { return };
-        // A repeat with the same name may have been registered since.
-        if calls.handle_by_name.get(&name) == Some(&self.handle) {
-            calls.handle_by_name.remove(&name);
-        }
-    }
-}
-
-impl RunningCalls {
-    /// Creates an empty table.
-    #[must_use]
-    pub fn new(incarnation: Incarnation) -> Arc<Self> {
-        Arc::new(Self { incarnation, next_handle: AtomicU64::new(1), calls: Mutex::default() })
-    }
-
-    /// Registers a call that is about to run, also under the name of its request if it has one.
-    #[must_use]
-    pub fn register(self: &Arc<Self>, call: Arc<RunningCall>, name: Option<&str>) -> Registration {
-        let handle = self.next_handle.fetch_add(1, Ordering::Relaxed);
-        let nonce = rand::random::<u64>();
-        let name = name.map(str::to_owned);
-        let mut calls = self.lock();
-        if let Some(name) = &name {
-            calls.handle_by_name.insert(name.clone(), handle);
-        }
-        calls.by_handle.insert(handle, Entry { nonce, call, name });
-        drop(calls);
-        let token = ContextToken { incarnation: self.incarnation, handle, nonce };
-        let bytes = token.write_to_vec().expect("writing to memory does not fail");
-        Registration { registry: self.clone(), handle, header: URL_SAFE_NO_PAD.encode(bytes) }
-    }
-
-    /// Returns the running call that a context header identifies.
-    ///
-    /// Returns `None` if the header is forged or unreadable, comes from an earlier incarnation of
-    /// this daemon, or identifies a call that has ended or was given up.
-    #[must_use]
-    pub fn find(&self, header: &str) -> Option<Arc<RunningCall>> {
-        let bytes = URL_SAFE_NO_PAD.decode(header).ok()?;
-        let token = ContextToken::read_from_buffer(&bytes).ok()?;
-        if token.incarnation != self.incarnation {
-            return None;
-        }
-        let calls = self.lock();
-        let entry = calls.by_handle.get(&token.handle)?;
-        (entry.nonce == token.nonce).then(|| entry.call.clone())
-    }
-
-    /// Returns the running call with this name.
-    #[must_use]
-    pub fn find_by_name(&self, name: &str) -> Option<Arc<RunningCall>> {
-        let calls = self.lock();
-        let handle = calls.handle_by_name.get(name)?;
-        calls.by_handle.get(handle).map(|entry| entry.call.clone())
-    }
-
-    /// Returns the number of running calls.
-    #[must_use]
-    pub fn count(&self) -> usize {
-        self.lock().by_handle.len()
-    }
-
-    fn lock(&self) -> MutexGuard<'_, CallTable> {
-        lock(&self.calls)
-    }
-}
--- a/crates/seamhatchd/src/startup.rs
+++ b/crates/seamhatchd/src/startup.rs
@@ -3,6 +3,7 @@
 //! This module keeps no state after the start; the module `stop` handles the rest of the process's life. The binaries call [`run`] or
 //! [`run_with`].
 
+use crate::base::clock;
 use crate::base::logging;
 use crate::base::metrics::Metrics;
 use crate::claims::{ClaimState, Claimant};
@@ -30,7 +31,7 @@
 use crate::server::gate::AdmissionGate;
 use crate::server::instances::Instances;
 use crate::server::notices::BackEndNotices;
-use crate::server::running::RunningCalls;
+use crate::server::running::{EarlierCalls, RunningCalls};
 use crate::settings::{self, Invocation, Settings, SettingsError};
 use crate::shared::Shared;
 use crate::snapshot::Snapshot;
@@ -205,11 +206,13 @@
     conventions: &Arc<dyn HttpConventions>,
 ) -> LocalServer {
     let registers = settings.listen.registry.is_some();
+    let earlier =
+        if settings.first_start { EarlierCalls::none() } else { EarlierCalls::before(clock::now()) };
     let gate = AdmissionGate::new(AdmissionPolicy::for_slots(settings.slots), metrics.clone());
     LocalServer {
         notices: BackEndNotices::new(gate.clone(), metrics.clone()),
         gate,
-        running: RunningCalls::new(incarnation),
+        running: RunningCalls::new(incarnation, earlier),
         backend: Backend::new(settings.backend, conventions.clone(), metrics.clone()),
         instances: if registers { Instances::registered() } else { Instances::fixed() },
         crashes: CrashTracker::new(incarnation),
--- a/crates/seamhatchd/tests/suspects.rs
+++ b/crates/seamhatchd/tests/suspects.rs
@@ -7,7 +7,7 @@
 use seamhatch_core::retry::RetryLedger;
 use seamhatch_policy::CrashSettings;
 use seamhatchd::server::crashes::{CrashTracker, SuspectRegistry};
-use seamhatchd::server::running::{RunningCall, RunningCalls};
+use seamhatchd::server::running::{EarlierCalls, RunningCall, RunningCalls};
 use std::hint::black_box;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -169,7 +169,7 @@
         work.finish(RunEnd::Answered);
         drop(work);
     });
-    let calls = RunningCalls::new(Incarnation(1));
+    let calls = RunningCalls::new(Incarnation(1), EarlierCalls::none());
     let root = RootId(1);
     let priority = Priority::new(PriorityClass::Normal, root);
     let ledger = RetryLedger::new(1, false);
