Senders hand running calls back to a daemon that has restarted

What callers saw: as before, and with 503 in place of 401 the accepted unsafe requests of the server still failed, as their calls were refused. Cause: after a restart nobody tells the daemon what its back end still works on, though the daemons that sent those calls know name, tenant, priority and deadline until the deadline. Change: a sender remembers calls that may run only once until they are settled or expired; after a lost connection it tries to reach the daemon again, and hands them back as the first message to another life of it (RunningCalls, additions level 4). The callee tells its instance in heartbeats, when it changes. Why it works: those who know are heard before the server's calls come; what is handed back ends at its deadline and with its instance; nothing is believed from outside the peers' port.

--- a/crates/seamhatch-core/src/lib.rs
+++ b/crates/seamhatch-core/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod entry_floor;
 pub mod freshness;
 pub mod generation;
+pub mod hand_back;
 pub mod heartbeat;
 pub mod identity;
 pub mod instance;
--- a/crates/seamhatch-model/src/lib.rs
+++ b/crates/seamhatch-model/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod notices;
 pub mod quota_shards;
 pub mod retries;
+pub mod running_calls;
 mod search;
 pub mod stops;
 
--- a/crates/seamhatch-wire/src/lib.rs
+++ b/crates/seamhatch-wire/src/lib.rs
@@ -14,8 +14,8 @@
 pub use frame::{FrameReader, LARGEST_FRAME, encode_frame, read_preface, write_preface};
 pub use message::{
     AnswerHead, AnswerTail, CallContext, CallHead, ChainFloor, ControlReply, ControlRequest, Farewell,
-    HeaderField, Hello, PeerMessage, Pulse, RecordedAnswer, RecordedState, Refusal, SealedMemory,
-    ServerReport,
+    HandedBackCall, HeaderField, Hello, PeerMessage, Pulse, RecordedAnswer, RecordedState, Refusal,
+    SealedMemory, ServerReport,
 };
 
 pub use seamhatch_core::drain::CallIntake;
@@ -25,10 +25,13 @@
 
 /// Additions to the messages of this version that this daemon reads. An addition is a field at the end of a message, which daemons that
 /// don't read it pass over and which is empty where they send none, so that releases can run side by side.
-pub const ADDITIONS: u16 = 3;
+pub const ADDITIONS: u16 = 4;
 
 /// The additions from which on [`seamhatch_core::outcome::Reason::BackendRate`] is read.
 pub const READS_BACKEND_RATE: u16 = 1;
 
 /// The additions from which on [`ControlRequest::HoldSealed`] and what follows it are read.
 pub const HOLDS_SEALED: u16 = 2;
+
+/// The additions from which on [`PeerMessage::RunningCalls`] is read.
+pub const READS_RUNNING_CALLS: u16 = 4;
--- a/crates/seamhatch-wire/src/message/call.rs
+++ b/crates/seamhatch-wire/src/message/call.rs
@@ -3,6 +3,7 @@
 use seamhatch_core::clock::{Instant, Microseconds};
 use seamhatch_core::generation::Generation;
 use seamhatch_core::identity::{CallId, RequestDigest, RootId};
+use seamhatch_core::instance::InstanceId;
 use seamhatch_core::priority::Priority;
 use speedy::{Readable, Writable};
 
@@ -61,3 +62,16 @@
     /// Whether a body follows.
     pub has_body: bool,
 }
+
+/// A call that its sender hands back to a daemon that has restarted, as the back end there may still run it.
+#[derive(Debug, Clone, PartialEq, Eq, Readable, Writable)]
+pub struct HandedBackCall {
+    /// The caller's name for the request, by which the back end's calls name their parent.
+    pub name: String,
+    /// Name of the tenant whose request it belongs to.
+    pub tenant: Option<String>,
+    /// The instance of the back end that took calls when it was sent, if the sender was told.
+    pub instance: Option<InstanceId>,
+    /// What its calls inherit. The retry tokens that went with it are lost.
+    pub context: CallContext,
+}
--- a/crates/seamhatch-wire/src/message/link.rs
+++ b/crates/seamhatch-wire/src/message/link.rs
@@ -6,6 +6,7 @@
 use seamhatch_core::freshness::FreshnessProof;
 use seamhatch_core::generation::Generation;
 use seamhatch_core::identity::{Address, Incarnation};
+use seamhatch_core::instance::InstanceId;
 use seamhatch_core::notice::BackEndNotice;
 use seamhatch_core::priority::AdmissionFloor;
 use speedy::{Readable, Writable};
@@ -60,6 +61,9 @@
     /// How long work takes at its server, where that tells it.
     #[speedy(default_on_eof)]
     pub pace: Option<ServerPace>,
+    /// The instance of its server that takes calls, in the first heartbeat on the connection and after a change.
+    #[speedy(default_on_eof)]
+    pub instance: Option<InstanceId>,
 }
 
 /// The last word on calls between two daemons of which one is about to end. Messages keep their order, so that no call follows the answer.
--- a/crates/seamhatch-wire/src/message/mod.rs
+++ b/crates/seamhatch-wire/src/message/mod.rs
@@ -11,7 +11,7 @@
 mod link;
 
 pub use answer::{AnswerHead, AnswerTail, ChainFloor, Refusal};
-pub use call::{CallContext, CallHead, HeaderField};
+pub use call::{CallContext, CallHead, HandedBackCall, HeaderField};
 pub use control::{ControlReply, ControlRequest, RecordedAnswer, RecordedState, SealedMemory};
 pub use link::{Farewell, Hello, Pulse, ServerReport};
 
@@ -117,4 +117,7 @@
         /// The answer itself.
         reply: ControlReply,
     },
+    /// Calls that the sender had sent to an earlier life of the receiver, whose back end may still run them. Sent before
+    /// any call, to daemons that read it; see [`crate::READS_RUNNING_CALLS`].
+    RunningCalls(Vec<HandedBackCall>),
 }
--- a/crates/seamhatch-wire/tests/hostile.rs
+++ b/crates/seamhatch-wire/tests/hostile.rs
@@ -17,8 +17,8 @@
 use seamhatch_core::rate::RequestRate;
 use seamhatch_wire::{
     AnswerHead, AnswerTail, CallContext, CallHead, CallIntake, ControlReply, ControlRequest, Farewell,
-    FrameReader, HeaderField, Hello, LARGEST_DATAGRAM, PROTOCOL_VERSION, PeerMessage, Pulse, Refusal,
-    ServerReport, WireError, decode_datagram, encode_datagram, encode_frame,
+    FrameReader, HandedBackCall, HeaderField, Hello, LARGEST_DATAGRAM, PROTOCOL_VERSION, PeerMessage, Pulse,
+    Refusal, ServerReport, WireError, decode_datagram, encode_datagram, encode_frame,
 };
 
 /// What a byte is changed to, besides its complement.
@@ -86,6 +86,12 @@
 }
 
 /// One message of each kind that holds more than a number.
+fn handed_back() -> HandedBackCall {
+    let PeerMessage::Call(head) = call() else { panic!("is a call") };
+    let (name, tenant, instance) = ("r-1".into(), Some("north".into()), Some(InstanceId::named("i")));
+    HandedBackCall { name, tenant, instance, context: head.context }
+}
+
 fn messages() -> Vec<PeerMessage> {
     let refusal = Refusal {
         outcome: Outcome::Unknown,
@@ -118,6 +124,7 @@
         notice: Some(notice()),
         farewell: Some(Farewell::Said),
         pace: Some(pace()),
+        instance: Some(InstanceId::named("i")),
     };
     let hello = Hello {
         cluster: "c".into(),
@@ -141,6 +148,7 @@
         PeerMessage::AnswerTail(AnswerTail { call: CallId(1), complete: true, unspent_tokens: 0 }),
         PeerMessage::ControlRequest { exchange: 1, request },
         PeerMessage::ControlReply { exchange: 1, reply: ControlReply::Departures(Vec::new()) },
+        PeerMessage::RunningCalls(vec![handed_back()]),
     ]
 }
 
--- a/crates/seamhatch-wire/tests/wire_format.rs
+++ b/crates/seamhatch-wire/tests/wire_format.rs
@@ -20,8 +20,8 @@
 use seamhatch_policy::{StoredConfiguration, SubmissionRecord};
 use seamhatch_wire::{
     AnswerHead, AnswerTail, CallContext, CallHead, CallIntake, ChainFloor, ControlReply, ControlRequest,
-    HeaderField, Hello, PROTOCOL_VERSION, PeerMessage, Pulse, RecordedAnswer, RecordedState, Refusal,
-    SealedMemory, ServerReport, encode_datagram, encode_frame, write_preface,
+    HandedBackCall, HeaderField, Hello, PROTOCOL_VERSION, PeerMessage, Pulse, RecordedAnswer, RecordedState,
+    Refusal, SealedMemory, ServerReport, encode_datagram, encode_frame, write_preface,
 };
 use speedy::{Readable, Writable};
 
@@ -109,6 +109,7 @@
         notice: None,
         farewell: None,
         pace: None,
+        instance: None,
     })
 }
 
@@ -128,9 +129,8 @@
     }
 }
 
-fn call_messages() -> Vec<(&'static str, PeerMessage)> {
-    let call = CallId(0x1011);
-    let context = CallContext {
+fn context() -> CallContext {
+    CallContext {
         root: RootId(0x1213),
         priority: Priority { class: PriorityClass::Bulk, bucket: 17 },
         root_age: 18,
@@ -140,12 +140,16 @@
         expiry: Instant(20),
         objective_left: 21,
         depth: 22,
-    };
+    }
+}
+
+fn call_messages() -> Vec<(&'static str, PeerMessage)> {
+    let call = CallId(0x1011);
     let head = CallHead {
         call,
         generation: Generation(23),
         service: "desk".into(),
-        context,
+        context: context(),
         request: RequestDigest(24),
         method: "PUT".into(),
         path: "/a?b".into(),
@@ -199,11 +203,18 @@
         handed_back: Some(notice()),
     };
     let proof = FreshnessProof { generation: Generation(32), at: Instant(33) };
+    let running = HandedBackCall {
+        name: "name".into(),
+        tenant: Some("north".into()),
+        instance: Some(InstanceId::named("i")),
+        context: context(),
+    };
     vec![
         ("hello", PeerMessage::Hello(hello)),
         ("pulse, open", pulse(CallIntake::Open, None)),
         ("pulse, about to stop", pulse(CallIntake::FallbackOnly { left: 34 }, Some(proof))),
         ("pulse, closed", pulse(CallIntake::Closed, None)),
+        ("running calls", PeerMessage::RunningCalls(vec![running])),
     ]
 }
 
@@ -316,7 +327,7 @@
 }
 
 /// In the order of their numbers on the wire.
-const REASONS: [Reason; 33] = [
+const REASONS: [Reason; 34] = [
     Reason::BadRequest,
     Reason::NoRoute,
     Reason::BadContext,
@@ -350,6 +361,7 @@
     Reason::OverQuota,
     Reason::NoQuotaShard,
     Reason::BackendRate,
+    Reason::ParentUnknown,
 ];
 
 #[test]
@@ -407,7 +419,7 @@
     };
     let cases = [
         AdditionCase { name: "hello", message: added_to_hello, added: 3, last: 1 },
-        AdditionCase { name: "pulse", message: pulse(CallIntake::Open, None), added: 4, last: 1 },
+        AdditionCase { name: "pulse", message: pulse(CallIntake::Open, None), added: 5, last: 1 },
         AdditionCase {
             name: "answer head",
             message: PeerMessage::AnswerHead(Box::new(head)),
--- a/crates/seamhatchd/src/controllers/control_thread/configuration.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/configuration.rs
@@ -107,7 +107,7 @@
         self.shared.control.record_generation(generation, ReportSource::Received, clock::now());
         if let Some((in_force, configuration)) = self.configuration.in_force() {
             self.shared.control.set_generation(in_force);
-            self.shared.server.running.earlier().note_longest_timeout(configuration.longest_timeout());
+            self.shared.server.running.note_longest_timeout(configuration.longest_timeout());
             self.apply_tenants(in_force, &configuration);
         }
         if self.followed().is_none() {
--- a/crates/seamhatchd/src/dispatch/attempt.rs
+++ b/crates/seamhatchd/src/dispatch/attempt.rs
@@ -3,14 +3,15 @@
 use super::Dispatcher;
 use super::replay::next_after_prefix;
 use crate::base::clock;
+use crate::conventions::field_text;
 use crate::filters::Rejection;
 use crate::intake::RequestStage;
-use crate::peer::{CallEvent, CallStream, PeerConnection};
+use crate::peer::{CallEvent, CallStream, PeerConnection, SentCallKey};
 use seamhatch_core::balance::CallEnd;
 use seamhatch_core::clock::{MILLISECOND, Microseconds};
 use seamhatch_core::outcome::{Outcome, Reason};
 use seamhatch_core::priority::AdmissionFloor;
-use seamhatch_wire::{AnswerHead, CallContext, CallHead, Refusal, ServerReport};
+use seamhatch_wire::{AnswerHead, CallContext, CallHead, HandedBackCall, Refusal, ServerReport};
 
 /// The deadline sent to the receiving daemon is earlier by this margin, so that its refusal arrives
 /// in time.
@@ -43,12 +44,14 @@
         connection: &PeerConnection,
     ) -> Result<AnswerBegun, AttemptFailure> {
         let head = self.call_head(connection);
+        let sent = self.note_sent(connection, &head);
         if let Some(claimed) = &mut self.claimed {
             claimed.dispatched();
         }
         self.report_evidence(connection);
         let Ok(stream) = connection.start_call(head) else {
             // The connection closed after it was chosen: nothing was written.
+            sent.into_iter().for_each(|sent| self.shared.pool.settle(sent));
             return Err(AttemptFailure::Refused(unsent_refusal(self.ledger_entry.handed_over)));
         };
         self.request.progress.set_stage(RequestStage::Sent(connection.address));
@@ -58,7 +61,26 @@
         if self.body.rest.is_none() && !self.body.is_empty() {
             stream.finish_body();
         }
-        self.await_head(connection, stream).await
+        let attempt = self.await_head(connection, stream).await;
+        if is_settled(&attempt) {
+            sent.into_iter().for_each(|sent| self.shared.pool.settle(sent));
+        }
+        attempt
+    }
+
+    /// Remembers a call that may run only once, for a daemon that restarts while its server runs it.
+    fn note_sent(&self, connection: &PeerConnection, head: &CallHead) -> Option<SentCallKey> {
+        if self.request.repeatable {
+            return None;
+        }
+        let conventions = &self.shared.conventions;
+        let call = HandedBackCall {
+            name: conventions.request_name(&head.headers)?.to_owned(),
+            tenant: field_text(&head.headers, conventions.tenant_field()).map(str::to_owned),
+            instance: connection.with_view(|view| view.instance.clone()),
+            context: head.context.clone(),
+        };
+        self.shared.pool.note_sent(connection, head.call, self.parent.expiry, call)
     }
 
     /// Sends the rest of the request body and waits for the head of the answer, until the deadline.
@@ -117,6 +139,15 @@
     }
 }
 
+/// Whether it is known that the server has answered the call, or has not run it.
+fn is_settled(attempt: &Result<AnswerBegun, AttemptFailure>) -> bool {
+    match attempt {
+        Ok(_) => true,
+        Err(AttemptFailure::Refused(refusal)) => refusal.outcome == Outcome::NotRun,
+        Err(AttemptFailure::Lost | AttemptFailure::Expired | AttemptFailure::BodyAborted(_)) => false,
+    }
+}
+
 /// Classifies the end of an attempt for outlier ejection of the server.
 pub(super) fn call_end(attempt: &Result<AnswerBegun, AttemptFailure>) -> CallEnd {
     match attempt {
--- a/crates/seamhatchd/src/link_host.rs
+++ b/crates/seamhatchd/src/link_host.rs
@@ -44,6 +44,7 @@
             proof: self.limits.freshness.proof(),
             turn: self.server.notices.turn_of(peer),
             notice: self.server.notices.notice_for_peers(),
+            instance: self.server.instances.open().and_then(|open| open.id),
             pace: self.server.gate.pace(),
             is_stopping: self.intake.phase() != IntakePhase::Open,
         }
--- a/crates/seamhatchd/src/peer/connection_task.rs
+++ b/crates/seamhatchd/src/peer/connection_task.rs
@@ -64,6 +64,7 @@
         self.state.end_all();
         host.connection_ended(&self.service, self.address);
         pool.remove_closed(self);
+        pool.reconnect_to_hand_back(self.address);
         link::log_end(&self.address.to_string(), &result);
     }
 
--- a/crates/seamhatchd/src/peer/handshake.rs
+++ b/crates/seamhatchd/src/peer/handshake.rs
@@ -60,6 +60,7 @@
         outbox,
         state: Arc::new(ConnectionState::new(hello.clock)),
     };
+    pool.hand_back_calls(&connection);
     connection_task::spawn(&connection, pool, host, frames, writing);
     Ok(connection)
 }
--- a/crates/seamhatchd/src/peer/host.rs
+++ b/crates/seamhatchd/src/peer/host.rs
@@ -10,6 +10,7 @@
 use seamhatch_core::freshness::FreshnessProof;
 use seamhatch_core::generation::Generation;
 use seamhatch_core::identity::Address;
+use seamhatch_core::instance::InstanceId;
 use seamhatch_core::notice::BackEndNotice;
 use seamhatch_wire::{CallIntake, Hello, Pulse, ServerReport};
 use std::fmt;
@@ -32,6 +33,8 @@
     pub turn: Option<TurnReport>,
     /// The rate limit and departure that the back end has announced.
     pub notice: Option<BackEndNotice>,
+    /// The instance of the back end that takes calls, if instances register.
+    pub instance: Option<InstanceId>,
     /// How long work takes at the back end; none if the back end does not report it.
     pub pace: Option<ServerPace>,
     /// The daemon is about to stop and accepts no more calls.
--- a/crates/seamhatchd/src/peer/link.rs
+++ b/crates/seamhatchd/src/peer/link.rs
@@ -161,12 +161,20 @@
     to_peer_clock: impl Fn(Instant) -> Instant,
 ) {
     let mut schedule = HeartbeatSchedule::new(end, heartbeat_time());
+    // The instance that the peer was told last.
+    let mut told = None;
     loop {
         // Subscribes before the state is read, so that no change is missed.
         let changed = host.intake_changed();
         tokio::pin!(changed);
         changed.as_mut().enable();
-        if outbox.send(PeerMessage::Pulse(heartbeat(host, peer, &to_peer_clock))).is_err() {
+        let mut heartbeat = heartbeat(host, peer, &to_peer_clock);
+        if end == LinkEnd::Calling || heartbeat.instance == told {
+            heartbeat.instance = None;
+        } else if heartbeat.instance.is_some() {
+            told.clone_from(&heartbeat.instance);
+        }
+        if outbox.send(PeerMessage::Pulse(heartbeat)).is_err() {
             return;
         }
         tokio::select! {
@@ -208,11 +216,11 @@
     peer: Address,
     to_peer_clock: &impl Fn(Instant) -> Instant,
 ) -> Pulse {
-    let LocalState { generation, intake, server, proof, turn, notice, pace, is_stopping } =
+    let LocalState { generation, intake, server, proof, turn, notice, instance, pace, is_stopping } =
         host.local_state(peer);
     let proof = proof.map(|proof| FreshnessProof { at: to_peer_clock(proof.at), ..proof });
     let farewell = is_stopping.then_some(Farewell::Said);
-    Pulse { clock: clock::now(), generation, intake, server, proof, turn, notice, farewell, pace }
+    Pulse { clock: clock::now(), generation, intake, server, proof, turn, notice, farewell, pace, instance }
 }
 
 /// Checks that the peer's first message is a `Hello` of this cluster.
--- a/crates/seamhatchd/src/peer/mod.rs
+++ b/crates/seamhatchd/src/peer/mod.rs
@@ -1,7 +1,8 @@
 //! Outgoing connections to other daemons, which carry calls, claims and control requests.
 //!
 //! [`PeerPool`] owns the connections. `handshake` opens a [`PeerConnection`], `connection_task` drives and closes
-//! it, `incoming` handles the peer's messages, and [`CallStream`] is one call on it. The receiving side,
+//! it, `incoming` handles the peer's messages, and [`CallStream`] is one call on it. `sent_calls` remembers calls for daemons
+//! that restart. The receiving side,
 //! `peer_server`, shares `link` (outbox, writer, heartbeats) and [`CreditWindow`]. The module depends on the rest
 //! of the daemon only through [`LinkHost`].
 
@@ -17,6 +18,7 @@
 mod outgoing_calls;
 mod pending_replies;
 mod pool;
+mod sent_calls;
 mod shutdown_acks;
 mod view;
 
@@ -26,6 +28,7 @@
 pub use host::{LinkHost, LocalState};
 pub use link::{LinkClosed, Outbox, UnwrittenMessages};
 pub use pool::{PeerPool, PeerUnreachable, PoolReader};
+pub use sent_calls::SentCallKey;
 pub use shutdown_acks::{PendingShutdownAck, ShutdownAcks};
 pub use view::PeerView;
 
--- a/crates/seamhatchd/src/peer/pool.rs
+++ b/crates/seamhatchd/src/peer/pool.rs
@@ -9,6 +9,7 @@
 use crate::peer::connection::PeerConnection;
 use crate::peer::handshake;
 use crate::peer::host::LinkHost;
+use crate::peer::sent_calls::UnsettledCalls;
 use futures_util::FutureExt;
 use futures_util::future::{BoxFuture, Shared};
 use seamhatch_core::Instant;
@@ -55,13 +56,15 @@
     /// The daemon that owns the pool.
     host: Weak<dyn LinkHost>,
     entries: Mutex<HashMap<Address, PoolEntry>>,
+    /// Calls that may still run at other daemons.
+    pub(super) unsettled: UnsettledCalls,
 }
 
 impl PeerPool {
     /// Creates the pool of the daemon `host`, whose connections run on `runtime`.
     #[must_use]
     pub fn new(runtime: Handle, host: Weak<dyn LinkHost>) -> Arc<Self> {
-        Arc::new(Self { runtime, host, entries: Mutex::default() })
+        Arc::new(Self { runtime, host, entries: Mutex::default(), unsettled: UnsettledCalls::default() })
     }
 
     /// Returns the usable connection to a daemon, or opens one. All concurrent requests share one attempt, which goes on
--- a/crates/seamhatchd/src/peer/view.rs
+++ b/crates/seamhatchd/src/peer/view.rs
@@ -8,6 +8,7 @@
     self, CallEnd, CandidateStatus, Ejection, KnownPace, NextTurn, ServerPace, SuccessRate, TurnReport,
 };
 use seamhatch_core::clock::{Microseconds, PeerClock};
+use seamhatch_core::instance::InstanceId;
 use seamhatch_wire::{CallIntake, Farewell, ServerReport};
 
 /// The known state of a peer and of the server beside it.
@@ -21,6 +22,8 @@
     pub(super) is_stopping: bool,
     /// Load of the server; none before the first report.
     pub server: Option<ServerReport>,
+    /// The instance of the server that takes calls, as last told; none before.
+    pub instance: Option<InstanceId>,
     /// When a draining peer's forwarded work is due, shortly before its process ends.
     ends_at: Instant,
     /// When a rate-limited server next accepts a call of this daemon; `None` if the server is not rate-limited (no named
@@ -45,6 +48,7 @@
             intake: CallIntake::Open,
             is_stopping: false,
             server: None,
+            instance: None,
             ends_at: now,
             turn: None,
             pace: None,
@@ -145,6 +149,9 @@
             self.ends_at = now.plus(left);
         }
         self.server = Some(heartbeat.server);
+        if heartbeat.instance.is_some() {
+            self.instance.clone_from(&heartbeat.instance);
+        }
         self.note_turn(heartbeat.turn, now);
         self.note_pace(heartbeat.pace, now);
     }
--- a/crates/seamhatchd/src/peer_server/session.rs
+++ b/crates/seamhatchd/src/peer_server/session.rs
@@ -102,6 +102,7 @@
             }
             PeerMessage::ControlRequest { exchange, request } => self.answer_control(exchange, request),
             PeerMessage::Pulse(heartbeat) => self.handle_heartbeat(&heartbeat),
+            PeerMessage::RunningCalls(calls) => self.shared.restore_calls(calls, self.hello.peer),
             _ => self.shared.metrics.bad_input(BadInput::PeerConnection),
         }
     }
--- a/crates/seamhatchd/src/server/running/table.rs
+++ b/crates/seamhatchd/src/server/running/table.rs
@@ -1,12 +1,13 @@
 //! The table of the calls that run on the local back end.
 
-use super::restored::RestoredCalls;
-use super::{EarlierCalls, RestoredCall, RunningCall};
+use super::RunningCall;
 use crate::base::clock;
 use crate::base::lock::lock;
 use base64::Engine as _;
 use base64::engine::general_purpose::URL_SAFE_NO_PAD;
 use seamhatch_core::Instant;
+use seamhatch_core::clock::Microseconds;
+use seamhatch_core::hand_back::{EarlierCalls, RestoredCalls};
 use seamhatch_core::identity::Incarnation;
 use seamhatch_core::instance::InstanceId;
 use speedy::{Readable, Writable};
@@ -54,7 +55,6 @@
 pub struct RunningCalls {
     incarnation: Incarnation,
     next_handle: AtomicU64,
-    earlier: EarlierCalls,
     calls: Mutex<CallTable>,
 }
 
@@ -63,11 +63,12 @@
     by_handle: HashMap<u64, Entry>,
     /// Handles of the calls with a name, the latest last: a request may run twice at the same time.
     by_name: HashMap<String, Vec<u64>>,
-    restored: RestoredCalls,
+    /// Calls that run since before this daemon started and were handed back.
+    restored: RestoredCalls<Arc<RunningCall>>,
+    /// All calls that may run since then.
+    earlier: EarlierCalls,
     /// Names of calls that ended without an answer, and their deadlines.
     abandoned: VecDeque<(String, Instant)>,
-    /// The instance that takes calls, if instances register and one has opened.
-    open: Option<InstanceId>,
 }
 
 #[derive(Debug)]
@@ -137,19 +138,23 @@
     fn is_abandoned(&self, name: &str, now: Instant) -> bool {
         self.abandoned.iter().any(|(known, expiry)| known == name && *expiry > now)
     }
+
+    fn earlier_or_unknown(&self, now: Instant) -> MissingParent {
+        if self.earlier.may_run(now) { MissingParent::MayBeEarlier } else { MissingParent::Unknown }
+    }
 }
 
 impl RunningCalls {
     /// Creates an empty table. `earlier` tells which calls the back end may run that are not in it.
     #[must_use]
     pub fn new(incarnation: Incarnation, earlier: EarlierCalls) -> Arc<Self> {
-        Arc::new(Self { incarnation, next_handle: AtomicU64::new(1), earlier, calls: Mutex::default() })
+        let calls = Mutex::new(CallTable { earlier, ..CallTable::default() });
+        Arc::new(Self { incarnation, next_handle: AtomicU64::new(1), calls })
     }
 
-    /// The calls that may run since before this daemon started.
-    #[must_use]
-    pub fn earlier(&self) -> &EarlierCalls {
-        &self.earlier
+    /// Records the longest time-out of a configuration that comes into force, in microseconds.
+    pub fn note_longest_timeout(&self, timeout: Microseconds) {
+        self.lock().earlier.note_longest_timeout(timeout);
     }
 
     /// Registers a call that is about to run, also under the name of its request if it has one.
@@ -169,18 +174,15 @@
         Registration { registry: self.clone(), handle, header: URL_SAFE_NO_PAD.encode(bytes) }
     }
 
-    /// Adds a call that the back end has been running since before this daemon started, as its sender hands it back.
-    pub fn restore(&self, name: &str, restored: RestoredCall) {
-        let mut calls = self.lock();
-        let CallTable { restored: table, open, .. } = &mut *calls;
-        table.add(name.to_owned(), restored, open.as_ref(), clock::now());
+    /// Adds a call that `instance` has been running since before this daemon started, as its sender hands it back.
+    pub fn restore(&self, name: String, instance: Option<InstanceId>, call: Arc<RunningCall>) {
+        let now = clock::now();
+        self.lock().restored.add(name, instance, call.expiry, call, now);
     }
 
     /// Records that an instance of the back end takes calls; it does not run what others were sent.
     pub fn note_open(&self, instance: &InstanceId) {
-        let mut calls = self.lock();
-        calls.restored.keep_only(instance);
-        calls.open = Some(instance.clone());
+        self.lock().restored.note_open(instance);
     }
 
     /// Returns the running call that a context header identifies.
@@ -192,10 +194,10 @@
         let decoded = URL_SAFE_NO_PAD.decode(header).ok();
         let token = decoded.and_then(|bytes| ContextToken::read_from_buffer(&bytes).ok());
         let token = token.ok_or(MissingParent::Unknown)?;
+        let calls = self.lock();
         if token.incarnation != self.incarnation {
-            return Err(self.earlier_or_unknown(clock::now()));
+            return Err(calls.earlier_or_unknown(clock::now()));
         }
-        let calls = self.lock();
         let entry = calls.by_handle.get(&token.handle).filter(|entry| entry.nonce == token.nonce);
         entry.map(|entry| entry.call.clone()).ok_or(MissingParent::Unknown)
     }
@@ -212,16 +214,12 @@
             return Ok(entry.call.clone());
         }
         match calls.restored.find(name, now) {
-            Some(call) => Ok(call),
+            Some(call) => Ok(call.clone()),
             None if calls.is_abandoned(name, now) => Err(MissingParent::Abandoned),
-            None => Err(self.earlier_or_unknown(now)),
+            None => Err(calls.earlier_or_unknown(now)),
         }
     }
 
-    fn earlier_or_unknown(&self, now: Instant) -> MissingParent {
-        if self.earlier.may_run(now) { MissingParent::MayBeEarlier } else { MissingParent::Unknown }
-    }
-
     /// Returns the number of calls that this daemon has given to the back end and that run there.
     #[must_use]
     pub fn count(&self) -> usize {
--- a/crates/seamhatchd/src/shared.rs
+++ b/crates/seamhatchd/src/shared.rs
@@ -18,15 +18,19 @@
 use crate::peer::{PeerPool, ShutdownAcks, UnwrittenMessages};
 use crate::server::LocalServer;
 use crate::server::crashes::{CrashContext, SuspectRegistry};
+use crate::server::running::RunningCall;
 use crate::settings::Settings;
 use crate::snapshot::Snapshot;
 use arc_swap::{ArcSwap, Guard};
+use log::info;
 use seamhatch_core::Instant;
 use seamhatch_core::clock::Microseconds;
 use seamhatch_core::drain::{BackEndState, CallIntake, StopState};
-use seamhatch_core::identity::{CallId, Incarnation};
+use seamhatch_core::identity::{Address, CallId, Incarnation};
 use seamhatch_core::instance::InstanceId;
 use seamhatch_core::notice::BackEndNotice;
+use seamhatch_core::retry::RetryLedger;
+use seamhatch_wire::HandedBackCall;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
@@ -159,6 +163,22 @@
         }
     }
 
+    /// Restores calls that the back end may run since before this process started, as handed back by the daemon at `from`.
+    pub fn restore_calls(&self, calls: Vec<HandedBackCall>, from: Address) {
+        info!(from = from.to_string().as_str(), calls = calls.len(); "calls from before this start handed back");
+        for HandedBackCall { name, tenant, instance, context } in calls {
+            let call = RunningCall::new(
+                context.root,
+                context.priority,
+                clock::now().minus(context.root_age),
+                context.expiry,
+                context.depth + 1,
+                RetryLedger::new(0, context.repeat),
+            );
+            self.server.running.restore(name, instance, Arc::new(call.of_tenant(tenant.as_deref())));
+        }
+    }
+
     /// Whether a call of another daemon that starts now can finish before the process ends; `usual` is the usual duration of such calls.
     #[must_use]
     pub fn can_finish(&self, expiry: Instant, usual: Option<Microseconds>) -> bool {
--- a/crates/seamhatchd/tests/links.rs
+++ b/crates/seamhatchd/tests/links.rs
@@ -6,11 +6,12 @@
 use seamhatch_core::generation::Generation;
 use seamhatch_core::heartbeat::CALLING_INTERVAL;
 use seamhatch_core::identity::{Address, CallId, Incarnation, RequestDigest, RootId};
+use seamhatch_core::instance::InstanceId;
 use seamhatch_core::notice::BackEndNotice;
 use seamhatch_core::priority::{AdmissionFloor, Priority, PriorityClass};
 use seamhatch_wire::{
-    ADDITIONS, AnswerHead, AnswerTail, CallContext, CallHead, CallIntake, FrameReader, Hello, PeerMessage,
-    Pulse, ServerReport, encode_frame, read_preface, write_preface,
+    ADDITIONS, AnswerHead, AnswerTail, CallContext, CallHead, CallIntake, FrameReader, HandedBackCall, Hello,
+    PeerMessage, Pulse, READS_RUNNING_CALLS, ServerReport, encode_frame, read_preface, write_preface,
 };
 use seamhatchd::base::clock;
 use seamhatchd::base::metrics::BadInput;
@@ -73,6 +74,7 @@
             turn: None::<TurnReport>,
             notice: None,
             pace: None,
+            instance: None,
             is_stopping: false,
         }
     }
@@ -104,13 +106,18 @@
 
 impl CalledPeer {
     async fn accept(listener: &TcpListener) -> Self {
+        Self::accept_as(listener, Incarnation(1), ADDITIONS).await
+    }
+
+    /// Accepts a connection as a daemon in this life, which reads these additions.
+    async fn accept_as(listener: &TcpListener, incarnation: Incarnation, additions: u16) -> Self {
         let port = listener.local_addr().expect("is bound").port();
         let (mut stream, _address): (TcpStream, _) = listener.accept().await.expect("accepts");
         read_preface(&mut stream).await.expect("reads");
         write_preface(&mut stream).await.expect("writes");
         let (reader, writer) = stream.into_split();
         let mut peer = Self { frames: FrameReader::new(reader), writer };
-        peer.send(PeerMessage::Hello(hello(port))).await;
+        peer.send(PeerMessage::Hello(Hello { incarnation, additions, ..hello(port) })).await;
         assert!(matches!(peer.next().await, PeerMessage::Hello(_)));
         peer
     }
@@ -322,6 +329,7 @@
             notice: None,
             farewell: None,
             pace: None,
+            instance: None,
         };
         for _heartbeat in 0..6 {
             peer.send(PeerMessage::Pulse(pulse.clone())).await;
@@ -343,3 +351,75 @@
     assert!(first.with_view(|view| view.is_silent(clock::now())));
     assert!(first.is_open(), "the silent connection stays open for its calls");
 }
+
+/// A call that may run only once, as its sender remembers it.
+fn running_call(name: &str) -> HandedBackCall {
+    let instance = Some(InstanceId::named("i"));
+    HandedBackCall {
+        name: name.into(),
+        tenant: Some("north".into()),
+        instance,
+        context: call_head(1).context,
+    }
+}
+
+/// Guards against calls of running requests that a restarted daemon doesn't know, though their senders do: they hand them back by themselves,
+/// before any call, to that daemon in another life only, and only while they may run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_restarted_daemon_is_handed_back_the_calls_that_are_not_settled() {
+    struct RestartCase {
+        name: &'static str,
+        incarnation: Incarnation,
+        additions: u16,
+        is_handed_back: bool,
+    }
+    let cases = [
+        RestartCase {
+            name: "restarted",
+            incarnation: Incarnation(2),
+            additions: ADDITIONS,
+            is_handed_back: true,
+        },
+        RestartCase {
+            name: "the same",
+            incarnation: Incarnation(1),
+            additions: ADDITIONS,
+            is_handed_back: false,
+        },
+        RestartCase {
+            name: "an earlier release",
+            incarnation: Incarnation(2),
+            additions: READS_RUNNING_CALLS - 1,
+            is_handed_back: false,
+        },
+    ];
+    for case in cases {
+        let host = Arc::new(Host::default());
+        let pool = pool(&host);
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("binds");
+        let address = listener.local_addr().expect("is bound");
+        let address = Address { ip: address.ip(), port: address.port() };
+        let (connection, peer) = tokio::join!(pool.get(address), CalledPeer::accept(&listener));
+        let connection = connection.expect("connects");
+        let note = |id: u64, name: &str, span| {
+            pool.note_sent(&connection, CallId(id), clock::now().plus(span), running_call(name))
+                .expect("is noted")
+        };
+        note(1, "running", 60 * SECOND);
+        note(2, "short", SECOND / 1000);
+        pool.settle(note(3, "answered", 60 * SECOND));
+        // Until the short one has expired.
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        drop(peer);
+        let accepting = CalledPeer::accept_as(&listener, case.incarnation, case.additions);
+        // Nothing but the unsettled calls asks for the second connection.
+        let mut peer = tokio::time::timeout(Duration::from_secs(5), accepting).await.expect(case.name);
+        let first = tokio::time::timeout(Duration::from_secs(5), peer.next()).await.expect(case.name);
+        let names = match first {
+            PeerMessage::RunningCalls(calls) => calls.into_iter().map(|call| call.name).collect(),
+            _ => Vec::new(),
+        };
+        let expected: &[&str] = if case.is_handed_back { &["running"] } else { &[] };
+        assert_eq!(names, expected, "{}", case.name);
+    }
+}
--- a/crates/seamhatchd/tests/running.rs
+++ b/crates/seamhatchd/tests/running.rs
@@ -3,13 +3,14 @@
 use seamhatch_core::Instant;
 use seamhatch_core::chain_cost::ServiceUsage;
 use seamhatch_core::clock::SECOND;
+use seamhatch_core::hand_back::EarlierCalls;
 use seamhatch_core::identity::{Incarnation, RootId};
 use seamhatch_core::instance::InstanceId;
 use seamhatch_core::priority::{AdmissionFloor, Priority, PriorityClass};
 use seamhatch_core::retry::RetryLedger;
 use seamhatch_wire::ChainFloor;
 use seamhatchd::base::clock;
-use seamhatchd::server::running::{EarlierCalls, MissingParent, RestoredCall, RunningCall, RunningCalls};
+use seamhatchd::server::running::{MissingParent, RunningCall, RunningCalls};
 use std::sync::Arc;
 
 fn call(expiry: u64) -> Arc<RunningCall> {
@@ -50,7 +51,7 @@
 
 /// Calls beside a back end that may run others since before the daemon started, `age` ago.
 fn calls_after_restart(age: u64) -> Arc<RunningCalls> {
-    let earlier = EarlierCalls::before(clock::now().minus(age));
+    let mut earlier = EarlierCalls::before(clock::now().minus(age));
     earlier.note_longest_timeout(5 * SECOND);
     RunningCalls::new(Incarnation(1), earlier)
 }
@@ -181,9 +182,7 @@
         let open =
             |name: Option<&str>| name.into_iter().for_each(|name| calls.note_open(&InstanceId::named(name)));
         open(case.opened_before);
-        let restored =
-            RestoredCall { instance: case.instance.map(InstanceId::named), call: call(case.expiry) };
-        calls.restore("a", restored);
+        calls.restore("a".into(), case.instance.map(InstanceId::named), call(case.expiry));
         open(case.opened_after);
         assert_eq!(calls.find_by_name("a").is_ok(), case.is_found, "{}", case.name);
     }
--- a/crates/seamhatchd/tests/suspects.rs
+++ b/crates/seamhatchd/tests/suspects.rs
@@ -2,12 +2,13 @@
 //! cost of a call while there are no suspects.
 
 use seamhatch_core::crashes::{InstanceDigest, RunEnd, RunMode, Suspect, SuspectStanding};
+use seamhatch_core::hand_back::EarlierCalls;
 use seamhatch_core::identity::{Incarnation, RequestDigest, RootId};
 use seamhatch_core::priority::{Priority, PriorityClass};
 use seamhatch_core::retry::RetryLedger;
 use seamhatch_policy::CrashSettings;
 use seamhatchd::server::crashes::{CrashTracker, SuspectRegistry};
-use seamhatchd::server::running::{EarlierCalls, RunningCall, RunningCalls};
+use seamhatchd::server::running::{RunningCall, RunningCalls};
 use std::hint::black_box;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
