One odd row of the store hides no other

What callers saw: nothing yet; the users report that machines which read a list with one odd entry ended or stopped following it. Cause: a row was parsed to a generic value by the page's own parser, whose errors (nesting, numbers out of range, half of a surrogate pair) end the page. A page without a readable row ended the range. Change: rows are raw text until each is read by itself; the next page begins after the last key, readable row or not; the same for the machine list. A Keep-Alive time near 2^64 saturates. A panic of the control thread ends the process.

--- a/crates/seamhatchd/src/base/mod.rs
+++ b/crates/seamhatchd/src/base/mod.rs
@@ -8,3 +8,4 @@
 pub(crate) mod lock;
 pub mod logging;
 pub mod metrics;
+pub mod panics;
--- a/crates/seamhatchd/src/controllers/follow/discovery.rs
+++ b/crates/seamhatchd/src/controllers/follow/discovery.rs
@@ -60,7 +60,7 @@
     let mut after: Option<String> = None;
     loop {
         let reading = followed.store.range(prefix, after.as_deref());
-        let Page { items, more } = call_store(metrics, reading).await?.found;
+        let Page { items, last_key, more } = call_store(metrics, reading).await?.found;
         for item in &items {
             if let Some(shard) = ShardRecord::read(prefix, item) {
                 discovery.shards.push(shard);
@@ -74,7 +74,7 @@
                 discovery.own_evidence.extend(noted.iter().map(|known| known.record.request));
             }
         }
-        after = items.last().map(|item| item.key.clone());
+        after = last_key;
         if !more || after.is_none() {
             return Ok(discovery);
         }
--- a/crates/seamhatchd/src/server/backend/connections.rs
+++ b/crates/seamhatchd/src/server/backend/connections.rs
@@ -253,5 +253,5 @@
         let timeout = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
         timeout.parse::<u64>().ok()
     });
-    stated.map_or(DEFAULT_IDLE_TIMEOUT, |seconds| seconds * SECOND).saturating_sub(IDLE_MARGIN)
+    stated.map_or(DEFAULT_IDLE_TIMEOUT, |seconds| seconds.saturating_mul(SECOND)).saturating_sub(IDLE_MARGIN)
 }
--- a/crates/seamhatchd/src/server/crashes/suspects.rs
+++ b/crates/seamhatchd/src/server/crashes/suspects.rs
@@ -55,7 +55,7 @@
     pub fn set_settings(&self, settings: &CrashSettings) {
         let policy = CrashPolicy {
             condemned_after: settings.limit,
-            first_pause: settings.pause_ms * MILLISECOND,
+            first_pause: settings.pause_ms.saturating_mul(MILLISECOND),
             ..CrashPolicy::default()
         };
         self.lock().set_policy(policy);
--- a/crates/seamhatchd/src/startup.rs
+++ b/crates/seamhatchd/src/startup.rs
@@ -6,6 +6,7 @@
 use crate::base::clock;
 use crate::base::logging;
 use crate::base::metrics::Metrics;
+use crate::base::panics::{CONTROL_THREAD, end_with_control_thread};
 use crate::claims::{ClaimState, Claimant};
 use crate::control::{ControlEvent, ControlHandle};
 use crate::controllers::ControlThread;
@@ -115,6 +116,7 @@
 }
 
 fn try_serve(settings: Settings, ports: &Ports, arguments: Vec<OsString>) -> std::io::Result<()> {
+    end_with_control_thread();
     let traffic = traffic_runtime(settings.traffic_threads)?;
     // Before any listener starts: without a handler a signal ends the process immediately.
     let (signals, hangups) = {
@@ -247,7 +249,7 @@
     ports: Ports,
 ) -> std::io::Result<()> {
     let runtime = Builder::new_current_thread().enable_all().build()?;
-    std::thread::Builder::new().name("control".into()).spawn(move || {
+    std::thread::Builder::new().name(CONTROL_THREAD.into()).spawn(move || {
         runtime.block_on(async {
             match UdpSocket::from_std(gossip) {
                 Ok(socket) => ControlThread::new(shared, events, socket, &ports).run().await,
--- a/crates/seamhatchd/src/store/exchange.rs
+++ b/crates/seamhatchd/src/store/exchange.rs
@@ -50,12 +50,14 @@
         self.parse_any()
     }
 
-    /// Parses the JSON body, regardless of the status.
+    /// Parses the JSON body, regardless of the status. Bytes that are not UTF-8 are replaced, so that they spoil no more than
+    /// the text that they stand in.
     ///
     /// # Errors
     /// [`StoreError::Malformed`].
     pub fn parse_any<T: DeserializeOwned>(&self) -> Result<T, StoreError> {
-        serde_json::from_slice(&self.body).map_err(|error| StoreError::malformed(&error))
+        let text = String::from_utf8_lossy(&self.body);
+        serde_json::from_str(&text).map_err(|error| StoreError::malformed(&error))
     }
 }
 
--- a/crates/seamhatchd/src/store/machine_list.rs
+++ b/crates/seamhatchd/src/store/machine_list.rs
@@ -5,8 +5,10 @@
 use bytes::Bytes;
 use http::Request;
 use http_body_util::{BodyExt, Full, Limited};
+use log::warn;
 use seamhatch_core::identity::Address;
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 use std::net::IpAddr;
 use std::time::Duration;
 
@@ -34,7 +36,7 @@
     pub state: MachineState,
 }
 
-/// Reads the list with `GET /machines`, which returns a JSON array.
+/// Reads the list with `GET /machines`, which returns a JSON array. Entries that can't be read are passed over.
 ///
 /// # Errors
 /// [`StoreError`], as for the key-value service.
@@ -53,5 +55,18 @@
     };
     let bytes =
         tokio::time::timeout(ANSWER_TIMEOUT, reading).await.map_err(|_| StoreError::timed_out())??;
-    serde_json::from_slice(&bytes).map_err(|error| StoreError::Malformed { detail: error.to_string() })
+    let text = String::from_utf8_lossy(&bytes);
+    let entries: Vec<Box<RawValue>> =
+        serde_json::from_str(&text).map_err(|error| StoreError::Malformed { detail: error.to_string() })?;
+    Ok(readable(&entries))
+}
+
+/// The entries that can be read. The others are counted and logged: what is odd in one hides no other.
+fn readable(entries: &[Box<RawValue>]) -> Vec<ListedMachine> {
+    let texts = entries.iter().map(|entry| entry.get());
+    let machines: Vec<ListedMachine> = texts.filter_map(|text| serde_json::from_str(text).ok()).collect();
+    if machines.len() < entries.len() {
+        warn!(entries = entries.len() - machines.len(); "entries of the machine list that can't be read are passed over");
+    }
+    machines
 }
--- a/crates/seamhatchd/src/store/mod.rs
+++ b/crates/seamhatchd/src/store/mod.rs
@@ -54,6 +54,8 @@
 pub struct Page {
     /// Its items.
     pub items: Vec<Item>,
+    /// Key of the last row, also of one that can't be read; the next page begins after it. `None` if no row has a key.
+    pub last_key: Option<String>,
     /// Whether the range has further items after the last of these.
     pub more: bool,
 }
--- a/crates/seamhatchd/tests/backend_connections.rs
+++ b/crates/seamhatchd/tests/backend_connections.rs
@@ -118,6 +118,13 @@
     while let Some(path) = read_request(&mut stream).await {
         let (answer, delayed): (&[u8], &[u8]) = match path.as_str() {
             "/ok" | "/early" | "/bye" => (b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nx", b""),
+            path if path.starts_with("/keep/") => {
+                let timeout = &path["/keep/".len()..];
+                let head =
+                    format!("HTTP/1.1 200 OK\r\nkeep-alive: timeout={timeout}\r\ncontent-length: 1\r\n\r\nx");
+                stream.write_all(head.as_bytes()).await.expect("is answered");
+                (b"", b"")
+            }
             "/bad" => (b"HTTP/1.1 500 Bad\r\ncontent-length: 1\r\n\r\nx", b""),
             "/refused" => (b"HTTP/1.1 503 Busy\r\ncontent-length: 4\r\n\r\n", b"busy"),
             // Sends no answer until the client closes the connection.
@@ -309,3 +316,33 @@
     fixture.exchange("/ok").await;
     assert_eq!((fixture.opened("probe"), fixture.opened("none-idle"), fixture.server.accepted()), (1, 0, 1));
 }
+
+/// Guards against a time in `Keep-Alive` that is no sound number: it must neither end the call nor spoil the connection's use.
+#[tokio::test]
+async fn any_time_in_keep_alive_is_taken_or_ignored() {
+    struct KeepCase {
+        timeout: &'static str,
+        is_kept: bool,
+    }
+    let cases = [
+        KeepCase { timeout: "5", is_kept: true },
+        KeepCase { timeout: "0", is_kept: false },
+        KeepCase { timeout: "1", is_kept: false },
+        KeepCase { timeout: "18446744073709", is_kept: true },
+        KeepCase { timeout: "18446744073710", is_kept: true },
+        KeepCase { timeout: "18446744073709551615", is_kept: true },
+        KeepCase { timeout: "18446744073709551616", is_kept: true },
+        KeepCase { timeout: "99999999999999999999999999999999", is_kept: true },
+        KeepCase { timeout: "-1", is_kept: true },
+        KeepCase { timeout: "1e999", is_kept: true },
+        KeepCase { timeout: "NaN", is_kept: true },
+        KeepCase { timeout: "", is_kept: true },
+    ];
+    for KeepCase { timeout, is_kept } in cases {
+        let fixture = Fixture::start().await;
+        fixture.exchange(&format!("/keep/{timeout}")).await;
+        fixture.exchange("/ok").await;
+        let connections = if is_kept { 1 } else { 2 };
+        assert_eq!(fixture.server.accepted(), connections, "{timeout}");
+    }
+}
