An answer that breaks off ends in a reset for a client of HTTP/1.0

Cause: for such a client the body ends with the connection, which the library closes in order also when the body fails. Change: while such an answer is on its way the kernel resets the connection when it ends, also with the process; at the end of the body that is taken back. Failed before: an_answer_that_is_cut_does_not_look_whole_to_a_client_of_http_1_0. The other tests of cut_answers.rs held before, but for the one with a kill, which was not run before.

--- a/crates/seamhatchd/src/listeners/connection.rs
+++ b/crates/seamhatchd/src/listeners/connection.rs
@@ -31,6 +31,8 @@
     state: Mutex<ConnectionState>,
     /// Whether the library has read a request.
     has_request: AtomicBool,
+    /// Whether an answer is in progress whose caller takes the end of the connection for its end.
+    must_reset: AtomicBool,
     /// Notified when no pipelined request is pending and no head is due.
     none_pipelined: Notify,
 }
@@ -89,6 +91,12 @@
         self.has_request.load(Ordering::Relaxed)
     }
 
+    /// Whether the connection must end with a reset if it ends now: ended in order, it would make an answer look whole that
+    /// is not.
+    pub(super) fn must_reset(&self) -> bool {
+        self.must_reset.load(Ordering::Relaxed)
+    }
+
     /// Keeps a request in progress until its answer is written or the connection ends.
     pub fn hold(&self, request: AcceptedRequest) {
         self.lock().unwritten.push(request);
@@ -243,12 +251,16 @@
 pub struct TrackedBody {
     body: CallerBody,
     connection: Arc<ConnectionRequests>,
+    /// Whether the body ends with the connection.
+    is_close_delimited: bool,
 }
 
 impl TrackedBody {
-    /// Wraps the body of the answer in progress on `connection`.
-    pub fn new(body: CallerBody, connection: Arc<ConnectionRequests>) -> Self {
-        Self { body, connection }
+    /// Wraps the body of the answer in progress on `connection`. `is_close_delimited` says that the body ends with the
+    /// connection, as one without a length does for a caller of HTTP/1.0.
+    pub fn new(body: CallerBody, connection: Arc<ConnectionRequests>, is_close_delimited: bool) -> Self {
+        connection.must_reset.store(is_close_delimited, Ordering::Relaxed);
+        Self { body, connection, is_close_delimited }
     }
 }
 
@@ -260,7 +272,11 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, TruncatedBody>>> {
-        Pin::new(&mut self.body).poll_frame(context)
+        let polled = Pin::new(&mut self.body).poll_frame(context);
+        if self.is_close_delimited && matches!(polled, Poll::Ready(None)) {
+            self.connection.must_reset.store(false, Ordering::Relaxed);
+        }
+        polled
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/seamhatchd/src/listeners/proxy.rs
+++ b/crates/seamhatchd/src/listeners/proxy.rs
@@ -17,8 +17,8 @@
 use bytes::Bytes;
 use http::header::{CONNECTION, CONTENT_LENGTH, HOST};
 use http::request::Parts;
-use http::{HeaderValue, Request, Response, StatusCode};
-use hyper::body::Incoming;
+use http::{HeaderValue, Request, Response, StatusCode, Version};
+use hyper::body::{Body, Incoming};
 use seamhatch_core::clock::{MILLISECOND, Microseconds};
 use seamhatch_core::identity::RootId;
 use seamhatch_core::outcome::{Outcome, Reason};
@@ -82,6 +82,7 @@
         pipelined: Option<PipelinedRequest>,
         connection: Arc<ConnectionRequests>,
     ) -> Result<Response<TrackedBody>, Infallible> {
+        let version = request.version();
         let mut response = match pipelined {
             Some(pipelined) => self.clone().answer_pipelined(pipelined, &connection).await,
             None => self.clone().answer_read(request, &connection).await,
@@ -90,7 +91,10 @@
         if self.shared.is_draining() && connection.try_close_after_this() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
-        Ok(response.map(|body| TrackedBody::new(body, connection)))
+        let has_length =
+            response.headers().contains_key(CONTENT_LENGTH) || response.body().size_hint().exact().is_some();
+        let is_close_delimited = version < Version::HTTP_11 && !has_length;
+        Ok(response.map(|body| TrackedBody::new(body, connection, is_close_delimited)))
     }
 
     /// Answers a request that was not accepted before the library read it.
--- a/crates/seamhatchd/src/listeners/read_ahead.rs
+++ b/crates/seamhatchd/src/listeners/read_ahead.rs
@@ -12,6 +12,7 @@
 use bytes::{Buf, BytesMut};
 use futures_util::FutureExt;
 use seamhatch_core::pipeline::NextInput;
+use socket2::SockRef;
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
@@ -44,6 +45,8 @@
     /// Number of bytes of the current head that the library has not been given.
     head_left: usize,
     close_check: Option<Pin<Box<Sleep>>>,
+    /// Whether the kernel resets the connection when it ends.
+    is_reset_at_end: bool,
 }
 
 impl ReadAheadStream {
@@ -59,6 +62,7 @@
             is_next_ineligible: false,
             head_left: 0,
             close_check: None,
+            is_reset_at_end: false,
         }
     }
 
@@ -273,6 +277,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.apply_end()?;
         let written = Pin::new(&mut self.stream).poll_write(context, bytes);
         self.note_write(written)
     }
@@ -282,6 +287,7 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.apply_end()?;
         let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
         self.note_write(written)
     }
@@ -297,11 +303,22 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.apply_end()?;
         Pin::new(&mut self.stream).poll_shutdown(context)
     }
 }
 
 impl ReadAheadStream {
+    /// Has the kernel end the connection as it must end now, also if this process is killed.
+    fn apply_end(&mut self) -> io::Result<()> {
+        let must_reset = self.connection.must_reset();
+        if must_reset != self.is_reset_at_end {
+            SockRef::from(&self.stream).set_linger(must_reset.then_some(Duration::ZERO))?;
+            self.is_reset_at_end = must_reset;
+        }
+        Ok(())
+    }
+
     fn note_write(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if matches!(written, Poll::Ready(Err(_))) {
             self.connection.note_disconnected();
