The first message on a connection between daemons is small

What was seen: 40 strangers at the peers' port took a daemon to 293,080 KiB. Cause: the first frame could be 8 MiB and was kept until it was whole, before its sender had shown that it belongs to the cluster. Change: 64 KiB at most, at both ends.

--- a/crates/seamhatch-wire/src/frame.rs
+++ b/crates/seamhatch-wire/src/frame.rs
@@ -1,7 +1,8 @@
 //! Framing on TCP: a preface with the version in each direction, then frames, each the length of a message as 32 bits in
 //! little-endian order and the encoded message.
 //!
-//! What a peer sends is bounded before it is read: a frame above [`LARGEST_FRAME`] ends the connection.
+//! What a peer sends is bounded before it is read: a frame above [`LARGEST_FRAME`] ends the connection, and a first one
+//! above [`LARGEST_FIRST_FRAME`].
 
 use crate::PROTOCOL_VERSION;
 use crate::error::WireError;
@@ -14,6 +15,9 @@
 /// calls a second may run only once. Chosen above that, not measured.
 pub const LARGEST_FRAME: usize = 8 * 1024 * 1024;
 
+/// Largest first frame on a connection, in bytes. Until it is read, the other side may be anything.
+pub const LARGEST_FIRST_FRAME: usize = 64 * 1024;
+
 /// Begins each preface.
 const MAGIC: [u8; 6] = *b"Seamht";
 /// Bytes of magic and version.
@@ -92,8 +96,20 @@
     /// # Errors
     /// [`WireError`]; the stream can't be used afterwards.
     pub async fn next(&mut self) -> Result<Option<PeerMessage>, WireError> {
+        self.next_within(LARGEST_FRAME).await
+    }
+
+    /// The first message, which must fit into [`LARGEST_FIRST_FRAME`]; otherwise as [`Self::next`].
+    ///
+    /// # Errors
+    /// [`WireError`]; the stream can't be used afterwards.
+    pub async fn first(&mut self) -> Result<Option<PeerMessage>, WireError> {
+        self.next_within(LARGEST_FIRST_FRAME).await
+    }
+
+    async fn next_within(&mut self, limit: usize) -> Result<Option<PeerMessage>, WireError> {
         loop {
-            if let Some(message) = self.take_frame()? {
+            if let Some(message) = self.take_frame(limit)? {
                 return Ok(Some(message));
             }
             self.buffer.reserve(READ_CHUNK);
@@ -103,15 +119,15 @@
         }
     }
 
-    fn take_frame(&mut self) -> Result<Option<PeerMessage>, WireError> {
+    fn take_frame(&mut self, limit: usize) -> Result<Option<PeerMessage>, WireError> {
         if self.buffer.len() < LENGTH_BYTES {
             return Ok(None);
         }
         let mut head = [0; LENGTH_BYTES];
         head.copy_from_slice(&self.buffer[..LENGTH_BYTES]);
         let length = u32::from_le_bytes(head) as usize;
-        if length > LARGEST_FRAME {
-            return Err(WireError::FrameTooLarge { length, limit: LARGEST_FRAME });
+        if length > limit {
+            return Err(WireError::FrameTooLarge { length, limit });
         }
         if self.buffer.len() < LENGTH_BYTES + length {
             return Ok(None);
--- a/crates/seamhatch-wire/src/lib.rs
+++ b/crates/seamhatch-wire/src/lib.rs
@@ -11,7 +11,7 @@
 
 pub use datagram::{LARGEST_DATAGRAM, decode_datagram, encode_datagram};
 pub use error::WireError;
-pub use frame::{FrameReader, LARGEST_FRAME, encode_frame, read_preface, write_preface};
+pub use frame::{FrameReader, LARGEST_FIRST_FRAME, LARGEST_FRAME, encode_frame, read_preface, write_preface};
 pub use message::{
     AnswerHead, AnswerTail, CallContext, CallHead, ChainFloor, ControlReply, ControlRequest, Farewell,
     HandedBackCall, HeaderField, Hello, PeerMessage, Pulse, RecordedAnswer, RecordedState, Refusal,
--- a/crates/seamhatchd/src/peer/handshake.rs
+++ b/crates/seamhatchd/src/peer/handshake.rs
@@ -50,7 +50,7 @@
     let writing = tokio::spawn(link::write_messages(writer, messages));
     read_preface(&mut reader).await?;
     let mut frames = FrameReader::new(reader);
-    let first = frames.next().await?;
+    let first = frames.first().await?;
     let hello = link::first_hello(first, &cluster).inspect_err(|_| writing.abort())?;
     let connection = PeerConnection {
         address,
--- a/crates/seamhatchd/src/peer_server/mod.rs
+++ b/crates/seamhatchd/src/peer_server/mod.rs
@@ -61,7 +61,7 @@
     write_preface(&mut stream).await?;
     let (reader, writer) = stream.into_split();
     let mut frames = FrameReader::new(reader);
-    let first = tokio::time::timeout(HELLO_TIMEOUT, frames.next()).await.map_err(timed_out)??;
+    let first = tokio::time::timeout(HELLO_TIMEOUT, frames.first()).await.map_err(timed_out)??;
     let hello = link::first_hello(first, &shared.settings.cluster)?;
     shared.control.daemon_connected(hello.gossip);
     // Before any call is handled on this connection, and before any state is reported on it.
