Daemons that may hold a departure are asked as they become known

Cause: a daemon that starts without the store asked the first daemons that it knew, which mostly hold nothing, and took their empty answer for all. Change: until the store has named all daemons, each that may hold a departure is asked until it has answered once.

--- a/crates/seamhatch-core/src/departure/mod.rs
+++ b/crates/seamhatch-core/src/departure/mod.rs
@@ -95,10 +95,12 @@
         }
     }
 
-    /// Whether holders are still to be asked. `members_known` says that the store has named all daemons.
+    /// Whether holders are still to be asked. `members_known` says that the store has named all daemons, and `has_unasked`
+    /// that a daemon which may hold departures has not answered yet: before the store has named them, daemons become known
+    /// one after the other, and the first may hold nothing.
     #[must_use]
-    pub fn needs_holders(&self, members_known: bool) -> bool {
-        !self.holders_answered && (members_known || !self.first_holders_answered)
+    pub fn needs_holders(&self, members_known: bool, has_unasked: bool) -> bool {
+        !self.holders_answered && (members_known || has_unasked)
     }
 
     /// Whether heartbeats may be trusted.
--- a/crates/seamhatch-core/tests/departure.rs
+++ b/crates/seamhatch-core/tests/departure.rs
@@ -124,15 +124,17 @@
     }
 }
 
+/// Guards against an inquiry that ends with the first daemon that answers, though others that are known later hold departures.
 #[test]
-fn holders_are_asked_again_once_all_daemons_are_known() {
+fn holders_are_asked_as_they_become_known_and_again_once_all_daemons_are() {
     let mut inquiry = DepartureInquiry::default();
-    assert!(inquiry.needs_holders(false));
+    assert!(inquiry.needs_holders(false, true));
     inquiry.note_answer(FIRST_HOLDERS);
-    assert!(!inquiry.needs_holders(false));
-    assert!(inquiry.needs_holders(true));
+    assert!(inquiry.needs_holders(false, true));
+    assert!(!inquiry.needs_holders(false, false));
+    assert!(inquiry.needs_holders(true, false));
     inquiry.note_answer(HOLDERS);
-    assert!(!inquiry.needs_holders(true));
+    assert!(!inquiry.needs_holders(true, true));
 }
 
 /// A heartbeat of an instance, by its name, sequence number and time of arrival.
--- a/crates/seamhatchd/src/control/events.rs
+++ b/crates/seamhatchd/src/control/events.rs
@@ -81,12 +81,23 @@
         /// Whether the store has recorded it.
         recorded: bool,
     },
-    /// Instances that departed before this daemon started, and who reported them.
-    DeparturesLearned(DepartureSource, Vec<InstanceId>),
+    /// Instances that departed before this daemon started, as the store has recorded them.
+    DeparturesRead(Vec<InstanceId>),
+    /// The same, as other daemons hold them.
+    DeparturesHeld(DepartureSource, HolderAnswers),
     /// None of the daemons that may hold departures answered.
     DeparturesNotLearned,
 }
 
+/// What daemons that may hold departures have answered.
+#[derive(Debug, Default)]
+pub struct HolderAnswers {
+    /// Peer addresses of the daemons that answered.
+    pub peers: Vec<Address>,
+    /// The departed instances that they hold.
+    pub instances: Vec<InstanceId>,
+}
+
 /// Reply to a message of a back end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum InstanceAnswer {
--- a/crates/seamhatchd/src/control/mod.rs
+++ b/crates/seamhatchd/src/control/mod.rs
@@ -12,8 +12,8 @@
 mod submission;
 
 pub use events::{
-    ConfigurationEvent, ConfigurationSource, ControlEvent, DrainTarget, InstanceAnswer, InstanceEvent,
-    MemberEvent, OperatorEvent, Retirement, RosterEvent, SuspectEvent,
+    ConfigurationEvent, ConfigurationSource, ControlEvent, DrainTarget, HolderAnswers, InstanceAnswer,
+    InstanceEvent, MemberEvent, OperatorEvent, Retirement, RosterEvent, SuspectEvent,
 };
 pub use findings::{Discovery, TransitionResult};
 pub use handle::{ControlHandle, GenerationReport, ReportSource};
--- a/crates/seamhatchd/src/controllers/control_thread/departures.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/departures.rs
@@ -9,7 +9,7 @@
 use super::ControlThread;
 use crate::base::clock;
 use crate::base::metrics::seconds;
-use crate::control::{InstanceAnswer, InstanceEvent};
+use crate::control::{HolderAnswers, InstanceAnswer, InstanceEvent};
 use crate::controllers::follow::{
     OwnRecord, ask_departures, ask_to_hold, record_departure, try_to_record_departure,
 };
@@ -71,6 +71,8 @@
     /// Whether a query to the daemons that may hold departures is in progress.
     asking: bool,
     next_poll: Instant,
+    /// Daemons that have answered such a query.
+    asked: HashSet<Address>,
     /// Heartbeats that arrived before they could be trusted.
     early: EarlyHeartbeats,
     /// Departures held on behalf of other daemons, by their gossip address.
@@ -84,11 +86,15 @@
 }
 
 impl ControlThread {
+    /// Applies departures from before the start of this process that other daemons hold.
+    pub(super) fn departures_held(&mut self, source: DepartureSource, answers: HolderAnswers) {
+        self.departures.asking = false;
+        self.departures.asked.extend(answers.peers);
+        self.departures_learned(source, &answers.instances);
+    }
+
     /// Applies departures from before the start of this process, reported by the store or by the daemons that hold them.
     pub(super) fn departures_learned(&mut self, source: DepartureSource, instances: &[InstanceId]) {
-        if source != DepartureSource::Store {
-            self.departures.asking = false;
-        }
         self.departures.inquiry.note_answer(source);
         info!(source:? = source, instances = instances.len(); "received departures from before this start");
         if source == DepartureSource::Store {
@@ -166,13 +172,16 @@
 
     fn ask_holders(&mut self, now: Instant) {
         let departures = &self.departures;
-        let members_known = departures.members_known.is_some();
-        let is_needed = departures.inquiry.needs_holders(members_known);
-        if !is_needed || departures.asking || now < departures.next_poll {
+        if departures.asking || now < departures.next_poll {
             return;
         }
-        let peers = self.departure_peers(DEPARTURE_QUERY_FANOUT);
-        if peers.is_empty() {
+        let members_known = departures.members_known.is_some();
+        let mut peers = self.departure_peers(DEPARTURE_QUERY_FANOUT);
+        if !members_known {
+            peers.retain(|peer| !departures.asked.contains(peer));
+        }
+        let is_needed = departures.inquiry.needs_holders(members_known, !peers.is_empty());
+        if !is_needed || peers.is_empty() {
             return;
         }
         self.departures.next_poll = now.plus(DEPARTURE_POLL_INTERVAL);
@@ -182,7 +191,7 @@
         let source = if members_known { DepartureSource::Holders } else { DepartureSource::FirstHolders };
         tokio::spawn(async move {
             control.send(match ask_departures(pool, gossip, peers).await {
-                Some(instances) => InstanceEvent::DeparturesLearned(source, instances),
+                Some(answers) => InstanceEvent::DeparturesHeld(source, answers),
                 None => InstanceEvent::DeparturesNotLearned,
             });
         });
--- a/crates/seamhatchd/src/controllers/control_thread/instances.rs
+++ b/crates/seamhatchd/src/controllers/control_thread/instances.rs
@@ -10,7 +10,7 @@
 use log::{info, warn};
 use seamhatch_core::Instant;
 use seamhatch_core::clock::{Microseconds, SECOND};
-use seamhatch_core::departure::InquiryVerdict;
+use seamhatch_core::departure::{DepartureSource, InquiryVerdict};
 use seamhatch_core::instance::{
     HEARTBEAT_TIMEOUT, Heartbeat, HeartbeatVerdict, InstanceId, InstanceState, Refutation,
 };
@@ -39,9 +39,10 @@
             InstanceEvent::DepartureWritten { instance, recorded } => {
                 self.departure_written(instance, recorded);
             }
-            InstanceEvent::DeparturesLearned(source, instances) => {
-                self.departures_learned(source, &instances);
+            InstanceEvent::DeparturesRead(instances) => {
+                self.departures_learned(DepartureSource::Store, &instances);
             }
+            InstanceEvent::DeparturesHeld(source, answers) => self.departures_held(source, answers),
             InstanceEvent::DeparturesNotLearned => self.departures_not_learned(),
         }
     }
--- a/crates/seamhatchd/src/controllers/follow/departures.rs
+++ b/crates/seamhatchd/src/controllers/follow/departures.rs
@@ -5,6 +5,7 @@
 //! restart while the store is out, and a starting daemon asks both.
 
 use super::own_record::{OwnRecord, RecordChange};
+use crate::control::HolderAnswers;
 use crate::peer::PeerPool;
 use futures_util::future::join_all;
 use log::{debug, warn};
@@ -48,23 +49,22 @@
     join_all(peers.into_iter().map(|peer| pool.ask(peer, request.clone()))).await;
 }
 
-/// Queries `peers` for the departed instances of this daemon's back end. `gossip` is this daemon's gossip address. Returns none
-/// if no peer answers.
+/// Queries `peers` for the departed instances of this daemon's back end. `gossip` is this daemon's gossip address. Returns
+/// none if no peer answers.
 pub async fn ask_departures(
     pool: Arc<PeerPool>,
     gossip: Address,
     peers: Vec<Address>,
-) -> Option<Vec<InstanceId>> {
+) -> Option<HolderAnswers> {
     let request = ControlRequest::GetDepartures { member: gossip };
     let ask = |peer| tokio::time::timeout(HOLDER_TIMEOUT, pool.ask(peer, request.clone()));
-    let replies = join_all(peers.into_iter().map(ask)).await;
-    let mut answered = false;
-    let mut departed = Vec::new();
-    for reply in replies {
+    let replies = join_all(peers.iter().copied().map(ask)).await;
+    let mut answers = HolderAnswers::default();
+    for (peer, reply) in peers.into_iter().zip(replies) {
         if let Ok(Some(ControlReply::Departures(instances))) = reply {
-            answered = true;
-            departed.extend(instances);
+            answers.peers.push(peer);
+            answers.instances.extend(instances);
         }
     }
-    answered.then_some(departed)
+    (!answers.peers.is_empty()).then_some(answers)
 }
--- a/crates/seamhatchd/src/controllers/follow/discovery.rs
+++ b/crates/seamhatchd/src/controllers/follow/discovery.rs
@@ -11,7 +11,6 @@
 use crate::ports::FollowedStore;
 use crate::store::{DaemonRecord, Page, ShardRecord, StoreError};
 use log::warn;
-use seamhatch_core::departure::DepartureSource;
 use seamhatch_core::identity::Address;
 use std::sync::Arc;
 
@@ -35,7 +34,7 @@
             }
         }
     };
-    control.send(InstanceEvent::DeparturesLearned(DepartureSource::Store, own_departures.instances));
+    control.send(InstanceEvent::DeparturesRead(own_departures.instances));
     backoff.succeeded();
     loop {
         match read_records(&followed, gossip, &metrics).await {
