--- a/crates/seamhatch-wire/src/frame.rs
+++ b/crates/seamhatch-wire/src/frame.rs
@@ -11,8 +11,7 @@
 use speedy::{Readable, Writable};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 
-/// Largest frame, in bytes. The largest message moves the claims of a shard: worked out, 2.5 MB where 1 in 100 of 140,000
-/// calls a second may run only once. Chosen above that, not measured.
+/// Largest frame, in bytes: some times the claims of a shard, which the largest message moves (docs/CAPACITY.md).
 pub const LARGEST_FRAME: usize = 8 * 1024 * 1024;
 
 /// Largest first frame on a connection, in bytes. Until it is read, the other side may be anything.
@@ -24,7 +23,7 @@
 const PREFACE: usize = 8;
 /// Bytes of a frame's length.
 const LENGTH_BYTES: usize = 4;
-/// Room for each read, in bytes. Chosen, not measured.
+/// Room for each read, in bytes.
 const READ_CHUNK: usize = 16 * 1024;
 
 /// Sends the preface; first thing in each direction.
