Attempts to hand calls back eject no daemon

Cause: attempts to reach a daemon that has calls to be handed back counted as failed connections, which eject it for a time that doubles with each: a daemon got no work for seconds after its return. Change: these attempts don't count. Failed before: attempts_to_hand_calls_back_eject_no_daemon.

--- a/crates/seamhatchd/src/peer/pool.rs
+++ b/crates/seamhatchd/src/peer/pool.rs
@@ -49,6 +49,13 @@
     failures: Ejection,
 }
 
+/// Whether the failure of an attempt to connect counts towards the ejection of the daemon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum AttemptCount {
+    Counted,
+    Uncounted,
+}
+
 /// All outgoing connections of this daemon.
 #[derive(Debug)]
 pub struct PeerPool {
@@ -75,12 +82,24 @@
     pub async fn get(self: &Arc<Self>, address: Address) -> Result<PeerConnection, PeerUnreachable> {
         match self.usable(address) {
             Some(connection) => Ok(connection),
-            None => self.opening(address).await,
+            None => self.opening(address, AttemptCount::Counted).await,
+        }
+    }
+
+    /// As [`Self::get`], but a failure doesn't count towards the ejection of the daemon. For attempts that are repeated
+    /// while a daemon is known to be away, and would eject it for long after its return.
+    pub(super) async fn get_uncounted(
+        self: &Arc<Self>,
+        address: Address,
+    ) -> Result<PeerConnection, PeerUnreachable> {
+        match self.usable(address) {
+            Some(connection) => Ok(connection),
+            None => self.opening(address, AttemptCount::Uncounted).await,
         }
     }
 
     /// Joins the attempt to connect to a daemon that is in progress, or starts one.
-    fn opening(self: &Arc<Self>, address: Address) -> Opening {
+    fn opening(self: &Arc<Self>, address: Address, count: AttemptCount) -> Opening {
         let mut entries = self.lock();
         let entry = entries.entry(address).or_default();
         // A finished attempt is still here only if its task has failed.
@@ -88,7 +107,7 @@
             return opening.clone();
         }
         let pool = self.clone();
-        let opened = self.runtime.spawn(async move { pool.open(address).await });
+        let opened = self.runtime.spawn(async move { pool.open(address, count).await });
         let ended = move |error: JoinError| PeerUnreachable { address, detail: error.to_string() };
         let opening = opened.map(move |opened| opened.map_err(ended).flatten()).boxed().shared();
         entry.opening = Some(opening.clone());
@@ -96,7 +115,11 @@
     }
 
     /// Opens a connection and records the result.
-    async fn open(self: &Arc<Self>, address: Address) -> Result<PeerConnection, PeerUnreachable> {
+    async fn open(
+        self: &Arc<Self>,
+        address: Address,
+        count: AttemptCount,
+    ) -> Result<PeerConnection, PeerUnreachable> {
         let opened = match self.host.upgrade() {
             Some(host) => handshake::open(self, &host, address).await.map_err(|error| error.to_string()),
             None => Err("this daemon has ended".to_owned()),
@@ -111,7 +134,9 @@
                 Ok(connection)
             }
             Err(detail) => {
-                entry.failures.record(CallEnd::Lost, clock::now());
+                if count == AttemptCount::Counted {
+                    entry.failures.record(CallEnd::Lost, clock::now());
+                }
                 Err(PeerUnreachable { address, detail })
             }
         }
--- a/crates/seamhatchd/src/peer/sent_calls.rs
+++ b/crates/seamhatchd/src/peer/sent_calls.rs
@@ -116,7 +116,7 @@
         let pool = self.clone();
         tokio::spawn(async move {
             let mut pause = MIN_RECONNECT_PAUSE;
-            while pool.unsettled.has_any(daemon) && pool.get(daemon).await.is_err() {
+            while pool.unsettled.has_any(daemon) && pool.get_uncounted(daemon).await.is_err() {
                 tokio::time::sleep(pause).await;
                 pause = (2 * pause).min(MAX_RECONNECT_PAUSE);
             }
--- a/crates/seamhatchd/tests/links.rs
+++ b/crates/seamhatchd/tests/links.rs
@@ -423,3 +423,21 @@
         assert_eq!(names, expected, "{}", case.name);
     }
 }
+
+/// Guards against a daemon that gets no work for seconds after its return, because the attempts to hand its calls back have ejected it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn attempts_to_hand_calls_back_eject_no_daemon() {
+    let host = Arc::new(Host::default());
+    let pool = pool(&host);
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("binds");
+    let address = listener.local_addr().expect("is bound");
+    let address = Address { ip: address.ip(), port: address.port() };
+    let (connection, peer) = tokio::join!(pool.get(address), CalledPeer::accept(&listener));
+    let connection = connection.expect("connects");
+    let expiry = clock::now().plus(3 * SECOND);
+    pool.note_sent(&connection, CallId(1), expiry, running_call("running")).expect("is noted");
+    drop(listener);
+    drop(peer);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert!(!pool.is_failing(address, clock::now()));
+}
