An answer whose framing is not certain is a failure

With `transfer-encoding: chunkedx`, an empty coding or `gzip` alone, the body was the chunks' own framing (`a\r\n0123456789\r\n0\r\n\r\n`) as soon as the server closed; with `content-length: 4` beside chunks it was `0123`; with `content-length: 1x` beside chunks or `10, 10` our own head could not be read.

Cause: the library decides where the body ends, and takes more than one reading: an unknown coding is a body up to the close, chunks go before a length. Our answer to the client was framed anew, by the copied `content-length`, after the filter for fields of one connection had dropped the coding that nobody had understood.

Change: one check where each head of a back end is taken in, before it is classified (a refusal in such a head isn't believed): `chunked` alone or no coding, one length or none, not both, no body where the status has none. What passes has one length, the one by which the body is read here; our own head is framed by that alone. Anything else is a 502, counted (`unsound_answers`) and logged with its server, as are heads that the library can't parse.

Why it works: a head with two readings never gets past the one place where heads are taken in, and what is passed on of the others is rewritten from the reading by which the body was read.

--- a/crates/seamhatchd/src/base/metrics.rs
+++ b/crates/seamhatchd/src/base/metrics.rs
@@ -218,6 +218,8 @@
     pub silent: Gauge,
     /// Calls that the back end had not answered by their deadline.
     pub unanswered: Counter,
+    /// Answers of the back end that can't be understood.
+    pub unsound_answers: Counter,
     /// First refused priority level.
     pub floor: Gauge,
     /// Generation of the configuration in force.
@@ -349,6 +351,11 @@
                 "unanswered_calls",
                 "Calls that the back end had not answered by their deadline",
             ),
+            unsound_answers: counter(
+                to,
+                "unsound_answers",
+                "Answers of the back end that can't be understood",
+            ),
             limit: gauge(to, "limit_calls", "Calls that may run at once"),
             floor: gauge(to, "admission_floor", "First refused priority level"),
             named_rate: gauge_or_none(
--- a/crates/seamhatchd/src/base/mod.rs
+++ b/crates/seamhatchd/src/base/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! This layer owns no state of requests or members and depends on no other layer except the settings.
 
+pub mod answer_head;
 pub mod clock;
 pub mod http_client;
 pub(crate) mod keepalive;
--- a/crates/seamhatchd/src/peer_server/call/execute.rs
+++ b/crates/seamhatchd/src/peer_server/call/execute.rs
@@ -10,12 +10,12 @@
 use crate::base::clock;
 use crate::base::metrics::seconds;
 use crate::intake::RequestStage;
-use crate::server::backend::{self, BackendAnswer, BackendError, BackendRequest};
+use crate::server::backend::{self, BackendAnswer, BackendError, BackendRequest, UnsoundAnswer};
 use crate::server::crashes::{TrackedRun, TrialRun};
 use crate::server::gate::Permit;
 use crate::server::instances::OpenInstance;
 use crate::server::running::RunningCall;
-use log::info;
+use log::{info, warn};
 use seamhatch_core::Instant;
 use seamhatch_core::clock::MILLISECOND;
 use seamhatch_core::crashes::{RunEnd, RunMode, SURVIVAL_AFTER_ANSWER};
@@ -66,7 +66,7 @@
             exchanged = self.exchange(running, &run, registration.header(), body) => exchanged,
             () = self.until_abandoned() => return self.refuse(running, Outcome::Unknown, Reason::Cancelled, ""),
         };
-        if !matches!(exchanged, Err(BackendError::Failed { .. } | BackendError::Unanswered)) {
+        if !matches!(&exchanged, Err(error) if error.may_have_run()) {
             registration.mark_ended();
         }
         match exchanged {
@@ -92,7 +92,7 @@
         let notice = match answered {
             Ok(answer) => answer.notice,
             Err(BackendError::NotRun { notice, .. }) => *notice,
-            Err(BackendError::Failed { .. } | BackendError::Unanswered) => return,
+            Err(BackendError::Failed { .. } | BackendError::Unsound(_) | BackendError::Unanswered) => return,
         };
         self.shared.server.notices.note_answer(run.instance.as_ref(), notice, run.started);
         if notice.leaving {
@@ -236,6 +236,10 @@
                 }
             }
             BackendError::Failed { detail } => self.refuse_failed(running, run, &detail).await,
+            BackendError::Unsound(answer) => {
+                self.note_unsound(run, &answer);
+                self.refuse_failed(running, run, &answer.to_string()).await;
+            }
             error @ BackendError::Unanswered => {
                 permit.note_unanswered();
                 self.shared.metrics.unanswered.inc();
@@ -244,6 +248,17 @@
         }
     }
 
+    /// Counts and logs an answer that can't be understood.
+    fn note_unsound(&self, run: &BackendRun, answer: &UnsoundAnswer) {
+        self.shared.metrics.unsound_answers.inc();
+        warn!(
+            request = self.log_name().as_str(),
+            instance = run.instance.as_ref().map_or("", |instance| instance.name.as_str()),
+            detail = answer.to_string().as_str();
+            "an answer of the back end can't be understood"
+        );
+    }
+
     /// Refuses a call that the back end may have run.
     async fn refuse_failed(&self, running: &RunningCall, run: &BackendRun, detail: &str) {
         let crashed = self.has_crashed(run).await;
--- a/crates/seamhatchd/src/server/backend/error.rs
+++ b/crates/seamhatchd/src/server/backend/error.rs
@@ -1,5 +1,6 @@
 //! Why the back end gave no answer.
 
+use crate::base::answer_head::AnswerHeadError;
 use seamhatch_core::notice::AnswerNotice;
 use seamhatch_core::outcome::Reason;
 use thiserror::Error;
@@ -23,6 +24,9 @@
     /// The back end had the call and has sent nothing by the time at which it can't answer any more.
     #[error("the back end did not answer by the call's deadline; check whether it hangs")]
     Unanswered,
+    /// The back end has sent an answer that can't be understood. Nothing in it is believed, not even that the call did not run.
+    #[error("the back end's answer can't be understood: {0}")]
+    Unsound(#[from] UnsoundAnswer),
     /// The back end may have started to work on the call.
     #[error("the back end broke off: {detail}; its own log tells why")]
     Failed {
@@ -31,7 +35,24 @@
     },
 }
 
+/// What is wrong with an answer that can't be understood.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum UnsoundAnswer {
+    /// The head is not HTTP.
+    #[error("its head is not HTTP ({0}); look at what the server sends")]
+    NotHttp(String),
+    /// The head is HTTP, but doesn't say for certain what the answer is.
+    #[error(transparent)]
+    Head(#[from] AnswerHeadError),
+}
+
 impl BackendError {
+    /// Whether the back end may have run the call, or may still run it.
+    #[must_use]
+    pub fn may_have_run(&self) -> bool {
+        !matches!(self, Self::NotRun { .. })
+    }
+
     pub(super) fn failed(detail: impl Into<String>) -> Self {
         Self::Failed { detail: detail.into() }
     }
@@ -53,7 +74,11 @@
     /// Converts an error of an exchange. A request of which nothing was written can be sent again.
     pub(super) fn of_exchange(error: &hyper::Error, was_written: bool) -> Self {
         let detail = describe(error);
-        if was_written { Self::failed(detail) } else { Self::unreachable(detail) }
+        match was_written {
+            true if error.is_parse() => UnsoundAnswer::NotHttp(detail).into(),
+            true => Self::failed(detail),
+            false => Self::unreachable(detail),
+        }
     }
 }
 
--- a/crates/seamhatchd/src/server/backend/mod.rs
+++ b/crates/seamhatchd/src/server/backend/mod.rs
@@ -15,10 +15,11 @@
 
 pub use answer::BackendAnswer;
 pub use body::{BodyAborted, BodyPiece, ChannelStream, RequestBody, no_body, request_body};
-pub use error::BackendError;
+pub use error::{BackendError, UnsoundAnswer};
 pub use progress::{AnswerProgress, MAX_ANSWER_HEAD_BYTES, MAX_ANSWER_OVERRUN};
 pub use request::BackendRequest;
 
+use crate::base::answer_head::check_answer_head;
 use crate::base::clock;
 use crate::base::keepalive::SilenceCheck;
 use crate::base::metrics::{Metrics, OpenCause};
@@ -27,9 +28,10 @@
 use bytes::Bytes;
 use connections::{Connection, Connections, idle_timeout};
 use futures_util::FutureExt;
-use http::{HeaderMap, Request, Response};
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::{HeaderMap, Method, Request, Response, StatusCode};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use request::silence_check;
 use seamhatch_core::Instant;
 use seamhatch_core::clock::Microseconds;
@@ -87,7 +89,12 @@
         let message = request
             .message(&call, &*self.conventions, self.address, body.http)
             .map_err(|error| BackendError::not_sent(Reason::BadRequest, error.to_string()))?;
-        let (connection, response) = self.exchange(message, request.expiry).await?;
+        let method = message.method().clone();
+        let (connection, mut response) = self.exchange(message, request.expiry).await?;
+        if let Err(error) = check_framing(&method, &mut response) {
+            connection.close(OpenCause::UnusableAnswer);
+            return Err(error.into());
+        }
         self.check_response(&call, connection, response, body.written).await
     }
 
@@ -186,6 +193,23 @@
     }
 }
 
+/// Checks that the head can be read in one way only, and leaves just that in it: the length that others are told is the one by which
+/// the body is read here.
+///
+/// # Errors
+/// Returns an [`UnsoundAnswer`] if the head could be understood otherwise.
+fn check_framing(method: &Method, response: &mut Response<Incoming>) -> Result<(), UnsoundAnswer> {
+    let status = response.status();
+    let stated = check_answer_head(method, status, response.headers())?;
+    let describes_no_body = method == Method::HEAD || status == StatusCode::NOT_MODIFIED;
+    let length = if describes_no_body { stated } else { response.body().size_hint().exact() };
+    let headers = response.headers_mut();
+    headers.remove(TRANSFER_ENCODING);
+    headers.remove(CONTENT_LENGTH);
+    headers.extend(length.map(|length| (CONTENT_LENGTH, length.into())));
+    Ok(())
+}
+
 /// Why a request got no answer on a connection, which is closed.
 #[derive(Debug)]
 enum SendFailure {
