An answer with bytes behind its end is a failure, unless they begin another

`content-length: 4` or `0` before ten bytes gave `0123` or nothing, framed as whole; the same with `connection: close`, in HTTP/1.0, and for bodies above the 64 KiB that are read ahead. A refusal with such a length was believed as not run.

Cause: the head is sound by itself; that its length is wrong shows only by the bytes behind. The library drops them with the connection, and the daemon never asked for them.

Change: the exchange ends before the answer counts as whole. The connection is then ready for the next request, which the library reports only if nothing came behind; or its task returns what came and was read for no answer. Bytes that begin with `HTTP/1.` are a further answer and belong to no request, so the first one stands. Any others may be the rest of the body: a 502, or an answer that breaks off where its head has gone out (the last piece is withheld until the end). A refusal waits for its short body for 5 ms at most, and is not believed if bytes follow it. Bytes that come later still end the connection and are never the next answer.

`Backend::finish`, which only tests called, is gone.

Why it works: whether something followed is asked of the connection itself, at the one place where every answer ends.

--- a/crates/seamhatchd/src/peer_server/call/answer.rs
+++ b/crates/seamhatchd/src/peer_server/call/answer.rs
@@ -56,19 +56,22 @@
 }
 
 impl ServerCall {
-    /// Forwards the answer of a call that got its slot at `started`. Returns whether the answer was complete.
+    /// Forwards the answer of a call that got its slot at `started`.
+    ///
+    /// # Errors
+    /// The answer is not complete.
     pub(super) async fn forward_answer(
         &self,
         running: &RunningCall,
         started: Instant,
         answer: &mut BackendAnswer,
         start: AnswerStart,
-    ) -> bool {
+    ) -> Result<(), BackendError> {
         self.send(PeerMessage::AnswerHead(Box::new(self.answer_head(running, started, answer))));
         for piece in start.pieces {
             self.send_pieces(piece).await;
         }
-        start.is_whole || self.forward_rest(answer).await
+        if start.is_whole { Ok(()) } else { self.forward_rest(answer).await }
     }
 
     fn answer_head(&self, running: &RunningCall, started: Instant, answer: &BackendAnswer) -> AnswerHead {
@@ -102,16 +105,12 @@
         usage.services().to_vec()
     }
 
-    /// Forwards the body after its buffered start. Returns whether the body was complete.
-    async fn forward_rest(&self, answer: &mut BackendAnswer) -> bool {
-        loop {
-            match answer.next().await {
-                Ok(Some(piece)) => self.send_pieces(piece).await,
-                Ok(None) => return true,
-                // The answer's tail tells the sender, and `complete` shows it in the log.
-                Err(_) => return false,
-            }
+    /// Forwards the body after its buffered start.
+    async fn forward_rest(&self, answer: &mut BackendAnswer) -> Result<(), BackendError> {
+        while let Some(piece) = answer.next().await? {
+            self.send_pieces(piece).await;
         }
+        Ok(())
     }
 
     /// Sends body bytes as the receiver grants credit.
--- a/crates/seamhatchd/src/peer_server/call/execute.rs
+++ b/crates/seamhatchd/src/peer_server/call/execute.rs
@@ -179,14 +179,18 @@
         let status = answer.status.as_u16();
         let cut_off = answer.until_cut_off();
         let forwarded = tokio::select! {
-            complete = self.forward_answer(running, run.started, &mut answer, start) => Some(complete),
+            forwarded = self.forward_answer(running, run.started, &mut answer, start) => Some(forwarded),
             () = self.cancellation.cancelled() => None,
             // A sender that stands still takes nothing of the answer and can't cancel the call.
             () = cut_off => None,
         };
+        if let Some(Err(BackendError::Unsound(unsound))) = &forwarded {
+            self.note_unsound(run, unsound);
+        }
+        // The answer's tail tells the sender whether it is complete.
         let forwarded = match forwarded {
             None if !self.head.context.repeatable => Some(discard_rest(&mut answer).await),
-            forwarded => forwarded,
+            forwarded => forwarded.map(|forwarded| forwarded.is_ok()),
         };
         // Closes the connection of an answer that was not read to its end.
         drop(answer);
--- a/crates/seamhatchd/src/server/backend/answer.rs
+++ b/crates/seamhatchd/src/server/backend/answer.rs
@@ -1,7 +1,7 @@
 //! An answer of the back end whose head has been received.
 
 use super::connections::Connection;
-use super::error::{BackendError, describe};
+use super::error::{BackendError, UnsoundAnswer, describe};
 use super::progress::AnswerProgress;
 use crate::base::metrics::OpenCause;
 use bytes::Bytes;
@@ -14,6 +14,9 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
+/// How a further answer begins.
+const STATUS_LINE_START: &[u8] = b"HTTP/1.";
+
 /// An answer whose head has been checked. Its connection is kept for other calls as soon as the
 /// body has been read to its end. Dropping the answer before that closes the connection, which
 /// makes the back end stop.
@@ -38,7 +41,8 @@
     /// Returns the next piece of the body, or `None` at its end. Cancel-safe.
     ///
     /// # Errors
-    /// Returns a [`BackendError`] if the body will never be complete, or goes on for too long after the call's deadline.
+    /// Returns a [`BackendError`] if the body will never be complete, goes on for too long after the call's deadline, or seems to go
+    /// on behind its end.
     pub async fn next(&mut self) -> Result<Option<Bytes>, BackendError> {
         while let Some(frame) = self.next_frame().await? {
             let frame = frame.map_err(|error| self.body_error(&error))?;
@@ -47,7 +51,7 @@
                 return Ok(Some(data));
             }
         }
-        self.release();
+        self.end().await?;
         Ok(None)
     }
 
@@ -80,15 +84,23 @@
         BackendError::failed(describe(error))
     }
 
-    /// Keeps the connection of an answer that was read to its end if the whole request was written.
-    /// After an answer that came earlier, the rest of the request is still unwritten, and it must
-    /// not precede the next request.
-    pub(super) fn release(&mut self) {
-        let Some(connection) = self.connection.take() else { return };
-        if self.request_written.load(Ordering::Acquire) {
-            connection.return_to_pool(self.idle_timeout);
-        } else {
-            connection.close(OpenCause::UnusableAnswer);
-        }
+    /// Ends the exchange of an answer that was read to its end.
+    async fn end(&mut self) -> Result<(), BackendError> {
+        let Some(connection) = self.connection.take() else { return Ok(()) };
+        let request_written = self.request_written.load(Ordering::Acquire);
+        let behind = connection.end_exchange(request_written, self.idle_timeout).await;
+        Ok(check_behind(&behind)?)
+    }
+}
+
+/// Checks the bytes that came behind an answer. A further answer belongs to no request and says nothing of this one. Other bytes may
+/// be the rest of the body, whose length is wrong then.
+///
+/// # Errors
+/// [`UnsoundAnswer::BytesBehind`].
+pub(super) fn check_behind(behind: &[u8]) -> Result<(), UnsoundAnswer> {
+    if behind.is_empty() || behind.starts_with(STATUS_LINE_START) {
+        return Ok(());
     }
+    Err(UnsoundAnswer::BytesBehind)
 }
--- a/crates/seamhatchd/src/server/backend/connections.rs
+++ b/crates/seamhatchd/src/server/backend/connections.rs
@@ -12,21 +12,27 @@
 use crate::base::keepalive::{SilenceCheck, close_when_silent};
 use crate::base::lock::lock;
 use crate::base::metrics::{Metrics, OpenCause};
+use bytes::Bytes;
 use http::{HeaderMap, Request, Response};
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::{self, Parts, SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use seamhatch_core::Instant;
 use seamhatch_core::clock::{Microseconds, SECOND};
 use seamhatch_core::identity::Address;
 use std::collections::VecDeque;
+use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
+/// A connection as the HTTP library drives it.
+type ClientConnection = http1::Connection<TokioIo<CheckedStream>, HttpRequestBody>;
+
 /// Longest wait for a TCP connection; the back end is on the same machine.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Idle time in microseconds that the back end is assumed to allow if it states none. The connection
@@ -45,7 +51,9 @@
 #[derive(Debug)]
 struct Link {
     sender: SendRequest<HttpRequestBody>,
-    task: JoinHandle<()>,
+    /// Returns the bytes that came last and belong to no answer.
+    task: JoinHandle<Bytes>,
+    stop: Arc<Notify>,
     check: SharedCheck,
     progress: AnswerProgress,
 }
@@ -56,6 +64,15 @@
     }
 }
 
+impl Link {
+    /// Closes the connection. Returns the bytes that came last and belong to no answer.
+    async fn close(mut self) -> Bytes {
+        self.stop.notify_one();
+        // The task ends early only with the process.
+        (&mut self.task).await.unwrap_or_default()
+    }
+}
+
 /// A connection in use. Dropping it closes it, which cancels its call.
 #[derive(Debug)]
 pub struct Connection {
@@ -108,6 +125,28 @@
         });
     }
 
+    /// Ends an exchange whose answer was read to its end, and keeps the connection if it can be used again. Returns the bytes that
+    /// came behind the answer, which belong to no request.
+    pub async fn end_exchange(mut self, request_written: bool, idle_timeout: Microseconds) -> Bytes {
+        let Some(mut link) = self.link.take() else { return Bytes::new() };
+        // After an answer that came earlier, the rest of the request is still unwritten, and it must not precede the next request.
+        let cause = if request_written {
+            match tokio::time::timeout(READY_TIMEOUT, link.sender.ready()).await {
+                Ok(Ok(())) => {
+                    self.pool.add(link, idle_timeout);
+                    return Bytes::new();
+                }
+                Ok(Err(_)) => OpenCause::ClosedByServer,
+                Err(_) => OpenCause::UnusableAnswer,
+            }
+        } else {
+            OpenCause::UnusableAnswer
+        };
+        let behind = link.close().await;
+        self.pool.record_close(if behind.is_empty() { cause } else { OpenCause::UnusableAnswer });
+        behind
+    }
+
     /// Closes the connection and records the cause.
     pub fn close(mut self, cause: OpenCause) {
         self.link = None;
@@ -212,9 +251,9 @@
         let progress = AnswerProgress::default();
         let stream = CheckedStream::new(stream, shared_check.clone(), progress.clone());
         let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
-        // The call on the connection gets its error, so the task's result is dropped.
-        let task = tokio::spawn(async move { drop(connection.await) });
-        let link = Link { sender, task, check: shared_check, progress };
+        let stop = Arc::new(Notify::new());
+        let task = tokio::spawn(drive(connection, stop.clone()));
+        let link = Link { sender, task, stop, check: shared_check, progress };
         Ok(Connection { link: Some(link), pool: self.clone() })
     }
 
@@ -246,6 +285,18 @@
     }
 }
 
+/// Drives a connection until it ends or is stopped. Returns the bytes that came last and belong to no answer.
+async fn drive(mut exchanges: ClientConnection, stop: Arc<Notify>) -> Bytes {
+    let ended = poll_fn(|context| exchanges.poll_without_shutdown(context));
+    tokio::select! {
+        // The call on the connection gets its error.
+        _ended = ended => {}
+        () = stop.notified() => {}
+    }
+    let Parts { io, read_buf, .. } = exchanges.into_parts();
+    [read_buf, io.into_inner().read_arrived()].concat().into()
+}
+
 /// Returns how long a connection may be kept idle after an answer with these fields: the time in
 /// `Keep-Alive`, less a margin.
 pub fn idle_timeout(headers: &HeaderMap) -> Microseconds {
--- a/crates/seamhatchd/src/server/backend/error.rs
+++ b/crates/seamhatchd/src/server/backend/error.rs
@@ -44,6 +44,9 @@
     /// The head is HTTP, but doesn't say for certain what the answer is.
     #[error(transparent)]
     Head(#[from] AnswerHeadError),
+    /// More bytes came than the head announces, and they don't begin a further answer.
+    #[error("more bytes follow than its head announces; look at the server's Content-Length")]
+    BytesBehind,
 }
 
 impl BackendError {
--- a/crates/seamhatchd/src/server/backend/mod.rs
+++ b/crates/seamhatchd/src/server/backend/mod.rs
@@ -14,6 +14,7 @@
 mod stream;
 
 pub use answer::BackendAnswer;
+use answer::check_behind;
 pub use body::{BodyAborted, BodyPiece, ChannelStream, RequestBody, no_body, request_body};
 pub use error::{BackendError, UnsoundAnswer};
 pub use progress::{AnswerProgress, MAX_ANSWER_HEAD_BYTES, MAX_ANSWER_OVERRUN};
@@ -27,7 +28,6 @@
 use body::HttpRequestBody;
 use bytes::Bytes;
 use connections::{Connection, Connections, idle_timeout};
-use futures_util::FutureExt;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use http_body_util::BodyExt;
@@ -51,6 +51,8 @@
 const PROBE_PAUSE: Duration = Duration::from_millis(8);
 /// Longest body of a refusal that is read so that its connection can be kept, in bytes.
 const MAX_REFUSAL_BODY_BYTES: usize = 4 * 1024;
+/// Longest wait of a refusal for that body.
+const MAX_REFUSAL_WAIT: Duration = Duration::from_millis(5);
 /// Longest wait for the rest of that body. Its connection serves no other call until then.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -123,7 +125,8 @@
             }),
             AnswerClassification::NotRun(reason) => {
                 let detail = format!("status {}", parts.status);
-                discard(connection, body, idle_timeout(&parts.headers), request_written);
+                let idle_timeout = idle_timeout(&parts.headers);
+                finish_refusal(connection, body, idle_timeout, request_written).await?;
                 Err(BackendError::NotRun { reason, detail, notice })
             }
             AnswerClassification::Unusable(why) => {
@@ -135,11 +138,6 @@
         }
     }
 
-    /// Ends an answer that was read to its end.
-    pub fn finish(&self, mut answer: BackendAnswer) {
-        answer.release();
-    }
-
     /// Whether nothing listens at the back end's address any more, which means that its process has
     /// ended. A connection that opens is kept for the next call.
     pub async fn has_exited(&self) -> bool {
@@ -254,24 +252,30 @@
     }
 }
 
-/// Reads the body of a refusal to its end if it is short, so that the connection can be kept. The
-/// refusal does not wait for a body that has not arrived yet.
-fn discard(
+/// Reads the body of a refusal to its end if it is short, so that the connection can be kept. The refusal waits for a body that has
+/// not arrived yet for [`MAX_REFUSAL_WAIT`] at most.
+///
+/// # Errors
+/// Returns an [`UnsoundAnswer`] if the refusal goes on behind its end.
+async fn finish_refusal(
     connection: Connection,
     body: Incoming,
     idle_timeout: Microseconds,
     request_written: Arc<AtomicBool>,
-) {
-    let mut reading = Box::pin(async move {
-        let read = tokio::time::timeout(DISCARD_TIMEOUT, read_short_body(body)).await;
-        if read == Ok(true) && request_written.load(Ordering::Acquire) {
-            connection.return_to_pool(idle_timeout);
-        } else {
+) -> Result<(), UnsoundAnswer> {
+    let reading = tokio::spawn(async move {
+        if tokio::time::timeout(DISCARD_TIMEOUT, read_short_body(body)).await != Ok(true) {
             connection.close(OpenCause::UnusableAnswer);
+            return Ok(());
         }
+        let request_written = request_written.load(Ordering::Acquire);
+        let behind = connection.end_exchange(request_written, idle_timeout).await;
+        check_behind(&behind)
     });
-    if (&mut reading).now_or_never().is_none() {
-        tokio::spawn(reading);
+    // The task goes on after the wait.
+    match tokio::time::timeout(MAX_REFUSAL_WAIT, reading).await {
+        Ok(Ok(checked)) => checked,
+        Ok(Err(_)) | Err(_) => Ok(()),
     }
 }
 
--- a/crates/seamhatchd/src/server/backend/stream.rs
+++ b/crates/seamhatchd/src/server/backend/stream.rs
@@ -7,6 +7,7 @@
 
 use super::progress::AnswerProgress;
 use crate::base::keepalive::{SilenceCheck, set_silence_check};
+use bytes::Bytes;
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::sync::Arc;
@@ -15,6 +16,9 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+/// Maximum number of bytes that are read once the connection is no longer used.
+const MAX_ARRIVED_BYTES: usize = 64;
+
 /// The silence check that a connection is to have for the next request.
 #[derive(Debug, Clone)]
 pub struct SharedCheck(Arc<AtomicBool>);
@@ -50,6 +54,15 @@
         Self { stream, progress, applied: requested.get(), requested }
     }
 
+    /// Reads some of the bytes that have arrived, without waiting for more.
+    pub fn read_arrived(&self) -> Bytes {
+        let mut bytes = vec![0; MAX_ARRIVED_BYTES];
+        // An error means that nothing has arrived, or that the connection has ended.
+        let length = self.stream.try_read(&mut bytes).unwrap_or_default();
+        bytes.truncate(length);
+        bytes.into()
+    }
+
     fn apply_requested_check(&mut self) -> io::Result<Pin<&mut TcpStream>> {
         let requested = self.requested.get();
         if requested != self.applied {
--- a/crates/seamhatchd/tests/backend_connections.rs
+++ b/crates/seamhatchd/tests/backend_connections.rs
@@ -188,7 +188,6 @@
     async fn exchange(&self, path: &str) {
         let mut answer = self.send(path, no_body()).await.expect("is answered");
         while answer.next().await.expect("is whole").is_some() {}
-        self.backend.finish(answer);
     }
 
     fn opened(&self, cause: &str) -> usize {
@@ -246,7 +245,6 @@
         drop(pieces);
         let mut answer = fixture.send("/ok", body).await.expect("is answered");
         while answer.next().await.expect("is whole").is_some() {}
-        fixture.backend.finish(answer);
     }
     assert_eq!((fixture.server.accepted(), fixture.opened("none-idle")), (1, 1));
 }
@@ -303,7 +301,6 @@
     pieces.send(Ok(Bytes::from_static(b"some"))).expect("is open");
     let mut answer = fixture.send("/early", body).await.expect("is answered");
     while answer.next().await.expect("is whole").is_some() {}
-    fixture.backend.finish(answer);
     fixture.exchange("/ok").await;
     fixture.assert_second("unusable-answer");
     drop(pieces);
