A status of no final answer is a failure

Seen by callers: a server's 101, which nobody had asked for, came as 101, after which the client's connection is no longer HTTP to it; 600 and 999 were passed on as they were.

Cause: the library takes any three digits from 100 on, and 101 as the end of HTTP; nobody checked that the status is one of a final answer.

Change: statuses outside 200 to 599 are refused with the rest of the head (RFC 9110, section 15: others are invalid, and a caller can do nothing but guess). 1xx before the answer are skipped as before.

--- a/crates/seamhatchd/src/base/answer_head.rs
+++ b/crates/seamhatchd/src/base/answer_head.rs
@@ -7,14 +7,21 @@
 
 use http::header::{AsHeaderName, CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, Method, StatusCode};
+use std::ops::Range;
 use thiserror::Error;
 
+/// The statuses of final answers (RFC 9110, section 15). Interim responses end before them, and nobody asks for another protocol.
+const FINAL_STATUSES: Range<u16> = 200..600;
+
 /// The only transfer coding that is decoded; answers have no other one, as no request offers it (RFC 9112, section 7.4).
 const CHUNKED: &[u8] = b"chunked";
 
 /// Why the head of an answer can't be understood. What it says of the request is not known.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum AnswerHeadError {
+    /// The status is not one of a final answer.
+    #[error("status {0} is not one of a final answer (200 to 599); look at what the server sends")]
+    Status(u16),
     /// A transfer coding other than `chunked`, or several.
     #[error("the transfer coding is not just `chunked`; look at the server's Transfer-Encoding")]
     TransferCoding,
@@ -32,12 +39,15 @@
 /// Checks the head of an answer to a request with `method`. Returns the length that it states, in bytes.
 ///
 /// # Errors
-/// [`AnswerHeadError`] unless the head delimits the body in one way (RFC 9112, section 6.3).
+/// [`AnswerHeadError`] unless the head has a final status and delimits the body in one way (RFC 9112, section 6.3).
 pub fn check_answer_head(
     method: &Method,
     status: StatusCode,
     headers: &HeaderMap,
 ) -> Result<Option<u64>, AnswerHeadError> {
+    if !FINAL_STATUSES.contains(&status.as_u16()) {
+        return Err(AnswerHeadError::Status(status.as_u16()));
+    }
     let is_coded = headers.contains_key(TRANSFER_ENCODING);
     if is_coded && !is_chunked(headers) {
         return Err(AnswerHeadError::TransferCoding);
--- a/crates/seamhatchd/tests/answer_heads.rs
+++ b/crates/seamhatchd/tests/answer_heads.rs
@@ -21,7 +21,7 @@
     HeadCase { method: Method::GET, status: 200, fields, understood }
 }
 
-fn cases() -> [HeadCase; 31] {
+fn cases() -> [HeadCase; 36] {
     [
         get(&[], Ok(None)),
         get(&[(LENGTH, "0")], Ok(Some(0))),
@@ -49,6 +49,11 @@
         get(&[(CODING, "chunked"), (CODING, "chunked")], Err(AnswerHeadError::TransferCoding)),
         get(&[(CODING, "chunked"), (LENGTH, "10")], Err(AnswerHeadError::LengthBesideCoding)),
         get(&[(CODING, "chunked"), (LENGTH, "1x")], Err(AnswerHeadError::Length)),
+        HeadCase { status: 599, ..get(&[], Ok(None)) },
+        HeadCase { status: 100, ..get(&[], Err(AnswerHeadError::Status(100))) },
+        HeadCase { status: 101, ..get(&[], Err(AnswerHeadError::Status(101))) },
+        HeadCase { status: 600, ..get(&[], Err(AnswerHeadError::Status(600))) },
+        HeadCase { status: 999, ..get(&[(LENGTH, "1x")], Err(AnswerHeadError::Status(999))) },
         HeadCase { status: 204, ..get(&[(LENGTH, "0")], Ok(Some(0))) },
         HeadCase { status: 204, ..get(&[(LENGTH, "10")], Err(AnswerHeadError::BodyForbidden(204))) },
         HeadCase { status: 204, ..get(&[(CODING, "chunked")], Err(AnswerHeadError::BodyForbidden(204))) },
