An answer that names two requests, or has two signatures, is a failure

Seen by callers: a 200 with two ids or two signatures, so that each client believes another one; a refusal or a 421 with the right id first and another behind was a 503 (not run, REFUSED if it ran), and so was a 421 whose id was no text.

Cause: the platform's conventions read the first value of a field, and took an id that they could not read for none.

Change: where the values differ, the answer is unusable; the same value twice counts as one. An id is compared byte by byte, so one that is no text is another id.

--- a/crates/seamhatchd/src/conventions/mod.rs
+++ b/crates/seamhatchd/src/conventions/mod.rs
@@ -176,6 +176,14 @@
     headers.get(name)?.to_str().ok()
 }
 
+/// Whether a field has one value at most. The same value several times counts as one.
+#[must_use]
+pub fn has_one_value(headers: &HeaderMap, name: &str) -> bool {
+    let mut values = headers.get_all(name).iter();
+    let first = values.next();
+    values.all(|value| Some(value) == first)
+}
+
 /// The rate in a field: one plain decimal number of requests per second.
 #[must_use]
 pub fn named_rate(headers: &HeaderMap, name: &str) -> NamedRate {
