An answer from another daemon that is not sound is a failure

Seen by callers, where the daemon beside the server is of another release or faulty: a status that is none came as a 502 with the answer's body and the server's signature; 101 and 600 as they were; a field that is no HTTP was dropped and the rest passed on as a 200; a spoilt length, two of them or a coding ended the connection without a head; a length that is too short gave a part of the body, framed as whole.

Cause: the same as at the back end, on the second reader: status, names and values from the wire were taken as they are, what could not be used was left out, and the body was framed by a length that nobody compared with it.

Change: an answer's head is checked as it arrives, by the same check, and becomes status and fields once; if it is not sound the attempt ended without an answer (502, or another server for a safe call), counted and logged with its server. The body must have the length of the head: a piece too many or too few breaks it off, and such an answer isn't recorded. A recorded answer of another daemon's memory goes through the same check before it is replayed.

--- a/crates/seamhatchd/src/base/metrics.rs
+++ b/crates/seamhatchd/src/base/metrics.rs
@@ -218,7 +218,7 @@
     pub silent: Gauge,
     /// Calls that the back end had not answered by their deadline.
     pub unanswered: Counter,
-    /// Answers of the back end that can't be understood.
+    /// Answers of the back end, or of another daemon for its back end, that can't be understood.
     pub unsound_answers: Counter,
     /// First refused priority level.
     pub floor: Gauge,
@@ -351,11 +351,7 @@
                 "unanswered_calls",
                 "Calls that the back end had not answered by their deadline",
             ),
-            unsound_answers: counter(
-                to,
-                "unsound_answers",
-                "Answers of the back end that can't be understood",
-            ),
+            unsound_answers: counter(to, "unsound_answers", "Answers that can't be understood"),
             limit: gauge(to, "limit_calls", "Calls that may run at once"),
             floor: gauge(to, "admission_floor", "First refused priority level"),
             named_rate: gauge_or_none(
--- a/crates/seamhatchd/src/dispatch/attempt.rs
+++ b/crates/seamhatchd/src/dispatch/attempt.rs
@@ -1,12 +1,14 @@
 //! One attempt of a call at one server: writes the call and waits for the head of the answer.
 
 use super::Dispatcher;
+use super::answer_parts::AnswerParts;
 use super::replay::next_after_prefix;
 use crate::base::clock;
 use crate::conventions::field_text;
 use crate::filters::Rejection;
 use crate::intake::RequestStage;
 use crate::peer::{CallEvent, CallStream, PeerConnection, SentCallKey};
+use log::warn;
 use seamhatch_core::balance::CallEnd;
 use seamhatch_core::clock::{MILLISECOND, Microseconds};
 use seamhatch_core::outcome::{Outcome, Reason};
@@ -31,8 +33,15 @@
     BodyAborted(Rejection),
 }
 
-/// Head of an answer, and the stream that delivers its body.
-pub(super) type AnswerBegun = (Box<AnswerHead>, CallStream);
+/// An answer whose head has come and is sound.
+pub(super) struct AnswerBegun {
+    /// The head as the server's daemon has sent it.
+    pub(super) head: Box<AnswerHead>,
+    /// What of it is passed on.
+    pub(super) parts: AnswerParts,
+    /// Delivers the body.
+    pub(super) stream: CallStream,
+}
 
 impl Dispatcher<'_> {
     /// Sends the call to a server and waits for the head of its answer.
@@ -52,7 +61,11 @@
         let Ok(stream) = connection.start_call(head) else {
             // The connection closed after it was chosen: nothing was written.
             sent.into_iter().for_each(|sent| self.shared.pool.settle(sent));
-            return Err(AttemptFailure::Refused(unsent_refusal(self.ledger_entry.handed_over)));
+            return Err(AttemptFailure::Refused(own_refusal(
+                Outcome::NotRun,
+                Reason::PeerLost,
+                self.ledger_entry.handed_over,
+            )));
         };
         self.request.progress.set_stage(RequestStage::Sent(connection.address));
         for piece in &self.body.prefix {
@@ -95,7 +108,7 @@
         loop {
             tokio::select! {
                 event = stream.next() => return match event {
-                    Some(CallEvent::Head(head)) => Ok((head, stream)),
+                    Some(CallEvent::Head(head)) => self.check_head(connection, head, stream),
                     Some(CallEvent::Refused(refusal)) => Err(AttemptFailure::Refused(refusal)),
                     Some(CallEvent::Chunk(_) | CallEvent::Tail(_)) | None => Err(AttemptFailure::Lost),
                 },
@@ -112,6 +125,30 @@
         }
     }
 
+    /// Checks the head of an answer.
+    ///
+    /// # Errors
+    /// A refusal that tells nothing of the call if the head is not sound.
+    fn check_head(
+        &self,
+        connection: &PeerConnection,
+        head: Box<AnswerHead>,
+        stream: CallStream,
+    ) -> Result<AnswerBegun, AttemptFailure> {
+        let error = match AnswerParts::of_peer(&self.request.method, head.status, &head.headers) {
+            Ok(parts) => return Ok(AnswerBegun { head, parts, stream }),
+            Err(error) => error,
+        };
+        self.shared.metrics.unsound_answers.inc();
+        warn!(
+            request = self.request.log_name().as_str(),
+            server = connection.address.to_string().as_str(),
+            detail = error.to_string().as_str();
+            "an answer from another daemon can't be understood"
+        );
+        Err(AttemptFailure::Refused(own_refusal(Outcome::Unknown, Reason::BackendFailed, 0)))
+    }
+
     fn call_head(&mut self, connection: &PeerConnection) -> CallHead {
         let expiry = self.shared.capped_expiry(self.parent.expiry).minus(EXPIRY_MARGIN);
         let context = CallContext {
@@ -160,13 +197,13 @@
     }
 }
 
-/// Builds the refusal that stands for a call that was never written.
-fn unsent_refusal(tokens: u32) -> Refusal {
+/// Builds the refusal that stands for a call that the server's daemon has neither answered nor refused.
+fn own_refusal(outcome: Outcome, reason: Reason, unspent_tokens: u32) -> Refusal {
     Refusal {
-        outcome: Outcome::NotRun,
-        reason: Reason::PeerLost,
+        outcome,
+        reason,
         retry_after: 0,
-        unspent_tokens: tokens,
+        unspent_tokens,
         crashes: 0,
         server: ServerReport { load: 0, limit: 0, floor: AdmissionFloor::OPEN },
         turn: None,
--- a/crates/seamhatchd/src/dispatch/mod.rs
+++ b/crates/seamhatchd/src/dispatch/mod.rs
@@ -10,6 +10,7 @@
 //! connections from the pool.
 
 mod answer;
+mod answer_parts;
 mod attempt;
 mod candidates;
 mod claiming;
@@ -21,15 +22,16 @@
 mod suspects;
 
 pub use answer::Answer;
+pub use answer_parts::{AnswerParts, PeerAnswerError};
 pub use replay::ReplayBody;
 
 use crate::base::clock;
 use crate::claims::Claimed;
 use crate::filters::{Entry, Rejection, RequestState};
-use crate::peer::{AnswerBody, CallStream, PeerConnection};
+use crate::peer::{AnswerBody, PeerConnection};
 use crate::server::running::RunningCall;
 use crate::shared::Shared;
-use attempt::{AttemptFailure, call_end};
+use attempt::{AnswerBegun, AttemptFailure, call_end};
 use ledger_entry::LedgerEntry;
 use log::info;
 use seamhatch_core::Instant;
@@ -98,7 +100,7 @@
                 self.report_lost_daemon(&connection, run).await;
             }
             match attempt {
-                Ok((head, stream)) => return self.answer(*head, stream, connection.address),
+                Ok(begun) => return self.answer(begun, connection.address),
                 Err(failure) => {
                     if let Err(rejection) = self.check_resend(failure) {
                         return self.reject(rejection);
@@ -153,13 +155,16 @@
         Ok(())
     }
 
-    fn answer(self, head: AnswerHead, stream: CallStream, server: Address) -> CallResult {
+    fn answer(self, begun: AnswerBegun, server: Address) -> CallResult {
+        let AnswerBegun { head, parts, stream } = begun;
         self.learn_floor(head.chain_floor.clone());
         self.learn_service_floor();
         self.learn_usage(&head);
         let recording = self.claimed.is_some().then(Vec::new);
         CallResult::Answered(Box::new(Answer {
-            head,
+            head: *head,
+            left: parts.body_length,
+            parts,
             server,
             dispatches: self.tried.len() + 1,
             body: AnswerBody::new(stream),
--- a/crates/seamhatchd/src/listeners/responses.rs
+++ b/crates/seamhatchd/src/listeners/responses.rs
@@ -6,9 +6,8 @@
 use super::body::{self, CallerBody};
 use super::proxy::RequestHandler;
 use crate::base::clock;
-use crate::conventions::headers;
 use crate::conventions::{AnswerMark, OwnAnswer};
-use crate::dispatch::Answer;
+use crate::dispatch::{Answer, AnswerParts};
 use crate::filters::{Rejection, RequestState};
 use crate::intake::{AcceptedRequest, RequestStage};
 use bytes::Bytes;
@@ -18,14 +17,14 @@
 use seamhatch_core::clock::MILLISECOND;
 use seamhatch_core::outcome::{Outcome, Reason};
 use seamhatch_core::return_time::jittered;
-use seamhatch_wire::{HeaderField, RecordedAnswer};
+use seamhatch_wire::RecordedAnswer;
 
 impl RequestHandler {
     /// Forwards the answer of a back end, whose body is still being received.
     pub(super) fn forward(
         &self,
         request: &RequestState,
-        answer: Answer,
+        mut answer: Answer,
         accepted: AcceptedRequest,
     ) -> Response<CallerBody> {
         request.progress.set_stage(RequestStage::Answering(answer.server));
@@ -42,34 +41,38 @@
             took_ms = took / MILLISECOND;
             "request answered"
         );
-        let (status, fields) = (answer.head.status, answer.head.headers.clone());
+        let parts = std::mem::take(&mut answer.parts);
         let body = if request.claim_text.is_some() {
             body::recorded(answer, accepted)
         } else {
             body::streamed(answer, accepted)
         };
-        self.response(request, status, &fields, Outcome::Answered, body)
+        self.response(request, parts, Outcome::Answered, body)
     }
 
     /// Replays the recorded answer of an earlier attempt with the same key.
     pub(super) fn replay(&self, request: &RequestState, recorded: RecordedAnswer) -> Response<CallerBody> {
+        let parts = AnswerParts::of_peer(&request.method, recorded.status, &recorded.headers);
+        let Some(parts) = parts.ok().filter(|parts| parts.is_whole(recorded.body.len())) else {
+            let detail = "the recorded answer can't be understood; its result is not known";
+            return self.reject(request, &Rejection::unknown(Reason::BackendFailed, detail));
+        };
         let body = body::whole(Bytes::from(recorded.body));
-        self.response(request, recorded.status, &recorded.headers, Outcome::Duplicate, body)
+        self.response(request, parts, Outcome::Duplicate, body)
     }
 
     fn response(
         &self,
         request: &RequestState,
-        status: u16,
-        fields: &[HeaderField],
+        parts: AnswerParts,
         outcome: Outcome,
         body: CallerBody,
     ) -> Response<CallerBody> {
-        let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+        let AnswerParts { status, headers, .. } = parts;
         let mut response = Response::new(body);
         *response.status_mut() = status;
-        headers::append_fields(response.headers_mut(), fields);
-        if status.is_informational() || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED) {
+        *response.headers_mut() = headers;
+        if matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED) {
             response.headers_mut().remove(CONTENT_LENGTH);
             *response.body_mut() = body::whole(Bytes::new());
         }
--- a/crates/seamhatchd/tests/answer_heads.rs
+++ b/crates/seamhatchd/tests/answer_heads.rs
@@ -1,7 +1,9 @@
 //! Heads of answers: one is understood only if it says in a single way where the body ends.
 
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
+use seamhatch_wire::HeaderField;
 use seamhatchd::base::answer_head::{AnswerHeadError, check_answer_head};
+use seamhatchd::dispatch::AnswerParts;
 
 /// The head of an answer to a request, and what it is understood as.
 struct HeadCase {
@@ -78,3 +80,32 @@
         assert_eq!(understood, case.understood, "{} {} {:?}", case.method, case.status, case.fields);
     }
 }
+
+/// Guards against an answer of another daemon whose body is taken for whole though its length is another than the head says.
+#[test]
+fn a_body_is_whole_if_it_has_the_length_of_its_head() {
+    struct BodyCase {
+        method: &'static str,
+        status: u16,
+        length: Option<&'static str>,
+        body: usize,
+        is_whole: bool,
+    }
+    let cases = [
+        BodyCase { method: "GET", status: 200, length: None, body: 10, is_whole: true },
+        BodyCase { method: "GET", status: 200, length: Some("10"), body: 10, is_whole: true },
+        BodyCase { method: "GET", status: 200, length: Some("4"), body: 10, is_whole: false },
+        BodyCase { method: "GET", status: 200, length: Some("40"), body: 10, is_whole: false },
+        BodyCase { method: "HEAD", status: 200, length: Some("10"), body: 0, is_whole: true },
+        BodyCase { method: "HEAD", status: 200, length: Some("10"), body: 10, is_whole: false },
+        BodyCase { method: "GET", status: 304, length: Some("10"), body: 0, is_whole: true },
+        BodyCase { method: "GET", status: 204, length: None, body: 0, is_whole: true },
+        BodyCase { method: "GET", status: 204, length: None, body: 1, is_whole: false },
+    ];
+    for BodyCase { method, status, length, body, is_whole } in cases {
+        let field = |value: &str| HeaderField { name: LENGTH.to_owned(), value: value.as_bytes().to_vec() };
+        let fields: Vec<HeaderField> = length.map(field).into_iter().collect();
+        let parts = AnswerParts::of_peer(method, status, &fields).expect("is sound");
+        assert_eq!(parts.is_whole(body), is_whole, "{method} {status} {length:?}, {body} bytes");
+    }
+}
