Broken answers of the store, the machine list and a daemon's operator interface are lost ones

Seen: `{}` behind `transfer-encoding: chunkedx` was read as an answer. A write was taken for refused, a 429 or 503 in such a head for "nothing was done", a list of no machines for the list, and `seamhatch crashes clear` reported "is cleared" with exit code 0. A write whose answer was cut by its own length (`content-length: 4`) was an answer that breaks the protocol, which a submission takes for not written: it told the operator so while it may be in force.

Cause: the same library reads these answers, and each reader went on from what it made of the head. Only a lost answer counted as a write that may have been executed.

Change: each reader checks the head with the same function; a head that is not sound is a lost answer.

Left as it is: a 404 of the store says by its status that there is no such key; its body only tells the revision.

--- a/crates/seamhatch/src/client.rs
+++ b/crates/seamhatch/src/client.rs
@@ -8,6 +8,7 @@
 use http::{Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use seamhatch_core::identity::Address;
+use seamhatchd::base::answer_head::check_response;
 use seamhatchd::base::http_client::{HttpClient, http_client};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -134,7 +135,7 @@
         body: Bytes,
     ) -> Result<AdminReply<T>, AdminFailure> {
         let request = Request::builder()
-            .method(method)
+            .method(method.clone())
             .uri(format!("http://{daemon}{path}"))
             .header("content-type", "application/json")
             .body(Full::new(body))
@@ -143,6 +144,7 @@
             let detail = error.to_string();
             if error.is_connect() { AdminFailure::NotSent(detail) } else { AdminFailure::Lost(detail) }
         })?;
+        check_response(&method, &response).map_err(|error| AdminFailure::Lost(error.to_string()))?;
         let status = response.status();
         let collected = response.into_body().collect().await;
         let bytes = collected.map_err(|error| AdminFailure::Lost(error.to_string()))?.to_bytes();
--- a/crates/seamhatch/tests/cli.rs
+++ b/crates/seamhatch/tests/cli.rs
@@ -1,6 +1,7 @@
 //! The client's command line without a daemon: help, checks, exit codes.
 
-use std::io::Write;
+use std::io::{Read, Write};
+use std::net::TcpListener;
 use std::process::{Command, Output};
 use std::time::{Duration, Instant};
 
@@ -174,3 +175,31 @@
         assert!(last.starts_with("cause: ") && last.contains(case.cause), "{}: {text}", case.name);
     }
 }
+
+/// Guards against a change that is reported as done, or as refused, from an answer that can be understood in two ways.
+#[test]
+fn a_broken_answer_of_a_daemon_is_no_answer() {
+    let heads = [
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunkedx",
+        "HTTP/1.1 200 OK\r\ncontent-length: 2\r\ntransfer-encoding: chunked",
+        "HTTP/1.1 400 Bad Request\r\ntransfer-encoding: x",
+        "HTTP/1.1 200 OK\r\ncontent-length: 1x",
+        "HTTP/1.1 600 OK",
+    ];
+    for head in heads {
+        let answer = format!("{head}\r\n\r\n{}", r#"{"kind":"refused","detail":"no such request"}"#);
+        let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+        let daemon = listener.local_addr().expect("is bound").to_string();
+        let serving = std::thread::spawn(move || {
+            let (mut stream, _) = listener.accept().expect("accepts");
+            let _ = stream.read(&mut [0; 4096]).expect("reads");
+            stream.write_all(answer.as_bytes()).expect("writes");
+        });
+        let report = text(&run(&["--daemon", &daemon, "crashes", "clear", "0000000000000001"]));
+        serving.join().expect("serves");
+        assert!(
+            report.contains("no daemon answered") && !report.contains("no such request"),
+            "{head:?}: {report}"
+        );
+    }
+}
--- a/crates/seamhatchd/src/base/answer_head.rs
+++ b/crates/seamhatchd/src/base/answer_head.rs
@@ -6,7 +6,7 @@
 //! state.
 
 use http::header::{AsHeaderName, CONTENT_LENGTH, TRANSFER_ENCODING};
-use http::{HeaderMap, Method, StatusCode};
+use http::{HeaderMap, Method, Response, StatusCode};
 use std::ops::Range;
 use thiserror::Error;
 
@@ -64,6 +64,14 @@
     Ok(length)
 }
 
+/// Checks the head of a response, as [`check_answer_head`].
+///
+/// # Errors
+/// As there.
+pub fn check_response<B>(method: &Method, response: &Response<B>) -> Result<Option<u64>, AnswerHeadError> {
+    check_answer_head(method, response.status(), response.headers())
+}
+
 /// Whether `chunked` is the whole list of transfer codings.
 fn is_chunked(headers: &HeaderMap) -> bool {
     let mut codings = elements(headers, TRANSFER_ENCODING);
--- a/crates/seamhatchd/src/server/backend/mod.rs
+++ b/crates/seamhatchd/src/server/backend/mod.rs
@@ -20,7 +20,7 @@
 pub use progress::{AnswerProgress, MAX_ANSWER_HEAD_BYTES, MAX_ANSWER_OVERRUN};
 pub use request::BackendRequest;
 
-use crate::base::answer_head::check_answer_head;
+use crate::base::answer_head::check_response;
 use crate::base::clock;
 use crate::base::keepalive::SilenceCheck;
 use crate::base::metrics::{Metrics, OpenCause};
@@ -198,7 +198,7 @@
 /// Returns an [`UnsoundAnswer`] if the head could be understood otherwise.
 fn check_framing(method: &Method, response: &mut Response<Incoming>) -> Result<(), UnsoundAnswer> {
     let status = response.status();
-    let stated = check_answer_head(method, status, response.headers())?;
+    let stated = check_response(method, response)?;
     let describes_no_body = method == Method::HEAD || status == StatusCode::NOT_MODIFIED;
     let length = if describes_no_body { stated } else { response.body().size_hint().exact() };
     let headers = response.headers_mut();
--- a/crates/seamhatchd/src/store/error.rs
+++ b/crates/seamhatchd/src/store/error.rs
@@ -46,6 +46,15 @@
         Self::AnswerLost { detail: "no answer in time".into() }
     }
 
+    /// The error for a write whose answer can't be read: the write may have been executed.
+    #[must_use]
+    pub fn of_write(self) -> Self {
+        match self {
+            Self::Malformed { detail } => Self::AnswerLost { detail },
+            error => error,
+        }
+    }
+
     /// The error for data that violates the protocol.
     #[must_use]
     pub fn malformed(error: &dyn std::error::Error) -> Self {
--- a/crates/seamhatchd/src/store/etcd.rs
+++ b/crates/seamhatchd/src/store/etcd.rs
@@ -1,6 +1,6 @@
 //! Client of a store that speaks the JSON form of the etcd v3 protocol (`/v3/kv/range`, `/v3/kv/txn`).
 
-use super::{StoreError, StoreExchange};
+use super::{StoreError, StoreExchange, StoreReply};
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use http::StatusCode;
@@ -102,8 +102,8 @@
     /// # Errors
     /// [`StoreError`].
     pub async fn read<T: DeserializeOwned>(&self, key: &str) -> Result<Stored<Option<T>>, StoreError> {
-        let response: RangeResponse =
-            self.call("/v3/kv/range", &RangeRequest { key: STANDARD.encode(key) }).await?;
+        let request = RangeRequest { key: STANDARD.encode(key) };
+        let response: RangeResponse = self.call("/v3/kv/range", &request).await?.parse()?;
         let Some(found) = response.kvs.into_iter().next() else {
             return Ok(Stored { value: None, revision: 0 });
         };
@@ -126,11 +126,12 @@
             Compare { key: key.clone(), target: "MOD", result: "EQUAL", mod_revision: revision.to_string() };
         let put = RequestOperation { request_put: PutRequest { key, value: STANDARD.encode(json) } };
         let request = TxnRequest { compare: [compare], success: [put] };
-        let response: TxnResponse = self.call("/v3/kv/txn", &request).await?;
+        let reply = self.call("/v3/kv/txn", &request).await?;
+        let response: TxnResponse = reply.parse().map_err(StoreError::of_write)?;
         Ok(if response.succeeded { Swap::Written } else { Swap::Refused })
     }
 
-    async fn call<Q: Serialize, R: DeserializeOwned>(&self, path: &str, body: &Q) -> Result<R, StoreError> {
+    async fn call(&self, path: &str, body: &impl Serialize) -> Result<StoreReply, StoreError> {
         let answer = tokio::time::timeout(ANSWER_TIMEOUT, self.exchange.post(path, body)).await;
         let reply = answer.map_err(|_| StoreError::timed_out())??;
         match reply.status {
@@ -138,7 +139,7 @@
             status if !status.is_success() => {
                 Err(StoreError::AnswerLost { detail: format!("status {status}") })
             }
-            _ => reply.parse(),
+            _ => Ok(reply),
         }
     }
 }
--- a/crates/seamhatchd/src/store/exchange.rs
+++ b/crates/seamhatchd/src/store/exchange.rs
@@ -1,7 +1,8 @@
 //! HTTP exchanges with a store, independent of the store's protocol: detects half-open connections, limits the size of answers and
-//! the number of interim responses before them, and distinguishes a request that was never sent from one whose answer was lost.
+//! the number of interim responses before them, believes no answer whose head isn't sound, and distinguishes a request that was never sent from one whose answer was lost.
 
 use super::StoreError;
+use crate::base::answer_head::check_response;
 use crate::base::http_client::{HttpClient, probing_http_client};
 use bytes::Bytes;
 use http::{Request, StatusCode};
@@ -94,6 +95,7 @@
     }
 
     async fn send(&self, mut request: Request<Full<Bytes>>) -> Result<StoreReply, StoreError> {
+        let method = request.method().clone();
         let too_many_interim = limit_interim_responses(&mut request);
         let response = tokio::select! {
             response = self.client.request(request) => response.map_err(exchange_error)?,
@@ -102,6 +104,9 @@
                 return Err(StoreError::AnswerLost { detail });
             }
         };
+        if let Err(error) = check_response(&method, &response) {
+            return Err(StoreError::AnswerLost { detail: error.to_string() });
+        }
         let status = response.status();
         let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await;
         let body = body.map_err(|error| StoreError::AnswerLost { detail: error.to_string() })?.to_bytes();
--- a/crates/seamhatchd/src/store/machine_list.rs
+++ b/crates/seamhatchd/src/store/machine_list.rs
@@ -1,9 +1,10 @@
 //! Client of the platform's machine list. The list lags behind the real state, so it is only a hint and never the sole evidence.
 
 use super::StoreError;
+use crate::base::answer_head::check_response;
 use crate::base::http_client::http_client;
 use bytes::Bytes;
-use http::Request;
+use http::{Method, Request};
 use http_body_util::{BodyExt, Full, Limited};
 use log::warn;
 use seamhatch_core::identity::Address;
@@ -47,6 +48,7 @@
         .map_err(|error| StoreError::Malformed { detail: error.to_string() })?;
     let reading = async {
         let response = http_client().request(request).await.map_err(|error| lost(error.to_string()))?;
+        check_response(&Method::GET, &response).map_err(|error| lost(error.to_string()))?;
         if !response.status().is_success() {
             return Err(lost(format!("status {}", response.status())));
         }
