--- a/crates/seamhatch-lab/src/connection.rs
+++ b/crates/seamhatch-lab/src/connection.rs
@@ -11,6 +11,7 @@
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use seamhatch_core::identity::Address;
+use seamhatchd::base::answer_head::check_response;
 use std::collections::HashMap;
 use std::error::Error;
 use std::io;
@@ -134,7 +135,9 @@
             return CallerAnswer::failed("bad-request");
         };
         message.headers_mut().insert(HOST, host);
+        let method = message.method().clone();
         match self.sender.try_send_request(message).await {
+            Ok(response) if check_response(&method, &response).is_err() => self.failed("unsound-answer"),
             Ok(response) => {
                 self.has_answered = true;
                 self.is_closing = announces_close(response.headers());
