--- a/crates/seamhatchd/src/base/answer_head.rs
+++ b/crates/seamhatchd/src/base/answer_head.rs
@@ -31,7 +31,7 @@
     /// The length is not a number, or there are several.
     #[error("the length of the body can't be read; look at the server's Content-Length")]
     Length,
-    /// A status that has no body stands beside one.
+    /// The status has no body, but the head announces one.
     #[error("status {0} has no body, but the head announces one; look at what the server sends")]
     BodyForbidden(u16),
 }
--- a/crates/seamhatchd/src/server/backend/answer.rs
+++ b/crates/seamhatchd/src/server/backend/answer.rs
@@ -38,7 +38,8 @@
 }
 
 impl BackendAnswer {
-    /// Returns the next piece of the body, or `None` at its end. Cancel-safe.
+    /// Returns the next piece of the body, or `None` at its end. Cancel-safe; a call that is cancelled at the very end closes the
+    /// connection.
     ///
     /// # Errors
     /// Returns a [`BackendError`] if the body will never be complete, goes on for too long after the call's deadline, or seems to go
--- a/crates/seamhatchd/src/server/backend/connections.rs
+++ b/crates/seamhatchd/src/server/backend/connections.rs
@@ -65,6 +65,19 @@
 }
 
 impl Link {
+    /// Why no other request can be sent after an answer that was read to its end; none if one can. After an answer that came earlier,
+    /// the rest of the request is still unwritten, and it must not precede the next request.
+    async fn cause_to_close(&mut self, request_written: bool) -> Option<OpenCause> {
+        if !request_written {
+            return Some(OpenCause::UnusableAnswer);
+        }
+        match tokio::time::timeout(READY_TIMEOUT, self.sender.ready()).await {
+            Ok(Ok(())) => None,
+            Ok(Err(_)) => Some(OpenCause::ClosedByServer),
+            Err(_) => Some(OpenCause::UnusableAnswer),
+        }
+    }
+
     /// Closes the connection. Returns the bytes that came last and belong to no answer.
     async fn close(mut self) -> Bytes {
         self.stop.notify_one();
@@ -129,18 +142,9 @@
     /// came behind the answer, which belong to no request.
     pub async fn end_exchange(mut self, request_written: bool, idle_timeout: Microseconds) -> Bytes {
         let Some(mut link) = self.link.take() else { return Bytes::new() };
-        // After an answer that came earlier, the rest of the request is still unwritten, and it must not precede the next request.
-        let cause = if request_written {
-            match tokio::time::timeout(READY_TIMEOUT, link.sender.ready()).await {
-                Ok(Ok(())) => {
-                    self.pool.add(link, idle_timeout);
-                    return Bytes::new();
-                }
-                Ok(Err(_)) => OpenCause::ClosedByServer,
-                Err(_) => OpenCause::UnusableAnswer,
-            }
-        } else {
-            OpenCause::UnusableAnswer
+        let Some(cause) = link.cause_to_close(request_written).await else {
+            self.pool.add(link, idle_timeout);
+            return Bytes::new();
         };
         let behind = link.close().await;
         self.pool.record_close(if behind.is_empty() { cause } else { OpenCause::UnusableAnswer });
--- a/crates/seamhatchd/src/server/backend/mod.rs
+++ b/crates/seamhatchd/src/server/backend/mod.rs
@@ -199,8 +199,9 @@
 fn check_framing(method: &Method, response: &mut Response<Incoming>) -> Result<(), UnsoundAnswer> {
     let status = response.status();
     let stated = check_response(method, response)?;
-    let describes_no_body = method == Method::HEAD || status == StatusCode::NOT_MODIFIED;
-    let length = if describes_no_body { stated } else { response.body().size_hint().exact() };
+    // These describe a body that they don't have.
+    let is_description = method == Method::HEAD || status == StatusCode::NOT_MODIFIED;
+    let length = if is_description { stated } else { response.body().size_hint().exact() };
     let headers = response.headers_mut();
     headers.remove(TRANSFER_ENCODING);
     headers.remove(CONTENT_LENGTH);
